--- /dev/null
+++ b/balance/helpers_test.go
@@ -0,0 +1,105 @@
+package balance
+
+import "testing"
+
+// rig drives one balancer by a script of events and keeps what it asked for.
+type rig struct {
+	t    *testing.T
+	b    *Balancer
+	now  float64
+	acts []Action
+	next RequestID
+}
+
+func baseConfig() Config {
+	return Config{
+		Seed: 1, Peers: 3, MaxAttempts: 4, Parallel: true, Cancel: true, RetryAfter: true, MaxRetryAfter: 1000,
+		Quantum: 4, AnswerSlack: 16, ColdFrom: 0.2, ColdTime: 20000, FallMultiple: 2.5, FallTime: 1000,
+		AskWithin: 10000, DrainGrace: 2000,
+		Classes: []Class{
+			{Effect: Safe, Aim: 300, Deadline: 1500, Worth: 1},
+			{Effect: Unsafe, Aim: 300, Deadline: 600, Worth: 5},
+			{Effect: Keyed, Group: GroupCell, Window: 1200, Aim: 400, Deadline: 2000, Worth: 3},
+			{Effect: Keyed, Group: GroupAll, Window: 1200, Aim: 400, Deadline: 2000, Worth: 3},
+			{Effect: Keyed, Group: GroupZone, Window: 1200, Aim: 400, Deadline: 2000, Worth: 3},
+		},
+	}
+}
+
+const (
+	safeClass = iota
+	unsafeClass
+	cellClass
+	allClass
+	zoneClass
+)
+
+func newRig(t *testing.T, cfg Config, servers ...Server) *rig {
+	g := &rig{t: t, b: New(cfg), now: 1000}
+	g.acts = append(g.acts, g.b.Start(g.now)...)
+	g.do(ServerList{Kind: ListCached, Servers: servers})
+	for _, s := range g.b.servers {
+		s.running, s.phased = 0, true // the random start would hide the sequence
+	}
+	return g
+}
+
+// randomStart gives the servers their random start back, which newRig takes away.
+func (g *rig) randomStart() {
+	for _, s := range g.b.servers {
+		s.phased = false
+	}
+}
+
+// fleet is n like servers with IDs from 1, two to a cell, four to a zone.
+func fleet(n int) []Server {
+	list := make([]Server, n)
+	for i := range list {
+		list[i] = Server{ID: ServerID(i + 1), Rating: 1, Cell: i / 2, Zone: i / 4}
+	}
+	return list
+}
+
+func (g *rig) do(ev Event) []Action {
+	g.t.Helper()
+	acts, err := g.b.Handle(g.now, ev)
+	if err != nil {
+		g.t.Fatalf("%#v: %v", ev, err)
+	}
+	acts = append([]Action(nil), acts...)
+	g.acts = append(g.acts, acts...)
+	return acts
+}
+
+// ask brings a request and returns its ID with what was done at once.
+func (g *rig) ask(class int) (RequestID, []Action) {
+	g.t.Helper()
+	g.next++
+	return g.next, g.do(Request{ID: g.next, Class: class, Remaining: g.b.cfg.Classes[class].Deadline})
+}
+
+// answer ends an attempt with a result.
+func (g *rig) answer(id RequestID, attempt int, res Result, took float64) []Action {
+	g.t.Helper()
+	s := g.b.reqs[id].tries[attempt].s
+	done := res == OK || g.b.reqs[id].done
+	return g.do(Outcome{Request: id, Attempt: attempt, Server: s.ID, Result: res, Took: took, Finished: done})
+}
+
+func sentTo(acts []Action) (ServerID, bool) {
+	for _, a := range acts {
+		if a.Kind == Send {
+			return a.Server, true
+		}
+	}
+	return 0, false
+}
+
+func has(acts []Action, kind ActionKind) bool {
+	for _, a := range acts {
+		if a.Kind == kind {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/balance/property_test.go
@@ -0,0 +1,310 @@
+package balance
+
+import (
+	"math/rand"
+	"testing"
+)
+
+// world feeds one balancer random but legal events and checks the four rules at every action.
+type world struct {
+	t       *testing.T
+	rnd     *rand.Rand
+	b       *Balancer
+	cfg     Config
+	now     float64
+	servers map[ServerID]*Server
+	told    map[ServerID]bool // may be sent to
+	open    map[RequestID]*openRequest
+	timers  []pendingTimer
+	probes  []ServerID
+	sends   []coldSend // of about the last FallTime
+}
+
+// coldSend is one send, for the rule of cold servers.
+type coldSend struct {
+	server ServerID
+	at     float64
+}
+
+type openRequest struct {
+	class    int
+	deadline float64
+	answered bool
+	tries    []openAttempt
+}
+
+type openAttempt struct {
+	server Server
+	sent   float64
+	live   bool
+	clean  bool
+}
+
+type pendingTimer struct {
+	at    float64
+	token uint64
+}
+
+func newWorld(t *testing.T, rnd *rand.Rand, cfg Config) *world {
+	w := &world{
+		t: t, rnd: rnd, b: New(cfg), cfg: cfg, now: 5000, servers: map[ServerID]*Server{},
+		told: map[ServerID]bool{}, open: map[RequestID]*openRequest{},
+	}
+	w.apply(w.b.Start(w.now))
+	return w
+}
+
+func TestRandomEventsKeepTheRules(t *testing.T) {
+	for seed := range int64(40) {
+		rnd := rand.New(rand.NewSource(seed))
+		cfg := baseConfig()
+		if seed >= 10 {
+			cfg = randomSettings(rnd)
+		}
+		cfg.Seed = uint64(seed)
+		cfg.Parallel, cfg.Cancel = seed%2 == 0, seed%3 != 0
+		cfg.MaxAttempts = 1 + int(seed%4)
+		cfg.Subscribe = seed%5 == 0
+		if seed%4 == 1 {
+			cfg.Probes, cfg.Reports, cfg.Fields = true, ReportProbe, []Field{FieldInFlight, FieldQueue, FieldUtil}
+		}
+		w := newWorld(t, rnd, cfg)
+		w.list(ListCached)
+		for id := RequestID(1); id <= 1500; id++ {
+			w.now += rnd.ExpFloat64() * 8
+			w.fireTimers()
+			w.anything(id)
+		}
+		for w.now += 10; len(w.timers) > 0 && w.anyOpen(); w.now += 10 {
+			w.fireTimers()
+		}
+		if w.anyOpen() {
+			t.Fatalf("seed %d: a request was never answered", seed)
+		}
+	}
+}
+
+// randomSettings varies all that a decision reads, within what is legal.
+func randomSettings(rnd *rand.Rand) Config {
+	cfg := baseConfig()
+	for c := range cfg.Classes {
+		k := &cfg.Classes[c]
+		k.Aim = 50 + 700*rnd.Float64()
+		k.Deadline = k.Aim * (1 + 4*rnd.Float64())
+		k.Window = 100 + 3000*rnd.Float64()
+		k.Worth, k.LateWorth = 10*rnd.Float64(), rnd.Float64()
+	}
+	for range rnd.Intn(4) {
+		cfg.Tenants = append(cfg.Tenants, Tenant{Share: rnd.Float64(), Allowance: 50 * rnd.Float64()})
+	}
+	cfg.OverShareWorth, cfg.Quantum = rnd.Float64(), 1+6*rnd.Float64()
+	cfg.Zone, cfg.ConnIdle = rnd.Intn(2), 20000*rnd.Float64()
+	cfg.ColdFrom, cfg.ColdTime = 0.1+0.4*rnd.Float64(), 3000+20000*rnd.Float64()
+	cfg.FallMultiple, cfg.FallTime = 2+2*rnd.Float64(), 500+2000*rnd.Float64()
+	cfg.Prices = Prices{CrossZone: 0.1 * rnd.Float64(), Handshake: 0.05 * rnd.Float64(), Probe: 0.02 * rnd.Float64()}
+	return cfg
+}
+
+func (w *world) anything(id RequestID) {
+	switch n := w.rnd.Intn(20); {
+	case n < 9:
+		class := w.rnd.Intn(len(w.cfg.Classes))
+		left := w.cfg.Classes[class].Deadline * w.rnd.Float64()
+		if w.rnd.Intn(20) == 0 {
+			left = 0
+		}
+		w.open[id] = &openRequest{class: class, deadline: w.now + left}
+		w.handle(Request{ID: id, Class: class, Remaining: left})
+	case n < 17:
+		w.endOne(id)
+	case n < 18:
+		w.list([]ListKind{ListFull, ListDelta, ListCached}[w.rnd.Intn(3)])
+	case n < 19:
+		if len(w.probes) > 0 {
+			s := w.probes[0]
+			w.probes = w.probes[1:]
+			w.handle(ProbeResult{Server: s, Took: 1, Report: []float32{float32(w.rnd.Intn(6)), 0, 0.5}})
+		}
+	default:
+		gone := id - RequestID(w.rnd.Intn(20)) // may never have been or have ended: ignored then
+		if o := w.open[gone]; o != nil {
+			o.answered = true
+		}
+		w.handle(HangUp{Request: gone})
+	}
+}
+
+// endOne ends one live attempt of some request at random.
+func (w *world) endOne(before RequestID) {
+	for id := before; id > 0 && id+60 > before; id-- {
+		o := w.open[id]
+		if o == nil {
+			continue
+		}
+		for i := range o.tries {
+			if a := &o.tries[i]; a.live && w.rnd.Intn(3) > 0 {
+				res := []Result{OK, OK, OK, OK, Failed, Full, ConnectFailed, Reset, TimedOut}[w.rnd.Intn(9)]
+				a.live, a.clean = false, res.NeverRan()
+				o.answered = o.answered || res == OK
+				w.handle(Outcome{
+					Request: id, Attempt: i, Server: a.server.ID, Result: res, Took: w.now - a.sent, Finished: o.answered,
+				})
+				return
+			}
+		}
+	}
+}
+
+func (w *world) list(kind ListKind) {
+	var entries []Server
+	for i := range 10 {
+		id := ServerID(i + 1)
+		s := w.servers[id]
+		if s == nil || w.rnd.Intn(4) == 0 {
+			s = &Server{ID: id, State: State(w.rnd.Intn(3) % 2), Rating: 1, Cell: i % 3, Zone: i % 2, Kind: i % 2}
+			if w.rnd.Intn(3) == 0 {
+				s.StartedAt = w.now
+			}
+			w.servers[id] = s
+		}
+		if kind == ListDelta && w.rnd.Intn(2) == 0 {
+			continue
+		}
+		if kind != ListDelta && w.rnd.Intn(8) == 0 {
+			w.told[id] = false
+			continue
+		}
+		w.told[id] = s.State == Ready
+		entries = append(entries, *s)
+	}
+	w.handle(ServerList{Kind: kind, Servers: entries})
+}
+
+func (w *world) handle(ev Event) {
+	acts, err := w.b.Handle(w.now, ev)
+	if err != nil {
+		w.t.Fatalf("%#v: %v", ev, err)
+	}
+	w.apply(acts)
+}
+
+func (w *world) apply(acts []Action) {
+	for _, a := range acts {
+		switch a.Kind {
+		case SetTimer:
+			w.timers = append(w.timers, pendingTimer{w.now + a.At, a.Token})
+		case Probe:
+			if !w.cfg.Probes {
+				w.t.Fatal("probed where probes are not allowed")
+			}
+			w.probes = append(w.probes, a.Server)
+		case Send:
+			w.send(a)
+		case Refuse, Fail:
+			w.final(a)
+		case Cancel:
+			if !w.cfg.Cancel || a.Attempt >= len(w.open[a.Request].tries) {
+				w.t.Fatalf("cancel of %+v", a)
+			}
+		}
+	}
+}
+
+func (w *world) send(a Action) {
+	o, c := w.open[a.Request], w.cfg.Classes[w.open[a.Request].class]
+	switch {
+	case o.answered:
+		w.t.Fatalf("request %d was sent after its answer", a.Request)
+	case !w.told[a.Server]:
+		w.t.Fatalf("request %d was sent to server %d, which drains or is gone", a.Request, a.Server)
+	case len(o.tries) >= w.cfg.MaxAttempts:
+		w.t.Fatalf("request %d was sent too often", a.Request)
+	}
+	to := *w.servers[a.Server]
+	for _, p := range o.tries {
+		if p.live && !w.cfg.Parallel {
+			w.t.Fatalf("request %d is out twice", a.Request)
+		}
+		if p.clean || c.Effect == Safe {
+			continue
+		}
+		apart := c.Group == GroupCell && p.server.Cell != to.Cell || c.Group == GroupZone && p.server.Zone != to.Zone
+		if c.Effect == Unsafe || apart || w.now >= p.sent+c.Window {
+			w.t.Fatalf("request %d may have run and was sent again", a.Request)
+		}
+	}
+	o.tries = append(o.tries, openAttempt{server: to, sent: w.now, live: true})
+	w.checkCold(to)
+}
+
+// checkCold: a cold server gets no more within FallTime than the multiple of what a server of this sidecar gets
+// on the mean, however warm; two sends of chance are allowed.
+func (w *world) checkCold(to Server) {
+	kept, mine := w.sends[:0], 1
+	for _, s := range w.sends {
+		if s.at > w.now-w.cfg.FallTime {
+			kept = append(kept, s)
+			if s.server == to.ID {
+				mine++
+			}
+		}
+	}
+	w.sends = append(kept, coldSend{to.ID, w.now})
+	ready := 0
+	for _, told := range w.told {
+		if told {
+			ready++
+		}
+	}
+	cold := to.StartedAt > 0 && w.now < to.StartedAt+w.cfg.ColdTime
+	most := 2 + w.cfg.FallMultiple*float64(len(w.sends))/float64(max(ready, 1))
+	if cold && ready > 2 && float64(mine) > most {
+		w.t.Fatalf("cold server %d was sent %d of %d within %.0f ms, at most %.1f", to.ID, mine, len(w.sends), w.cfg.FallTime, most)
+	}
+}
+
+func (w *world) final(a Action) {
+	o, c := w.open[a.Request], w.cfg.Classes[w.open[a.Request].class]
+	if o.answered || w.now > o.deadline+w.cfg.AnswerSlack {
+		w.t.Fatalf("request %d: a second or late answer at %v, deadline %v", a.Request, w.now, o.deadline)
+	}
+	o.answered = true
+	if a.Kind == Fail || c.Effect == Safe || c.Effect == Keyed && c.Group == GroupAll {
+		return
+	}
+	for _, p := range o.tries {
+		if !p.clean {
+			w.t.Fatalf("request %d may have run and was refused", a.Request)
+		}
+	}
+}
+
+// fireTimers brings the alarms that are due, each at its own time.
+func (w *world) fireTimers() {
+	end := w.now
+	for {
+		next := -1
+		for i, p := range w.timers {
+			if p.at <= end && (next < 0 || p.at < w.timers[next].at) {
+				next = i
+			}
+		}
+		if next < 0 {
+			break
+		}
+		p := w.timers[next]
+		w.timers = append(w.timers[:next], w.timers[next+1:]...)
+		w.now = p.at
+		w.handle(Timer{Token: p.token})
+	}
+	w.now = end
+}
+
+func (w *world) anyOpen() bool {
+	for _, o := range w.open {
+		if !o.answered {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/balance/rotation_test.go
@@ -0,0 +1,127 @@
+package balance
+
+import (
+	"math"
+	"testing"
+)
+
+// sequence sends n safe requests one after the other, each answered before the next.
+func sequence(g *rig, n int) []ServerID {
+	var ids []ServerID
+	for range n {
+		id, acts := g.ask(safeClass)
+		s, ok := sentTo(acts)
+		if !ok {
+			g.t.Fatal("nothing was sent")
+		}
+		ids = append(ids, s)
+		g.b.reqs[id].stats.n = 0 // no learning from these answers
+		g.answer(id, 0, OK, 10)
+	}
+	return ids
+}
+
+func TestRotationFollowsWeights(t *testing.T) {
+	servers := fleet(3)
+	servers[0].Rating = 5
+	got := sequence(newRig(t, baseConfig(), servers...), 7)
+	want := []ServerID{1, 1, 2, 1, 3, 1, 1}
+	for i := range want {
+		if got[i] != want[i] {
+			t.Fatalf("sequence %v, want %v", got, want)
+		}
+	}
+}
+
+func TestMultiplierFallsDecaysAndHasAFloor(t *testing.T) {
+	g := newRig(t, baseConfig(), fleet(2)...)
+	s := g.b.servers[0]
+	if m := g.b.health(s); m != 1 {
+		t.Fatalf("m without errors is %v", m)
+	}
+	s.errs, s.lastErr = 2, g.now
+	if m := g.b.health(s); math.Abs(m-(1-2*slope)) > 1e-9 {
+		t.Fatalf("m after two errors is %v", m)
+	}
+	g.b.now += halfLife
+	if m := g.b.health(s); math.Abs(m-(1-slope)) > 1e-9 {
+		t.Fatalf("m after a half-life is %v", m)
+	}
+	s.errs = 1000
+	if m := g.b.health(s); m != floorM {
+		t.Fatalf("m after very many errors is %v, want the floor", m)
+	}
+	if m := g.b.health(g.b.servers[1]); m != 1 {
+		t.Fatalf("another server's errors moved m to %v", m)
+	}
+	s.errs = 2
+	id, _ := g.ask(safeClass)
+	g.b.reqs[id].tries[0].s = s
+	s.inFlight, g.b.servers[1].inFlight = 1, 0
+	g.answer(id, 0, OK, 10)
+	if m := g.b.health(s); m != 1 {
+		t.Fatalf("m after a success is %v", m)
+	}
+}
+
+func TestNoServerStarvesAtTheFloor(t *testing.T) {
+	g := newRig(t, baseConfig(), fleet(4)...)
+	hits := 0
+	for range 40 { // a success resets the errors, so they are set again each time
+		g.b.servers[2].errs, g.b.servers[2].lastErr = 1000, g.now
+		if sequence(g, 1)[0] == 3 {
+			hits++
+		}
+	}
+	if hits == 0 || hits >= 10 {
+		t.Fatalf("the server at the floor got %d of 40", hits)
+	}
+}
+
+func TestRerouteTakesTheHealthiestUntried(t *testing.T) {
+	g := newRig(t, baseConfig(), fleet(4)...)
+	for _, s := range g.b.servers {
+		s.errs, s.lastErr = 2, g.now
+	}
+	g.b.servers[2].errs = 1
+	g.b.servers[1].running = 1000 // its turn, though it is not the healthiest
+	id, acts := g.ask(safeClass)
+	if s, _ := sentTo(acts); s != 2 {
+		t.Fatalf("first sent to %d, want 2", s)
+	}
+	g.b.servers[3].running = 1000 // next in turn, which must not count for a re-route
+	if s, ok := sentTo(g.answer(id, 0, Full, 1)); !ok || s != 3 {
+		t.Fatalf("re-routed to %d, want 3", s)
+	}
+}
+
+// Where every server holds far more than its share a first send goes to the one that holds least for
+// its weight, as the next in turn may be crowded further; a re-route still goes by m. While one is
+// not over its share, the turn decides.
+func TestFirstSendGoesToTheLeastCrowdedOfCrowdedServers(t *testing.T) {
+	for _, c := range []struct {
+		holds [4]int
+		want  ServerID
+	}{
+		{[4]int{4, 3, 4, 4}, 2}, // all are over
+		{[4]int{4, 4, 1, 0}, 3}, // 3 and 4 are not over, and it is the turn of 3
+	} {
+		g := newRig(t, baseConfig(), fleet(4)...)
+		for i, s := range g.b.servers {
+			s.inFlight, s.running = c.holds[i], float64(10*(4-i))
+		}
+		g.b.servers[1].errs, g.b.servers[1].lastErr = 1, g.now-5000
+		r := &request{class: &g.b.cfg.Classes[safeClass], stats: &g.b.classes[safeClass]}
+		if c.want == 2 {
+			if s := g.b.pick(r, true); s.ID == 2 {
+				t.Errorf("%v: the re-route went to the server of lowest m", c.holds)
+			}
+			for i, s := range g.b.servers {
+				s.running = float64(10 * (4 - i))
+			}
+		}
+		if s := g.b.pick(r, false); s.ID != c.want {
+			t.Errorf("%v: sent to %d, not %d", c.holds, s.ID, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/balance/rules_test.go
@@ -0,0 +1,328 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+)
+
+// What may follow the end of a first attempt, for each effect, group and result, within the
+// window and after it: another send, a refusal, a failure.
+func TestWhatMayFollowAnAttempt(t *testing.T) {
+	for _, class := range []int{safeClass, unsafeClass, cellClass, allClass, zoneClass} {
+		for _, res := range []Result{Failed, Full, TimedOut, ConnectFailed, Reset, Cancelled} {
+			for _, late := range []bool{false, true} {
+				t.Run(fmt.Sprintf("class%d/result%d/late=%v", class, res, late), func(t *testing.T) {
+					followAttempt(t, class, res, late)
+				})
+			}
+		}
+	}
+}
+
+func followAttempt(t *testing.T, class int, res Result, late bool) {
+	cfg := baseConfig()
+	for i := range cfg.Classes {
+		cfg.Classes[i].Aim = cfg.Classes[i].Deadline // a re-route is worth its while to the end
+		cfg.Classes[i].Window = 200
+	}
+	g := newRig(t, cfg, fleet(8)...)
+	id, acts := g.ask(class)
+	first, ok := sentTo(acts)
+	if !ok {
+		t.Fatal("the request was not sent")
+	}
+	if g.now += 100; late {
+		g.now += 200
+	}
+	acts = g.answer(id, 0, res, 100)
+	c := cfg.Classes[class]
+	mayResend := c.Effect == Safe || res.NeverRan() || c.Effect == Keyed && !late
+	second, sent := sentTo(acts)
+	if sent != mayResend {
+		t.Fatalf("sent again: %v, want %v (%+v)", sent, mayResend, acts)
+	}
+	if !sent {
+		mayRefuse := c.Effect == Keyed && c.Group == GroupAll
+		if has(acts, Refuse) != mayRefuse || has(acts, Fail) == mayRefuse {
+			t.Fatalf("refusal allowed: %v, got %+v", mayRefuse, acts)
+		}
+		return
+	}
+	a, b := g.b.byID[first], g.b.byID[second]
+	dirty := !res.NeverRan()
+	if a == b || dirty && class == cellClass && a.Cell != b.Cell || dirty && class == zoneClass && a.Zone != b.Zone {
+		t.Fatalf("sent to %+v after %+v", b.Server, a.Server)
+	}
+}
+
+func TestNothingIsRefusedThatMayHaveRun(t *testing.T) {
+	g := newRig(t, baseConfig(), fleet(4)...)
+	for _, class := range []int{unsafeClass, cellClass, zoneClass} {
+		id, _ := g.ask(class)
+		g.now = g.b.reqs[id].deadline
+		acts := g.do(Timer{Token: uint64(id)})
+		if has(acts, Refuse) || !has(acts, Fail) {
+			t.Errorf("class %d at its deadline with an attempt out: %+v", class, acts)
+		}
+	}
+}
+
+func TestNoTimeLeftIsAnsweredAtOnce(t *testing.T) {
+	g := newRig(t, baseConfig(), fleet(4)...)
+	acts := g.do(Request{ID: 1, Class: unsafeClass, Remaining: 0})
+	if !has(acts, Refuse) || has(acts, Send) {
+		t.Fatalf("a request without time left: %+v", acts)
+	}
+}
+
+func TestNobodyToSendTo(t *testing.T) {
+	drained := fleet(3)
+	for i := range drained {
+		drained[i].State = Draining
+	}
+	for name, servers := range map[string][]Server{"empty": nil, "draining": drained} {
+		g := newRig(t, baseConfig(), servers...)
+		id, acts := g.ask(unsafeClass)
+		if has(acts, Send) || !has(acts, SetTimer) {
+			t.Fatalf("%s: %+v", name, acts)
+		}
+		refused := false
+		for g.now < 1000+baseConfig().Classes[unsafeClass].Deadline {
+			g.now += 10
+			refused = refused || has(g.do(Timer{Token: uint64(id)}), Refuse)
+		}
+		if !refused || len(g.b.reqs) != 0 {
+			t.Fatalf("%s: refused %v, %d requests left", name, refused, len(g.b.reqs))
+		}
+	}
+}
+
+func TestDrainingGetsNothingNew(t *testing.T) {
+	g := newRig(t, baseConfig(), fleet(2)...)
+	gone := fleet(1)[0]
+	gone.State = Draining
+	g.do(ServerList{Kind: ListDelta, Servers: []Server{gone}})
+	for range 20 {
+		id, acts := g.ask(safeClass)
+		if s, _ := sentTo(acts); s != 2 {
+			t.Fatalf("sent to %d", s)
+		}
+		g.answer(id, 0, OK, 10)
+	}
+	gone.State = Ready
+	g.do(ServerList{Kind: ListFull, Servers: []Server{gone}}) // the other is left out: it has gone
+	id, acts := g.ask(safeClass)
+	if s, _ := sentTo(acts); s != 1 {
+		t.Fatalf("sent to %d of request %d", s, id)
+	}
+}
+
+func TestAttemptLimit(t *testing.T) {
+	cfg := baseConfig()
+	cfg.MaxAttempts = 1
+	g := newRig(t, cfg, fleet(4)...)
+	id, _ := g.ask(safeClass)
+	if acts := g.answer(id, 0, Full, 1); has(acts, Send) || !has(acts, Refuse) {
+		t.Fatalf("after the only attempt allowed: %+v", acts)
+	}
+}
+
+// In overload an alarm came a rounding error before its time and was not set again, so that the
+// request got no answer at its deadline.
+func TestEarlyAlarmIsSetAgain(t *testing.T) {
+	g := newRig(t, baseConfig(), fleet(4)...)
+	id, _ := g.ask(unsafeClass)
+	g.now = g.b.reqs[id].wakeAt - 1e-4
+	if acts := g.do(Timer{Token: uint64(id)}); !has(acts, SetTimer) {
+		t.Fatalf("no timer after an early alarm: %+v", acts)
+	}
+}
+
+// A cold server was pushed over when the budget followed what clients asked, repeats included.
+func TestColdBudgetHoldsForAllSidecars(t *testing.T) {
+	const sidecars, perSecond, seconds = 4, 150, 6
+	cfg := baseConfig()
+	toCold := 0
+	for n := range sidecars {
+		cfg.Seed, cfg.Number = uint64(n+1), n
+		servers := fleet(5)
+		g := newRig(t, cfg, servers...)
+		for i := range perSecond * seconds {
+			if i == perSecond*3 { // half-way one server restarts
+				servers[0].StartedAt = g.now
+				g.do(ServerList{Kind: ListDelta, Servers: servers[:1]})
+			}
+			id, acts := g.ask(safeClass)
+			s, ok := sentTo(acts)
+			if !ok {
+				t.Fatal("nothing sent")
+			}
+			if s == 1 && i >= perSecond*3 && i < perSecond*4 {
+				toCold++
+			}
+			g.answer(id, 0, OK, 10)
+			g.now += 1000 / perSecond
+		}
+	}
+	// A warm server gets a fifth of the traffic; the cold one can do ColdFrom of that and a little
+	// more as it warms, and falls at FallMultiple times what it can do.
+	limit := float64(sidecars*perSecond) / 5 * cfg.FallMultiple * (cfg.ColdFrom + 0.05)
+	if toCold == 0 || float64(toCold) > limit {
+		t.Fatalf("%d sends to a cold server in its first second, want 1 to %.0f", toCold, limit)
+	}
+}
+
+// A server that could not be reached and then answers has restarted, whatever the list says.
+func TestBackFromTheDeadIsCold(t *testing.T) {
+	g := newRig(t, baseConfig(), fleet(2)...)
+	id, acts := g.ask(safeClass)
+	s, _ := sentTo(acts)
+	g.answer(id, 0, ConnectFailed, 150)
+	g.now += 60000
+	for range 8 {
+		id, acts = g.ask(safeClass)
+		if again, _ := sentTo(acts); again == s {
+			g.answer(id, 0, OK, 10)
+			break
+		}
+		g.answer(id, 0, OK, 10)
+	}
+	if !g.b.cold(g.b.byID[s]) {
+		t.Fatal("the server is held to be warm")
+	}
+}
+
+// Once a streamed answer has begun the client owns it: no deadline, no repeat, no answer of ours.
+func TestStartedStreamIsLeftAlone(t *testing.T) {
+	cfg := baseConfig()
+	cfg.Classes[safeClass].Stream = true
+	g := newRig(t, cfg, fleet(3)...)
+	id, acts := g.ask(safeClass)
+	s, _ := sentTo(acts)
+	g.do(Started{Request: id, Server: s, Took: 20})
+	g.now += 5000
+	if acts := g.do(Timer{Token: uint64(id)}); has(acts, Fail) || has(acts, Refuse) || has(acts, Send) {
+		t.Fatalf("a running stream got %+v", acts)
+	}
+	g.do(Outcome{Request: id, Server: s, Result: Reset, Took: 5000, Finished: true})
+	if len(g.b.reqs) != 0 {
+		t.Fatal("an ended stream is remembered")
+	}
+}
+
+// Failed list calls keep the old list and are made again, ever later, within the limit.
+func TestListCallsBackOff(t *testing.T) {
+	cfg := baseConfig()
+	cfg.Subscribe = true
+	g := newRig(t, cfg, fleet(3)...)
+	if !has(g.acts, Watch) {
+		t.Fatal("not subscribed at once")
+	}
+	var pauses []float64
+	for range 6 {
+		acts := g.do(ServerList{Kind: ListFailed})
+		if len(acts) != 1 || acts[0].Token != listTimer || acts[0].At > cfg.AskWithin/3 {
+			t.Fatalf("after a failed call: %+v", acts)
+		}
+		pauses = append(pauses, acts[0].At)
+		g.now += acts[0].At
+		if !has(g.do(Timer{Token: listTimer}), Watch) {
+			t.Fatal("not asked again")
+		}
+	}
+	if pauses[5] < 2*pauses[0] || len(g.b.servers) != 3 {
+		t.Fatalf("pauses %v, %d servers", pauses, len(g.b.servers))
+	}
+}
+
+// Answers assumed for small sidecars counted in the budget of cold servers too, and together
+// they pushed one over. A sidecar that has seen no answers may hardly send anything to a cold server.
+func TestAssumedAnswersGiveNoColdBudget(t *testing.T) {
+	g := newRig(t, baseConfig(), fleet(4)...)
+	entry := g.b.servers[0].Server
+	entry.StartedAt = g.now
+	g.do(ServerList{Kind: ListDelta, Servers: []Server{entry}})
+	g.now += 2000
+	g.ask(safeClass) // sets the weights
+	s := g.b.servers[0]
+	s.tokens, s.tokensAt = 0, g.now-2000
+	if g.b.coldBudget(s); s.tokens > 0.2 { // with ten assumed: 1
+		t.Fatalf("%.2f sends in two seconds", s.tokens)
+	}
+	g.b.pace(400, 0) // of two hundred answers a second it may have its part
+	s.tokens, s.tokensAt = 0, g.now-2000
+	if g.b.coldBudget(s); s.tokens < 0.5 {
+		t.Fatalf("%.2f sends in two seconds for a busy sidecar", s.tokens)
+	}
+}
+
+// A sidecar that stood still past a deadline finds its timer and a time-out at once: one final answer, and
+// nothing more for the request, whichever comes first.
+func TestStandingStillPastADeadline(t *testing.T) {
+	for _, timerFirst := range []bool{true, false} {
+		g := newRig(t, baseConfig(), fleet(4)...)
+		id, _ := g.ask(unsafeClass)
+		s := g.b.reqs[id].tries[0].s.ID
+		g.now += 3000 // the deadline was at 600
+		g.acts = nil
+		late := Outcome{Request: id, Server: s, Result: TimedOut, Took: 600}
+		if timerFirst {
+			g.do(Timer{Token: uint64(id)})
+			late.Finished = true
+			g.do(late)
+		} else {
+			g.do(late)
+			g.do(Timer{Token: uint64(id)})
+		}
+		answers := 0
+		for _, a := range g.acts {
+			switch a.Kind {
+			case Fail:
+				answers++
+			case Send, Refuse: // it may have run
+				t.Errorf("timer first %v: %+v", timerFirst, a)
+			}
+		}
+		if answers != 1 || len(g.b.reqs) != 0 {
+			t.Errorf("timer first %v: %d answers, %d requests remembered", timerFirst, answers, len(g.b.reqs))
+		}
+	}
+}
+
+// After a hang-up nothing is sent or answered any more; what is out still ends.
+func TestNothingFollowsAHangUp(t *testing.T) {
+	g := newRig(t, baseConfig(), fleet(4)...)
+	id, _ := g.ask(safeClass)
+	s := g.b.reqs[id].tries[0].s.ID
+	g.now += 10
+	g.acts = nil
+	g.do(HangUp{Request: id})
+	g.do(Outcome{Request: id, Server: s, Result: Reset, Took: 10, Finished: true})
+	g.do(Timer{Token: uint64(id)})
+	g.do(HangUp{Request: id})
+	for _, a := range g.acts {
+		if a.Kind != Cancel {
+			t.Errorf("after the hang-up: %+v", a)
+		}
+	}
+	if len(g.b.reqs) != 0 {
+		t.Error("the request is still remembered")
+	}
+}
+
+// With the list service out of reach it must be asked within the stated time: else the rules take the list as told.
+func TestListIsAskedWithinTheLimit(t *testing.T) {
+	cfg := baseConfig()
+	cfg.Subscribe, cfg.AskWithin = true, 3000
+	g := newRig(t, cfg, fleet(4)...)
+	for range 20 {
+		acts := g.do(ServerList{Kind: ListFailed})
+		if len(acts) != 1 || acts[0].Kind != SetTimer || acts[0].At > cfg.AskWithin/3 {
+			t.Fatalf("after a failed call: %+v", acts)
+		}
+		g.now += acts[0].At
+		if acts = g.do(Timer{Token: acts[0].Token}); !has(acts, Watch) {
+			t.Fatalf("the list is not asked again: %+v", acts)
+		}
+	}
+}
--- /dev/null
+++ b/balance/settings_test.go
@@ -0,0 +1,208 @@
+package balance
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"testing"
+)
+
+// Settings that the first deployments do not use. Each run checks rules 1 to 3 as it goes.
+func TestOtherSettings(t *testing.T) {
+	for name, change := range map[string]func(*Config, *int){
+		"one server":       func(_ *Config, n *int) { *n = 1 },
+		"hundreds":         func(_ *Config, n *int) { *n = 300 },
+		"one attempt":      func(c *Config, _ *int) { c.MaxAttempts = 1 },
+		"no cancels":       func(c *Config, _ *int) { c.Cancel, c.Parallel = false, false },
+		"streams":          func(c *Config, _ *int) { c.Classes[safeClass].Stream = true },
+		"tenants":          func(c *Config, _ *int) { c.Tenants = []Tenant{{Share: 0.9}, {Share: 0.1}, {}} },
+		"no cold rule":     func(c *Config, _ *int) { c.ColdTime, c.FallTime, c.FallMultiple, c.ColdFrom = 0, 0, 0, 0 },
+		"probes, free":     func(c *Config, _ *int) { c.Probes, c.Reports, c.Fields = true, ReportProbe, []Field{FieldInFlight} },
+		"probes, dear":     func(c *Config, _ *int) { c.Probes, c.Reports, c.Prices.Probe = true, ReportProbe, 10 },
+		"probes, no field": func(c *Config, _ *int) { c.Probes, c.Reports, c.Fields = true, ReportProbe, []Field{FieldUnknown} },
+		"piggyback":        func(c *Config, _ *int) { c.Reports, c.Fields = ReportPiggyback, []Field{FieldUtil, FieldRate} },
+		"aims of zero":     func(c *Config, _ *int) { c.Classes[safeClass].Aim, c.Classes[unsafeClass].Worth = 0, 0 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			cfg, n := baseConfig(), 6
+			change(&cfg, &n)
+			w := newWorld(t, rand.New(rand.NewSource(7)), cfg)
+			list := fleet(n)
+			for i := range list {
+				w.servers[list[i].ID], w.told[list[i].ID] = &list[i], true
+			}
+			w.handle(ServerList{Kind: ListFull, Servers: list})
+			sent := 0
+			for id := RequestID(1); id <= 400; id++ {
+				w.now += 9
+				w.fireTimers()
+				class := int(id) % len(cfg.Classes)
+				w.open[id] = &openRequest{class: class, deadline: w.now + 300}
+				w.handle(Request{ID: id, Class: class, Tenant: int(id) % 5, Remaining: 300})
+				for len(w.probes) > 0 {
+					s := w.probes[0]
+					w.probes = w.probes[1:]
+					w.handle(ProbeResult{Server: s, Report: []float32{1}})
+				}
+				sent += len(w.open[id].tries)
+				if id > 2 {
+					w.serve(id - 2)
+				}
+			}
+			for w.now += 1000; w.anyOpen() && len(w.timers) > 0; w.now += 1000 {
+				w.fireTimers()
+			}
+			if w.anyOpen() || sent < 300 {
+				t.Fatalf("unanswered requests: %v; %d of 400 sent", w.anyOpen(), sent)
+			}
+		})
+	}
+}
+
+// serve answers what is out for a request, if anything is.
+func (w *world) serve(id RequestID) {
+	o := w.open[id]
+	for i := range o.tries {
+		if a := &o.tries[i]; a.live {
+			a.live, o.answered = false, true
+			w.handle(Outcome{Request: id, Attempt: i, Server: a.server.ID, Took: w.now - a.sent, Finished: true})
+		}
+	}
+}
+
+// What has ended is forgotten: requests, servers that are gone, probes that are waited for.
+func TestMemoryStaysFlat(t *testing.T) {
+	g := newRig(t, probeConfig(), fleet(5)...)
+	for i := range 20000 {
+		g.acts = g.acts[:0]
+		g.now += 5
+		id, acts := g.ask(safeClass)
+		acts = append(acts, g.probes(acts, 0, nil)...)
+		if _, ok := sentTo(acts); ok {
+			g.answer(id, 0, OK, 5)
+		}
+		if i%20 == 0 { // a rolling deploy: new names all the time
+			list := fleet(5)
+			for k := range list {
+				list[k].ID = ServerID(i + k + 1)
+			}
+			g.do(ServerList{Kind: ListFull, Servers: list})
+		}
+	}
+	b := g.b
+	if len(b.reqs) > 1 || len(b.servers) != 5 || len(b.byID) != 5 || len(b.holding) > 1 || cap(b.out) > 100 {
+		t.Fatalf("%d requests, %d servers, %d by ID, %d waiting, room for %d actions",
+			len(b.reqs), len(b.servers), len(b.byID), len(b.holding), cap(b.out))
+	}
+}
+
+func BenchmarkRequest(b *testing.B) {
+	for _, n := range []int{12, 100, 300} {
+		b.Run(fmt.Sprintf("%d-servers", n), func(b *testing.B) {
+			bal := New(baseConfig())
+			bal.Start(0)
+			if _, err := bal.Handle(0, ServerList{Kind: ListFull, Servers: fleet(n)}); err != nil {
+				b.Fatal(err)
+			}
+			b.ReportAllocs()
+			now := 0.0
+			for i := range b.N {
+				now += 5
+				id := RequestID(i + 1)
+				acts, err := bal.Handle(now, Request{ID: id, Remaining: 1500})
+				if err != nil || len(acts) == 0 {
+					b.Fatal(err, acts)
+				}
+				if acts[0].Kind != Send {
+					continue
+				}
+				if _, err := bal.Handle(now+4, Outcome{Request: id, Server: acts[0].Server, Took: 4, Finished: true}); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// With 1,500 sidecars that start alike, first picks and repeated list calls must differ by seed, or all
+// meet at one server and at the server list.
+func TestSidecarsThatStartTogetherChooseApart(t *testing.T) {
+	cfg := baseConfig()
+	cfg.Peers, cfg.Subscribe = 1500, true
+	first, pauses := map[ServerID]int{}, map[float64]bool{}
+	for n := range 300 {
+		cfg.Seed, cfg.Number = uint64(n+1), n
+		g := newRig(t, cfg, fleet(30)...)
+		g.randomStart()
+		first[sequence(g, 1)[0]]++
+		pauses[math.Round(g.do(ServerList{Kind: ListFailed})[0].At/10)] = true
+	}
+	for id, n := range first {
+		if n > 30 { // a thirtieth would be 10
+			t.Errorf("%d of 300 sidecars choose server %d first", n, id)
+		}
+	}
+	if len(first) < 25 || len(pauses) < 15 {
+		t.Errorf("%d first servers, %d pauses of 10 ms", len(first), len(pauses))
+	}
+}
+
+// A number beyond the count, or no count, must not matter: nothing is decided by them.
+func TestSenselessNumbersOfSidecars(t *testing.T) {
+	for _, c := range [][2]int{{0, 0}, {7, 3}, {-1, 1}, {5, -2}} {
+		cfg := baseConfig()
+		cfg.Number, cfg.Peers = c[0], c[1]
+		if got := sequence(newRig(t, cfg, fleet(3)...), 6); len(got) != 6 {
+			t.Errorf("number %d of %d: %v", c[0], c[1], got)
+		}
+	}
+}
+
+// Messages are not used: cut, foreign or old ones change nothing.
+func TestMessagesAreIgnored(t *testing.T) {
+	g := newRig(t, baseConfig(), fleet(3)...)
+	for _, data := range [][]byte{nil, {0}, {0xff, 0xff, 0xff}, make([]byte, 256)} {
+		if acts := g.do(Message{From: -1, Data: data}); len(acts) > 0 {
+			t.Errorf("%v: %+v", data, acts)
+		}
+	}
+}
+
+// A sidecar with a request a second meets a zone that takes requests and answers nothing: after some
+// overdue attempts most go elsewhere, and open connections there do not keep it.
+func TestTrickleLeavesAHungZone(t *testing.T) {
+	cfg := baseConfig()
+	cfg.ConnIdle, cfg.Prices.Handshake, cfg.Prices.CrossZone = 15000, 0.08, 0.03
+	g := newRig(t, cfg, fleet(16)...) // four zones; this sidecar is in the first
+	g.randomStart()
+	sequence(g, 30)
+	hung := 0
+	for i := range 40 {
+		g.now += 1000
+		id, acts := g.ask(safeClass)
+		s, ok := sentTo(acts)
+		if !ok {
+			t.Fatalf("request %d was not sent", i)
+		}
+		if s > 4 {
+			g.answer(id, 0, OK, 30)
+			continue
+		}
+		if i >= 20 {
+			hung++
+		}
+		end := g.now + 900
+		for r := g.b.reqs[id]; r.wakeAt < end; {
+			g.now = r.wakeAt
+			g.do(Timer{Token: uint64(id)})
+		}
+		g.now = end
+		acts = g.answer(id, 0, TimedOut, 900)
+		if _, again := sentTo(acts); again {
+			g.answer(id, 1, OK, 30)
+		}
+	}
+	if hung > 4 { // 7 without counting errors, 20 without learning from them either
+		t.Errorf("%d of the last 20 requests went to the hung zone", hung)
+	}
+}
--- /dev/null
+++ b/cmd/adapter/main.go
@@ -0,0 +1,83 @@
+// Command adapter hosts instances of the decision module for the simulator: frames
+// come in on standard input, one reply to each goes out on standard output.
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"os"
+	"runtime/debug"
+
+	"cedararch/balance"
+	"cedararch/internal/wire"
+)
+
+func main() {
+	if err := run(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "adapter:", err)
+		os.Exit(1)
+	}
+}
+
+// run answers frames until the input ends.
+func run(in io.Reader, out io.Writer) error {
+	host := host{instances: map[uint16]*balance.Balancer{}}
+	reader := wire.NewReader(bufio.NewReaderSize(in, 1<<16))
+	for {
+		host.reply.Reset()
+		err := reader.Read(host.handle)
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if _, err := host.reply.WriteTo(out); err != nil {
+			return err
+		}
+	}
+}
+
+// host keeps the instances of this process; they share nothing.
+type host struct {
+	instances map[uint16]*balance.Balancer
+	reply     wire.Reply
+}
+
+func (h *host) handle(clock float64, rec wire.Record) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			h.reply.Fault(rec.Instance, fmt.Sprintf("panic: %v\n%s", p, debug.Stack()))
+		}
+	}()
+	switch ev := rec.Event.(type) {
+	case wire.Begin:
+		cfg, err := wire.ParseSettings(ev.Seed, ev.Settings)
+		if err != nil {
+			h.instances[rec.Instance] = nil // its further events are ignored
+			h.reply.Fault(rec.Instance, err.Error())
+			return nil
+		}
+		b := balance.New(cfg)
+		h.instances[rec.Instance] = b
+		h.reply.Add(rec.Instance, b.Start(clock))
+	case wire.Down:
+		delete(h.instances, rec.Instance)
+	case balance.Event:
+		b, begun := h.instances[rec.Instance]
+		if b == nil && begun {
+			return nil
+		}
+		if b == nil {
+			return fmt.Errorf("event for instance %d, which has not begun", rec.Instance)
+		}
+		actions, err := b.Handle(clock, ev)
+		if err != nil {
+			h.reply.Fault(rec.Instance, err.Error())
+			return nil
+		}
+		h.reply.Add(rec.Instance, actions)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/wire/settings.go
@@ -0,0 +1,223 @@
+package wire
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+
+	"cedararch/balance"
+)
+
+// settings mirrors the profile. Keys that are not here are skipped, those of later versions too. Skipped
+// knowingly, as no decision needs them: names (decisions must not hang on one), peers' tiers and kinds,
+// family_info, the CPU limits (the pass over the servers is cheap enough for all of them), nines_full,
+// and the prices of what this module never does (moves, origin, fleet, discovery).
+type settings struct {
+	Classes []struct {
+		Effect     string   `json:"effect"`
+		Group      string   `json:"group"`
+		Window     *float64 `json:"window_ms"`
+		Aim        float64  `json:"on_time_ms"`
+		AimStretch float64  `json:"aim_stretch"`
+		Deadline   float64  `json:"hard_limit_ms"`
+		Worth      *float64 `json:"worth"`
+		LateWorth  float64  `json:"late_worth"`
+		Stream     bool     `json:"stream"`
+	} `json:"classes"`
+	Tenants []struct {
+		Allowance float64 `json:"allowance_per_s"`
+		Share     float64 `json:"share"`
+	} `json:"tenants"`
+	Discovery string `json:"discovery"`
+	Me        int    `json:"my_number"`
+	Peers     int    `json:"peers_total"`
+	Zone      int    `json:"zone"`
+	Weights   string `json:"weights"`
+	ValueBy   string `json:"value_by"`
+	Clients   struct {
+		MarksRetry bool `json:"marks_retry"`
+	} `json:"clients"`
+	OverShare *float64 `json:"over_share_worth"`
+	Quantum   float64  `json:"quantum_ms"`
+	Report    struct {
+		Via    string   `json:"via"`
+		Fields []string `json:"fields"`
+	} `json:"report"`
+	Limits struct {
+		Cancel         bool    `json:"cancel"`
+		ConnectTimeout float64 `json:"connect_timeout_ms"`
+		ConnIdle       float64 `json:"conn_idle_ms"`
+		MaxAttempts    *int    `json:"max_attempts"`
+		MaxRetryAfter  float64 `json:"max_retry_after_ms"`
+		MayTell        bool    `json:"may_tell"`
+		OpenCap        int     `json:"open_cap"`
+		Parallel       bool    `json:"parallel_tries"`
+		Probes         bool    `json:"probes"`
+		RetryAfter     bool    `json:"retry_after"`
+		Streams        *int    `json:"streams_per_conn"`
+	} `json:"limits"`
+	Rules struct {
+		AnswerSlack  float64  `json:"answer_slack_ms"`
+		AskWithin    float64  `json:"ask_within_ms"`
+		ColdFrom     *float64 `json:"cold_from"`
+		ColdTime     float64  `json:"cold_ms"`
+		DrainGrace   float64  `json:"drain_grace_ms"`
+		FallTime     float64  `json:"fall_ms"`
+		FallMultiple float64  `json:"fall_multiple"`
+	} `json:"rules"`
+	Goal struct { // in the order of balance.Goal, to which it converts; so is Prices
+		Whole       float64 `json:"whole"`
+		WorstWindow float64 `json:"worst_window"`
+		WorstClass  float64 `json:"worst_class"`
+		WorstTenant float64 `json:"worst_tenant"`
+		Nines       float64 `json:"nines_part"`
+	} `json:"result_mix"`
+	Prices struct {
+		CrossZone  float64 `json:"cross_zone"`
+		Waste      float64 `json:"waste"`
+		Handshake  float64 `json:"handshake"`
+		Probe      float64 `json:"probe"`
+		Peer       float64 `json:"peer"`
+		LateFail   float64 `json:"late_fail"`
+		Connection float64 `json:"connection"`
+	} `json:"penalties"`
+}
+
+var effects = map[string]balance.Effect{
+	"read_like": balance.Safe, "idempotency_key": balance.Keyed, "non_idempotent": balance.Unsafe,
+}
+
+var groups = map[string]balance.Group{
+	"": balance.GroupAll, "all": balance.GroupAll, "zone": balance.GroupZone, "cell": balance.GroupCell,
+}
+
+var reportWays = map[string]balance.ReportVia{
+	"": balance.ReportNone, "silent": balance.ReportNone,
+	"piggyback": balance.ReportPiggyback, "pull": balance.ReportProbe,
+}
+
+var ratingKinds = map[string]balance.RatingKind{
+	"": balance.RatingSilent, "silent": balance.RatingSilent, "nominal": balance.RatingNominal,
+	"rough": balance.RatingRough, "live": balance.RatingLive,
+}
+
+var reportFields = map[string]balance.Field{
+	"rif": balance.FieldInFlight, "q": balance.FieldQueue, "busy": balance.FieldUtil,
+	"lat_ms": balance.FieldLatency, "rate": balance.FieldRate, "fail_rate": balance.FieldErrorRate,
+}
+
+// ParseSettings turns the profile of a Begin into a Config.
+func ParseSettings(seed uint64, profile []byte) (balance.Config, error) {
+	var s settings
+	if err := json.Unmarshal(profile, &s); err != nil {
+		return balance.Config{}, fmt.Errorf("settings: %w", err)
+	}
+	cfg := balance.Config{
+		Seed: seed, Number: s.Me, Peers: max(s.Peers, 1), Zone: s.Zone,
+		OverShareWorth: or(s.OverShare, 1), Quantum: s.Quantum,
+		Parallel: s.Limits.Parallel, Cancel: s.Limits.Cancel, Probes: s.Limits.Probes,
+		Messages: s.Limits.MayTell, RetryAfter: s.Limits.RetryAfter,
+		MaxRetryAfter: s.Limits.MaxRetryAfter, ConnectTimeout: s.Limits.ConnectTimeout, ConnIdle: s.Limits.ConnIdle,
+		MaxAttempts: or(s.Limits.MaxAttempts, 1), Streams: or(s.Limits.Streams, 1), OpenCap: s.Limits.OpenCap,
+		ByWork: s.ValueBy == "work", MarksRepeat: s.Clients.MarksRetry,
+		DrainGrace: s.Rules.DrainGrace, ColdFrom: or(s.Rules.ColdFrom, 1), ColdTime: s.Rules.ColdTime,
+		FallMultiple: s.Rules.FallMultiple, FallTime: s.Rules.FallTime,
+		AskWithin: s.Rules.AskWithin, AnswerSlack: s.Rules.AnswerSlack,
+		Goal:   balance.Goal(s.Goal),
+		Prices: balance.Prices(s.Prices),
+	}
+	switch s.Discovery {
+	case "", "automatic":
+	case "subscribe":
+		cfg.Subscribe = true
+	default:
+		return cfg, fmt.Errorf("settings: unknown discovery %q", s.Discovery)
+	}
+	var ok bool
+	if cfg.Reports, ok = reportWays[s.Report.Via]; !ok {
+		return cfg, fmt.Errorf("settings: unknown report.via %q", s.Report.Via)
+	}
+	if cfg.Ratings, ok = ratingKinds[s.Weights]; !ok {
+		cfg.Ratings = balance.RatingRough // a later word: some kind of size, as the list says itself
+	}
+	for _, name := range s.Report.Fields {
+		cfg.Fields = append(cfg.Fields, reportFields[name])
+	}
+	for _, t := range s.Tenants {
+		cfg.Tenants = append(cfg.Tenants, balance.Tenant{Allowance: t.Allowance, Share: t.Share})
+	}
+	if err := s.addClasses(&cfg); err != nil {
+		return cfg, err
+	}
+	return cfg, s.checkRules()
+}
+
+// checkRules rejects what no deployment can mean: a silent default could break a rule.
+func (s *settings) checkRules() error {
+	r, l := &s.Rules, &s.Limits
+	for _, c := range []struct {
+		name  string
+		value float64
+	}{
+		{"rules.answer_slack_ms", r.AnswerSlack}, {"rules.ask_within_ms", r.AskWithin}, {"rules.cold_ms", r.ColdTime},
+		{"rules.drain_grace_ms", r.DrainGrace}, {"rules.fall_ms", r.FallTime}, {"rules.fall_multiple", r.FallMultiple},
+		{"limits.connect_timeout_ms", l.ConnectTimeout}, {"limits.conn_idle_ms", l.ConnIdle}, {"quantum_ms", s.Quantum},
+		{"limits.max_retry_after_ms", l.MaxRetryAfter}, {"over_share_worth", or(s.OverShare, 0)},
+		{"limits.open_cap", float64(l.OpenCap)}, {"zone", float64(s.Zone)},
+	} {
+		if c.value < 0 {
+			return fmt.Errorf("settings: %s is %v, below 0", c.name, c.value)
+		}
+	}
+	if from := or(r.ColdFrom, 1); from < 0 || from > 1 {
+		return fmt.Errorf("settings: rules.cold_from is %v: want 0 to 1", from)
+	}
+	if r.ColdTime > 0 && (r.FallMultiple == 0 || r.FallTime == 0) {
+		return fmt.Errorf("settings: rules.cold_ms is %v without fall_multiple or fall_ms", r.ColdTime)
+	}
+	if n := or(l.MaxAttempts, 1); n < 1 {
+		return fmt.Errorf("settings: limits.max_attempts is %d: want 1 or more", n)
+	}
+	return nil
+}
+
+func (s *settings) addClasses(cfg *balance.Config) error {
+	if len(s.Classes) == 0 {
+		return fmt.Errorf("settings: no classes")
+	}
+	for i, c := range s.Classes {
+		effect, ok := effects[c.Effect]
+		if !ok {
+			return fmt.Errorf("settings: class %d: unknown effect %q", i, c.Effect)
+		}
+		group, ok := groups[c.Group]
+		if !ok {
+			return fmt.Errorf("settings: class %d: unknown group %q", i, c.Group)
+		}
+		if !(c.Deadline > 0) || c.Aim < 0 {
+			return fmt.Errorf("settings: class %d: aim %v ms, deadline %v ms", i, c.Aim, c.Deadline)
+		}
+		if or(c.Window, 0) < 0 || or(c.Worth, 1) < 0 || c.LateWorth < 0 || c.AimStretch < 0 {
+			return fmt.Errorf("settings: class %d: a window, worth or aim_stretch below 0", i)
+		}
+		if effect == balance.Keyed && c.Window == nil {
+			return fmt.Errorf("settings: class %d: keyed without window_ms", i)
+		}
+		aim := c.Aim
+		if aim == 0 {
+			aim = c.Deadline
+		}
+		cfg.Classes = append(cfg.Classes, balance.Class{
+			Effect: effect, Group: group, Window: or(c.Window, math.Inf(1)), Aim: aim, AimStretch: c.AimStretch,
+			Deadline: c.Deadline, Worth: or(c.Worth, 1), LateWorth: c.LateWorth, Stream: c.Stream,
+		})
+	}
+	return nil
+}
+
+func or[T any](v *T, otherwise T) T {
+	if v == nil {
+		return otherwise
+	}
+	return *v
+}
