--- /dev/null
+++ b/internal/sidecar/config.go
@@ -0,0 +1,180 @@
+package sidecar
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"math"
+	"net"
+	"net/netip"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+
+	"cedararch/balance"
+	"cedararch/internal/wire"
+)
+
+// Config is what one sidecar is told at its start, checked.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Limits    Limits
+	Known     list // the servers as last listed; it may be old
+
+	Balance balance.Config
+	classes map[string]int
+	tenants map[string]int
+	zones   map[string]int
+	kinds   map[string]int
+	fields  []string // the figures of a load report, in the module's order
+}
+
+// Limits bound what the sidecar may use of its machine.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB float64 `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// heapShare is the part of the memory limit that the Go runtime is held to; the rest is for what it does not
+// count: the program's text and the kernel's socket buffers.
+const heapShare = 0.75
+
+// Apply holds the Go runtime to the limits.
+func (l Limits) Apply() {
+	if l.Cores > 0 {
+		runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Cores))))
+	}
+	if l.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(l.MemoryMB * heapShare * (1 << 20)))
+	}
+}
+
+// named is anything in the settings that goes by its name on the sockets and by its place in the module.
+type named struct {
+	Name string `json:"name"`
+}
+
+// Load reads the configuration that NODE_CONFIG names. The other NODE_ variables go before what it says.
+func Load(getenv func(string) string) (*Config, error) {
+	path := getenv("NODE_CONFIG")
+	if path == "" {
+		return nil, fmt.Errorf("NODE_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("configuration: %w", err)
+	}
+	cfg, err := parseConfig(text, getenv)
+	if err != nil {
+		return nil, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	return cfg, nil
+}
+
+func parseConfig(text []byte, getenv func(string) string) (*Config, error) {
+	var file struct {
+		Name      string          `json:"name"`
+		Listen    string          `json:"listen"`
+		Discovery string          `json:"discovery"`
+		Seed      string          `json:"seed"`
+		Limits    Limits          `json:"limits"`
+		Known     list            `json:"known"`
+		Settings  json.RawMessage `json:"settings"`
+	}
+	if err := json.Unmarshal(text, &file); err != nil {
+		return nil, err
+	}
+	cfg := &Config{
+		Name:      cmp.Or(getenv("NODE_NAME"), file.Name),
+		Listen:    cmp.Or(getenv("NODE_LISTEN"), file.Listen),
+		Discovery: cmp.Or(getenv("NODE_DISCOVERY"), file.Discovery),
+		Limits:    file.Limits,
+		Known:     file.Known,
+	}
+	if err := cfg.check(); err != nil {
+		return nil, err
+	}
+	if len(file.Settings) == 0 {
+		return nil, fmt.Errorf("no settings")
+	}
+	var err error
+	if cfg.Balance, err = wire.ParseSettings(parseSeed(file.Seed), file.Settings); err != nil {
+		return nil, err
+	}
+	return cfg, cfg.addNames(file.Settings)
+}
+
+func (c *Config) check() error {
+	if _, err := netip.ParseAddrPort(c.Listen); err != nil {
+		return fmt.Errorf("listen address %q: %w", c.Listen, err)
+	}
+	if _, _, err := net.SplitHostPort(c.Discovery); err != nil {
+		return fmt.Errorf("discovery address %q: %w", c.Discovery, err)
+	}
+	if l := c.Limits; l.Cores < 0 || l.MemoryMB < 0 || l.Sockets < 0 {
+		return fmt.Errorf("a limit below 0: %+v", l)
+	}
+	if c.Limits.Sockets == 0 {
+		c.Limits.Sockets = defaultSockets
+	}
+	if c.Limits.Sockets < leastSockets {
+		return fmt.Errorf("limits.sockets is %d: want %d or more", c.Limits.Sockets, leastSockets)
+	}
+	if err := c.Known.check(); err != nil {
+		return fmt.Errorf("known: %w", err)
+	}
+	return nil
+}
+
+// addNames takes in the names that the sockets use for what the module numbers.
+func (c *Config) addNames(settings []byte) error {
+	var s struct {
+		Classes []named  `json:"classes"`
+		Tenants []named  `json:"tenants"`
+		Zones   []string `json:"zones"`
+		Kinds   []string `json:"kinds"`
+		Report  struct {
+			Fields []string `json:"fields"`
+		} `json:"report"`
+	}
+	if err := json.Unmarshal(settings, &s); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	c.classes, c.tenants = positions(names(s.Classes)), positions(names(s.Tenants))
+	c.zones, c.kinds, c.fields = positions(s.Zones), positions(s.Kinds), s.Report.Fields
+	if len(c.classes) != len(s.Classes) || len(c.tenants) != len(s.Tenants) {
+		return fmt.Errorf("settings: two classes or tenants of one name")
+	}
+	return nil
+}
+
+func names(all []named) []string {
+	list := make([]string, len(all))
+	for i, n := range all {
+		list[i] = n.Name
+	}
+	return list
+}
+
+func positions(names []string) map[string]int {
+	at := make(map[string]int, len(names))
+	for i, n := range names {
+		at[n] = i
+	}
+	return at
+}
+
+// parseSeed reads the seed as a hexadecimal number, or makes one of any other text.
+func parseSeed(text string) uint64 {
+	if seed, err := strconv.ParseUint(text, 16, 64); err == nil {
+		return seed
+	}
+	h := fnv.New64a()
+	h.Write([]byte(text))
+	return h.Sum64()
+}
--- /dev/null
+++ b/internal/sidecar/discovery.go
@@ -0,0 +1,186 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"cedararch/balance"
+)
+
+const (
+	watchHold   = 20 * time.Second // how long discovery may hold a watch
+	callTimeout = 5 * time.Second  // ... and how long any call may take beyond that
+	maxList     = 4 << 20
+	pushPause   = 100 * time.Millisecond // before a failed call to the agent is made again; doubles each time
+	mostDoubled = 5
+)
+
+// list is a list of servers, or of those that changed, in discovery's form.
+type list struct {
+	Revision int64    `json:"revision"`
+	Complete bool     `json:"complete"`
+	Members  []member `json:"members"`
+}
+
+type member struct {
+	ID       string  `json:"id"`
+	HostPort string  `json:"host_port"`
+	Locality string  `json:"locality"`
+	Flavor   string  `json:"flavor"`
+	Cell     int     `json:"cell"`
+	Phase    string  `json:"phase"`
+	Size     float64 `json:"size"`
+	UpSince  float64 `json:"up_since_ms"`
+}
+
+var phases = map[string]balance.State{"ready": balance.Ready, "draining": balance.Draining, "gone": balance.Gone}
+
+// check rejects a list as a whole: one entry skipped could be a drain missed.
+func (l *list) check() error {
+	for _, m := range l.Members {
+		if m.ID == "" {
+			return fmt.Errorf("a member without id")
+		}
+		state, ok := phases[m.Phase]
+		if !ok {
+			return fmt.Errorf("member %q: unknown phase %q", m.ID, m.Phase)
+		}
+		if _, _, err := net.SplitHostPort(m.HostPort); err != nil && state != balance.Gone {
+			return fmt.Errorf("member %q: %w", m.ID, err)
+		}
+	}
+	return nil
+}
+
+// discovery follows the list of servers. What it learns goes to the loop as listed and listFailed events.
+type discovery struct {
+	addr     string
+	client   *http.Client
+	revision int64
+	pushed   bool          // the address is an agent that has the list sent to it
+	asked    chan struct{} // the module wants a watch
+	post     func(any)
+}
+
+func newDiscovery(cfg *Config, post func(any)) *discovery {
+	return &discovery{
+		addr:     cfg.Discovery,
+		client:   &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1, MaxIdleConns: 1}},
+		revision: cfg.Known.Revision,
+		pushed:   !cfg.Balance.Subscribe,
+		asked:    make(chan struct{}, 1),
+		post:     post,
+	}
+}
+
+// watch asks for a watch; where one is on or asked for already there is nothing to do.
+func (d *discovery) watch() {
+	select {
+	case d.asked <- struct{}{}:
+	default:
+	}
+}
+
+// run follows the list until ctx ends. Where discovery is asked, the module says when; an agent is followed
+// from the start.
+func (d *discovery) run(ctx context.Context) {
+	defer d.client.CloseIdleConnections()
+	for failed := 0; ctx.Err() == nil; {
+		if !d.pushed {
+			select {
+			case <-d.asked:
+			case <-ctx.Done():
+				return
+			}
+		}
+		if d.follow(ctx) {
+			failed = 0
+		}
+		if d.pushed {
+			pause(ctx, failed)
+			failed = min(failed+1, mostDoubled)
+		}
+	}
+}
+
+// follow keeps a watch going until a call fails, and reports whether any went well. The next call is made at
+// once: a watch ends when it takes more than 200 ms.
+func (d *discovery) follow(ctx context.Context) (went bool) {
+	for {
+		l, err := d.call(ctx)
+		if ctx.Err() != nil {
+			return went
+		}
+		if err != nil {
+			d.post(listFailed{err})
+			return went
+		}
+		went, d.revision = true, l.Revision
+		d.post(listed{l, time.Now()})
+	}
+}
+
+// call waits for what is newer than the list held, or gets the whole list where none is held.
+func (d *discovery) call(ctx context.Context) (*list, error) {
+	query, hold := url.Values{}, time.Duration(0)
+	if d.revision > 0 {
+		hold = watchHold
+		query.Set("from", strconv.FormatInt(d.revision, 10))
+		query.Set("hold_ms", strconv.FormatInt(hold.Milliseconds(), 10))
+	}
+	l, err := d.get(ctx, query, hold+callTimeout)
+	if err == nil && !l.Complete && l.Revision < d.revision {
+		// Changes to an older list than the one held: discovery has lost its place, and only a whole list helps.
+		return d.get(ctx, nil, callTimeout)
+	}
+	return l, err
+}
+
+func (d *discovery) get(ctx context.Context, query url.Values, timeout time.Duration) (*list, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	target := url.URL{Scheme: "http", Host: d.addr, Path: "/discovery/hosts", RawQuery: query.Encode()}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
+	if err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxList))
+	if err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("discovery: %s", resp.Status)
+	}
+	l := &list{}
+	if err := json.Unmarshal(body, l); err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
+	}
+	if err := l.check(); err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
+	}
+	return l, nil
+}
+
+// pause waits before the next call to an agent, longer after each failure and never as long as others do.
+func pause(ctx context.Context, failed int) {
+	most := pushPause << failed
+	timer := time.NewTimer(most/2 + rand.N(most/2))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/sidecar/serve_test.go
@@ -0,0 +1,112 @@
+package sidecar
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+)
+
+func TestServesAndPassesOn(t *testing.T) {
+	s := newScript(t, say(200, "plate 7", "Endpoint-Load-Metrics: TEXT util=0.5, qps=3"))
+	n := startNode(t, testConfig(t, ready("s-1", s.addr)))
+	for _, class := range []string{"read", "reserve", "pay"} {
+		resp, body := n.do(n.request(class))
+		if resp.StatusCode != 200 || body != "plate 7" {
+			t.Fatalf("%s: %d %q", class, resp.StatusCode, body)
+		}
+		if resp.Header.Get(loadHeader) != "" {
+			t.Errorf("the load report reached the application")
+		}
+	}
+	requests, bodies, conns := s.seen()
+	if len(requests) != 3 || conns != 1 {
+		t.Fatalf("%d requests on %d connections: want 3 on one", len(requests), conns)
+	}
+	for i, r := range requests {
+		if r.RequestURI != "/api?item=a%2Fb" || r.Header.Get("X-Trace-Id") != "9b1f03aa5c7e2d41" {
+			t.Errorf("went on as %s with id %q", r.RequestURI, r.Header.Get("X-Trace-Id"))
+		}
+		left, err := parseExpiry(r.Header.Get(expiryHeader), 1e6)
+		if err != nil || left <= 0 || left > 15000 {
+			t.Errorf("%s went on as %q: %v", expiryHeader, r.Header.Get(expiryHeader), err)
+		}
+		if want := map[bool]string{true: "", false: "order 7"}[r.Method == "GET"]; bodies[i] != want {
+			t.Errorf("body went on as %q", bodies[i])
+		}
+	}
+	if key := requests[1].Header.Get("Idempotency-Key"); key != "5c0f6e1a" {
+		t.Errorf("Idempotency-Key went on as %q", key)
+	}
+}
+
+// The outcome decides whether an unsafe request may be tried again.
+func TestOutcomes(t *testing.T) {
+	never := "X-Never-Ran: 1"
+	for name, c := range map[string]struct {
+		first  step
+		status int
+	}{
+		"turned away":           {say(503, "", never), 200},
+		"over already":          {say(504, "", never), 200},
+		"503 that may have run": {say(503, ""), 502},
+		"error":                 {say(500, ""), 502},
+		"reset":                 {breakOff(""), 502},
+		"short body":            {breakOff("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nplate"), 502},
+	} {
+		t.Run(name, func(t *testing.T) {
+			failing, serving := newScript(t, c.first), newScript(t, say(200, "done"))
+			n := startNode(t, testConfig(t, ready("s-1", failing.addr), ready("s-2", serving.addr)))
+			resp, _ := n.do(n.request("pay"))
+			for len(requestsOf(failing)) == 0 { // the other one had the first turn
+				resp, _ = n.do(n.request("pay"))
+			}
+			if resp.StatusCode != c.status {
+				t.Errorf("answered %d, want %d", resp.StatusCode, c.status)
+			}
+		})
+	}
+}
+
+func requestsOf(s *script) []*http.Request {
+	r, _, _ := s.seen()
+	return r
+}
+
+func TestBadRequests(t *testing.T) {
+	s := newScript(t, say(200, "served"))
+	n := startNode(t, testConfig(t, ready("s-1", s.addr)))
+	set := func(name, value string) func(*http.Request) {
+		return func(r *http.Request) { r.Header.Set(name, value) }
+	}
+	for name, c := range map[string]struct {
+		class  string
+		change func(*http.Request)
+		status int
+	}{
+		"unknown class":  {"read", set("X-Qos", "x"), 400},
+		"unknown tenant": {"read", set("X-Customer", "x"), 400},
+		"no tenant":      {"read", func(r *http.Request) { r.Header.Del("X-Customer") }, 400},
+		"no id":          {"read", func(r *http.Request) { r.Header.Del("X-Trace-Id") }, 400},
+		"no key":         {"reserve", func(r *http.Request) { r.Header.Del("Idempotency-Key") }, 400},
+		"expiry text":    {"read", set("X-Expires-In", "soon"), 400},
+		"expiry unit":    {"read", set("X-Expires-In", "12"), 400},
+		"expiry below 0": {"read", set("X-Expires-In", "-5m"), 400},
+		"expiry NaN":     {"read", set("X-Expires-In", "NaNm"), 400},
+		"method":         {"pay", func(r *http.Request) { r.Method = "PUT" }, 405},
+		"path":           {"read", func(r *http.Request) { r.URL.Path = "/other" }, 404},
+	} {
+		req := n.request(c.class)
+		c.change(req)
+		if resp, _ := n.do(req); resp.StatusCode != c.status {
+			t.Errorf("%s: answered %d, want %d", name, resp.StatusCode, c.status)
+		}
+	}
+	req, _ := http.NewRequest("POST", "http://"+n.addr+"/api", strings.NewReader(strings.Repeat("x", maxBody+1)))
+	req.Header = n.request("pay").Header
+	if resp, _ := n.do(req); resp.StatusCode != 413 {
+		t.Errorf("long body: answered %d", resp.StatusCode)
+	}
+	if got := len(requestsOf(s)); got != 0 {
+		t.Errorf("%d of the bad requests went on", got)
+	}
+}
--- /dev/null
+++ b/internal/sidecar/sidecar.go
@@ -0,0 +1,95 @@
+// Package sidecar is the program round the decision module: it takes an application's requests, sends them to
+// servers as the module decides, and follows the list of servers. Each file has one job: config.go reads the
+// configuration, front.go faces the application, loop.go owns the module, upstream.go makes attempts over the
+// connections of pool.go, discovery.go follows the list, and this file starts and ends it all.
+package sidecar
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"cedararch/balance"
+)
+
+const (
+	lastCalls = 500 * time.Millisecond // how long new connections are taken after the signal to end
+	lastSpare = 650 * time.Millisecond // beyond the longest deadline, by when all must have ended
+)
+
+// Run serves until ctx ends, and then until all that was taken is answered.
+func Run(ctx context.Context, cfg *Config, log *slog.Logger) error {
+	ln, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	return serve(ctx, cfg, ln, log)
+}
+
+func serve(ctx context.Context, cfg *Config, ln net.Listener, log *slog.Logger) error {
+	log.Info("listening", "address", ln.Addr().String())
+	inner, stop := context.WithCancel(context.Background())
+	idle := millis(cfg.Balance.ConnIdle * idleShare)
+	if idle > 0 {
+		cfg.Balance.ConnIdle *= idleShare // so long a connection stays open, as the module is to know
+	}
+	l := newLoop(inner, cfg, log)
+	pool := newPool(cmp.Or(millis(cfg.Balance.ConnectTimeout), time.Second), cmp.Or(idle, time.Minute), cfg.Limits.Sockets)
+	probe := "/alive"
+	if cfg.Balance.Reports != balance.ReportNone {
+		probe = "/metrics/load"
+	}
+	l.upstream = &upstream{pool: pool, fields: cfg.fields, probe: probe}
+	l.discovery = newDiscovery(cfg, l.post)
+	l.front = &front{cfg: cfg, post: l.post, done: inner.Done(), most: int64(cfg.Limits.Sockets - spareSockets - pool.most)}
+
+	var tasks sync.WaitGroup
+	tasks.Go(l.run)
+	tasks.Go(func() { l.discovery.run(inner) })
+	tasks.Go(func() { pool.run(inner) })
+	defer tasks.Wait()
+	defer stop()
+
+	server := l.front.server(log)
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(listener{ln, pool}) }()
+	select {
+	case err := <-failed:
+		return fmt.Errorf("serve: %w", err)
+	case <-ctx.Done():
+	}
+	return l.front.end(server, longest(cfg.Balance.Classes)+lastSpare, failed)
+}
+
+// end takes new connections for a little while yet, and answers all that was taken.
+func (f *front) end(server *http.Server, within time.Duration, failed <-chan error) error {
+	limit, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	f.ending.Store(true)
+	select {
+	case <-time.After(lastCalls):
+	case err := <-failed:
+		return fmt.Errorf("serve: %w", err)
+	}
+	err := server.Shutdown(limit)
+	if errors.Is(err, context.DeadlineExceeded) {
+		err = server.Close() // connections on which no request ever came
+	}
+	return err
+}
+
+func longest(classes []balance.Class) time.Duration {
+	most := 0.0
+	for i := range classes {
+		most = max(most, classes[i].Deadline)
+	}
+	return millis(most)
+}
+
+func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
