Watch from revision 0 instead of asking for the whole list over and over

Cause: call() took revision 0 for no list held, so each answer was followed at once by another whole-list call until the first change; logged in as 76 to 93 calls in the first moment. Whether a list is held is now kept apart from its revision, and a call that brings nothing new is followed by a pause, as an agent may not hold a watch.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -19,6 +19,7 @@
 	watchHold   = 20 * time.Second // how long discovery may hold a watch
 	callTimeout = 5 * time.Second  // ... and how long any call may take beyond that
 	maxList     = 4 << 20
+	leastGap    = 100 * time.Millisecond // between calls that bring nothing new; a watch ends after 200
 	pushPause   = 100 * time.Millisecond // before a failed call to the agent is made again; doubles each time
 	mostDoubled = 5
 )
@@ -64,6 +65,7 @@
 type discovery struct {
 	addr     string
 	client   *http.Client
+	held     bool // a list is held, of this revision; it may be 0
 	revision int64
 	pushed   bool          // the address is an agent that has the list sent to it
 	asked    chan struct{} // the module wants a watch
@@ -74,6 +76,7 @@
 	return &discovery{
 		addr:     cfg.Discovery,
 		client:   &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1, MaxIdleConns: 1}},
+		held:     cfg.Known.Complete,
 		revision: cfg.Known.Revision,
 		pushed:   !cfg.Balance.Subscribe,
 		asked:    make(chan struct{}, 1),
@@ -105,16 +108,16 @@
 			failed = 0
 		}
 		if d.pushed {
-			pause(ctx, failed)
+			sleep(ctx, pause(failed))
 			failed = min(failed+1, mostDoubled)
 		}
 	}
 }
 
-// follow keeps a watch going until a call fails, and reports whether any went well. The next call is made at
-// once: a watch ends when it takes more than 200 ms.
+// follow keeps a watch going until a call fails, and reports whether any went well.
 func (d *discovery) follow(ctx context.Context) (went bool) {
 	for {
+		start := time.Now()
 		l, err := d.call(ctx)
 		if ctx.Err() != nil {
 			return went
@@ -123,20 +126,24 @@
 			d.post(listFailed{err})
 			return went
 		}
-		went, d.revision = true, l.Revision
-		d.post(listed{l, time.Now()})
+		news := !d.held || l.Revision != d.revision
+		went, d.held, d.revision = true, true, l.Revision
+		d.post(listed{l})
+		if !news { // an agent may answer at once each time
+			sleep(ctx, leastGap-time.Since(start))
+		}
 	}
 }
 
 // call waits for what is newer than the list held, or gets the whole list where none is held.
 func (d *discovery) call(ctx context.Context) (*list, error) {
-	query, hold := url.Values{}, time.Duration(0)
-	if d.revision > 0 {
-		hold = watchHold
-		query.Set("from", strconv.FormatInt(d.revision, 10))
-		query.Set("hold_ms", strconv.FormatInt(hold.Milliseconds(), 10))
+	if !d.held {
+		return d.get(ctx, nil, callTimeout)
 	}
-	l, err := d.get(ctx, query, hold+callTimeout)
+	l, err := d.get(ctx, url.Values{
+		"from":    {strconv.FormatInt(d.revision, 10)},
+		"hold_ms": {strconv.FormatInt(watchHold.Milliseconds(), 10)},
+	}, watchHold+callTimeout)
 	if err == nil && !l.Complete && l.Revision < d.revision {
 		// Changes to an older list than the one held: discovery has lost its place, and only a whole list helps.
 		return d.get(ctx, nil, callTimeout)
@@ -174,10 +181,14 @@
 	return l, nil
 }
 
-// pause waits before the next call to an agent, longer after each failure and never as long as others do.
-func pause(ctx context.Context, failed int) {
+// pause is the wait before the next call to an agent, longer after each failure and never as long as others'.
+func pause(failed int) time.Duration {
 	most := pushPause << failed
-	timer := time.NewTimer(most/2 + rand.N(most/2))
+	return most/2 + rand.N(most/2)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -32,10 +32,7 @@
 		result   result
 		took     float64
 	}
-	listed struct {
-		list *list
-		at   time.Time
-	}
+	listed     struct{ list *list }
 	listFailed struct{ err error }
 )
 
@@ -109,7 +106,7 @@
 	defer timer.Stop()
 	l.now = l.clock(time.Now())
 	l.do(l.bal.Start(l.now))
-	l.take(listed{&l.cfg.Known, l.started}, balance.ListCached)
+	l.take(listed{&l.cfg.Known}, balance.ListCached)
 	for {
 		l.settle()
 		l.fire()
