Tests for the sidecar's promises, each over loopback; close on ending decided at the answer

The Connection: close of a sidecar that ends was decided when a request came, so those held at the signal kept their connection until the server noticed; it is decided when the answer is there. Found by the new shutdown test, which fails without it.

--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -12,6 +12,7 @@
 	"runtime"
 	"runtime/debug"
 	"strconv"
+	"time"
 
 	"cedararch/balance"
 	"cedararch/internal/wire"
@@ -31,6 +32,8 @@
 	zones   map[string]int
 	kinds   map[string]int
 	fields  []string // the figures of a load report, in the module's order
+
+	lastCalls time.Duration // how long new connections are taken after the signal to end
 }
 
 // Limits bound what the sidecar may use of its machine.
@@ -95,6 +98,7 @@
 		Discovery: cmp.Or(getenv("NODE_DISCOVERY"), file.Discovery),
 		Limits:    file.Limits,
 		Known:     file.Known,
+		lastCalls: lastCalls,
 	}
 	if err := cfg.check(); err != nil {
 		return nil, err
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -95,10 +95,6 @@
 }
 
 func (f *front) api(w http.ResponseWriter, r *http.Request) {
-	// Closing tells the application to go elsewhere, or frees a descriptor.
-	if f.ending.Load() || f.conns.Load() > f.most {
-		w.Header().Set("Connection", "close")
-	}
 	c, err := f.parse(w, r)
 	if err != nil {
 		status := http.StatusBadRequest
@@ -106,12 +102,14 @@
 		if errors.As(err, &bad) {
 			status = bad.status
 		}
+		f.closeIfLast(w)
 		http.Error(w, err.Error(), status)
 		return
 	}
 	f.post(arrived{c})
 	select {
 	case a := <-c.answers:
+		f.closeIfLast(w)
 		a.write(w)
 	case <-r.Context().Done():
 		f.post(leftBy{c})
@@ -122,6 +120,14 @@
 	}
 }
 
+// closeIfLast ends the connection with this answer where the application is to go elsewhere, or descriptors are
+// short. It is decided when the answer is there, not when the request came: many wait when the end comes.
+func (f *front) closeIfLast(w http.ResponseWriter) {
+	if f.ending.Load() || f.conns.Load() > f.most {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 func (a *answer) write(w http.ResponseWriter) {
 	h := w.Header()
 	for name, values := range a.header {
--- a/internal/sidecar/helpers_test.go
+++ b/internal/sidecar/helpers_test.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	cfg.Known.Members = servers
+	cfg.Known.Members, cfg.lastCalls = servers, 0
 	return cfg
 }
 
--- a/internal/sidecar/serve_test.go
+++ b/internal/sidecar/serve_test.go
@@ -1,9 +1,12 @@
 package sidecar
 
 import (
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 )
 
 func TestServesAndPassesOn(t *testing.T) {
@@ -110,3 +113,109 @@
 		t.Errorf("%d of the bad requests went on", got)
 	}
 }
+
+// hold answers a request when told to.
+func hold(started chan<- bool, release <-chan bool) step {
+	return func(c net.Conn) bool {
+		started <- true
+		<-release
+		return say(200, "held")(c)
+	}
+}
+
+// On SIGTERM new connections are still taken for a while, and what was taken before is answered.
+func TestEndsWithAllAnswered(t *testing.T) {
+	started, release := make(chan bool, 1), make(chan bool)
+	s := newScript(t, hold(started, release), say(200, "late"))
+	cfg := testConfig(t, ready("s-1", s.addr))
+	cfg.lastCalls = 3 * time.Second
+	n := startNode(t, cfg)
+	held := make(chan *http.Response, 1)
+	go func() {
+		resp, err := n.client.Do(n.request("pay"))
+		if err != nil {
+			t.Error(err)
+		}
+		held <- resp
+	}()
+	next(t, started)
+	n.end()
+	up, err := http.NewRequest("GET", "http://"+n.addr+"/up", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	until(t, "the sidecar starts to end", func() bool {
+		resp, _ := n.do(up)
+		return resp.StatusCode == 503
+	})
+	resp, body := n.do(n.request("pay"))
+	if resp.StatusCode != 200 || body != "late" || !resp.Close {
+		t.Errorf("on a new connection: %d %q, closing: %v", resp.StatusCode, body, resp.Close)
+	}
+	close(release)
+	if resp := next(t, held); resp != nil && (resp.StatusCode != 200 || !resp.Close) {
+		t.Errorf("what was held: %d, closing: %v", resp.StatusCode, resp.Close)
+	}
+}
+
+// An application that ends its sending has gone. net/http would end the handler with an empty 200, which says
+// served although no server made it.
+func TestHangUpGetsNoAnswer(t *testing.T) {
+	started, release := make(chan bool, 1), make(chan bool)
+	s := newScript(t, hold(started, release))
+	defer close(release)
+	n := startNode(t, testConfig(t, ready("s-1", s.addr)))
+	c, err := net.Dial("tcp", n.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if err := n.request("pay").Write(c); err != nil {
+		t.Fatal(err)
+	}
+	next(t, started)
+	c.(*net.TCPConn).CloseWrite()
+	c.SetReadDeadline(time.Now().Add(patience))
+	if got, _ := io.ReadAll(c); len(got) != 0 {
+		t.Errorf("answered %q", got)
+	}
+}
+
+// What discovery has told holds for the next request.
+func TestFollowsTheList(t *testing.T) {
+	one, two := newScript(t, say(200, "one")), newScript(t, say(200, "two"))
+	n := startNode(t, testConfig(t))
+	if resp, err := n.client.Get("http://" + n.addr + "/up"); err != nil || resp.StatusCode != 503 {
+		t.Fatalf("/up without servers: %v %v", resp, err)
+	}
+	tell := func(l list) {
+		t.Helper()
+		next(t, n.roster.calls)
+		n.roster.lists <- l
+	}
+	tell(list{Revision: 42, Complete: true, Members: []member{ready("s-1", one.addr)}})
+	next(t, n.roster.calls) // the list before has reached the loop
+	if _, body := n.do(n.request("read")); body != "one" {
+		t.Errorf("served by %q", body)
+	}
+	draining := ready("s-1", one.addr)
+	draining.Phase = "draining"
+	n.roster.lists <- list{Revision: 43, Members: []member{draining, ready("s-2", two.addr)}}
+	next(t, n.roster.calls)
+	for range 3 {
+		if _, body := n.do(n.request("read")); body != "two" {
+			t.Errorf("served by %q", body)
+		}
+	}
+}
+
+// Refusals say when to come back; a failure is neither 429 nor 503.
+func TestRefusesAtOnce(t *testing.T) {
+	s := newScript(t, say(503, "", "X-Never-Ran: 1"))
+	n := startNode(t, testConfig(t, ready("s-1", s.addr)))
+	req := n.request("pay")
+	req.Header.Set(expiryHeader, "300m")
+	if resp, _ := n.do(req); resp.StatusCode != 503 {
+		t.Errorf("answered %d", resp.StatusCode)
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	lastCalls = 500 * time.Millisecond // how long new connections are taken after the signal to end
+	lastCalls = 500 * time.Millisecond // Config.lastCalls
 	lastSpare = 650 * time.Millisecond // beyond the longest deadline, by when all must have ended
 )
 
@@ -73,7 +73,7 @@
 	defer cancel()
 	f.ending.Store(true)
 	select {
-	case <-time.After(lastCalls):
+	case <-time.After(f.cfg.lastCalls):
 	case err := <-failed:
 		return fmt.Errorf("serve: %w", err)
 	}
