Refused clients are told when to come back

The issue asks for the final answer at once and for Retry-After; the module refused without a hold-off. It now names a tenth of the class's aim, so that a later try does not meet the very moment that was refused, yet can still be served within the aim.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -46,6 +46,7 @@
 	zoneFavour = 85    // squared with the price of crossing zones: weight added to a server of the own zone
 	reuse      = 4000  // weight added to a server with an open connection, times the price of a new one
 	scarce     = 50    // ... and times the part of recent attempts that got no connection: tables are full
+	holdOff    = 0.1   // part of the aim for which a refused client is asked to stay away
 	askPause   = 500   // ms before a failed list call is made again; doubles each time
 )
 
@@ -240,13 +241,13 @@
 	return b.now >= r.arrived+r.class.Aim && b.refusable(r)
 }
 
-// answer ends a request unserved: refused where harmless, else failed. No hold-off: a later try can help.
+// answer ends a request unserved: refused where harmless, to come back soon but not at once; else failed.
 func (b *Balancer) answer(r *request) {
-	kind := Fail
+	end := Action{Kind: Fail, Request: r.ID}
 	if b.refusable(r) {
-		kind = Refuse
+		end.Kind, end.At = Refuse, min(holdOff*r.class.Aim, b.cfg.MaxRetryAfter)
 	}
-	b.emit(Action{Kind: kind, Request: r.ID})
+	b.emit(end)
 	b.close(r)
 }
 
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -326,3 +326,16 @@
 		}
 	}
 }
+
+// A refusal says when to come back, and never later than clients obey.
+func TestRefusalTellsHoldOff(t *testing.T) {
+	cfg := baseConfig()
+	cfg.MaxRetryAfter = 20
+	g := newRig(t, cfg, fleet(1)...)
+	id, _ := g.ask(unsafeClass)
+	g.now += cfg.Classes[unsafeClass].Deadline
+	acts := g.answer(id, 0, Full, 1)
+	if len(acts) != 1 || acts[0].Kind != Refuse || acts[0].At <= 0 || acts[0].At > cfg.MaxRetryAfter {
+		t.Fatalf("did %v", acts)
+	}
+}
--- a/internal/sidecar/serve_test.go
+++ b/internal/sidecar/serve_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -209,13 +210,18 @@
 	}
 }
 
-// Refusals say when to come back; a failure is neither 429 nor 503.
-func TestRefusesAtOnce(t *testing.T) {
+// A refused client is told when to come back, which it may do without harm.
+func TestRefusalsSayWhenToComeBack(t *testing.T) {
 	s := newScript(t, say(503, "", "X-Never-Ran: 1"))
 	n := startNode(t, testConfig(t, ready("s-1", s.addr)))
 	req := n.request("pay")
 	req.Header.Set(expiryHeader, "300m")
-	if resp, _ := n.do(req); resp.StatusCode != 503 {
-		t.Errorf("answered %d", resp.StatusCode)
+	resp, _ := n.do(req)
+	if resp.StatusCode != 503 {
+		t.Fatalf("answered %d", resp.StatusCode)
+	}
+	after, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	if err != nil || after <= 0 || after > 2 {
+		t.Errorf("Retry-After: %q", resp.Header.Get("Retry-After"))
 	}
 }
