Read over again: idle connections close last, failures of an agent stay with discovery

A failed call was told to the module also where lists are pushed, which the wire never does; it then asked for watches that nobody serves. Idle connections that came back while the sidecar ended were left to the exit.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,6 +1,6 @@
 // Package balance takes the decisions of one sidecar's load balancer: which server gets a request, when it
 // is tried again, when it is refused. What goes in and out is in api.go; what is remembered, and Handle,
-// which calls the functions below, in state.go. The mechanism is AWRR (docs/design.md): each server has a
+// which calls the functions below, in state.go. The mechanism is AWRR: each server has a
 // multiplier m that falls with its consecutive errors and recovers with time; smooth weighted round robin
 // over size × m picks the server; a failed repeatable request goes to the untried server of highest m.
 package balance
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"log/slog"
 	"net/http"
-	"net/url"
 	"runtime/debug"
 	"strconv"
 	"sync"
@@ -181,7 +180,9 @@
 		l.take(ev, kind)
 	case listFailed:
 		l.log.Info("list of servers", "error", ev.err)
-		l.tell(balance.ServerList{Kind: balance.ListFailed})
+		if l.cfg.Balance.Subscribe { // else the module did not ask, and discovery calls again by itself
+			l.tell(balance.ServerList{Kind: balance.ListFailed})
+		}
 	}
 }
 
@@ -418,9 +419,6 @@
 	return len(known)
 }
 
-// requestURI is a URL that is written as the client wrote it.
-func requestURI(uri string) *url.URL { return &url.URL{Opaque: uri} }
-
 // timer is a timer of the module, or the end of a request.
 type timer struct {
 	at      float64
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -107,6 +107,15 @@
 	}
 }
 
+// giveBack ends the use of a connection.
+func (p *pool) giveBack(c *conn, reusable bool) {
+	if reusable {
+		p.put(c)
+	} else {
+		p.drop(c)
+	}
+}
+
 // put gives a connection back for further use.
 func (p *pool) put(c *conn) {
 	c.SetDeadline(time.Time{})
@@ -196,7 +205,10 @@
 	}
 }
 
-// run closes connections that have been idle for too long, until ctx ends; then all that are idle.
+// closeAll closes all idle connections.
+func (p *pool) closeAll() { p.closeWhere(func(*conn) bool { return true }) }
+
+// run closes connections that have been idle for too long, until ctx ends.
 func (p *pool) run(ctx context.Context) {
 	ticker := time.NewTicker(max(p.idleTime/20, time.Millisecond))
 	defer ticker.Stop()
@@ -205,7 +217,6 @@
 		case now := <-ticker.C:
 			p.closeWhere(func(c *conn) bool { return now.Sub(c.idleFrom) >= p.idleTime })
 		case <-ctx.Done():
-			p.closeWhere(func(*conn) bool { return true })
 			return
 		}
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -49,6 +49,7 @@
 	l.discovery = newDiscovery(cfg, l.post)
 	l.front = &front{cfg: cfg, post: l.post, done: inner.Done(), most: int64(cfg.Limits.Sockets - spareSockets - pool.most)}
 
+	defer pool.closeAll() // after the last attempt has ended
 	var tasks sync.WaitGroup
 	tasks.Go(l.run)
 	tasks.Go(func() { l.discovery.run(inner) })
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"os"
 	"strconv"
 	"strings"
@@ -98,11 +99,7 @@
 		return result{outcome: balance.Moot}
 	}
 	r, reusable := u.exchange(a, c)
-	if reusable {
-		u.pool.put(c)
-	} else {
-		u.pool.drop(c)
-	}
+	u.pool.giveBack(c, reusable)
 	return r
 }
 
@@ -175,10 +172,10 @@
 func (m *message) encode(cut time.Time) ([]byte, error) {
 	req := http.Request{
 		Method: m.method,
+		URL:    &url.URL{Opaque: m.uri}, // goes on as the client wrote it
 		Header: m.header.Clone(),
 		Host:   m.host,
 	}
-	req.URL = requestURI(m.uri)
 	req.Header.Set(expiryHeader, strconv.FormatInt(max(1, time.Until(cut).Microseconds()), 10)+"u")
 	if req.Header.Get("User-Agent") == "" {
 		req.Header.Set("User-Agent", "") // else Write adds one of its own
@@ -224,11 +221,7 @@
 		return result{outcome: balance.ConnectFailed}
 	}
 	r, reusable := u.askOn(ctx, e, c, cut)
-	if reusable {
-		u.pool.put(c)
-	} else {
-		u.pool.drop(c)
-	}
+	u.pool.giveBack(c, reusable)
 	return r
 }
 
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -16,7 +16,7 @@
 func newUpstream(t *testing.T, sockets int) *upstream {
 	t.Helper()
 	p := newPool(patience, patience, sockets)
-	t.Cleanup(func() { p.closeWhere(func(*conn) bool { return true }) })
+	t.Cleanup(p.closeAll)
 	return &upstream{pool: p, fields: []string{"busy", "rate"}, probe: "/metrics/load"}
 }
 
