--- a/cmd/adapter/main.go
+++ b/cmd/adapter/main.go
@@ -11,6 +11,7 @@
 
 	"cedararch/balance"
 	"cedararch/internal/wire"
+	"cedararch/settings"
 )
 
 func main() {
@@ -53,13 +54,13 @@
 	}()
 	switch ev := rec.Event.(type) {
 	case wire.Begin:
-		cfg, err := wire.ParseSettings(ev.Seed, ev.Settings)
+		told, err := settings.Parse(ev.Seed, ev.Settings)
 		if err != nil {
 			h.instances[rec.Instance] = nil // its further events are ignored
 			h.reply.Fault(rec.Instance, err.Error())
 			return nil
 		}
-		b := balance.New(cfg)
+		b := balance.New(told.Balance)
 		h.instances[rec.Instance] = b
 		h.reply.Add(rec.Instance, b.Start(clock))
 	case wire.Down:
--- /dev/null
+++ b/cmd/firplank-lab/main.go
@@ -0,0 +1,293 @@
+// Command firplank-lab is the failure laboratory: it plays a day of trouble against real sidecar processes on loopback
+// and judges them. See docs/operators/lab.md.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+
+	"github.com/alecthomas/kong"
+
+	"cedararch/internal/sidecar"
+	"cedararch/lab/peer"
+	"cedararch/lab/run"
+	"cedararch/lab/scenario"
+)
+
+// commands is the command line.
+type commands struct {
+	Run     runCommand     `cmd:"" help:"Play a scenario and judge it."`
+	List    listCommand    `cmd:"" help:"List the built-in scenarios and the kinds of faults."`
+	Compare compareCommand `cmd:"" help:"Play a scenario through firplank and through other proxies, and compare the worth served."`
+	Stand   standCommand   `cmd:"" help:"Start a scenario's servers and roster for sidecars and clients of your own."`
+	Clients clientsCommand `cmd:"" help:"Play a scenario's clients against sidecars that run already."`
+	Child   childCommand   `cmd:"" hidden:""`
+}
+
+// played is how scenarios are named and changed.
+type played struct {
+	Scenario string  `arg:"" help:"A built-in scenario, or a file in TOML."`
+	Seed     uint64  `help:"Seed in place of the scenario's."`
+	Length   float64 `help:"Length in seconds in place of the scenario's."`
+	Rate     float64 `help:"First tries a second in place of the scenario's."`
+	Sidecars int     `help:"Number of sidecars in place of the scenario's."`
+	Binary   string  `help:"The sidecar's program; without it this program serves as one." type:"path"`
+}
+
+func (p *played) open() (*scenario.Scenario, error) {
+	s, err := open(p.Scenario)
+	if err != nil {
+		return nil, err
+	}
+	if p.Seed != 0 {
+		s.Seed = p.Seed
+	}
+	if p.Length != 0 {
+		s.LengthS = p.Length
+	}
+	if p.Rate != 0 {
+		s.Rate = p.Rate
+	}
+	if p.Sidecars != 0 {
+		s.Sidecars = p.Sidecars
+	}
+	return s, s.Check()
+}
+
+func open(name string) (*scenario.Scenario, error) {
+	if !strings.ContainsAny(name, "./") {
+		return scenario.Open(name)
+	}
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return nil, fmt.Errorf("scenario: %w", err)
+	}
+	return scenario.Parse(filepath.Base(name), text)
+}
+
+func (p *played) program() (run.Program, error) {
+	if p.Binary != "" {
+		return run.Program{Args: []string{p.Binary}}, nil
+	}
+	return child("sidecar")
+}
+
+// child is this program in another role.
+func child(role string) (run.Program, error) {
+	self, err := os.Executable()
+	if err != nil {
+		return run.Program{}, fmt.Errorf("find this program: %w", err)
+	}
+	return run.Program{Args: []string{self, "child", role}}, nil
+}
+
+type runCommand struct {
+	played
+	JSON string `help:"Write the report to a file in JSON." placeholder:"FILE" type:"path" name:"json"`
+	HTML string `help:"Write the report to a file as a page with plots." placeholder:"FILE" type:"path" name:"html"`
+}
+
+var errBroken = errors.New("rules were broken or sidecars crashed")
+
+func (c *runCommand) Run(ctx context.Context, out io.Writer) error {
+	s, err := c.open()
+	if err != nil {
+		return err
+	}
+	program, err := c.program()
+	if err != nil {
+		return err
+	}
+	r, err := play(ctx, s, program, "firplank")
+	if err != nil {
+		return err
+	}
+	r.Table(out)
+	if c.JSON != "" {
+		err = toFile(c.JSON, func(w io.Writer) error {
+			e := json.NewEncoder(w)
+			e.SetIndent("", " ")
+			return e.Encode(r)
+		})
+	}
+	if c.HTML != "" {
+		err = errors.Join(err, toFile(c.HTML, r.HTML))
+	}
+	if err == nil && !r.Good() {
+		err = errBroken
+	}
+	return err
+}
+
+func play(ctx context.Context, s *scenario.Scenario, program run.Program, name string) (*run.Report, error) {
+	opts := run.Options{Program: program}
+	if info, err := os.Stderr.Stat(); err == nil && info.Mode()&os.ModeCharDevice != 0 {
+		opts.Progress = func(p run.Progress) {
+			fmt.Fprintf(os.Stderr, "\r\x1b[K%s %s: %5.1f of %.0f s, %d asked, %d open  %s", s.Name, name, p.At.Seconds(),
+				p.Length.Seconds(), p.Sent, p.Sent-p.Answered, strings.Join(p.Faults, " "))
+		}
+		defer fmt.Fprint(os.Stderr, "\r\x1b[K")
+	}
+	r, err := run.Play(ctx, s, opts)
+	if r != nil {
+		r.Program = name
+	}
+	return r, err
+}
+
+func toFile(path string, write func(io.Writer) error) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	return errors.Join(write(f), f.Close())
+}
+
+type listCommand struct{}
+
+func (listCommand) Run(out io.Writer) error {
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "scenario\tlength\tabout")
+	for _, name := range scenario.Builtin() {
+		s, err := scenario.Open(name)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(t, "%s\t%v s\t%s\n", name, s.LengthS, s.About)
+	}
+	fmt.Fprintln(t, "\nfault\t\tabout")
+	names, about := scenario.Kinds()
+	for _, name := range names {
+		fmt.Fprintf(t, "%s\t\t%s\n", name, about[name])
+	}
+	return t.Flush()
+}
+
+type compareCommand struct {
+	played
+	Seeds int `help:"How many seeds to play, from the scenario's on." default:"1"`
+}
+
+func (c *compareCommand) Run(ctx context.Context, out io.Writer) error {
+	s, err := c.open()
+	if err != nil {
+		return err
+	}
+	program, err := c.program()
+	if err != nil {
+		return err
+	}
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "scenario\tseed\tthrough\tworth\tfirplank over it\tp99 ms\trefused\tfailed or unanswered\trules broken\tprocessor s\t")
+	first := s.Seed
+	for seed := first; seed < first+uint64(max(1, c.Seeds)); seed++ {
+		s.Seed = seed
+		ours, err := play(ctx, s, program, "firplank")
+		if err != nil {
+			return err
+		}
+		c.line(t, s, ours, ours)
+		for _, policy := range peer.Policies {
+			other, err := child(policy)
+			if err != nil {
+				return err
+			}
+			theirs, err := play(ctx, s, other, policy)
+			if err != nil {
+				return err
+			}
+			c.line(t, s, theirs, ours)
+		}
+	}
+	return t.Flush()
+}
+
+func (c *compareCommand) line(t io.Writer, s *scenario.Scenario, r, ours *run.Report) {
+	ratio := "-"
+	if r.Total.Worth > 0 {
+		ratio = fmt.Sprintf("%.2f", ours.Total.Worth/r.Total.Worth)
+	}
+	broken := 0
+	for _, n := range r.Verdict.Counts {
+		broken += n
+	}
+	fmt.Fprintf(t, "%s\t%d\t%s\t%.3f\t%s\t%.0f\t%d\t%d\t%d\t%.2f\t\n", s.Name, s.Seed, r.Program, r.Total.Worth, ratio, r.Total.P99,
+		r.Total.Refused, r.Total.Failed+r.Total.Lost, broken, r.Use.CPU.Seconds())
+}
+
+type standCommand struct {
+	played
+	Dir string `help:"Folder for the sidecars' configuration files." default:"." type:"existingdir"`
+}
+
+func (c *standCommand) Run(ctx context.Context, out io.Writer) error {
+	s, err := c.open()
+	if err != nil {
+		return err
+	}
+	return run.Stand(ctx, s, c.Dir, out)
+}
+
+type clientsCommand struct {
+	played
+	To []string `help:"Addresses of the sidecars." required:""`
+}
+
+func (c *clientsCommand) Run(ctx context.Context, out io.Writer) error {
+	s, err := c.open()
+	if err != nil {
+		return err
+	}
+	s.Sidecars = len(c.To)
+	r, err := run.Clients(ctx, s, c.To)
+	if err != nil {
+		return err
+	}
+	r.Table(out)
+	return nil
+}
+
+// childCommand is how this program starts itself as a sidecar or as one of the proxies that it is compared with.
+type childCommand struct {
+	Role string `arg:""`
+}
+
+func (c *childCommand) Run(ctx context.Context) error {
+	if c.Role == "sidecar" {
+		return sidecar.Main(os.Getenv, "", os.Stderr)
+	}
+	return peer.Run(ctx, c.Role, os.Getenv)
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	err := command(ctx, os.Args[1:], os.Stdout)
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "firplank-lab:", err)
+		os.Exit(1)
+	}
+}
+
+func command(ctx context.Context, args []string, out io.Writer) error {
+	parser, err := kong.New(&commands{}, kong.Name("firplank-lab"), kong.BindTo(out, (*io.Writer)(nil)),
+		kong.BindTo(ctx, (*context.Context)(nil)), kong.Writers(out, os.Stderr),
+		kong.Description("A failure laboratory for firplank: stand-in servers, roster and clients on loopback, faults on a timeline, and a judge."))
+	if err != nil {
+		return err
+	}
+	parsed, err := parser.Parse(args)
+	if err != nil {
+		return err
+	}
+	return parsed.Run()
+}
--- a/cmd/firplank/main.go
+++ b/cmd/firplank/main.go
@@ -3,33 +3,82 @@
 package main
 
 import (
-	"context"
 	"fmt"
-	"log/slog"
+	"io"
 	"os"
-	"os/signal"
-	"syscall"
+	"runtime/debug"
+
+	"github.com/alecthomas/kong"
 
 	"cedararch/internal/sidecar"
 )
 
+// commands is the command line. Without arguments the sidecar serves.
+type commands struct {
+	Serve   serveCommand   `cmd:"" default:"withargs" help:"Serve until SIGTERM (the default)."`
+	Check   checkCommand   `cmd:"" help:"Read and check the configuration, and start nothing."`
+	Version versionCommand `cmd:"" help:"Show the version."`
+	Help    helpCommand    `cmd:"" help:"Show this help."`
+}
+
+// files is what a sidecar is configured by, beside the NODE_ variables.
+type files struct {
+	Config string `help:"Options in TOML, for what is not part of the platform's configuration." placeholder:"FILE" type:"path"`
+}
+
+type serveCommand struct{ files }
+
+func (c *serveCommand) Run() error { return sidecar.Main(os.Getenv, c.Config, os.Stderr) }
+
+type checkCommand struct{ files }
+
+func (c *checkCommand) Run(out io.Writer) error {
+	cfg, err := sidecar.LoadAll(os.Getenv, c.Config)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(out, cfg.Summary())
+	return nil
+}
+
+type versionCommand struct{}
+
+func (versionCommand) Run(out io.Writer) error {
+	version := "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		version = info.Main.Version + " " + info.GoVersion
+	}
+	fmt.Fprintln(out, "firplank", version)
+	return nil
+}
+
+type helpCommand struct{}
+
+func (helpCommand) Run(k *kong.Kong) error {
+	ctx, err := kong.Trace(k, nil)
+	if err != nil {
+		return err
+	}
+	return ctx.PrintUsage(false)
+}
+
 func main() {
-	if err := run(); err != nil {
+	if err := run(os.Args[1:], os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, "firplank:", err)
 		os.Exit(1)
 	}
 }
 
-func run() error {
-	// Asked for first: a SIGHUP that nobody waits for ends the process. Of several at once one is enough.
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
-	cfg, err := sidecar.Load(os.Getenv)
+func run(args []string, out io.Writer) error {
+	parser, err := kong.New(&commands{}, kong.Name("firplank"), kong.BindTo(out, (*io.Writer)(nil)), kong.Writers(out, os.Stderr),
+		kong.Description("A client-side load balancer beside one application. NODE_CONFIG names its configuration, a JSON file; "+
+			"NODE_NAME, NODE_LISTEN and NODE_DISCOVERY go before what that says."))
+	if err != nil {
+		return err
+	}
+	ctx, err := parser.Parse(args)
 	if err != nil {
 		return err
 	}
-	cfg.Limits.Apply()
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	return sidecar.Run(ctx, cfg, reloads, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	return ctx.Run(parser)
 }
--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -209,10 +209,13 @@
 // next counts a request that reached the handler.
 func (c *client) next() { c.served++ }
 
-// surplus reports whether bytes came behind the open request. An application sends one request at a time: its
-// length is wrong, or it hides another.
-func (c *client) surplus() bool {
-	return c.framing.begun.Load() > c.served || peek(c.TCPConn) == waiting
+// behind tells what came behind the open request. An application sends one request at a time: if there is more, the
+// length is wrong, or the request hides another.
+func (c *client) behind() found {
+	if c.framing.begun.Load() > c.served {
+		return waiting
+	}
+	return peek(c.TCPConn)
 }
 
 // What peek finds on a connection.
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -128,25 +128,38 @@
 
 func (f *front) api(w http.ResponseWriter, r *http.Request, cl *client) {
 	c, err := f.parse(w, r)
-	if err == nil && cl.surplus() {
+	behind := cl.behind()
+	if err == nil && behind == waiting {
 		err = malformed("more than the request that was announced")
 	}
 	if err != nil {
 		turnAway(w, err)
 		return
 	}
+	if behind == closed {
+		// The client has gone before anything was done for it, as all have that a stopped sidecar finds when it goes on.
+		w.Header().Set("Connection", "close")
+		refused(0).write(w)
+		return
+	}
 	f.post(arrived{c})
 	select {
 	case a := <-c.answers:
 		// Decided when the answer is there, not when the request came: many wait when the end comes.
-		if a.last || f.ending.Load() || cl.framing.blind || cl.surplus() || cl.owner.crowded() {
+		if a.last || f.ending.Load() || cl.framing.blind || cl.behind() != silent || cl.owner.crowded() {
 			w.Header().Set("Connection", "close")
 		}
 		a.write(w)
 	case <-r.Context().Done():
+		// The client is gone, as far as can be told. One that has only ended its sending is owed an answer all the same.
 		f.post(leftBy{c})
-		// Returning would send an empty 200, which a client that only ended its sending would take as served.
-		panic(http.ErrAbortHandler)
+		select {
+		case a := <-c.answers:
+			w.Header().Set("Connection", "close")
+			a.write(w)
+		case <-f.done:
+			panic(http.ErrAbortHandler)
+		}
 	case <-f.done:
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -164,7 +164,11 @@
 		l.begin(ev.call)
 	case leftBy:
 		if r := l.byCall[ev.call]; r != nil && !r.done {
-			l.finish(r, nil)
+			a := plain(http.StatusBadGateway, "the client has ended its sending")
+			if len(r.attempts) == 0 {
+				a = refused(0)
+			}
+			l.finish(r, a)
 			l.tell(balance.HangUp{Request: r.id})
 		}
 	case ended:
@@ -245,9 +249,17 @@
 }
 
 func (l *loop) refusal(holdOff float64) *answer {
+	if b := &l.cfg.Balance; b.RetryAfter {
+		return refused(min(holdOff, b.MaxRetryAfter))
+	}
+	return refused(0)
+}
+
+// refused tells the client that trying again is harmless, after a hold-off in milliseconds if that is above 0.
+func refused(holdOff float64) *answer {
 	a := plain(http.StatusServiceUnavailable, "refused, trying again is harmless")
-	if b := &l.cfg.Balance; b.RetryAfter && holdOff > 0 {
-		a.header.Set("Retry-After", strconv.FormatFloat(min(holdOff, b.MaxRetryAfter)/1000, 'f', 3, 64))
+	if holdOff > 0 {
+		a.header.Set("Retry-After", strconv.FormatFloat(holdOff/1000, 'f', 3, 64))
 	}
 	return a
 }
--- /dev/null
+++ b/internal/sidecar/main.go
@@ -0,0 +1,49 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"cedararch/internal/options"
+)
+
+// Main serves as the configuration that NODE_CONFIG names and the options file say, until SIGTERM or an interrupt. It
+// is the whole program but for its command line.
+func Main(getenv func(string) string, optionsPath string, log io.Writer) error {
+	// Asked for first: a SIGHUP that nobody waits for ends the process. Of several at once one is enough.
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	cfg, err := LoadAll(getenv, optionsPath)
+	if err != nil {
+		return err
+	}
+	cfg.Limits.Apply()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	return Run(ctx, cfg, reloads, slog.New(slog.NewTextHandler(log, nil)))
+}
+
+// LoadAll reads and checks all that a sidecar is told, without starting anything.
+func LoadAll(getenv func(string) string, optionsPath string) (*Config, error) {
+	opts, err := options.Load(optionsPath)
+	if err != nil {
+		return nil, err
+	}
+	cfg, err := Load(getenv)
+	if err != nil {
+		return nil, err
+	}
+	cfg.Options = *opts
+	return cfg, nil
+}
+
+// Summary tells in a line what a checked configuration holds.
+func (c *Config) Summary() string {
+	return fmt.Sprintf("%s: %d classes, %d tenants, %d servers known, %d descriptors, listens on %s, discovery at %s",
+		c.Name, len(c.classes), len(c.tenants), len(c.Known.Members), c.Limits.Sockets, c.Listen, c.Discovery)
+}
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -16,6 +16,13 @@
 	leastSockets   = 32
 	spareSockets   = 24  // for the listener, discovery, the poller, standard streams
 	idleShare      = 0.8 // of the time after which a server closes an idle connection; ours go before
+
+	// A server that has sent something on a connection long after the answer, a second copy of it say, may do so when
+	// the next request is out, and that would get an answer made for another: no answer names its request. lateMemory
+	// is how long connections to such a server carry one request only; where it were two servers, those to all others
+	// rest for lateRest meanwhile.
+	lateMemory = 30 * time.Second
+	lateRest   = 250 * time.Millisecond
 )
 
 // errNoSocket says that no connection was tried, as this side has no socket left for it.
@@ -28,6 +35,8 @@
 	endpoint *endpoint
 	addr     string
 	idleFrom time.Time
+	uses     int  // how often it was given back
+	looked   bool // it was silent when its rest was over
 }
 
 // pool keeps the connections to endpoints, within a number of sockets.
@@ -40,12 +49,27 @@
 	mu   sync.Mutex
 	open int                   // dialled, in use and idle
 	idle map[*endpoint][]*conn // the most recently used last
+	// resting holds idle connections that were not looked at since their last use, in order; one may have been taken
+	// meanwhile.
+	resting   []resting
+	rested    chan struct{} // there is one more; has room for one
+	late      *endpoint     // that was last caught sending late, at lateAt
+	lateAt    time.Time
+	lateUntil time.Time // until then connections to all servers rest longer
+	noteLate  func(*endpoint)
+}
+
+// resting is a connection as it was given back.
+type resting struct {
+	conn *conn
+	uses int
 }
 
 func newPool(connectTimeout, idleTime, restTime time.Duration, sockets int) *pool {
 	return &pool{
 		connectTimeout: connectTimeout, idleTime: idleTime, restTime: restTime,
-		most: (sockets - spareSockets) / 2, idle: map[*endpoint][]*conn{},
+		most: (sockets - spareSockets) / 2, idle: map[*endpoint][]*conn{}, rested: make(chan struct{}, 1),
+		noteLate: func(*endpoint) {},
 	}
 }
 
@@ -58,10 +82,15 @@
 		}
 		// The server may have closed it, or died, while it was idle. A request written to it would end as a
 		// reset, which may have run; a new connection tells for sure.
-		if c.addr == *e.addr.Load() && c.stands() {
+		state := c.state()
+		if c.addr == *e.addr.Load() && state == silent {
 			return c, nil
 		}
+		p.mu.Lock()
+		noted := p.judge(c, state)
+		p.mu.Unlock()
 		p.drop(c)
+		p.note(noted)
 	}
 	if !p.reserve() {
 		return nil, errNoSocket
@@ -92,9 +121,12 @@
 func (p *pool) takeIdle(e *endpoint) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	idle := p.idle[e]
+	idle, now, rest := p.idle[e], time.Now(), p.restTime
+	if now.Before(p.lateUntil) {
+		rest = max(rest, lateRest)
+	}
 	for i := len(idle) - 1; i >= 0; i-- {
-		if c := idle[i]; time.Since(c.idleFrom) >= p.restTime {
+		if c := idle[i]; now.Sub(c.idleFrom) >= rest {
 			p.setIdle(e, slices.Delete(idle, i, i+1))
 			return c
 		}
@@ -122,13 +154,19 @@
 // put gives a connection back for further use.
 func (p *pool) put(c *conn) {
 	c.SetDeadline(time.Time{})
-	c.idleFrom = time.Now()
 	p.mu.Lock()
-	keep := !c.endpoint.closed.Load()
+	c.idleFrom, c.looked = time.Now(), false
+	c.uses++
+	keep := !c.endpoint.closed.Load() && c.idleFrom.After(c.endpoint.lateUntil)
 	if keep {
 		p.idle[c.endpoint] = append(p.idle[c.endpoint], c)
+		p.resting = append(p.resting, resting{c, c.uses})
 	}
 	p.mu.Unlock()
+	select {
+	case p.rested <- struct{}{}:
+	default:
+	}
 	if !keep {
 		p.drop(c)
 	}
@@ -208,25 +246,110 @@
 	}
 }
 
+// judge takes in what was found on an idle connection, and returns its endpoint if that is news. The caller holds mu.
+func (p *pool) judge(c *conn, state found) *endpoint {
+	if state != waiting || !c.looked {
+		return nil // what came right behind the answer could do no harm: nothing is sent until the rest is over
+	}
+	e, now := c.endpoint, time.Now()
+	if p.late != nil && p.late != e && now.Sub(p.lateAt) < lateMemory {
+		p.lateUntil = now.Add(lateMemory)
+	}
+	news := now.After(e.lateUntil)
+	p.late, p.lateAt, e.lateUntil = e, now, now.Add(lateMemory)
+	if !news {
+		return nil
+	}
+	return e
+}
+
+// note reports an endpoint that was caught sending late; at most once in lateMemory for each.
+func (p *pool) note(e *endpoint) {
+	if e != nil {
+		p.closeIdle(e)
+		p.noteLate(e)
+	}
+}
+
+// look looks at the connections whose rest is over, and returns when the next one's will be; 0 if none rests. What has
+// come on one by then came right behind its answer.
+func (p *pool) look(now time.Time) (next time.Duration) {
+	var dropped []*conn
+	p.mu.Lock()
+	for len(p.resting) > 0 && next == 0 {
+		r := p.resting[0]
+		if left := p.restTime - now.Sub(r.conn.idleFrom); left > 0 && r.uses == r.conn.uses {
+			next = left
+			break
+		}
+		p.resting[0] = resting{}
+		p.resting = p.resting[1:]
+		idle := p.idle[r.conn.endpoint]
+		i := slices.Index(idle, r.conn)
+		if i < 0 || r.uses != r.conn.uses { // taken, or gone
+			continue
+		}
+		if r.conn.looked = r.conn.state() == silent; !r.conn.looked {
+			p.setIdle(r.conn.endpoint, slices.Delete(idle, i, i+1))
+			dropped = append(dropped, r.conn)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range dropped {
+		p.drop(c)
+	}
+	return next
+}
+
+// sweep closes connections that have been idle for too long, that the other side has closed, or on which something has
+// come.
+func (p *pool) sweep(now time.Time) {
+	var caught []*endpoint
+	p.closeWhere(func(c *conn) bool {
+		if now.Sub(c.idleFrom) >= p.idleTime {
+			return true
+		}
+		state := c.state()
+		if e := p.judge(c, state); e != nil {
+			caught = append(caught, e)
+		}
+		return state != silent
+	})
+	for _, e := range caught {
+		p.note(e)
+	}
+}
+
 // closeAll closes all idle connections.
 func (p *pool) closeAll() { p.closeWhere(func(*conn) bool { return true }) }
 
-// run closes connections that have been idle for too long, until ctx ends.
+// run looks after idle connections until ctx ends.
 func (p *pool) run(ctx context.Context) {
 	ticker := time.NewTicker(max(p.idleTime/20, time.Millisecond))
 	defer ticker.Stop()
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
 	for {
 		select {
 		case now := <-ticker.C:
-			p.closeWhere(func(c *conn) bool { return now.Sub(c.idleFrom) >= p.idleTime })
+			p.sweep(now)
+			continue
+		case <-p.rested:
+		case <-timer.C:
 		case <-ctx.Done():
 			return
 		}
+		if next := p.look(time.Now()); next > 0 {
+			timer.Reset(next)
+		}
 	}
 }
 
-// stands reports whether an idle connection is open and silent, as it has to be.
-func (c *conn) stands() bool {
+// state tells whether an idle connection is open and silent, as it has to be.
+func (c *conn) state() found {
 	sc, ok := c.Conn.(syscall.Conn)
-	return ok && peek(sc) == silent
+	if !ok {
+		return closed
+	}
+	return peek(sc)
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -51,6 +51,9 @@
 	l := newLoop(inner, cfg, log)
 	dialTime := cmp.Or(millis(cfg.Balance.ConnectTimeout), time.Second)
 	pool := newPool(dialTime, cmp.Or(idle, time.Minute), cfg.restTime, cfg.Limits.Sockets)
+	pool.noteLate = func(e *endpoint) {
+		log.Warn("a server sends more than its answers, and late", "server", e.name)
+	}
 	probe := "/alive"
 	if cfg.Balance.Reports != balance.ReportNone {
 		probe = "/metrics/load"
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -32,6 +32,8 @@
 	name   string
 	addr   atomic.Pointer[string]
 	closed atomic.Bool // it drains or is gone: nothing new may be sent
+
+	lateUntil time.Time // guarded by pool.mu: until then no connection to it is used again
 }
 
 // attempt is one try of a request at an endpoint. Its fields do not change but for the flags.
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -1,4 +1,4 @@
-// Package wire translates the simulator's binary frames and settings to the types
+// Package wire translates the simulator's binary frames to the types
 // of package balance and back. It takes no decisions.
 package wire
 
@@ -40,7 +40,7 @@
 	14: balance.ConnectFailed, 10: balance.Reset, 1: balance.Cancelled, 9: balance.Moot,
 }
 
-// Begin starts an instance; Settings is the raw profile for ParseSettings.
+// Begin starts an instance; Settings is the raw object for settings.Parse.
 type Begin struct {
 	Seed     uint64
 	Settings []byte
--- /dev/null
+++ b/lab/model/memory.go
@@ -0,0 +1,62 @@
+package model
+
+import "time"
+
+// KeyState is what a cell knows of a key.
+type KeyState int
+
+// The states of a key.
+const (
+	KeyNew     KeyState = iota // not seen within the window: it runs
+	KeyRunning                 // its first request is in work: the repeat waits for that
+	KeyDone                    // it has run: the repeat gets the same answer and nothing runs
+)
+
+// Memory is what the servers of one cell remember of keyed requests. A key is remembered for its window, counted from
+// the first request that ran; the table is swept as it grows, and holds what came within one window at most. It is not
+// safe for concurrent use.
+type Memory struct {
+	keys  map[string]*remembered
+	sweep int // the size at which the table is next swept
+}
+
+type remembered struct {
+	until time.Duration
+	done  bool
+}
+
+// NewMemory returns an empty memory.
+func NewMemory() *Memory { return &Memory{keys: map[string]*remembered{}, sweep: 1024} }
+
+// Take tells what is known of key at now, and remembers a new one for window.
+func (m *Memory) Take(now time.Duration, key string, window time.Duration) KeyState {
+	if r := m.keys[key]; r != nil && now < r.until {
+		if r.done {
+			return KeyDone
+		}
+		return KeyRunning
+	}
+	if len(m.keys) >= m.sweep {
+		for k, r := range m.keys {
+			if now >= r.until {
+				delete(m.keys, k)
+			}
+		}
+		m.sweep = max(1024, 2*len(m.keys))
+	}
+	m.keys[key] = &remembered{until: now + window}
+	return KeyNew
+}
+
+// Finish says that the request of key has run.
+func (m *Memory) Finish(key string) {
+	if r := m.keys[key]; r != nil {
+		r.done = true
+	}
+}
+
+// Forget takes back a key whose request was turned away and never ran.
+func (m *Memory) Forget(key string) { delete(m.keys, key) }
+
+// Len returns how many keys are held.
+func (m *Memory) Len() int { return len(m.keys) }
--- /dev/null
+++ b/lab/run/alone.go
@@ -0,0 +1,66 @@
+package run
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"cedararch/lab/judge"
+	"cedararch/lab/scenario"
+	"cedararch/lab/standin"
+)
+
+// Stand starts the servers and the roster of a scenario, writes a configuration for each of its sidecars to dir, says so
+// on out, and plays the faults of servers and roster until ctx ends. Nobody judges.
+func Stand(ctx context.Context, s *scenario.Scenario, dir string, out io.Writer) error {
+	st := &stage{s: s, dir: dir, all: standin.NewCell()}
+	defer st.close()
+	if err := st.buildServers(); err != nil {
+		return err
+	}
+	for i := range s.Sidecars {
+		path, err := writeConfig(dir, s, i, "127.0.0.1:0", st.roster.Addr(i), st.roster.Current(i))
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "NODE_CONFIG=%s\n", path)
+	}
+	for _, sl := range st.fleet {
+		fmt.Fprintf(out, "server %s in cell %d at %s\n", sl.server.ID(), sl.candidate.Cell, sl.server.Addr(0))
+	}
+	var mine []scenario.Fault
+	for _, f := range s.Faults {
+		if f.Subject() == scenario.Servers || f.Subject() == scenario.TheRoster {
+			mine = append(mine, f)
+		}
+	}
+	s.Faults = mine
+	st.playFaults(ctx, st.clock())
+	<-ctx.Done()
+	for _, err := range st.faults {
+		return err
+	}
+	return nil
+}
+
+// Clients plays the clients of a scenario against sidecars at the given addresses. What servers saw is not known, so
+// only the rules on answers are judged.
+func Clients(ctx context.Context, s *scenario.Scenario, addrs []string) (*Report, error) {
+	plan, err := s.Draw()
+	if err != nil {
+		return nil, err
+	}
+	clock := standin.StartClock()
+	j := judge.New(judge.Config{Classes: judgedClasses(s), Slack: ruleSlack, Blind: true})
+	seen := newRecorder(j, s.Length())
+	callers := standin.NewCallers(standin.CallersConfig{
+		Scenario: s, Plan: plan, Addrs: addrs, Clock: clock, Observer: seen, MostOpen: max(16, s.Limits.Sockets/3),
+		Linger: answerSlack*time.Millisecond + ruleSlack,
+	})
+	tallies := callers.Run(ctx)
+	time.Sleep(settle)
+	r := newReport(s, tallies, j.Close(clock()), seen)
+	r.Program, r.Late = "the sidecars given", callers.Late()
+	return r, nil
+}
--- /dev/null
+++ b/lab/run/faults.go
@@ -0,0 +1,291 @@
+package run
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"syscall"
+	"time"
+
+	"cedararch/lab/scenario"
+	"cedararch/lab/standin"
+)
+
+// deed is one thing to do at a time.
+type deed struct {
+	at time.Duration
+	do func(context.Context) error
+}
+
+// awayAfter is how long after SIGTERM clients go on opening connections to a sidecar.
+const awayAfter = 300 * time.Millisecond
+
+// playFaults makes the faults happen until ctx ends; then what stopped is let go on.
+func (st *stage) playFaults(ctx context.Context, offset time.Duration) {
+	var deeds []deed
+	for i := range st.s.Faults {
+		f := &st.s.Faults[i]
+		begin, end := st.deeds(i, f)
+		if begin != nil {
+			deeds = append(deeds, deed{offset + f.At(), begin})
+		}
+		if end != nil && f.ForS > 0 {
+			deeds = append(deeds, deed{offset + f.At() + f.For(), end})
+		}
+	}
+	slices.SortStableFunc(deeds, func(a, b deed) int { return int(a.at - b.at) })
+	for _, d := range deeds {
+		select {
+		case <-time.After(d.at - st.clock()):
+		case <-ctx.Done():
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		if err := d.do(ctx); err != nil {
+			st.failed(err)
+		}
+	}
+	for _, n := range st.nodes {
+		if n.running() {
+			n.pause(false)
+		}
+	}
+}
+
+func (st *stage) failed(err error) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.faults = append(st.faults, err)
+}
+
+// struck returns the servers that a fault strikes, as the fleet is now.
+func (st *stage) struck(fault int) (slots []*slot) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	var from []scenario.Candidate
+	for _, sl := range st.fleet {
+		from = append(from, sl.candidate)
+	}
+	for _, n := range st.s.Strikes(fault, from) {
+		slots = append(slots, st.fleet[n])
+	}
+	return slots
+}
+
+func (st *stage) struckNodes(fault int) (nodes []*process) {
+	var from []scenario.Candidate
+	for _, n := range st.nodes {
+		from = append(from, scenario.Candidate{Number: n.number})
+	}
+	for _, n := range st.s.Strikes(fault, from) {
+		nodes = append(nodes, st.nodes[n])
+	}
+	return nodes
+}
+
+// deeds returns what begins a fault and what ends it.
+func (st *stage) deeds(i int, f *scenario.Fault) (begin, end func(context.Context) error) {
+	switch f.Subject() {
+	case scenario.TheRoster:
+		return st.rosterDeeds(f)
+	case scenario.Sidecars:
+		var nodes []*process
+		return func(ctx context.Context) error {
+				nodes = st.struckNodes(i)
+				return each(nodes, func(n *process) error { return st.strikeNode(ctx, f, n) })
+			}, func(ctx context.Context) error {
+				return each(nodes, func(n *process) error { return st.relieveNode(ctx, f, n) })
+			}
+	case scenario.Callers:
+		if f.Kind == "flood" {
+			return func(ctx context.Context) error {
+				for _, n := range st.nodes {
+					st.tasks.Go(func() {
+						ctx, cancel := context.WithTimeout(ctx, f.For())
+						defer cancel()
+						standin.Flood(ctx, n.address(), int(f.Size))
+					})
+				}
+				return nil
+			}, nil
+		}
+		return nil, nil // a surge is drawn into the plan
+	}
+	var slots []*slot
+	return func(context.Context) error {
+			if f.Kind == "grow" {
+				return st.grow(int(f.Size))
+			}
+			slots = st.struck(i)
+			return each(slots, func(sl *slot) error { return st.strike(f, sl) })
+		}, func(context.Context) error {
+			return each(slots, func(sl *slot) error { return st.relieve(f, sl) })
+		}
+}
+
+func each[T any](all []T, do func(T) error) error {
+	for _, x := range all {
+		if err := do(x); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (st *stage) grow(n int) error {
+	for i := range n {
+		if _, err := st.addServer(st.s.Fleet.Kinds[i%len(st.s.Fleet.Kinds)], true); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (st *stage) strike(f *scenario.Fault, sl *slot) error {
+	switch f.Kind {
+	case "slow":
+		sl.server.SetSlow(f.Size)
+	case "crash", "leave_return":
+		sl.server.Crash()
+		st.roster.Set(sl.entry, "gone")
+	case "replace":
+		return st.replace(sl)
+	case "silent":
+		sl.server.Silence(-1, true)
+	case "cut":
+		sl.server.Silence(int(f.Size), true)
+	case "drain":
+		sl.server.Drain(true)
+		st.roster.Set(sl.entry, "draining")
+	case "error":
+		sl.server.SetErrors(f.Share)
+	case "spoil":
+		sl.server.SetSpoil(standin.Spoil{Form: f.Form, Share: f.Share, Delay: scenario.MS(f.DelayMS)})
+	case "late_reports":
+		sl.server.SetReportDelay(scenario.MS(f.Size * 1000))
+	}
+	return nil
+}
+
+func (st *stage) relieve(f *scenario.Fault, sl *slot) error {
+	switch f.Kind {
+	case "slow":
+		sl.server.SetSlow(1)
+	case "crash", "leave_return":
+		if err := sl.server.Restart(); err != nil {
+			return err
+		}
+		sl.entry.UpFrom = time.Now()
+		st.roster.Set(sl.entry, "ready")
+	case "silent":
+		sl.server.Silence(-1, false)
+	case "cut":
+		sl.server.Silence(int(f.Size), false)
+	case "drain":
+		sl.server.Crash()
+		st.roster.Set(sl.entry, "gone")
+	case "error":
+		sl.server.SetErrors(0)
+	case "spoil":
+		sl.server.SetSpoil(standin.Spoil{})
+	case "late_reports":
+		sl.server.SetReportDelay(0)
+	}
+	return nil
+}
+
+// replace starts another server at the address of one that dies.
+func (st *stage) replace(sl *slot) error {
+	sl.server.Crash()
+	st.roster.Set(sl.entry, "gone")
+	next, err := sl.server.Replace(sl.server.ID() + "r")
+	if err != nil {
+		return err
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	sl.server.Close()
+	sl.server = next
+	sl.entry.ID, sl.entry.UpFrom = next.ID(), time.Now()
+	st.roster.Set(sl.entry, "ready")
+	return nil
+}
+
+func (st *stage) rosterDeeds(f *scenario.Fault) (begin, end func(context.Context) error) {
+	do := func(f func()) func(context.Context) error {
+		return func(context.Context) error { f(); return nil }
+	}
+	switch f.Kind {
+	case "roster_down":
+		return do(func() { st.roster.SetDown(true) }), do(func() { st.roster.SetDown(false) })
+	case "roster_slow":
+		return do(func() { st.roster.SetSlow(scenario.MS(f.Size * 1000)) }), do(func() { st.roster.SetSlow(0) })
+	case "roster_garble":
+		return do(func() { st.roster.SetGarble(true) }), do(func() { st.roster.SetGarble(false) })
+	}
+	return do(st.roster.Restart), nil
+}
+
+func (st *stage) strikeNode(ctx context.Context, f *scenario.Fault, n *process) error {
+	switch f.Kind {
+	case "kill":
+		if err := n.signal(syscall.SIGKILL); err != nil {
+			return err
+		}
+		st.judge.Down(n.number, st.clock())
+		return n.awaitEnd()
+	case "stop":
+		st.judge.Down(n.number, st.clock())
+		return n.pause(true)
+	case "hup":
+		if _, err := writeConfig(st.dir, st.s, n.number, n.address(), st.roster.Other(n.number), st.roster.Current(n.number)); err != nil {
+			return err
+		}
+		return n.signal(syscall.SIGHUP)
+	case "term":
+		if err := n.signal(syscall.SIGTERM); err != nil {
+			return err
+		}
+		st.tasks.Go(func() {
+			select {
+			case <-time.After(awayAfter):
+			case <-ctx.Done():
+			}
+			st.callers.SetAway(n.number, true)
+			if err := n.awaitEnd(); err != nil {
+				st.failed(err)
+			}
+			st.startAgain(n)
+		})
+	}
+	return nil
+}
+
+func (st *stage) relieveNode(_ context.Context, f *scenario.Fault, n *process) error {
+	switch f.Kind {
+	case "kill":
+		st.tasks.Go(func() { st.startAgain(n) })
+	case "stop":
+		err := n.pause(false)
+		st.judge.Up(n.number, st.clock()+st.slack)
+		return err
+	}
+	return nil
+}
+
+// startAgain starts a sidecar that has ended; its clients use it once it is ready.
+func (st *stage) startAgain(n *process) {
+	ctx, cancel := context.WithTimeout(context.Background(), startPatience)
+	defer cancel()
+	err := n.start(ctx)
+	if err == nil {
+		err = n.awaitReady(ctx)
+	}
+	if err != nil {
+		st.failed(fmt.Errorf("start again: %w", err))
+		return
+	}
+	st.judge.Up(n.number, st.clock())
+	st.callers.SetAway(n.number, false)
+}
--- /dev/null
+++ b/lab/run/faulty_test.go
@@ -0,0 +1,206 @@
+package run
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"cedararch/lab/standin"
+)
+
+func untilTold() context.Context {
+	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	return ctx
+}
+
+// faultyProxy forwards requests and breaks one rule on purpose.
+type faultyProxy struct {
+	fault string
+	disc  string
+
+	mu       sync.Mutex
+	list     standin.List
+	newest   string
+	n        int
+	previous []byte
+	client   *http.Client
+}
+
+// faulty runs a faulty proxy in this process until SIGTERM.
+func faulty(name string) {
+	text, err := os.ReadFile(os.Getenv("NODE_CONFIG"))
+	if err != nil {
+		os.Exit(1)
+	}
+	var cfg struct {
+		Discovery string       `json:"discovery"`
+		Known     standin.List `json:"known"`
+	}
+	if json.Unmarshal(text, &cfg) != nil {
+		os.Exit(1)
+	}
+	p := &faultyProxy{
+		fault: strings.TrimPrefix(name, "faulty:"), disc: cfg.Discovery, list: cfg.Known,
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}},
+	}
+	ln, err := net.Listen("tcp", os.Getenv("NODE_LISTEN"))
+	if err != nil {
+		os.Exit(1)
+	}
+	fmt.Fprintf(os.Stderr, "msg=listening address=%s\n", ln.Addr())
+	switch p.fault {
+	case "dies":
+		time.AfterFunc(time.Second, func() { os.Exit(3) })
+	case "spins":
+		go func() {
+			for {
+			}
+		}()
+	}
+	go p.follow()
+	server := &http.Server{Handler: p}
+	go server.Serve(ln)
+	<-untilTold().Done()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	server.Shutdown(ctx)
+}
+
+func (p *faultyProxy) follow() {
+	for {
+		resp, err := http.Get("http://" + p.disc + "/discovery/hosts")
+		if err == nil {
+			var l standin.List
+			if json.NewDecoder(resp.Body).Decode(&l) == nil && l.Complete {
+				p.take(l)
+			}
+			resp.Body.Close()
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (p *faultyProxy) take(l standin.List) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range l.Members {
+		if m.UpSince > 0 {
+			p.newest = m.HostPort
+		}
+	}
+	if p.fault != "ignores_drains" {
+		p.list = l
+	}
+}
+
+func (p *faultyProxy) server(n int) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.fault == "rushes_to_new" && p.newest != "" {
+		return p.newest
+	}
+	var ready []string
+	for _, m := range p.list.Members {
+		if m.Phase == "ready" && m.UpSince == 0 {
+			ready = append(ready, m.HostPort)
+		}
+	}
+	return ready[n%len(ready)]
+}
+
+func (p *faultyProxy) forward(r *http.Request, body []byte, server string) (int, []byte) {
+	ctx, cancel := context.WithTimeout(context.Background(), left(r))
+	defer cancel()
+	out, err := http.NewRequestWithContext(ctx, r.Method, "http://"+server+r.RequestURI, bytes.NewReader(body))
+	if err != nil {
+		return http.StatusBadGateway, nil
+	}
+	out.Header = r.Header.Clone()
+	resp, err := p.client.Do(out)
+	if err != nil {
+		return http.StatusBadGateway, nil
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return http.StatusBadGateway, nil
+	}
+	if resp.Header.Get("X-Never-Ran") == "1" {
+		return http.StatusServiceUnavailable, text
+	}
+	return resp.StatusCode, text
+}
+
+func left(r *http.Request) time.Duration {
+	us, _ := strconv.Atoi(strings.TrimSuffix(r.Header.Get("X-Expires-In"), "u"))
+	return time.Duration(us) * time.Microsecond
+}
+
+func (p *faultyProxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/up" {
+		return
+	}
+	body, _ := io.ReadAll(r.Body)
+	p.mu.Lock()
+	p.n++
+	n, previous := p.n, p.previous
+	p.mu.Unlock()
+	strikes := n%5 == 0
+	server := p.server(n)
+	if strikes && p.fault == "invents" {
+		io.WriteString(w, r.Header.Get("X-Trace-Id")+" by nobody.\n")
+		return
+	}
+	status, text := p.forward(r, body, server)
+	p.mu.Lock()
+	p.previous = text
+	p.mu.Unlock()
+	if !strikes {
+		w.WriteHeader(status)
+		w.Write(text)
+		return
+	}
+	switch p.fault {
+	case "loses":
+		panic(http.ErrAbortHandler)
+	case "late":
+		time.Sleep(left(r) + 2*extra)
+	case "answers_twice":
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err == nil {
+			answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+			io.WriteString(c, answer+answer)
+			time.Sleep(time.Second)
+			c.Close()
+		}
+		return
+	case "repeats_unsafe":
+		if r.Method == http.MethodPost {
+			p.forward(r, body, p.server(n+1))
+		}
+	case "refuses_what_ran":
+		if r.Method == http.MethodPost {
+			status = http.StatusServiceUnavailable
+		}
+	case "mixes_answers":
+		text = previous
+	case "sends_after":
+		if r.Method == http.MethodGet {
+			header, to := r.Clone(context.Background()), p.server(n+1)
+			time.AfterFunc(2*extra, func() { p.forward(header, body, to) })
+		}
+	}
+	w.WriteHeader(status)
+	w.Write(text)
+}
--- /dev/null
+++ b/lab/run/process.go
@@ -0,0 +1,286 @@
+package run
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"regexp"
+	"sync"
+	"syscall"
+	"time"
+	"unsafe"
+
+	"cedararch/lab/standin"
+)
+
+// Program is how a sidecar is started: a command that is configured by NODE_CONFIG.
+type Program struct {
+	Args []string
+	Env  []string // further variables, NAME=value
+}
+
+const (
+	startPatience = 30 * time.Second
+	endPatience   = 15 * time.Second
+	keptLog       = 64 << 10 // bytes of a sidecar's log, its last ones
+)
+
+// process is one sidecar process, and those that follow it at its address.
+type process struct {
+	number  int
+	program Program
+	config  string
+	cores   float64 // that it may use; below 1 it is held to that
+
+	mu    sync.Mutex
+	addr  string // known once it has listened
+	cmd   *exec.Cmd
+	ended chan struct{} // closed when cmd has ended
+	place *standin.Reservation
+	log   tail
+	use   Use
+	exit  error
+
+	paused bool // by a fault
+}
+
+// Use is what sidecars took of the machine, over all their processes.
+type Use struct {
+	CPU      time.Duration `json:"cpu_ns"`
+	MemoryKB int64         `json:"memory_kb"` // the most that one process held
+}
+
+// tail keeps the end of a log and finds the address in it.
+type tail struct {
+	mu    sync.Mutex
+	text  []byte
+	found chan string
+}
+
+var listening = regexp.MustCompile(`msg=listening address=(\S+)\n`)
+
+func (t *tail) Write(p []byte) (int, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.text = append(t.text, p...)
+	if t.found != nil {
+		if m := listening.FindSubmatch(t.text); m != nil {
+			t.found <- string(m[1])
+			t.found = nil
+		}
+	}
+	if len(t.text) > 2*keptLog {
+		t.text = append(t.text[:0], t.text[len(t.text)-keptLog:]...)
+	}
+	return len(p), nil
+}
+
+func (t *tail) String() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return string(bytes.ToValidUTF8(t.text, []byte("?")))
+}
+
+// start starts the process and waits until it listens; the first time at an address that the kernel chooses, later at
+// the same one.
+func (p *process) start(ctx context.Context) error {
+	found := make(chan string, 1)
+	p.mu.Lock()
+	p.log.mu.Lock()
+	p.log.text, p.log.found = nil, found
+	p.log.mu.Unlock()
+	listen := p.addr
+	if listen == "" {
+		listen = "127.0.0.1:0"
+	}
+	p.place.Release()
+	p.place = nil
+	cmd := exec.Command(p.program.Args[0], p.program.Args[1:]...)
+	cmd.Env = append(append(os.Environ(), p.program.Env...), "NODE_CONFIG="+p.config, "NODE_LISTEN="+listen)
+	cmd.Stderr = &p.log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it must not outlive the laboratory
+	if err := cmd.Start(); err != nil {
+		p.mu.Unlock()
+		return fmt.Errorf("sidecar %d: %w", p.number, err)
+	}
+	ended := make(chan struct{})
+	p.cmd, p.ended, p.paused = cmd, ended, false
+	p.mu.Unlock()
+	if p.cores > 0 && p.cores < 1 {
+		go p.hold(cmd.Process, ended)
+	}
+	go func() {
+		err := cmd.Wait()
+		p.mu.Lock()
+		p.exit = err
+		if st := cmd.ProcessState; st != nil {
+			p.use.CPU += st.UserTime() + st.SystemTime()
+			if ru, ok := st.SysUsage().(*syscall.Rusage); ok {
+				p.use.MemoryKB = max(p.use.MemoryKB, ru.Maxrss)
+			}
+		}
+		if p.addr != "" {
+			p.place = standin.Reserve(p.addr)
+		}
+		p.mu.Unlock()
+		close(ended)
+	}()
+	select {
+	case addr := <-found:
+		p.mu.Lock()
+		p.addr = addr
+		p.mu.Unlock()
+		return nil
+	case <-ended:
+		return fmt.Errorf("sidecar %d ended before it listened: %w\n%s", p.number, p.exit, p.log.String())
+	case <-time.After(startPatience):
+		return fmt.Errorf("sidecar %d does not listen\n%s", p.number, p.log.String())
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// awaitReady waits until the sidecar says that it serves.
+func (p *process) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startPatience)
+	defer cancel()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: time.Second}
+	for {
+		resp, err := client.Get("http://" + p.address() + "/up")
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-time.After(10 * time.Millisecond):
+		case <-ctx.Done():
+			return fmt.Errorf("sidecar %d is not ready: %w\n%s", p.number, ctx.Err(), p.log.String())
+		}
+	}
+}
+
+func (p *process) address() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.addr
+}
+
+func (p *process) signal(sig syscall.Signal) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err := p.cmd.Process.Signal(sig); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return fmt.Errorf("sidecar %d: %v: %w", p.number, sig, err)
+	}
+	return nil
+}
+
+// awaitEnd waits until the process has ended, and ends it by force when that takes too long.
+func (p *process) awaitEnd() error {
+	p.mu.Lock()
+	ended := p.ended
+	p.mu.Unlock()
+	if ended == nil {
+		return nil
+	}
+	select {
+	case <-ended:
+	case <-time.After(endPatience):
+		p.signal(syscall.SIGKILL)
+		<-ended
+		return fmt.Errorf("sidecar %d did not end on SIGTERM\n%s", p.number, p.log.String())
+	}
+	return nil
+}
+
+// close ends the process, if it runs, and frees its address.
+func (p *process) close() {
+	p.mu.Lock()
+	cmd := p.cmd
+	p.mu.Unlock()
+	if cmd != nil {
+		p.signal(syscall.SIGKILL)
+		p.awaitEnd()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.place.Release()
+	p.place = nil
+}
+
+// running reports whether the process runs.
+func (p *process) running() bool {
+	p.mu.Lock()
+	ended := p.ended
+	p.mu.Unlock()
+	select {
+	case <-ended:
+		return false
+	default:
+		return true
+	}
+}
+
+// pause stops the process, or lets it go on.
+func (p *process) pause(on bool) error {
+	p.mu.Lock()
+	p.paused = on
+	p.mu.Unlock()
+	if on {
+		return p.signal(syscall.SIGSTOP)
+	}
+	return p.signal(syscall.SIGCONT)
+}
+
+// holdPeriod is the time in which a process may use its part of a core.
+const holdPeriod = 50 * time.Millisecond
+
+// hold keeps a process to its part of a core until it has ended: who has used it up is stopped until the next period,
+// as a quota of the kernel's would do, for which one needs privileges.
+func (p *process) hold(process *os.Process, ended <-chan struct{}) {
+	pid := process.Pid
+	tick := time.NewTicker(time.Millisecond)
+	defer tick.Stop()
+	quota := time.Duration(p.cores * float64(holdPeriod))
+	start, from := time.Now(), processTime(pid)
+	stopped := false
+	for {
+		select {
+		case <-tick.C:
+		case <-ended:
+			return
+		}
+		used := processTime(pid) - from
+		switch now := time.Now(); {
+		case now.Sub(start) >= holdPeriod:
+			start = now
+			from += min(used, quota) // what went beyond is owed
+			if stopped && used < 2*quota {
+				p.mu.Lock()
+				if !p.paused {
+					process.Signal(syscall.SIGCONT)
+				}
+				p.mu.Unlock()
+				stopped = false
+			}
+		case used >= quota && !stopped:
+			process.Signal(syscall.SIGSTOP)
+			stopped = true
+		}
+	}
+}
+
+// processTime is the processor time that a process has used; 0 once it is gone.
+func processTime(pid int) time.Duration {
+	var ts syscall.Timespec
+	clock := int32(^pid)<<3 | 2 // the clock of a whole process, as clock_getcpuclockid(3) has it
+	if _, _, errno := syscall.Syscall(syscall.SYS_CLOCK_GETTIME, uintptr(clock), uintptr(unsafe.Pointer(&ts)), 0); errno != 0 {
+		return 0
+	}
+	return time.Duration(ts.Nano())
+}
--- /dev/null
+++ b/lab/run/record.go
@@ -0,0 +1,73 @@
+package run
+
+import (
+	"sync"
+	"time"
+
+	"cedararch/lab/judge"
+)
+
+// buckets is how many points a plot has over the length of a run.
+const buckets = 100
+
+// recorder passes on what is seen to the judge and counts it over time.
+type recorder struct {
+	*judge.Judge
+	bucket time.Duration
+
+	mu       sync.Mutex
+	offset   time.Duration
+	sent     int
+	answered int
+	servers  map[string][]int // attempts by bucket
+	attempts int
+	order    []string
+}
+
+func newRecorder(j *judge.Judge, length time.Duration) *recorder {
+	return &recorder{Judge: j, bucket: length / buckets, servers: map[string][]int{}}
+}
+
+// begin says when the clients begin.
+func (r *recorder) begin(offset time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.offset = offset
+}
+
+// Received counts an attempt at a server.
+func (r *recorder) Received(trace, server string, sidecar int, first time.Duration) {
+	r.Judge.Received(trace, server, sidecar, first)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.attempts++
+	if r.servers[server] == nil {
+		r.servers[server] = make([]int, buckets)
+		r.order = append(r.order, server)
+	}
+	if at := int((first - r.offset) / r.bucket); at >= 0 && at < buckets {
+		r.servers[server][at]++
+	}
+}
+
+// Sent counts a request.
+func (r *recorder) Sent(t judge.Try) {
+	r.Judge.Sent(t)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sent++
+}
+
+// Answered counts an answer.
+func (r *recorder) Answered(trace string, at time.Duration, a judge.Answer, made string) {
+	r.Judge.Answered(trace, at, a, made)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.answered++
+}
+
+func (r *recorder) counts() (sent, answered int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sent, r.answered
+}
--- /dev/null
+++ b/lab/run/report.go
@@ -0,0 +1,195 @@
+package run
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"cedararch/lab/judge"
+	"cedararch/lab/scenario"
+	"cedararch/lab/standin"
+)
+
+// Row is what became of the first tries of one class and tenant, with their retries.
+type Row struct {
+	Class   string  `json:"class"`
+	Tenant  string  `json:"tenant"`
+	Asked   int     `json:"asked"`
+	InAim   int     `json:"in_aim"`
+	Late    int     `json:"late"`
+	Refused int     `json:"refused"`
+	Failed  int     `json:"failed"`
+	Lost    int     `json:"lost"`
+	Tries   int     `json:"tries"`
+	P50     float64 `json:"p50_ms"` // of those that were served, from the planned time of the first try
+	P99     float64 `json:"p99_ms"`
+	P999    float64 `json:"p99_9_ms"`
+	Worth   float64 `json:"worth"` // share of the worth asked for
+
+	took         []time.Duration
+	asked, found float64
+}
+
+// Point is one moment of the plots.
+type Point struct {
+	At     float64 `json:"at_s"`
+	Asked  int     `json:"asked"`
+	Served float64 `json:"served"` // share of those asked for then that were served
+	P50    float64 `json:"p50_ms"`
+	P99    float64 `json:"p99_ms"`
+}
+
+// Report is what a run comes to.
+type Report struct {
+	Scenario    string           `json:"scenario"`
+	Program     string           `json:"program"`
+	Seed        uint64           `json:"seed"`
+	LengthS     float64          `json:"length_s"`
+	Rows        []Row            `json:"rows"`
+	Total       Row              `json:"total"`
+	RefusalP99  float64          `json:"refusal_p99_ms"` // how long a refused try took
+	Attempts    int              `json:"attempts"`       // that reached servers
+	Verdict     *judge.Verdict   `json:"verdict"`
+	Crashes     []string         `json:"crashes"`
+	Use         Use              `json:"use"`
+	RosterCalls int              `json:"roster_calls"`
+	Late        time.Duration    `json:"late_ns"` // by which the clients' own latest start missed its plan
+	Points      []Point          `json:"points"`
+	Servers     map[string][]int `json:"servers"` // attempts over time
+	Faults      []scenario.Fault `json:"faults"`
+
+	order []string
+}
+
+// Good reports whether no rule was broken and nothing crashed.
+func (r *Report) Good() bool { return r.Verdict.Kept() && len(r.Crashes) == 0 }
+
+func newReport(s *scenario.Scenario, tallies []standin.Tally, v *judge.Verdict, seen *recorder) *Report {
+	r := &Report{
+		Scenario: s.Name, Seed: s.Seed, LengthS: s.LengthS, Verdict: v, Faults: s.Faults,
+		Servers: seen.servers, Attempts: seen.attempts, order: seen.order,
+	}
+	rows := map[[2]int]*Row{}
+	total := &Row{Class: "all", Tenant: "all"}
+	var refusals []time.Duration
+	points := make([]struct {
+		asked, served int
+		took          []time.Duration
+	}, buckets)
+	for i := range tallies {
+		t := &tallies[i]
+		c := &s.Classes[t.Class]
+		row := rows[[2]int{t.Class, t.Tenant}]
+		if row == nil {
+			row = &Row{Class: c.Name, Tenant: s.Tenants[t.Tenant].Name}
+			rows[[2]int{t.Class, t.Tenant}] = row
+		}
+		row.add(t, c)
+		total.add(t, c)
+		if t.RefusedIn > 0 {
+			refusals = append(refusals, t.RefusedIn)
+		}
+		p := &points[min(buckets-1, max(0, int(t.At/seen.bucket)))]
+		p.asked++
+		if t.End == scenario.Served {
+			p.served++
+			p.took = append(p.took, t.Took)
+		}
+	}
+	for c := range s.Classes {
+		for t := range s.Tenants {
+			if row := rows[[2]int{c, t}]; row != nil {
+				row.close()
+				r.Rows = append(r.Rows, *row)
+			}
+		}
+	}
+	total.close()
+	r.Total, r.RefusalP99 = *total, Quantile(refusals, 0.99)
+	for i, p := range points {
+		if p.asked > 0 {
+			r.Points = append(r.Points, Point{
+				At: (float64(i) + 0.5) * seen.bucket.Seconds(), Asked: p.asked, Served: float64(p.served) / float64(p.asked),
+				P50: Quantile(p.took, 0.5), P99: Quantile(p.took, 0.99),
+			})
+		}
+	}
+	return r
+}
+
+func (row *Row) add(t *standin.Tally, c *scenario.Class) {
+	row.Asked++
+	row.Tries += t.Tries
+	row.asked += c.Worth
+	switch t.End {
+	case scenario.Served:
+		row.took = append(row.took, t.Took)
+		if t.Took <= scenario.MS(c.AimMS) {
+			row.InAim++
+			row.found += c.Worth
+		} else {
+			row.Late++
+			row.found += c.Worth * c.LateWorth
+		}
+	case scenario.Refused:
+		row.Refused++
+	case scenario.Failed:
+		row.Failed++
+	default:
+		row.Lost++
+	}
+}
+
+func (row *Row) close() {
+	row.P50, row.P99, row.P999 = Quantile(row.took, 0.5), Quantile(row.took, 0.99), Quantile(row.took, 0.999)
+	if row.asked > 0 {
+		row.Worth = row.found / row.asked
+	}
+}
+
+// Quantile returns the q-quantile in milliseconds, by rank; 0 where there is nothing.
+func Quantile(all []time.Duration, q float64) float64 {
+	if len(all) == 0 {
+		return 0
+	}
+	slices.Sort(all)
+	at := min(len(all)-1, max(0, int(math.Ceil(q*float64(len(all))))-1))
+	return float64(all[at]) / float64(time.Millisecond)
+}
+
+// Table writes the report for a person.
+func (r *Report) Table(w io.Writer) {
+	fmt.Fprintf(w, "%s, seed %d, %v s, through %s\n\n", r.Scenario, r.Seed, r.LengthS, r.Program)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "class\ttenant\tasked\tin aim\tlate\trefused\tfailed\tunanswered\ttries\tp50 ms\tp99 ms\tp99.9 ms\tworth\t")
+	for _, row := range append(slices.Clone(r.Rows), r.Total) {
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\t%.0f\t%.0f\t%.3f\t\n", row.Class, row.Tenant, row.Asked, row.InAim,
+			row.Late, row.Refused, row.Failed, row.Lost, row.Tries, row.P50, row.P99, row.P999, row.Worth)
+	}
+	t.Flush()
+	v := r.Verdict
+	fmt.Fprintf(w, "\n%d tries, %d attempts at servers, refused tries answered within %.1f ms (p99), %d excused as their sidecar was down\n",
+		v.Tries, r.Attempts, r.RefusalP99, v.Excused)
+	fmt.Fprintf(w, "sidecars: %.2f s of processor, %.1f MB at most; roster: %d calls; clients at most %v behind their plan\n",
+		r.Use.CPU.Seconds(), float64(r.Use.MemoryKB)/1024, r.RosterCalls, r.Late.Round(time.Millisecond/10))
+	for _, rule := range judge.Rules {
+		state := "kept"
+		if n := v.Counts[rule]; n > 0 {
+			state = fmt.Sprintf("BROKEN %d times", n)
+		}
+		fmt.Fprintf(w, "rule %-12s %s\n", rule+":", state)
+	}
+	for i, f := range v.Findings {
+		if i == 12 {
+			fmt.Fprintf(w, "  ... and more\n")
+			break
+		}
+		fmt.Fprintf(w, "  %8.3f s  %s: %s\n", f.At.Seconds(), f.Rule, f.Text)
+	}
+	for _, c := range r.Crashes {
+		fmt.Fprintf(w, "CRASH: %s\n", c)
+	}
+}
--- /dev/null
+++ b/lab/run/run.go
@@ -0,0 +1,307 @@
+// Package run plays a scenario: it starts the stand-ins and real sidecar processes, lets the clients loose, makes the
+// faults happen at their times, and ends with a report. It owns the processes and the order of things; what a fault
+// does to a server is in lab/standin, what is drawn in lab/scenario, and what was broken in lab/judge.
+//
+// Everything that a run starts has ended when Play returns: processes are waited for by id, sockets closed, goroutines
+// joined.
+package run
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"cedararch/lab/judge"
+	"cedararch/lab/model"
+	"cedararch/lab/scenario"
+	"cedararch/lab/standin"
+)
+
+const (
+	// ruleSlack is what sockets and a busy machine add to the time limits of the rules.
+	ruleSlack = 50 * time.Millisecond
+	toldAfter = 6 * time.Second // what the roster has counts as told by then
+	settle    = 100 * time.Millisecond
+)
+
+// Options are what a run is given beside its scenario.
+type Options struct {
+	Program  Program
+	Progress func(Progress) // called some times a second; nil: not at all
+	// Extra is what a machine that is not all the run's adds to the time limits of the rules.
+	Extra time.Duration
+}
+
+// Progress is how far a run is.
+type Progress struct {
+	At, Length time.Duration
+	Sent       int
+	Answered   int
+	Faults     []string // that are on
+}
+
+// slot is a server of the fleet, whatever its id is at the time.
+type slot struct {
+	candidate scenario.Candidate
+	server    *standin.Server
+	entry     standin.Entry
+}
+
+// stage is all that a run has started.
+type stage struct {
+	s       *scenario.Scenario
+	clock   standin.Clock
+	judge   *judge.Judge
+	seen    *recorder
+	cells   []*standin.Cell
+	all     *standin.Cell // the memory of keys that every server shares
+	roster  *standin.Roster
+	nodes   []*process
+	callers *standin.Callers
+	dir     string
+	slack   time.Duration // beyond the time limits of the rules
+
+	mu     sync.Mutex
+	fleet  []*slot
+	faults []error
+	tasks  sync.WaitGroup
+}
+
+// Play plays a scenario that passed its check.
+func Play(ctx context.Context, s *scenario.Scenario, opts Options) (*Report, error) {
+	plan, err := s.Draw()
+	if err != nil {
+		return nil, err
+	}
+	dir, err := os.MkdirTemp("", "firplank-lab-")
+	if err != nil {
+		return nil, fmt.Errorf("run: %w", err)
+	}
+	defer os.RemoveAll(dir)
+	st := &stage{s: s, dir: dir, all: standin.NewCell(), slack: ruleSlack + opts.Extra}
+	defer st.close()
+	if err := st.build(ctx, opts.Program); err != nil {
+		return nil, err
+	}
+	return st.play(ctx, plan, opts)
+}
+
+// buildServers starts the servers, the roster and the judge.
+func (st *stage) buildServers() error {
+	s := st.s
+	st.clock = standin.StartClock()
+	st.judge = judge.New(judge.Config{
+		Classes: judgedClasses(s), Slack: answerSlack*time.Millisecond + st.slack,
+		DrainGrace: scenario.MS(s.Fleet.DrainGraceMS) + st.slack, ToldAfter: toldAfter, After: st.slack,
+	})
+	st.seen = newRecorder(st.judge, s.Length())
+	for range s.Fleet.Cells {
+		st.cells = append(st.cells, standin.NewCell())
+	}
+	perCall := time.Duration(0)
+	if s.Roster.CallsPerS > 0 {
+		perCall = time.Duration(float64(time.Second) / s.Roster.CallsPerS)
+	}
+	var err error
+	st.roster, err = standin.NewRoster(standin.RosterConfig{
+		Push: s.Roster.Mode == "push", Delay: scenario.MS(s.Roster.DelayMS), PerCall: perCall,
+		MostWait: scenario.MS(s.Roster.MostWaitMS), AlwaysFull: s.Roster.AlwaysFull, Clock: st.clock, Notary: st.judge,
+	}, s.Sidecars)
+	if err != nil {
+		return err
+	}
+	for _, k := range s.Fleet.Kinds {
+		for range k.Count {
+			if _, err := st.addServer(k, false); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (st *stage) build(ctx context.Context, program Program) error {
+	if err := st.buildServers(); err != nil {
+		return err
+	}
+	s := st.s
+	for i := range s.Sidecars {
+		path, err := writeConfig(st.dir, s, i, "127.0.0.1:0", st.roster.Addr(i), st.roster.Current(i))
+		if err != nil {
+			return err
+		}
+		st.nodes = append(st.nodes, &process{number: i, program: program, config: path, cores: s.Limits.Cores})
+	}
+	for _, n := range st.nodes {
+		if err := n.start(ctx); err != nil {
+			return err
+		}
+	}
+	for _, n := range st.nodes {
+		if err := n.awaitReady(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func judgedClasses(s *scenario.Scenario) (all []judge.Class) {
+	for _, c := range s.Classes {
+		all = append(all, judge.Class{Effect: c.Effect, Group: c.Group, Window: scenario.MS(c.WindowMS)})
+	}
+	return all
+}
+
+// addServer starts one more server and lists it.
+func (st *stage) addServer(k scenario.Kind, cold bool) (*slot, error) {
+	st.mu.Lock()
+	number := len(st.fleet)
+	st.mu.Unlock()
+	f := &st.s.Fleet
+	cell := number % f.Cells
+	spec := model.Spec{
+		Cores: k.Cores, Speed: k.Speed, Slots: int(k.Cores * float64(k.SlotsPerCore)), Queue: int(k.Cores * float64(k.QueuePerCore)),
+		Thrash: f.Thrash, ThrashAt: f.ThrashAt, ColdFrom: f.ColdFrom, ColdFor: scenario.MS(f.ColdS * 1000),
+		FallMultiple: f.FallMultiple, FallFor: scenario.MS(f.FallS * 1000), DropsExpired: f.DropsExpired,
+		ReportEvery: scenario.MS(f.ReportEveryMS), ReportDelay: scenario.MS(f.ReportDelayMS),
+	}
+	classes := map[string]standin.ServerClass{}
+	for i, c := range st.s.Classes {
+		memory := st.all
+		if c.Group == "cell" {
+			memory = st.cells[cell]
+		}
+		classes[c.Name] = standin.ServerClass{
+			Keyed: c.Effect == "keyed", Cell: memory, Window: scenario.MS(c.WindowMS),
+			Work: func(trace string) (work, wait time.Duration) { return st.s.Work(i, trace) },
+		}
+	}
+	server, err := standin.NewServer(standin.ServerConfig{
+		ID: fmt.Sprintf("s-%02d", number), Cell: cell, Spec: spec, Cold: cold, Classes: classes, Reports: reports, Probes: true,
+		Handshake: scenario.MS(f.HandshakeMS), MostConns: f.MostConns, Idle: scenario.MS(f.IdleS * 1000),
+		Clock: st.clock, Witness: st.seen,
+	}, st.s.Sidecars)
+	if err != nil {
+		return nil, err
+	}
+	sl := &slot{candidate: scenario.Candidate{Number: number, Cell: cell, Kind: k.Name}, server: server}
+	sl.entry = standin.Entry{ID: server.ID(), Addr: server.Addr, Zone: zone, Kind: k.Name, Cell: cell, Size: k.Cores * k.Speed / 2}
+	if cold {
+		sl.entry.UpFrom = time.Now()
+		st.roster.Set(sl.entry, "ready")
+	} else {
+		st.roster.SetNow(sl.entry, "ready")
+	}
+	st.mu.Lock()
+	st.fleet = append(st.fleet, sl)
+	st.mu.Unlock()
+	return sl, nil
+}
+
+func (st *stage) play(ctx context.Context, plan *scenario.Plan, opts Options) (*Report, error) {
+	s := st.s
+	offset := st.clock()
+	addrs := make([]string, len(st.nodes))
+	for i, n := range st.nodes {
+		addrs[i] = n.address()
+	}
+	// The plan's times count from here; all else goes by the one clock.
+	shifted := &scenario.Plan{Arrivals: slices.Clone(plan.Arrivals)}
+	for i := range shifted.Arrivals {
+		shifted.Arrivals[i].At += offset
+	}
+	st.seen.begin(offset)
+	st.callers = standin.NewCallers(standin.CallersConfig{
+		Scenario: s, Plan: shifted, Addrs: addrs, Clock: st.clock, Observer: st.seen,
+		MostOpen: max(16, s.Limits.Sockets/3), Linger: answerSlack*time.Millisecond + st.slack,
+	})
+	faultsCtx, endFaults := context.WithCancel(ctx)
+	defer endFaults()
+	var faults sync.WaitGroup
+	faults.Go(func() { st.playFaults(faultsCtx, offset) })
+	if opts.Progress != nil {
+		faults.Go(func() { st.progress(faultsCtx, offset, opts.Progress) })
+	}
+	tallies := st.callers.Run(ctx)
+	endFaults()
+	faults.Wait()
+	st.tasks.Wait()
+	time.Sleep(settle) // what is on its way to a server past its answer has to be seen
+	var crashes []string
+	for _, n := range st.nodes {
+		if !n.running() {
+			crashes = append(crashes, fmt.Sprintf("sidecar %d has ended: %v\n%s", n.number, n.exit, n.log.String()))
+			continue
+		}
+		if err := n.signal(syscall.SIGTERM); err != nil {
+			return nil, err
+		}
+	}
+	var use Use
+	for _, n := range st.nodes {
+		if err := n.awaitEnd(); err != nil {
+			crashes = append(crashes, err.Error())
+		}
+		use.CPU += n.use.CPU
+		use.MemoryKB = max(use.MemoryKB, n.use.MemoryKB)
+	}
+	st.closeServers()
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	verdict := st.judge.Close(st.clock())
+	for i := range verdict.Findings {
+		verdict.Findings[i].At -= offset
+	}
+	for i := range tallies {
+		tallies[i].At -= offset
+	}
+	r := newReport(s, tallies, verdict, st.seen)
+	r.Use, r.Crashes, r.RosterCalls, r.Late = use, crashes, st.roster.Calls(), st.callers.Late()
+	for _, err := range st.faults {
+		r.Crashes = append(r.Crashes, err.Error())
+	}
+	return r, nil
+}
+
+func (st *stage) progress(ctx context.Context, offset time.Duration, show func(Progress)) {
+	tick := time.NewTicker(250 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		p := Progress{At: st.clock() - offset, Length: st.s.Length()}
+		p.Sent, p.Answered = st.seen.counts()
+		for i := range st.s.Faults {
+			if f := &st.s.Faults[i]; p.At >= f.At() && p.At < f.At()+max(f.For(), 500*time.Millisecond) {
+				p.Faults = append(p.Faults, f.Kind)
+			}
+		}
+		show(p)
+	}
+}
+
+func (st *stage) closeServers() {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	for _, sl := range st.fleet {
+		sl.server.Close()
+	}
+}
+
+func (st *stage) close() {
+	for _, n := range st.nodes {
+		n.close()
+	}
+	if st.roster != nil {
+		st.roster.Close()
+	}
+	st.closeServers()
+}
--- /dev/null
+++ b/lab/run/run_test.go
@@ -0,0 +1,291 @@
+package run
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"cedararch/internal/sidecar"
+	"cedararch/lab/judge"
+	"cedararch/lab/peer"
+	"cedararch/lab/scenario"
+)
+
+// role is the variable by which this test's binary starts itself as a sidecar, as a peer or as a faulty proxy.
+const role = "FIRPLANK_LAB_ROLE"
+
+func TestMain(m *testing.M) {
+	switch r := os.Getenv(role); {
+	case r == "sidecar":
+		if err := sidecar.Main(os.Getenv, "", os.Stderr); err != nil {
+			os.Stderr.WriteString(err.Error())
+			os.Exit(1)
+		}
+	case strings.HasPrefix(r, "peer:"):
+		if err := peer.Run(untilTold(), strings.TrimPrefix(r, "peer:"), os.Getenv); err != nil {
+			os.Exit(1)
+		}
+	case r != "":
+		faulty(r)
+	default:
+		goleak.VerifyTestMain(m)
+	}
+}
+
+func as(t *testing.T, name string) Program {
+	t.Helper()
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Program{Args: []string{self}, Env: []string{role + "=" + name}}
+}
+
+// extra is what a loaded machine and the race detector add to the time limits of the rules.
+const extra = 700 * time.Millisecond
+
+func play(t *testing.T, program Program, text string) *Report {
+	t.Helper()
+	s, err := scenario.Parse(t.Name()+".toml", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
+	defer cancel()
+	r, err := Play(ctx, s, Options{Program: program, Extra: extra})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func good(t *testing.T, r *Report) {
+	t.Helper()
+	if !r.Good() {
+		var b bytes.Buffer
+		r.Table(&b)
+		t.Errorf("\n%s", b.String())
+	}
+}
+
+func TestCalmDay(t *testing.T) {
+	r := play(t, as(t, "sidecar"), "rate = 60\nlength_s = 3\nsidecars = 2\n")
+	good(t, r)
+	if r.Total.Asked < 100 || r.Total.InAim+r.Total.Late < r.Total.Asked*9/10 {
+		t.Errorf("total %+v", r.Total)
+	}
+	if r.Use.CPU <= 0 || r.Use.MemoryKB <= 0 || r.Attempts < r.Total.Asked*9/10 {
+		t.Errorf("use %+v, %d attempts", r.Use, r.Attempts)
+	}
+	var page, report bytes.Buffer
+	if err := r.HTML(&page); err != nil || !strings.Contains(page.String(), "<polyline") || strings.Contains(page.String(), "src=") {
+		t.Errorf("page of %d bytes, %v", page.Len(), err)
+	}
+	if err := json.NewEncoder(&report).Encode(r); err != nil {
+		t.Error(err)
+	}
+}
+
+// Each faulty proxy breaks one rule on purpose, and the judge names it. The first one breaks none: what is found is not
+// the laboratory's own doing.
+func TestJudgeCatchesFaultyProxies(t *testing.T) {
+	const drains = "[[fault]]\nat_s = 0.4\nfor_s = 20\nkind = \"drain\"\ntarget = \"server:0\"\n"
+	const grows = "[[fault]]\nat_s = 0.2\nkind = \"grow\"\nsize = 1\n"
+	for _, c := range []struct {
+		proxy string
+		want  judge.Rule
+		more  string
+	}{
+		{"faulty:none", "", ""},
+		{"faulty:loses", judge.Lost, ""},
+		{"faulty:late", judge.Lost, ""},
+		{"faulty:answers_twice", judge.Lost, ""},
+		{"faulty:repeats_unsafe", judge.Twice, ""},
+		{"faulty:refuses_what_ran", judge.Twice, ""},
+		{"faulty:ignores_drains", judge.Drain, drains},
+		{"faulty:rushes_to_new", judge.PushedOver, grows},
+		{"faulty:mixes_answers", judge.Foreign, ""},
+		{"faulty:invents", judge.Foreign, ""},
+		{"faulty:sends_after", judge.After, ""},
+	} {
+		t.Run(c.proxy, func(t *testing.T) {
+			t.Parallel()
+			text := `
+length_s = 2.5
+rate = 60
+sidecars = 1
+[clients]
+retries = 0
+[roster]
+delay_ms = 50
+[fleet]
+cells = 2
+cold_s = 20
+cold_from = 0.004
+fall_s = 1
+[[fleet.kind]]
+name = "big"
+count = 4
+cores = 4
+speed = 3
+slots_per_core = 20
+queue_per_core = 20
+[[class]]
+name = "read"
+share = 0.5
+effect = "safe"
+work_ms = 5
+dist = "fixed"
+aim_ms = 500
+deadline_ms = 1500
+worth = 1
+[[class]]
+name = "pay"
+share = 0.5
+effect = "unsafe"
+work_ms = 5
+dist = "fixed"
+aim_ms = 500
+deadline_ms = 1500
+worth = 1
+` + c.more
+			r := play(t, as(t, c.proxy), text)
+			for _, rule := range judge.Rules {
+				if broken := r.Verdict.Counts[rule] > 0; broken != (rule == c.want) {
+					t.Errorf("rule %q: broken is %v: %v", rule, broken, r.Verdict.Findings)
+				}
+			}
+			if len(r.Crashes) > 0 {
+				t.Errorf("crashes %v", r.Crashes)
+			}
+		})
+	}
+}
+
+// A sidecar that ends by itself is a crash, whatever the judge finds.
+func TestCrashIsSeen(t *testing.T) {
+	r := play(t, as(t, "faulty:dies"), "rate = 40\nlength_s = 2\nsidecars = 1\n")
+	if len(r.Crashes) == 0 || !strings.Contains(r.Crashes[0], "has ended") {
+		t.Errorf("crashes %v", r.Crashes)
+	}
+}
+
+// Every kind of fault is caused at real sidecars, and the rules hold. What is served is not judged here: that hangs on
+// the machine.
+func TestFaults(t *testing.T) {
+	const base = "rate = 50\nsidecars = 2\n"
+	const few = base + "length_s = 4\n[clients]\nretries = 1\nfailover = true\n"
+	fault := func(kind, target string, at, lasts float64, more ...string) string {
+		b := strings.Builder{}
+		json := func(x float64) string { text, _ := json.Marshal(x); return string(text) }
+		b.WriteString("[[fault]]\nkind = \"" + kind + "\"\nat_s = " + json(at) + "\nfor_s = " + json(lasts) + "\n")
+		if target != "" {
+			b.WriteString("target = \"" + target + "\"\n")
+		}
+		for _, m := range more {
+			b.WriteString(m + "\n")
+		}
+		return b.String()
+	}
+	for name, text := range map[string]string{
+		"servers die and return": few + fault("crash", "server:1", 0.5, 1) + fault("replace", "server:2", 1, 0) +
+			fault("leave_return", "server:3", 1.5, 1) + fault("crash", "share:0.2", 2.5, 0.5),
+		"all servers drain while others start": few + fault("drain", "all", 1, 1.5) + fault("grow", "", 0.8, 0, "size = 4"),
+		"servers go bad": few + fault("slow", "cell:0", 0.5, 1.5, "size = 5") + fault("error", "server:1", 0.5, 2, "share = 0.5") +
+			fault("late_reports", "all", 1, 2, "size = 2"),
+		"silent machine and cut link": few + fault("silent", "server:0", 0.5, 1.5) + fault("cut", "cell:1", 2, 1.5, "size = 1"),
+		"sidecars are killed, stopped and restarted": few + fault("kill", "sidecar:0", 0.7, 0.3) + fault("stop", "sidecar:1", 1.5, 0.8) +
+			fault("term", "sidecar:0", 2.6, 0) + fault("hup", "all", 0.4, 0),
+		"roster": few + fault("roster_slow", "", 0.2, 0.6, "size = 0.3") + fault("roster_down", "", 1, 1) + fault("roster_garble", "", 2.2, 0.4) +
+			fault("roster_restart", "", 2.8, 0) + fault("drain", "server:4", 1.2, 1) + fault("drain", "server:5", 3, 0.8),
+		"pushed list": few + "[roster]\nmode = \"push\"\nalways_full = true\ndelay_ms = 50\n" + fault("roster_down", "", 1, 1) +
+			fault("drain", "server:0", 0.5, 1),
+		"surge": few + fault("surge", "", 1, 1, "size = 8"),
+		"odd clients": base + "length_s = 3\n[clients]\nhang_up = 0.1\nhalf_close = 0.1\nslow_reader = 0.1\nmarks = true\n" +
+			fault("flood", "", 0.5, 1.5, "size = 40"),
+		"spoilt answers": few + fault("spoil", "server:0", 0.2, 3, "share = 0.4", "form = \"noise\"") +
+			fault("spoil", "server:1", 0.2, 3, "share = 0.4", "form = \"endless_head\"") +
+			fault("spoil", "server:2", 0.2, 3, "share = 0.4", "form = \"long_length\"") +
+			fault("spoil", "server:3", 0.2, 3, "share = 0.4", "form = \"huge_length\"") +
+			fault("spoil", "server:4", 0.2, 3, "share = 0.4", "form = \"cut_off\"") +
+			fault("spoil", "server:5", 0.2, 3, "share = 0.4", "form = \"interim\"") +
+			fault("spoil", "server:6", 0.2, 3, "share = 0.4", "form = \"pieces\"") +
+			fault("spoil", "server:7", 0.2, 3, "share = 0.4", "form = \"short_length\""),
+	} {
+		t.Run(name, func(t *testing.T) { good(t, play(t, as(t, "sidecar"), text)) })
+	}
+}
+
+// A keyed request is in flight when its sidecar is killed: the client's retry reaches another sidecar within the window,
+// and the servers run it once.
+func TestKeyedRequestsOutliveAKill(t *testing.T) {
+	r := play(t, as(t, "sidecar"), `
+rate = 120
+length_s = 4
+sidecars = 5
+[clients]
+retries = 2
+backoff_ms = 30
+failover = true
+try_share = 0.5
+[[class]]
+name = "issue"
+share = 1
+effect = "keyed"
+group = "all"
+window_ms = 10000
+work_ms = 5
+wait_ms = 150
+dist = "fixed"
+aim_ms = 2000
+deadline_ms = 4000
+worth = 1
+[[fault]]
+kind = "kill"
+target = "sidecar:2"
+at_s = 1
+for_s = 0.4
+[[fault]]
+kind = "kill"
+target = "sidecar:4"
+at_s = 2
+for_s = 0.4
+`)
+	good(t, r)
+	if r.Verdict.Excused == 0 {
+		t.Error("nothing was in flight at the kills")
+	}
+	if r.Verdict.Repeats > 0 {
+		t.Errorf("%d keys ran twice", r.Verdict.Repeats)
+	}
+	if lost := r.Total.Asked - r.Total.InAim - r.Total.Late; lost > 0 {
+		t.Errorf("%d of %d were not served in the end", lost, r.Total.Asked)
+	}
+}
+
+// A sidecar on a part of a core is held to it.
+func TestPartOfACore(t *testing.T) {
+	r := play(t, as(t, "faulty:spins"), "rate = 20\nlength_s = 3\nsidecars = 1\n[limits]\ncores = 0.25\n[clients]\nretries = 0\n")
+	// Some more for the start, and for what it does before it is first looked at.
+	if used := r.Use.CPU.Seconds(); used < 0.3 || used > 0.25*3+1 {
+		t.Errorf("%.2f s of processor in 3 s at a quarter of a core", used)
+	}
+}
+
+func TestPeersServe(t *testing.T) {
+	for _, policy := range peer.Policies {
+		t.Run(policy, func(t *testing.T) {
+			t.Parallel()
+			r := play(t, as(t, "peer:"+policy), "rate = 40\nlength_s = 2\nsidecars = 1\n")
+			if len(r.Crashes) > 0 || r.Total.InAim+r.Total.Late < r.Total.Asked/2 {
+				t.Errorf("total %+v, crashes %v", r.Total, r.Crashes)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/lab/scenario/plan.go
@@ -0,0 +1,221 @@
+package scenario
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"time"
+
+	"cedararch/lab/model"
+)
+
+// Quirk is what is odd about a client.
+type Quirk int
+
+// The quirks.
+const (
+	Usual Quirk = iota
+	HangsUp
+	HalfCloses
+	ReadsSlowly
+)
+
+// Arrival is a first try, drawn ahead: a slow answer to one does not put off the next.
+type Arrival struct {
+	Number  int
+	At      time.Duration
+	Class   int
+	Tenant  int
+	Sidecar int
+	Key     string // the idempotency key of a keyed class
+	Object  string
+	Quirk   Quirk
+	GoesAt  time.Duration // after its sending, when Quirk is HangsUp
+}
+
+// Trace is the id of a try of the arrival; each try has its own.
+func (a *Arrival) Trace(seed uint64, try int) string {
+	h := fnv.New64a()
+	fmt.Fprintf(h, "%d/%d/%d", seed, a.Number, try)
+	return fmt.Sprintf("%016x", h.Sum64())
+}
+
+// Plan is all that a day draws ahead.
+type Plan struct {
+	Arrivals []Arrival
+}
+
+// mostArrivals bounds a plan's memory.
+const mostArrivals = 2_000_000
+
+// Draw draws the day of a scenario that passed its check.
+func (s *Scenario) Draw() (*Plan, error) {
+	r := model.Rand(s.Seed, "arrivals")
+	most := s.Rate * s.topSurge()
+	if most*s.LengthS > mostArrivals {
+		return nil, fmt.Errorf("%s: some %.0f arrivals: at most %d", s.Name, most*s.LengthS, mostArrivals)
+	}
+	p := &Plan{}
+	for at := time.Duration(0); ; {
+		at += time.Duration(r.ExpFloat64() / most * float64(time.Second))
+		if at >= s.Length() {
+			return p, nil
+		}
+		if keep := s.Rate * s.surge(at) / most; r.Float64() >= keep {
+			continue
+		}
+		p.Arrivals = append(p.Arrivals, s.drawOne(r, len(p.Arrivals), at))
+	}
+}
+
+func (s *Scenario) drawOne(r *rand.Rand, number int, at time.Duration) Arrival {
+	a := Arrival{Number: number, At: at, Sidecar: r.IntN(s.Sidecars)}
+	a.Class = pick(r, len(s.Classes), func(i int) float64 { return s.Classes[i].Share })
+	a.Tenant = pick(r, len(s.Tenants), func(i int) float64 { return s.Tenants[i].Share * s.Tenants[i].Usage })
+	a.Object = fmt.Sprintf("%016x", r.Uint64())
+	key, quirk, goes := r.Uint64(), r.Float64(), r.Float64()
+	c := &s.Classes[a.Class]
+	if c.Effect == "keyed" {
+		a.Key = fmt.Sprintf("%016x%08x", key, number)
+	}
+	switch h := &s.Clients; {
+	case quirk < h.HangUp:
+		a.Quirk, a.GoesAt = HangsUp, time.Duration(goes*0.2*float64(MS(c.DeadlineMS)))
+	case quirk < h.HangUp+h.HalfClose:
+		a.Quirk = HalfCloses
+	case quirk < h.HangUp+h.HalfClose+h.SlowReader:
+		a.Quirk = ReadsSlowly
+	}
+	return a
+}
+
+func pick(r *rand.Rand, n int, weight func(int) float64) int {
+	sum := 0.0
+	for i := range n {
+		sum += weight(i)
+	}
+	x := r.Float64() * sum
+	for i := range n {
+		if x -= weight(i); x < 0 {
+			return i
+		}
+	}
+	return n - 1
+}
+
+func (s *Scenario) surge(at time.Duration) float64 {
+	factor := 1.0
+	for i := range s.Faults {
+		if f := &s.Faults[i]; f.Kind == "surge" && at >= f.At() && at < f.At()+f.For() {
+			factor *= f.Size
+		}
+	}
+	return factor
+}
+
+func (s *Scenario) topSurge() float64 {
+	top := 1.0
+	for i := range s.Faults {
+		if s.Faults[i].Kind == "surge" { // factors change only where one begins
+			top = max(top, s.surge(s.Faults[i].At()))
+		}
+	}
+	return top
+}
+
+// Work returns what a try costs the server that runs it. It hangs on the seed, the class and the arrival, not on which
+// server asks or when.
+func (s *Scenario) Work(class int, trace string) (work, wait time.Duration) {
+	c := &s.Classes[class]
+	r := model.Rand(s.Seed, "work", trace)
+	work = model.Dist{Kind: c.Dist, Mean: MS(c.WorkMS), CV: c.CV}.Draw(r)
+	wait = time.Duration(float64(MS(c.WaitMS)) * (0.7 + 0.6*r.Float64()))
+	return work, wait
+}
+
+// Ending is how a try ended for the client.
+type Ending int
+
+// The endings.
+const (
+	Served Ending = iota
+	Refused
+	Failed
+	Lost // no final answer: the connection ended, or time did
+)
+
+// Again decides whether a client tries once more after the try of this number (0 is the first) ended, and how long it
+// waits first; left is what remains of the class's deadline. A client does not repeat what may have run and is unsafe.
+func (c *Clients) Again(r *rand.Rand, effect string, try int, end Ending, retryAfter, left time.Duration) (time.Duration, bool) {
+	if end == Served || try >= c.Retries || effect == "unsafe" && end != Refused {
+		return 0, false
+	}
+	wait := time.Duration(float64(MS(c.BackoffMS)) * float64(int(1)<<try) * (0.5 + r.Float64()))
+	if end == Refused && c.Honour {
+		wait = max(wait, retryAfter)
+	}
+	return wait, wait < left
+}
+
+// Candidate is a server that a fault could strike.
+type Candidate struct {
+	Number int // in the order of their start
+	Cell   int
+	Kind   string
+}
+
+type target struct {
+	what  string
+	value string
+	share float64
+}
+
+func parseTarget(text string) (target, error) {
+	what, value, _ := strings.Cut(text, ":")
+	t := target{what: what, value: value}
+	var err error
+	switch what {
+	case "all", "":
+		t.what = "all"
+	case "kind":
+	case "server", "cell", "sidecar":
+		_, err = strconv.Atoi(value)
+	case "share":
+		t.share, err = strconv.ParseFloat(value, 64)
+		if err == nil && !(t.share > 0 && t.share <= 1) {
+			err = fmt.Errorf("not in 0 to 1")
+		}
+	default:
+		err = fmt.Errorf("want all, server:N, cell:N, kind:NAME, share:X or sidecar:N")
+	}
+	if err != nil {
+		return t, fmt.Errorf("target %q: %w", text, err)
+	}
+	return t, nil
+}
+
+// Strikes returns the numbers of those that the fault strikes. What is drawn hangs on the seed and the fault's place in
+// the file.
+func (s *Scenario) Strikes(fault int, from []Candidate) (struck []int) {
+	t, err := parseTarget(s.Faults[fault].Target)
+	if err != nil {
+		return nil
+	}
+	r := model.Rand(s.Seed, "fault", strconv.Itoa(fault))
+	if t.what == "share" {
+		n := max(1, int(t.share*float64(len(from))+0.5))
+		for _, i := range r.Perm(len(from))[:min(n, len(from))] {
+			struck = append(struck, from[i].Number)
+		}
+		return struck
+	}
+	for _, c := range from {
+		if t.what == "all" || t.what == "kind" && c.Kind == t.value || t.what == "cell" && strconv.Itoa(c.Cell) == t.value ||
+			(t.what == "server" || t.what == "sidecar") && strconv.Itoa(c.Number) == t.value {
+			struck = append(struck, c.Number)
+		}
+	}
+	return struck
+}
--- /dev/null
+++ b/lab/standin/address.go
@@ -0,0 +1,49 @@
+package standin
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+	"syscall"
+	"time"
+)
+
+// Reservation keeps a port from being given to others while nothing listens there: connections to it are refused.
+type Reservation struct{ fd int }
+
+// Reserve binds a socket to an address that a listener has just left. Where that fails the address is free for others,
+// which only makes a restart there fail.
+func Reserve(addr string) *Reservation {
+	ap, err := netip.ParseAddrPort(addr)
+	if err != nil {
+		return nil
+	}
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil
+	}
+	syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Port: int(ap.Port()), Addr: ap.Addr().As4()}); err != nil {
+		syscall.Close(fd)
+		return nil
+	}
+	return &Reservation{fd}
+}
+
+// Release frees the address.
+func (r *Reservation) Release() {
+	if r != nil {
+		syscall.Close(r.fd)
+	}
+}
+
+// relisten listens at an address that was reserved. Connections of the time before may hold it for a moment.
+func relisten(addr string) (ln net.Listener, err error) {
+	for range 50 {
+		if ln, err = net.Listen("tcp", addr); !errors.Is(err, syscall.EADDRINUSE) {
+			return ln, err
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return nil, err
+}
--- /dev/null
+++ b/lab/standin/cell.go
@@ -0,0 +1,54 @@
+package standin
+
+import (
+	"sync"
+	"time"
+
+	"cedararch/lab/model"
+)
+
+// Cell is the memory of keys that a group of servers shares. A repeat that comes while the first is in work waits for it.
+type Cell struct {
+	mu      sync.Mutex
+	memory  *model.Memory
+	waiting map[string][]chan<- bool
+}
+
+// NewCell returns a cell that remembers nothing.
+func NewCell() *Cell { return &Cell{memory: model.NewMemory(), waiting: map[string][]chan<- bool{}} }
+
+// take tells what is known of key. With KeyRunning, ended is sent whether the first ran to its end.
+func (c *Cell) take(now time.Duration, key string, window time.Duration, ended chan<- bool) model.KeyState {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	state := c.memory.Take(now, key, window)
+	if state == model.KeyRunning {
+		c.waiting[key] = append(c.waiting[key], ended)
+	}
+	return state
+}
+
+// finish ends the work on a key: it ran, or broke off.
+func (c *Cell) finish(key string, ran bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if ran {
+		c.memory.Finish(key)
+	}
+	c.tell(key, ran)
+}
+
+// forget takes back a key that was turned away.
+func (c *Cell) forget(key string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.memory.Forget(key)
+	c.tell(key, false)
+}
+
+func (c *Cell) tell(key string, ran bool) {
+	for _, w := range c.waiting[key] {
+		w <- ran // has room for the one that ever comes
+	}
+	delete(c.waiting, key)
+}
