--- a/cmd/firplank/main.go
+++ b/cmd/firplank/main.go
@@ -55,10 +55,8 @@
 type helpCommand struct{}
 
 func (helpCommand) Run(k *kong.Kong) error {
-	ctx, err := kong.Trace(k, nil)
-	if err != nil {
-		return err
-	}
+	// An empty line would be traced to the default command, and only that one be told of.
+	ctx := &kong.Context{Kong: k, Path: []*kong.Path{{App: k.Model, Flags: k.Model.Flags}}}
 	return ctx.PrintUsage(false)
 }
 
--- /dev/null
+++ b/internal/door/door_test.go
@@ -0,0 +1,91 @@
+package door
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// drive plays periods in which the processor is used by a share and events are late, and returns the door.
+func drive(d *Door, from, n int, use float64, late time.Duration) {
+	for i := range n {
+		last := d.used[(d.next+window-1)%window]
+		d.Sample(time.Duration(from+i+1)*Period, last+time.Duration(use*d.cores*float64(Period)), late)
+	}
+}
+
+func admitted(d *Door, of int) (n int) {
+	for range of {
+		if d.Admit() {
+			n++
+		}
+	}
+	return n
+}
+
+func TestOpenWhileThereIsProcessor(t *testing.T) {
+	d := New(0.5)
+	drive(d, 0, 50, 0.7, time.Second) // late for another reason, such as a stopped machine
+	if n := admitted(d, 1000); n != 1000 {
+		t.Errorf("%d of 1000 are let in", n)
+	}
+	drive(d, 50, 50, 1, time.Millisecond) // busy, and in time
+	if n := admitted(d, 1000); n != 1000 {
+		t.Errorf("busy and in time: %d of 1000 are let in", n)
+	}
+}
+
+func TestNobodyKnowsTheCores(t *testing.T) {
+	d := New(0)
+	for i := range 50 {
+		d.Sample(time.Duration(i)*Period, time.Duration(i)*Period, time.Second)
+	}
+	if !d.Admit() {
+		t.Error("it is closed")
+	}
+}
+
+// Out of processor: fewer come in from one period to the next, never none, and the rush's end is noticed within seconds.
+func TestClosesAndOpensAgain(t *testing.T) {
+	d := New(0.25)
+	drive(d, 0, 2*window, 1, 0) // the start
+	drive(d, 2*window, 5, 1, 100*time.Millisecond)
+	if n := admitted(d, 1000); n < 200 || n > 300 { // 0.75 to the fifth
+		t.Errorf("after a tenth of a second %d of 1000 are let in", n)
+	}
+	if d.HoldOff() <= shortest {
+		t.Errorf("hold-off %v", d.HoldOff())
+	}
+	drive(d, 20, 100, 1, 100*time.Millisecond)
+	if n := admitted(d, 1000); n < 19 || n > 21 {
+		t.Errorf("at the least %d of 1000 are let in", n)
+	}
+	drive(d, 120, 110, 0.5, 0)
+	if n := admitted(d, 1000); n != 1000 {
+		t.Errorf("2.2 s after the rush %d of 1000 are let in", n)
+	}
+}
+
+// Whatever the samples, the part stays in its bounds, and as many come in as it says.
+func TestDoorProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := New(rapid.Float64Range(0.05, 4).Draw(t, "cores"))
+		at, used := time.Duration(0), time.Duration(0)
+		for range rapid.IntRange(1, 40).Draw(t, "samples") {
+			at += time.Duration(rapid.IntRange(-5, 300).Draw(t, "span")) * time.Millisecond
+			used += time.Duration(rapid.IntRange(0, 400).Draw(t, "used")) * time.Millisecond
+			d.Sample(at, used, time.Duration(rapid.IntRange(0, 100).Draw(t, "late"))*time.Millisecond)
+			if d.Part() < least || d.Part() > 1 {
+				t.Fatalf("part %v", d.Part())
+			}
+			if h := d.HoldOff(); h < shortest || h > longest {
+				t.Fatalf("hold-off %v", h)
+			}
+			n := admitted(d, 500)
+			if want := 500 * d.Part(); float64(n) < want-1 || float64(n) > want+1 {
+				t.Fatalf("%d of 500 are let in, want %.1f", n, want)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/options/options_test.go
@@ -0,0 +1,57 @@
+package options
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func TestNoFileMeansNothing(t *testing.T) {
+	f, err := Load("")
+	if err != nil || *f != (File{}) {
+		t.Errorf("%+v, %v", f, err)
+	}
+}
+
+// The platform's own file leaves all that is new off.
+func TestPlatformFileIsAllOff(t *testing.T) {
+	f, err := Load("../../deploy/firplank.toml")
+	if err != nil || *f != (File{}) {
+		t.Errorf("%+v, %v", f, err)
+	}
+}
+
+func TestBadFiles(t *testing.T) {
+	dir := t.TempDir()
+	for text, want := range map[string]string{
+		"[door]\nshut = true\n":          "o.toml:2: unknown key door.shut",
+		"\n[gate]\n":                     "o.toml:2: unknown key gate",
+		"[door]\nenabled = \"yes\"\n":    "o.toml:2: ",
+		"[door]\nenabled = true\nx\n":    "o.toml:3: ",
+		"[door]\nenabled = true\n[door]": "o.toml",
+	} {
+		path := filepath.Join(dir, "o.toml")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Load(path); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: error %v, want one with %q", text, err, want)
+		}
+	}
+	if _, err := Load(filepath.Join(dir, "none.toml")); err == nil {
+		t.Error("a file that is not there is read")
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte("[door]\nenabled = true\n"))
+	f.Add([]byte("[door]\nenabled = 1\n"))
+	f.Add([]byte("door.enabled = false\n[door]\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		o, err := Parse("fuzz.toml", text)
+		if (o == nil) == (err == nil) {
+			t.Fatalf("%v, %v", o, err)
+		}
+	})
+}
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -57,6 +57,7 @@
 	post    func(any)
 	done    <-chan struct{} // closed when nothing answers any more
 	clients *clients
+	door    *doorkeeper // nil: all may come in
 	ready   atomic.Bool // there are servers to send to
 	ending  atomic.Bool // the sidecar shuts down
 }
@@ -127,6 +128,10 @@
 }
 
 func (f *front) api(w http.ResponseWriter, r *http.Request, cl *client) {
+	if ok, holdOff := f.door.admit(); !ok {
+		refused(float64(holdOff.Milliseconds())).write(w)
+		return
+	}
 	c, err := f.parse(w, r)
 	behind := cl.behind()
 	if err == nil && behind == waiting {
--- /dev/null
+++ b/internal/sidecar/late_test.go
@@ -0,0 +1,172 @@
+package sidecar
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"cedararch/balance"
+)
+
+// silentServer accepts connections and hands them to the test.
+func silentServer(t *testing.T, name string) (*endpoint, <-chan net.Conn) {
+	t.Helper()
+	ln := listen(t)
+	conns := make(chan net.Conn, 10)
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			conns <- c
+		}
+	}()
+	e, addr := &endpoint{name: name}, ln.Addr().String()
+	e.addr.Store(&addr)
+	return e, conns
+}
+
+func latePool(t *testing.T) (p *pool, noted *[]string) {
+	t.Helper()
+	p, noted = newPool(time.Second, time.Minute, 0, 256), new([]string)
+	p.noteLate = func(e *endpoint) { *noted = append(*noted, e.name) }
+	t.Cleanup(p.closeAll)
+	return p, noted
+}
+
+func (p *pool) mustGet(t *testing.T, e *endpoint) *conn {
+	t.Helper()
+	c, err := p.get(t.Context(), e, time.Now().Add(patience))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// A server that sends something when its answer is long over would, another time, do so while the next request is out,
+// and that would be served with an answer made for the one before. Its connections carry one request from then on.
+func TestLateExtraEndsReuse(t *testing.T) {
+	p, noted := latePool(t)
+	e, conns := silentServer(t, "s-1")
+	c := p.mustGet(t, e)
+	p.put(c)
+	p.look(time.Now())
+	if !c.looked {
+		t.Fatal("a connection that rested in silence was not passed")
+	}
+	io.WriteString(<-conns, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	until(t, "the copy is there", func() bool { return c.state() == waiting })
+	if next := p.mustGet(t, e); next == c {
+		t.Error("the connection with a copy on it is used again")
+	} else {
+		p.put(next)
+	}
+	if len(*noted) != 1 || len(p.idle[e]) != 0 {
+		t.Errorf("noted %v, %d connections are kept", *noted, len(p.idle[e]))
+	}
+	if left := time.Until(e.lateUntil); left < lateMemory/2 || left > lateMemory {
+		t.Errorf("that holds for %v", left)
+	}
+}
+
+// The sweep finds it too, where no request comes to find it.
+func TestSweepFindsLateExtra(t *testing.T) {
+	p, noted := latePool(t)
+	e, conns := silentServer(t, "s-1")
+	c := p.mustGet(t, e)
+	p.put(c)
+	p.look(time.Now())
+	io.WriteString(<-conns, "x")
+	until(t, "it is there", func() bool { return c.state() == waiting })
+	p.sweep(time.Now())
+	if len(*noted) != 1 || p.open != 0 {
+		t.Errorf("noted %v, %d open", *noted, p.open)
+	}
+}
+
+// What comes right behind the answer is there when the rest is over: the connection ends, and nothing is held against
+// the server.
+func TestExtraRightBehindIsNoEvidence(t *testing.T) {
+	p, noted := latePool(t)
+	e, conns := silentServer(t, "s-1")
+	c := p.mustGet(t, e)
+	io.WriteString(<-conns, "x")
+	until(t, "it is there", func() bool { return c.state() == waiting })
+	p.put(c)
+	p.look(time.Now())
+	if len(*noted) != 0 || p.open != 0 || !e.lateUntil.IsZero() {
+		t.Errorf("noted %v, %d open, until %v", *noted, p.open, e.lateUntil)
+	}
+}
+
+// Where two servers were caught, it is no server's own: connections to all of them rest longer.
+func TestTwoLateServersMakeAllRest(t *testing.T) {
+	p, _ := latePool(t)
+	for _, name := range []string{"s-1", "s-2"} {
+		e, conns := silentServer(t, name)
+		c := p.mustGet(t, e)
+		p.put(c)
+		p.look(time.Now())
+		io.WriteString(<-conns, "x")
+		until(t, "it is there", func() bool { return c.state() == waiting })
+		p.sweep(time.Now())
+	}
+	e, _ := silentServer(t, "s-3")
+	c := p.mustGet(t, e)
+	p.put(c)
+	p.look(time.Now())
+	if next := p.mustGet(t, e); next == c {
+		t.Error("a connection is used again at once")
+	} else {
+		p.drop(next)
+	}
+	c.idleFrom = c.idleFrom.Add(-lateRest)
+	if next := p.mustGet(t, e); next != c {
+		t.Error("a connection that has rested is not used again")
+	} else {
+		p.drop(next)
+	}
+}
+
+// While servers are known to send copies, the very bytes of the answer before are no answer to the next request. At
+// other times they are: a server may always say the same.
+func TestAnswerOfTheOneBefore(t *testing.T) {
+	for _, suspicious := range []bool{false, true} {
+		same := say(200, "made for the one before")
+		s := newScript(t, same)
+		p, _ := latePool(t)
+		u := &upstream{pool: p}
+		e := &endpoint{name: "s-1"}
+		e.addr.Store(&s.addr)
+		try := func() result {
+			a := &attempt{
+				endpoint: e, cut: time.Now().Add(patience), ctx: t.Context(),
+				message: &message{method: http.MethodGet, uri: "/api", host: "app.svc", header: http.Header{}},
+			}
+			r := u.try(a)
+			p.look(time.Now())
+			return r
+		}
+		first := try()
+		if suspicious {
+			p.late, p.lateAt = &endpoint{name: "s-2"}, time.Now()
+		}
+		second := try()
+		want := balance.OK
+		if suspicious {
+			want = balance.Reset
+		}
+		if first.outcome != balance.OK || second.outcome != want {
+			t.Errorf("suspicious: %v; outcomes %v and %v", suspicious, first.outcome, second.outcome)
+		}
+		if _, _, conns := s.seen(); conns != 1 {
+			t.Errorf("%d connections", conns)
+		}
+		if again := try(); again.outcome != balance.OK {
+			t.Errorf("on a new connection: %v", again.outcome)
+		}
+	}
+}
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -161,6 +161,7 @@
 func (l *loop) handle(ev any) {
 	switch ev := ev.(type) {
 	case arrived:
+		l.front.door.waited(time.Since(ev.call.received))
 		l.begin(ev.call)
 	case leftBy:
 		if r := l.byCall[ev.call]; r != nil && !r.done {
@@ -277,7 +278,8 @@
 	}
 	l.byTrace[c.trace] = r
 	c.request.ID = r.id
-	c.request.Remaining = max(0, c.request.Remaining-(l.now-l.clock(c.received)))
+	late := l.front.door.margin()
+	c.request.Remaining = max(0, c.request.Remaining-(l.now-l.clock(c.received))-float64(late)/float64(time.Millisecond))
 	r.deadline = l.now + c.request.Remaining
 	l.requests[r.id], l.byCall[c] = r, r
 	heap.Push(&l.timers, timer{at: r.deadline + overdue, request: r})
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/maphash"
 	"net"
 	"slices"
 	"sync"
@@ -37,6 +38,8 @@
 	idleFrom time.Time
 	uses     int  // how often it was given back
 	looked   bool // it was silent when its rest was over
+
+	lastBody uint64 // hash of the answer before; 0 if there was none, or it was empty
 }
 
 // pool keeps the connections to endpoints, within a number of sockets.
@@ -57,6 +60,7 @@
 	lateAt    time.Time
 	lateUntil time.Time // until then connections to all servers rest longer
 	noteLate  func(*endpoint)
+	seed      maphash.Seed
 }
 
 // resting is a connection as it was given back.
@@ -69,7 +73,7 @@
 	return &pool{
 		connectTimeout: connectTimeout, idleTime: idleTime, restTime: restTime,
 		most: (sockets - spareSockets) / 2, idle: map[*endpoint][]*conn{}, rested: make(chan struct{}, 1),
-		noteLate: func(*endpoint) {},
+		noteLate: func(*endpoint) {}, seed: maphash.MakeSeed(),
 	}
 }
 
@@ -263,6 +267,33 @@
 	return e
 }
 
+// suspicious reports whether a server was caught sending late a short while ago.
+func (p *pool) suspicious() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.late != nil && time.Since(p.lateAt) < lateMemory
+}
+
+// isCopy takes in the body of an answer and reports whether it is that of the request before on the connection, while
+// servers are known to send copies.
+func (p *pool) isCopy(c *conn, body []byte) bool {
+	sum := uint64(0)
+	if len(body) > 0 {
+		sum = maphash.Bytes(p.seed, body)
+	}
+	same := sum != 0 && sum == c.lastBody
+	c.lastBody = sum
+	if !same || !p.suspicious() {
+		return false
+	}
+	p.mu.Lock()
+	c.looked = true
+	caught := p.judge(c, waiting)
+	p.mu.Unlock()
+	p.note(caught)
+	return true
+}
+
 // note reports an endpoint that was caught sending late; at most once in lateMemory for each.
 func (p *pool) note(e *endpoint) {
 	if e != nil {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -62,12 +62,18 @@
 	l.discovery = newDiscovery(cfg, l.post)
 	clients := &clients{most: cfg.Limits.Sockets - spareSockets - pool.most}
 	l.front = &front{cfg: cfg, post: l.post, done: inner.Done(), clients: clients}
+	if cfg.Options.Door.Enabled {
+		l.front.door = newDoorkeeper(cfg.Limits.Cores)
+	}
 
 	defer pool.closeAll() // after the last attempt has ended
 	var tasks sync.WaitGroup
 	tasks.Go(l.run)
 	tasks.Go(func() { l.discovery.run(inner) })
 	tasks.Go(func() { pool.run(inner) })
+	if keeper := l.front.door; keeper != nil {
+		tasks.Go(func() { keeper.run(inner) })
+	}
 	tasks.Go(func() { reload(inner, cfg, reloads, l.discovery, log) })
 	defer tasks.Wait()
 	defer stop()
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -135,6 +135,9 @@
 		return result{outcome: a.broken(err)}, false
 	}
 	r = result{outcome: outcomeOf(resp), report: reportOf(resp, u.fields)}
+	if r.outcome == balance.OK && u.pool.isCopy(c, body) {
+		return result{outcome: balance.Reset}, false // the answer to this request is yet to come, or never will
+	}
 	if r.outcome == balance.OK {
 		resp.Header.Del(loadHeader)
 		dropHopHeaders(resp.Header)
