--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -25,8 +25,19 @@
 	cut, ease = 0.75, 1.04
 	// least is the part that is always let in, or the door would never learn that the rush is over.
 	least = 0.02
-	// patience bounds the hold-off that the turned away are told.
+	// shortest and longest bound the hold-off that the turned away are told.
 	shortest, longest = 200 * time.Millisecond, 2 * time.Second
+
+	// A rush fills the queue for the processor before any sample tells of it. So the door also keeps account of the work
+	// that it has let in and that cannot be done yet, and lets none in that would wait for longer than backlog.
+	backlog = 150 * time.Millisecond
+	// firstCost is what a request is taken to cost until that is known, and turnedCost the part of it that one costs which
+	// is turned away. lowest and highest bound what is learned.
+	firstCost       = 300e-6 // seconds of a core
+	turnedCost      = 0.15
+	lowest, highest = 50e-6, 5e-3
+	// telling is the use from which the cost is learned: below it most of what is used is no request's.
+	telling = 0.5
 )
 
 // Door is the control. The zero value is not usable. It is not safe for concurrent use.
@@ -38,11 +49,17 @@
 	taken  int
 	part   float64 // of the requests that is let in
 	credit float64
+
+	cost   float64 // of a request, in seconds of a core
+	let    float64 // requests since the last sample, those turned away by their part
+	load   [window]float64
+	owed   float64       // work that was let in and is not done, in seconds of a core, as far as it can be reckoned
+	owedAt time.Duration // when
 }
 
 // New returns a door that is open, for a sidecar that may use so many cores; 0 means that nobody knows, and the door
 // stays open.
-func New(cores float64) *Door { return &Door{cores: cores, part: 1} }
+func New(cores float64) *Door { return &Door{cores: cores, part: 1, cost: firstCost} }
 
 // Sample takes in the clock, the processor time used so far, and the longest delay of an event since the last sample.
 func (d *Door) Sample(now, used, late time.Duration) {
@@ -51,12 +68,21 @@
 	if d.cores <= 0 || now <= last {
 		return
 	}
-	d.at[d.next], d.used[d.next] = now, used
+	load := d.let
+	for i, l := range d.load {
+		if i != d.next { // as old as the window
+			load += l
+		}
+	}
+	d.at[d.next], d.used[d.next], d.load[d.next], d.let = now, used, d.let, 0
 	d.next = (d.next + 1) % window
 	if d.taken++; d.taken <= 2*window { // the start is busy, and says nothing
 		return
 	}
 	use := (used - before).Seconds() / (now - at).Seconds() / d.cores
+	if use >= telling && load >= 1 {
+		d.cost += 0.1 * (min(highest, max(lowest, (used-before).Seconds()/load)) - d.cost)
+	}
 	switch {
 	case use >= full && late >= lateness:
 		d.part = max(least, d.part*cut)
@@ -65,13 +91,25 @@
 	}
 }
 
-// Admit reports whether a request may come in. Those that may are spread evenly.
-func (d *Door) Admit() bool {
-	if d.credit += d.part; d.credit >= 1 {
-		d.credit -= 1
+// Admit reports whether a request that comes at now may come in. While a part is let in, those that may are spread
+// evenly.
+func (d *Door) Admit(now time.Duration) bool {
+	if d.cores <= 0 {
 		return true
 	}
-	return false
+	d.owed = max(0, d.owed-max(0, now-d.owedAt).Seconds()*d.cores)
+	d.owedAt = now
+	d.credit += d.part
+	in := d.credit >= 1 && d.owed <= backlog.Seconds()*d.cores
+	weight := turnedCost
+	if in {
+		weight = 1
+		d.credit--
+	}
+	d.credit = min(1, d.credit) // turned away for the backlog: that is not made up for later
+	d.owed += weight * d.cost
+	d.let += weight
+	return in
 }
 
 // Part is the part of the requests that is let in at present.
--- a/internal/door/door_test.go
+++ b/internal/door/door_test.go
@@ -15,9 +15,10 @@
 	}
 }
 
+// admitted is how many of so many requests are let in, so far apart that none waits for another.
 func admitted(d *Door, of int) (n int) {
 	for range of {
-		if d.Admit() {
+		if d.Admit(d.owedAt + time.Second) {
 			n++
 		}
 	}
@@ -41,7 +42,7 @@
 	for i := range 50 {
 		d.Sample(time.Duration(i)*Period, time.Duration(i)*Period, time.Second)
 	}
-	if !d.Admit() {
+	if !d.Admit(0) {
 		t.Error("it is closed")
 	}
 }
@@ -67,6 +68,52 @@
 	}
 }
 
+// A rush is turned away from its first moment on, as far as it would wait for the processor; what usually comes is not.
+func TestRushIsBounded(t *testing.T) {
+	d := New(0.25)
+	at, in := time.Duration(0), 0
+	for range 200 { // 2 s at 100 a second
+		at += 10 * time.Millisecond
+		if d.Admit(at) {
+			in++
+		}
+	}
+	if in != 200 {
+		t.Errorf("%d of 200 usual ones are let in", in)
+	}
+	in = 0
+	for range 1000 { // in 0.1 s
+		at += 100 * time.Microsecond
+		if d.Admit(at) {
+			in++
+		}
+	}
+	// 0.15 s of a quarter of a core, and what is done meanwhile, at 0.3 ms each; turning away costs too.
+	if in < 50 || in > 210 {
+		t.Errorf("%d of 1000 in a rush are let in", in)
+	}
+	if at += time.Second; !d.Admit(at) {
+		t.Error("after a quiet second it is still closed")
+	}
+}
+
+// What requests cost is learned where the processor is busy enough to tell.
+func TestCostIsLearned(t *testing.T) {
+	d := New(1)
+	used := time.Duration(0)
+	for i := range 200 {
+		at := time.Duration(i+1) * Period
+		for range 10 {
+			d.Admit(at)
+		}
+		used += 16 * time.Millisecond // 1.6 ms a request, 80 % of the core
+		d.Sample(at, used, 0)
+	}
+	if d.cost < 1.4e-3 || d.cost > 1.8e-3 {
+		t.Errorf("a request is taken to cost %v s", d.cost)
+	}
+}
+
 // Whatever the samples, the part stays in its bounds, and as many come in as it says.
 func TestDoorProperties(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/sidecar/doorkeeper.go
+++ b/internal/sidecar/doorkeeper.go
@@ -12,6 +12,8 @@
 
 // doorkeeper tells the door what it needs to know and asks it for each request. A nil one lets all in.
 type doorkeeper struct {
+	start time.Time
+
 	late   atomic.Int64 // nanoseconds: the longest that a request waited for the loop since the last sample
 	recent atomic.Int64 // the same over some time: it fades by a tenth with each sample
 
@@ -19,7 +21,9 @@
 	door *door.Door
 }
 
-func newDoorkeeper(cores float64) *doorkeeper { return &doorkeeper{door: door.New(cores)} }
+func newDoorkeeper(cores float64) *doorkeeper {
+	return &doorkeeper{start: time.Now(), door: door.New(cores)}
+}
 
 // admit reports whether a request may come in, and else how long its client should stay away.
 func (k *doorkeeper) admit() (ok bool, holdOff time.Duration) {
@@ -28,7 +32,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.door.Admit() {
+	if k.door.Admit(time.Since(k.start)) {
 		return true, 0
 	}
 	return false, k.door.HoldOff()
@@ -61,7 +65,6 @@
 
 // run samples until ctx ends.
 func (k *doorkeeper) run(ctx context.Context) {
-	start := time.Now()
 	tick := time.NewTicker(door.Period)
 	defer tick.Stop()
 	for {
@@ -78,7 +81,7 @@
 		late := k.late.Swap(0)
 		k.recent.Store(max(late, k.recent.Load()*9/10))
 		k.mu.Lock()
-		k.door.Sample(time.Since(start), used, time.Duration(late))
+		k.door.Sample(time.Since(k.start), used, time.Duration(late))
 		k.mu.Unlock()
 	}
 }
--- a/lab/run/run_test.go
+++ b/lab/run/run_test.go
@@ -22,8 +22,12 @@
 
 func TestMain(m *testing.M) {
 	switch r := os.Getenv(role); {
-	case r == "sidecar":
-		if err := sidecar.Main(os.Getenv, "", os.Stderr); err != nil {
+	case r == "sidecar" || r == "sidecar:door":
+		options := ""
+		if r == "sidecar:door" {
+			options = "testdata/door.toml"
+		}
+		if err := sidecar.Main(os.Getenv, options, os.Stderr); err != nil {
 			os.Stderr.WriteString(err.Error())
 			os.Exit(1)
 		}
@@ -278,6 +282,16 @@
 	}
 }
 
+// Many times the usual load comes at once on a sidecar with a part of a core: it turns away what it cannot carry, loses
+// nothing, and still serves.
+func TestRushIsTurnedAway(t *testing.T) {
+	r := play(t, as(t, "sidecar:door"), "rate = 60\nlength_s = 4\nsidecars = 1\n"+rush)
+	good(t, r)
+	if r.Total.Refused == 0 || r.Total.InAim == 0 {
+		t.Errorf("%d refused, %d served in aim", r.Total.Refused, r.Total.InAim)
+	}
+}
+
 func TestPeersServe(t *testing.T) {
 	for _, policy := range peer.Policies {
 		t.Run(policy, func(t *testing.T) {
