--- a/lab/run/run_test.go
+++ b/lab/run/run_test.go
@@ -210,7 +210,8 @@
 			fault("roster_restart", "", 2.8, 0) + fault("drain", "server:4", 1.2, 1) + fault("drain", "server:5", 3, 0.8),
 		"pushed list": few + "[roster]\nmode = \"push\"\nalways_full = true\ndelay_ms = 50\n" + fault("roster_down", "", 1, 1) +
 			fault("drain", "server:0", 0.5, 1),
-		"surge": few + fault("surge", "", 1, 1, "size = 8"),
+		"the fleet doubles and halves": few + fault("grow", "", 0.3, 0, "size = 8") + fault("drain", "kind:fast", 1.8, 1),
+		"surge":                        few + fault("surge", "", 1, 1, "size = 8"),
 		"odd clients": base + "length_s = 3\n[clients]\nhang_up = 0.1\nhalf_close = 0.1\nslow_reader = 0.1\nmarks = true\n" +
 			fault("flood", "", 0.5, 1.5, "size = 40"),
 		"spoilt answers": few + fault("spoil", "server:0", 0.2, 3, "share = 0.4", "form = \"noise\"") +
@@ -221,6 +222,8 @@
 			fault("spoil", "server:5", 0.2, 3, "share = 0.4", "form = \"interim\"") +
 			fault("spoil", "server:6", 0.2, 3, "share = 0.4", "form = \"pieces\"") +
 			fault("spoil", "server:7", 0.2, 3, "share = 0.4", "form = \"short_length\""),
+		"answers with more than belongs to them": few + fault("spoil", "cell:0", 0.2, 3, "share = 0.4", "form = \"second_copy\"") +
+			fault("spoil", "cell:1", 0.2, 3, "share = 0.4", "form = \"bad_report\""),
 	} {
 		t.Run(name, func(t *testing.T) { good(t, play(t, as(t, "sidecar"), text)) })
 	}
--- a/lab/standin/standin_test.go
+++ b/lab/standin/standin_test.go
@@ -217,6 +217,33 @@
 	}
 }
 
+// A connection beyond the cap is not reset: what comes on it is turned away unseen.
+func TestServerHoldsSoManyConnections(t *testing.T) {
+	s, w := testServer(t, time.Millisecond, func(c *ServerConfig) { c.MostConns = 1 })
+	first := dial(t, s.Addr(0))
+	first.send("t1", "read", "")
+	first.read()
+	second := dial(t, s.Addr(0))
+	second.send("t2", "read", "")
+	if resp, _ := second.read(); resp.Header.Get("X-Never-Ran") != "1" {
+		t.Errorf("beyond the cap: %s", resp.Status)
+	}
+	if got := w.list(&w.ran); len(got) != 1 {
+		t.Errorf("ran %v", got)
+	}
+}
+
+// An unused connection is closed after the server's time, one with a request open is not.
+func TestServerClosesIdleConnections(t *testing.T) {
+	s, _ := testServer(t, 100*time.Millisecond, func(c *ServerConfig) { c.Idle = 20 * time.Millisecond })
+	c := dial(t, s.Addr(0))
+	c.send("t1", "read", "")
+	c.read()
+	if _, err := c.in.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Errorf("the idle connection ends with %v", err)
+	}
+}
+
 // Waiting work is dropped when its client closes; what is in work goes on.
 func TestServerDropsWhatIsGivenUp(t *testing.T) {
 	s, w := testServer(t, 100*time.Millisecond, nil)
--- /dev/null
+++ b/msgpackrpc/msgpackrpc.go
@@ -0,0 +1,191 @@
+// Package msgpackrpc reads and writes the frames of MessagePack-RPC, by its public specification
+// (msgpack-rpc/msgpack-rpc, spec.md) over that of MessagePack (msgpack/msgpack, spec.md):
+//
+//	request       [0, id, method, params]
+//	response      [1, id, error, result]
+//	notification  [2, method, params]
+//
+// It owns the framing and its limits, and nothing else: params, errors and results are passed on as the bytes that came,
+// neither decoded nor encoded again. It knows no connection, no deadline and no routing.
+//
+// Where a frame ends is found by a scanner of this package's own. The MessagePack libraries decode values, or skip them by
+// recursion; none of those looked at bounds depth, length and allocation of a frame before it is read, which a frame
+// from outside needs. The tests hold the scanner against one of them.
+//
+// Begin with Reader.
+package msgpackrpc
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"unicode/utf8"
+)
+
+// Limits bound what a reader takes. A field that is 0 has its default.
+type Limits struct {
+	Frame  int // bytes of a frame; 64 KiB
+	Depth  int // arrays and maps within one another, the frame's own array among them; 32
+	Method int // bytes of a method's name; 256
+}
+
+func (l Limits) filled() Limits {
+	if l.Frame <= 0 {
+		l.Frame = 64 << 10
+	}
+	if l.Depth <= 0 {
+		l.Depth = 32
+	}
+	if l.Method <= 0 {
+		l.Method = 256
+	}
+	return l
+}
+
+// What is wrong with a frame. After any of them the place in the stream is lost, and the connection of no further use.
+var (
+	ErrTooLong   = errors.New("msgpackrpc: a frame beyond its limit")
+	ErrTooDeep   = errors.New("msgpackrpc: a frame nested beyond its limit")
+	ErrMalformed = errors.New("msgpackrpc: no frame")
+	ErrHTTP      = fmt.Errorf("%w: the peer speaks HTTP", ErrMalformed)
+)
+
+// Kind is the kind of a frame, by its number on the wire.
+type Kind uint8
+
+// The kinds.
+const (
+	Request Kind = iota
+	Response
+	Notification
+)
+
+// Frame is a frame as it came. Its slices hold MessagePack, each one whole value, and are valid until the reader's next
+// call.
+type Frame struct {
+	Kind   Kind
+	ID     uint32 // of a Request or Response
+	Method string // of a Request or Notification
+	Params []byte // of a Request or Notification: an array
+	Error  []byte // of a Response: nil where it went well
+	Result []byte // of a Response
+}
+
+// Failed reports whether a response holds an error.
+func (f *Frame) Failed() bool { return len(f.Error) != 1 || f.Error[0] != codeNil }
+
+// Reader reads frames from a stream. It holds one frame at a time, of Limits.Frame bytes at most, and allocates no more
+// than twice what has come of it, whatever lengths are announced. It is not safe for concurrent use.
+type Reader struct {
+	from   io.Reader
+	limits Limits
+	buf    []byte // what has come; the present frame begins at start
+	start  int
+	used   int // bytes of buf that belong to the frame returned last
+	err    error
+}
+
+// firstBuffer is what a reader allocates for a connection that says little.
+const firstBuffer = 512
+
+// NewReader returns a reader of the frames of from, which need not be buffered.
+func NewReader(from io.Reader, limits Limits) *Reader {
+	return &Reader{from: from, limits: limits.filled()}
+}
+
+// Next returns the next frame. It returns io.EOF where the stream ends between two frames, io.ErrUnexpectedEOF where it
+// ends within one, one of this package's errors, or what the stream failed with. An error is final.
+func (r *Reader) Next() (Frame, error) {
+	if r.err != nil {
+		return Frame{}, r.err
+	}
+	f, err := r.next()
+	r.err = err
+	return f, err
+}
+
+func (r *Reader) next() (Frame, error) {
+	r.start += r.used
+	r.used = 0
+	s := scanner{limits: r.limits}
+	for {
+		done, err := s.scan(r.buf[r.start:])
+		if err != nil {
+			return Frame{}, err
+		}
+		if done {
+			r.used = s.at
+			return r.parse(r.buf[r.start : r.start+s.at])
+		}
+		if err := r.fill(); err != nil {
+			if err == io.EOF && len(r.buf) > r.start {
+				err = io.ErrUnexpectedEOF
+			}
+			return Frame{}, err
+		}
+	}
+}
+
+// Buffered returns how many bytes have come that belong to no frame returned so far.
+func (r *Reader) Buffered() int { return len(r.buf) - r.start - r.used }
+
+// fill reads more of the stream. What was returned before makes room for it.
+func (r *Reader) fill() error {
+	if r.start > 0 {
+		r.buf = r.buf[:copy(r.buf, r.buf[r.start:])]
+		r.start = 0
+	}
+	if len(r.buf) == cap(r.buf) {
+		bigger := make([]byte, len(r.buf), max(firstBuffer, 2*cap(r.buf)))
+		copy(bigger, r.buf)
+		r.buf = bigger
+	}
+	for range 100 { // as bufio does with a reader that returns nothing
+		n, err := r.from.Read(r.buf[len(r.buf):cap(r.buf)])
+		r.buf = r.buf[:len(r.buf)+n]
+		if n > 0 {
+			return nil // an error comes again
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return io.ErrNoProgress
+}
+
+// parse takes a whole frame apart.
+func (r *Reader) parse(b []byte) (f Frame, err error) {
+	n, size, _ := arrayHeader(b)
+	b = b[size:]
+	kind, size, ok := uintValue(b)
+	if !ok || kind > uint64(Notification) {
+		return f, fmt.Errorf("%w: its kind is not 0, 1 or 2", ErrMalformed)
+	}
+	f.Kind = Kind(kind)
+	if want := map[Kind]int{Request: 4, Response: 4, Notification: 3}[f.Kind]; n != want {
+		return f, fmt.Errorf("%w: %d elements where %d are wanted", ErrMalformed, n, want)
+	}
+	b = b[size:]
+	if f.Kind != Notification {
+		id, size, ok := uintValue(b)
+		if !ok || id > math.MaxUint32 {
+			return f, fmt.Errorf("%w: its id is no number of 32 bits", ErrMalformed)
+		}
+		f.ID, b = uint32(id), b[size:]
+	}
+	if f.Kind == Response {
+		size := valueSize(b)
+		f.Error, f.Result = b[:size], b[size:]
+		return f, nil
+	}
+	start, length, ok := stringHeader(b)
+	if !ok || length > r.limits.Method || !utf8.Valid(b[start:start+length]) {
+		return f, fmt.Errorf("%w: its method is no string of at most %d bytes", ErrMalformed, r.limits.Method)
+	}
+	f.Method, f.Params = string(b[start:start+length]), b[start+length:]
+	if _, _, ok := arrayHeader(f.Params); !ok {
+		return f, fmt.Errorf("%w: its params are no array", ErrMalformed)
+	}
+	return f, nil
+}
--- /dev/null
+++ b/msgpackrpc/scan.go
@@ -0,0 +1,207 @@
+package msgpackrpc
+
+import (
+	"encoding/binary"
+	"fmt"
+)
+
+// The codes of MessagePack that this package names.
+const (
+	codeNil    = 0xc0
+	codeUnused = 0xc1
+)
+
+// element describes the value that begins with a byte.
+type element struct {
+	header   int    // bytes of code and length
+	payload  uint64 // bytes behind the header
+	children uint64 // values behind it
+	ok       bool   // the header is there and allowed
+}
+
+// lengths holds, for the codes that are followed by a length, how many bytes that has, what is fixed besides, and
+// whether it counts values (times so many) in place of bytes.
+var lengths = [256]struct{ size, extra, values uint8 }{
+	0xc4: {1, 0, 0}, 0xc5: {2, 0, 0}, 0xc6: {4, 0, 0}, // bin
+	0xc7: {1, 1, 0}, 0xc8: {2, 1, 0}, 0xc9: {4, 1, 0}, // ext: the type is a byte more
+	0xd9: {1, 0, 0}, 0xda: {2, 0, 0}, 0xdb: {4, 0, 0}, // str
+	0xdc: {2, 0, 1}, 0xdd: {4, 0, 1}, // array
+	0xde: {2, 0, 2}, 0xdf: {4, 0, 2}, // map
+}
+
+// fixed holds the payload of the codes whose length is their own.
+var fixed = [256]uint8{
+	0xca: 4, 0xcb: 8, // float
+	0xcc: 1, 0xcd: 2, 0xce: 4, 0xcf: 8, // uint
+	0xd0: 1, 0xd1: 2, 0xd2: 4, 0xd3: 8, // int
+	0xd4: 2, 0xd5: 3, 0xd6: 5, 0xd7: 9, 0xd8: 17, // fixext, with its type
+}
+
+// describe reads the header of a value; ok is false where more bytes are wanted.
+func describe(b []byte) (e element, err error) {
+	if len(b) == 0 {
+		return e, nil
+	}
+	code := b[0]
+	e = element{header: 1, ok: true}
+	switch {
+	case code == codeUnused:
+		return e, fmt.Errorf("%w: code 0xc1, which is never used", ErrMalformed)
+	case code <= 0x7f || code >= 0xe0: // fixint
+	case code <= 0x8f:
+		e.children = 2 * uint64(code&0x0f)
+	case code <= 0x9f:
+		e.children = uint64(code & 0x0f)
+	case code <= 0xbf:
+		e.payload = uint64(code & 0x1f)
+	case lengths[code].size > 0:
+		l := lengths[code]
+		e.header += int(l.size)
+		if len(b) < e.header {
+			return element{}, nil
+		}
+		n := bigEndian(b[1:e.header])
+		if l.values > 0 {
+			e.children = n * uint64(l.values)
+		} else {
+			e.payload = n + uint64(l.extra)
+		}
+	default:
+		e.payload = uint64(fixed[code])
+	}
+	return e, nil
+}
+
+func bigEndian(b []byte) uint64 {
+	switch len(b) {
+	case 1:
+		return uint64(b[0])
+	case 2:
+		return uint64(binary.BigEndian.Uint16(b))
+	case 4:
+		return uint64(binary.BigEndian.Uint32(b))
+	}
+	return binary.BigEndian.Uint64(b)
+}
+
+// scanner finds the end of a frame in bytes that come piece by piece. It holds a count for each open array or map and
+// never calls itself.
+type scanner struct {
+	limits Limits
+	at     int      // where the next value begins; it may lie beyond what has come
+	open   []uint64 // values yet to come, of each array and map that is open
+}
+
+// scan goes on over b, which holds the frame from its first byte, as far as it has come. It reports whether the whole
+// frame is there; its length is at. What cannot fit the limits is an error as soon as its header is there.
+func (s *scanner) scan(b []byte) (done bool, err error) {
+	for {
+		if s.at > 0 && len(s.open) == 0 {
+			return s.at <= len(b), nil
+		}
+		if s.at >= len(b) {
+			return false, nil
+		}
+		e, err := describe(b[s.at:])
+		if err != nil || !e.ok {
+			return false, err
+		}
+		if s.at == 0 {
+			if err := first(b); err != nil {
+				return false, err
+			}
+		}
+		// Each value takes a byte at least: an array that announces more of them than there is room for is too long
+		// before the first has come.
+		room := uint64(s.limits.Frame - s.at)
+		if uint64(e.header)+e.payload > room || uint64(e.header)+e.children > room {
+			return false, ErrTooLong
+		}
+		s.at += e.header + int(e.payload)
+		if len(s.open) > 0 {
+			s.open[len(s.open)-1]--
+		}
+		if e.children > 0 {
+			if len(s.open) >= s.limits.Depth {
+				return false, ErrTooDeep
+			}
+			s.open = append(s.open, e.children)
+		}
+		for len(s.open) > 0 && s.open[len(s.open)-1] == 0 {
+			s.open = s.open[:len(s.open)-1]
+		}
+	}
+}
+
+// first checks how a frame begins: with an array of three or four.
+func first(b []byte) error {
+	n, _, ok := arrayHeader(b)
+	switch {
+	case !ok && (b[0] >= 'A' && b[0] <= 'Z'): // a method, or the version in an answer
+		return ErrHTTP
+	case !ok:
+		return fmt.Errorf("%w: it begins with 0x%02x, which is no array", ErrMalformed, b[0])
+	case n != 3 && n != 4:
+		return fmt.Errorf("%w: an array of %d", ErrMalformed, n)
+	}
+	return nil
+}
+
+// valueSize returns the length of the value at the start of b, which is whole.
+func valueSize(b []byte) int {
+	at := 0
+	for values := uint64(1); values > 0; values-- {
+		e, _ := describe(b[at:])
+		at += e.header + int(e.payload)
+		values += e.children
+	}
+	return at
+}
+
+// arrayHeader reads how many elements an array has; ok is false where there is no array.
+func arrayHeader(b []byte) (n, size int, ok bool) {
+	switch {
+	case len(b) > 0 && b[0] >= 0x90 && b[0] <= 0x9f:
+		return int(b[0] & 0x0f), 1, true
+	case len(b) >= 3 && b[0] == 0xdc:
+		return int(bigEndian(b[1:3])), 3, true
+	case len(b) >= 5 && b[0] == 0xdd:
+		return int(bigEndian(b[1:5])), 5, true
+	}
+	return 0, 0, false
+}
+
+// stringHeader returns where a string's bytes begin and how many there are.
+func stringHeader(b []byte) (start, length int, ok bool) {
+	if len(b) == 0 || !(b[0] >= 0xa0 && b[0] <= 0xbf || b[0] >= 0xd9 && b[0] <= 0xdb) {
+		return 0, 0, false
+	}
+	e, err := describe(b)
+	if err != nil || !e.ok || uint64(len(b)-e.header) < e.payload {
+		return 0, 0, false
+	}
+	return e.header, int(e.payload), true
+}
+
+// uintValue reads a whole number that is not negative, in whichever form it is written.
+func uintValue(b []byte) (v uint64, size int, ok bool) {
+	if len(b) == 0 {
+		return 0, 0, false
+	}
+	code := b[0]
+	switch {
+	case code <= 0x7f:
+		return uint64(code), 1, true
+	case code >= 0xcc && code <= 0xcf, code >= 0xd0 && code <= 0xd3:
+		size = 1 + int(fixed[code])
+		if len(b) < size {
+			return 0, 0, false
+		}
+		v = bigEndian(b[1:size])
+		if code >= 0xd0 && v>>(8*uint(size-1)-1) != 0 { // signed, and below 0
+			return 0, 0, false
+		}
+		return v, size, true
+	}
+	return 0, 0, false
+}
