A whole request that waits for its handler keeps its connection

Cause: out of processor time, a request that was read whole but whose handler had not begun looked like an idle connection, and was closed in favour of a new one (probe: victims with one whole request and none handled). Such connections are passed over now; a test fails without it.

--- a/internal/sidecar/clients.go
+++ b/internal/sidecar/clients.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -39,7 +40,7 @@
 	*net.TCPConn
 	owner   *clients
 	framing framing
-	served  int64 // requests that reached the handler; of the serving goroutine
+	served  atomic.Int64 // requests that reached the handler
 
 	// Guarded by owner.mu.
 	queue  *queues.List // nil once it is to be closed
@@ -111,6 +112,10 @@
 			if began, partial := c.framing.partial(); partial && now.Sub(began) < onItsWay {
 				continue
 			}
+			// A whole request that waits for the processor is taken, though its handler has not begun.
+			if c.framing.whole.Load() > c.served.Load() {
+				continue
+			}
 			tries--
 			if peek(c.TCPConn) == silent {
 				cs.dequeue(c)
@@ -207,12 +212,12 @@
 }
 
 // next counts a request that reached the handler.
-func (c *client) next() { c.served++ }
+func (c *client) next() { c.served.Add(1) }
 
 // behind tells what came behind the open request. An application sends one request at a time: if there is more, the
 // length is wrong, or the request hides another.
 func (c *client) behind() found {
-	if c.framing.begun.Load() > c.served {
+	if c.framing.begun.Load() > c.served.Load() {
 		return waiting
 	}
 	return peek(c.TCPConn)
--- a/internal/sidecar/clients_test.go
+++ b/internal/sidecar/clients_test.go
@@ -221,3 +221,35 @@
 		t.Errorf("after the first: %v, %v", resp, err)
 	}
 }
+
+// A request that was read whole and waits for the processor is taken, though its handler has not begun: its connection
+// must not go in favour of a new one, however silent it is.
+func TestWaitingRequestIsNoVictim(t *testing.T) {
+	ln := listen(t)
+	cs := &clients{most: 1}
+	accept := func() (*client, net.Conn) {
+		near, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { near.Close() })
+		far, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return cs.add(far.(*net.TCPConn)), near
+	}
+	first, near := accept()
+	io.WriteString(near, "GET /api HTTP/1.1\r\nHost: a\r\n\r\n")
+	buf := make([]byte, 100)
+	if _, err := first.Read(buf); err != nil {
+		t.Fatal(err)
+	}
+	if second, _ := accept(); second != nil {
+		t.Error("the connection of a waiting request was closed for a new one")
+	}
+	first.next() // its handler has begun and, here, ended: now it may go
+	if third, _ := accept(); third == nil {
+		t.Error("an unused connection was kept in favour of a new one")
+	}
+}
