--- a/cmd/firplank/main.go
+++ b/cmd/firplank/main.go
@@ -3,13 +3,17 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"net/url"
 	"os"
 	"runtime/debug"
+	"time"
 
 	"github.com/alecthomas/kong"
 
+	"cedararch/internal/call"
 	"cedararch/internal/sidecar"
 )
 
@@ -17,6 +21,7 @@
 type commands struct {
 	Serve   serveCommand   `cmd:"" default:"withargs" help:"Serve until SIGTERM (the default)."`
 	Check   checkCommand   `cmd:"" help:"Read and check the configuration, and start nothing."`
+	Call    callCommand    `cmd:"" help:"Make a request over HTTP or MessagePack-RPC and show the answer."`
 	Version versionCommand `cmd:"" help:"Show the version."`
 	Help    helpCommand    `cmd:"" help:"Show this help."`
 }
@@ -41,6 +46,29 @@
 	return nil
 }
 
+type callCommand struct {
+	To      *url.URL      `arg:"" help:"http://HOST:PORT/PATH, or msgpack-rpc://HOST:PORT."`
+	Method  string        `arg:"" optional:"" help:"The method, for MessagePack-RPC."`
+	Params  string        `arg:"" optional:"" help:"Its params, a JSON array."`
+	Class   string        `help:"The class, for HTTP."`
+	Tenant  string        `help:"The tenant, for HTTP."`
+	Key     string        `help:"The idempotency key, for HTTP."`
+	Object  string        `help:"What the request is about, for HTTP."`
+	Body    string        `help:"The body, for HTTP; without one and without a key it is a GET."`
+	Timeout time.Duration `help:"How long to wait." default:"5s"`
+	Count   int           `help:"So many requests at once." default:"1"`
+}
+
+func (c *callCommand) Run(out io.Writer) error {
+	if c.Count < 1 || c.Count > 10000 || c.Timeout <= 0 {
+		return fmt.Errorf("--count is %d and --timeout %v: want 1 to 10000, and more than 0", c.Count, c.Timeout)
+	}
+	return call.Do(context.Background(), &call.Request{
+		To: c.To, Method: c.Method, Params: c.Params, Class: c.Class, Tenant: c.Tenant, Key: c.Key, Object: c.Object,
+		Body: c.Body, Timeout: c.Timeout, Count: c.Count,
+	}, out)
+}
+
 type versionCommand struct{}
 
 func (versionCommand) Run(out io.Writer) error {
--- /dev/null
+++ b/internal/call/call.go
@@ -0,0 +1,232 @@
+// Package call is a small client for the command line: it makes one request, or the same one several times at once, over
+// HTTP/1.1 or MessagePack-RPC, and shows the answers. It is for people who try a sidecar or a server; it retries nothing
+// and owns no rule.
+package call
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/tinylib/msgp/msgp"
+
+	codec "cedararch/msgpackrpc"
+)
+
+// Request is what to ask, and of whom. Over MessagePack-RPC only To, Method, Params, Timeout and Count are used.
+type Request struct {
+	To      *url.URL // http://host:port/path, or msgpack-rpc://host:port
+	Method  string   // of MessagePack-RPC
+	Params  string   // a JSON array
+	Class   string
+	Tenant  string
+	Key     string // the idempotency key
+	Object  string
+	Body    string // without one the method is GET
+	Timeout time.Duration
+	Count   int // requests at once, 1 or more
+}
+
+// Errors that end a call.
+var (
+	ErrRefused = errors.New("refused: trying again is harmless")
+	ErrFailed  = errors.New("failed")
+)
+
+// mostAnswer bounds an answer.
+const mostAnswer = 16 << 20
+
+// Do makes the request and writes each answer on a line of its own as it comes. The error is the first that an answer
+// means, ErrRefused or ErrFailed, or why there is none.
+func Do(ctx context.Context, r *Request, out io.Writer) error {
+	ctx, cancel := context.WithTimeout(ctx, r.Timeout)
+	defer cancel()
+	switch r.To.Scheme {
+	case "http":
+		return r.http(ctx, out)
+	case "msgpack-rpc":
+		return r.rpc(ctx, out)
+	}
+	return fmt.Errorf("call: %q: want http or msgpack-rpc", r.To.Scheme)
+}
+
+func (r *Request) http(ctx context.Context, out io.Writer) error {
+	var mu sync.Mutex // over out and errs
+	var errs []error
+	var all sync.WaitGroup
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: r.Count}}
+	defer client.CloseIdleConnections()
+	for range r.Count {
+		all.Go(func() {
+			line, err := r.httpOnce(ctx, client)
+			mu.Lock()
+			defer mu.Unlock()
+			if line != "" {
+				fmt.Fprintln(out, line)
+			}
+			errs = append(errs, err)
+		})
+	}
+	all.Wait()
+	return first(errs)
+}
+
+func first(errs []error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Request) httpOnce(ctx context.Context, client *http.Client) (string, error) {
+	method, body := http.MethodGet, io.Reader(nil)
+	if r.Body != "" || r.Key != "" {
+		method, body = http.MethodPost, strings.NewReader(r.Body)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, r.To.String(), body)
+	if err != nil {
+		return "", fmt.Errorf("call: %w", err)
+	}
+	for name, value := range map[string]string{
+		"X-Trace-Id": fmt.Sprintf("%016x", rand.Uint64()), "X-Qos": r.Class, "X-Customer": r.Tenant, "X-Object": r.Object,
+		"Idempotency-Key": r.Key, "X-Expires-In": fmt.Sprintf("%dm", max(1, r.Timeout.Milliseconds())),
+	} {
+		if value != "" {
+			req.Header.Set(name, value)
+		}
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return "", fmt.Errorf("call: %w", err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, mostAnswer))
+	if err != nil {
+		return "", fmt.Errorf("call: %w", err)
+	}
+	line := resp.Status + " " + strings.TrimSpace(string(text))
+	if resp.Header.Get("Content-Type") == "application/msgpack" {
+		line = resp.Status + " " + toJSON(text)
+	}
+	switch {
+	case resp.StatusCode == http.StatusOK:
+		return line, nil
+	case resp.StatusCode == http.StatusTooManyRequests || resp.StatusCode == http.StatusServiceUnavailable:
+		return line + " (come back after " + cmp.Or(resp.Header.Get("Retry-After"), "any time") + ")", ErrRefused
+	}
+	return line, ErrFailed
+}
+
+// rpc sends all requests in one piece over one connection.
+func (r *Request) rpc(ctx context.Context, out io.Writer) error {
+	params, err := toParams(r.Params)
+	if err != nil {
+		return err
+	}
+	var dialer net.Dialer
+	c, err := dialer.DialContext(ctx, "tcp", r.To.Host)
+	if err != nil {
+		return fmt.Errorf("call: %w", err)
+	}
+	defer c.Close()
+	defer context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })()
+	var frames []byte
+	for id := range uint32(r.Count) {
+		frames = codec.AppendRequest(frames, id+1, r.Method, params)
+	}
+	if _, err := c.Write(frames); err != nil {
+		return fmt.Errorf("call: %w", err)
+	}
+	var errs []error
+	open := make(map[uint32]bool, r.Count)
+	for id := range uint32(r.Count) {
+		open[id+1] = true
+	}
+	for in := codec.NewReader(c, codec.Limits{Frame: mostAnswer}); len(open) > 0; {
+		f, err := in.Next()
+		if err != nil {
+			return fmt.Errorf("call: %d of %d answers came: %w", r.Count-len(open), r.Count, err)
+		}
+		if f.Kind != codec.Response || !open[f.ID] {
+			return fmt.Errorf("call: a response to id %d, which is not open", f.ID)
+		}
+		delete(open, f.ID)
+		if !f.Failed() {
+			fmt.Fprintf(out, "%d result %s\n", f.ID, toJSON(f.Result))
+			continue
+		}
+		fmt.Fprintf(out, "%d error %s\n", f.ID, toJSON(f.Error))
+		if isRefusal(f.Error) {
+			errs = append(errs, ErrRefused)
+		} else {
+			errs = append(errs, ErrFailed)
+		}
+	}
+	return first(errs)
+}
+
+// toJSON shows a value in MessagePack.
+func toJSON(b []byte) string {
+	var text bytes.Buffer
+	if _, err := msgp.UnmarshalAsJSON(&text, b); err != nil {
+		return fmt.Sprintf("% x (%v)", b, err)
+	}
+	return text.String()
+}
+
+func isRefusal(b []byte) bool {
+	v, _, err := msgp.ReadMapStrIntfBytes(b, nil)
+	return err == nil && v["code"] == "refused"
+}
+
+// toParams makes params of a JSON array; whole numbers stay whole.
+func toParams(text string) ([]byte, error) {
+	var params []any
+	d := json.NewDecoder(strings.NewReader(cmp.Or(text, "[]")))
+	d.UseNumber()
+	if err := d.Decode(&params); err != nil {
+		return nil, fmt.Errorf("call: params are no JSON array: %w", err)
+	}
+	if d.More() {
+		return nil, errors.New("call: params are no JSON array: more comes behind it")
+	}
+	b, err := msgp.AppendIntf(nil, plain(params))
+	if err != nil {
+		return nil, fmt.Errorf("call: params: %w", err)
+	}
+	return b, nil
+}
+
+// plain turns the numbers of JSON into those of Go.
+func plain(v any) any {
+	switch v := v.(type) {
+	case json.Number:
+		if i, err := v.Int64(); err == nil {
+			return i
+		}
+		f, _ := v.Float64()
+		return f
+	case []any:
+		for i := range v {
+			v[i] = plain(v[i])
+		}
+	case map[string]any:
+		for k := range v {
+			v[k] = plain(v[k])
+		}
+	}
+	return v
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,173 @@
+// Package core is the exchange between fronts, which clients talk to, and backs, which talk to servers. It owns the
+// decision module and the state of each request: a front hands it a Call and is given one Answer, a back is given
+// Attempts and ends each with one Result. It knows no protocol: no status, header, frame or socket. What a request says
+// goes through it unread, as a Message.
+//
+// One goroutine owns all of it and never waits for a socket; the rest of the program talks to it by events. Begin with
+// Loop. A further protocol is a front that calls Loop.Arrive, a back that implements Back, and a line where the program
+// is put together.
+package core
+
+import (
+	"sync/atomic"
+	"time"
+
+	"cedararch/balance"
+)
+
+// Message is what a request says, as it goes on to servers. The exchange does not look into it. Each front fills in what
+// its protocol has; each back takes what its own needs and has a rule for what is missing.
+type Message struct {
+	Trace          string // the request's id, where it has one
+	Class, Tenant  string
+	Object         string // what the request is about
+	IdempotencyKey string
+	Safe           bool
+
+	Target    string // what is asked for, where servers go by paths
+	Method    string // what is asked for, where servers go by names of methods
+	Authority string // of whom, where the client said so
+	// Meta holds what else came beside the body, by name; nil where the front's protocol has no such thing. It holds the
+	// fields above too, as they came, so that a back of the same form sends them on unchanged.
+	Meta        map[string][]string
+	ContentType string
+	Body        []byte
+}
+
+// MessagePack is the content type of a body that holds MessagePack.
+const MessagePack = "application/msgpack"
+
+// Call is a client's request on its way through the exchange. The front fills it and changes nothing after Arrive.
+type Call struct {
+	Name     string // what its client calls it, which no other open call may be called; empty: nothing
+	Message  Message
+	Ask      balance.Request // without ID; Remaining counts from Received
+	Received time.Time
+	Client   Client
+}
+
+// Client is given the one final answer of each of its calls.
+type Client interface {
+	// Answer is called once for a call, from the exchange's goroutine: it must not wait for anything.
+	Answer(*Call, *Answer)
+}
+
+// Kind is what an answer comes to.
+type Kind uint8
+
+// The kinds.
+const (
+	Served  Kind = iota // a server's own answer
+	Refused             // nothing ran: trying again is harmless
+	Failed              // it may have run
+)
+
+// Reason says why an answer is Failed.
+type Reason uint8
+
+// The reasons.
+const (
+	ByServers Reason = iota // no server gave a good answer
+	OutOfTime
+	ClientLeft
+	NameInUse // another open call has its Name; nothing ran
+)
+
+// Answer is a final answer.
+type Answer struct {
+	Kind    Kind
+	Reason  Reason        // of Failed
+	HoldOff time.Duration // of Refused: how long the client should stay away; 0: not said
+	Text    string        // of Refused and Failed: for people
+
+	// What follows is of Served.
+	Declined    bool // the server has answered with an error of the application's own
+	Meta        map[string][]string
+	ContentType string
+	Body        []byte
+}
+
+// Result is how an attempt or a probe ended.
+type Result struct {
+	Outcome balance.Result
+	Answer  *Answer // of an OK
+	Report  []float32
+}
+
+// Back makes attempts at servers of one protocol. The exchange calls it from its own goroutine: no method may wait.
+type Back interface {
+	// Begin starts an attempt, which ends with one call of its End. Nothing may be sent once Over says so, nor after
+	// Cut, and no attempt may be sent twice.
+	Begin(*Attempt)
+	// Cancel gives an attempt up: its End is still to be called.
+	Cancel(*Attempt)
+	// Probe asks a server how it is, and calls done once.
+	Probe(e *Endpoint, done func(Result))
+	// CloseIdle closes connections to a server that carry nothing.
+	CloseIdle(*Endpoint)
+}
+
+// Endpoint is one server as the backs know it. The exchange changes it, backs read it.
+type Endpoint struct {
+	id     balance.ServerID
+	name   string
+	addr   atomic.Pointer[string]
+	closed atomic.Bool
+	back   Back
+}
+
+// NewEndpoint returns a server that is open, for tests of backs.
+func NewEndpoint(name, addr string) *Endpoint {
+	e := &Endpoint{name: name}
+	e.addr.Store(&addr)
+	return e
+}
+
+// Name is the server's id in the roster, and Addr where it is now.
+func (e *Endpoint) Name() string { return e.name }
+func (e *Endpoint) Addr() string { return *e.addr.Load() }
+
+// Closed reports whether the server drains or is gone: nothing new may be sent.
+func (e *Endpoint) Closed() bool { return e.closed.Load() }
+
+// Close marks the server as closed.
+func (e *Endpoint) Close() { e.closed.Store(true) }
+
+// Attempt is one try of a request at a server.
+type Attempt struct {
+	Endpoint *Endpoint
+	Message  *Message
+	Cut      time.Time // when it is given up
+	State    any       // the back's own; used in Begin and Cancel only, or as the back sees fit
+
+	request  balance.RequestID
+	number   int
+	sent     float64 // the loop's clock
+	answered atomic.Bool
+	ended    atomic.Bool
+	end      func(*Attempt)
+	result   Result
+	took     float64
+}
+
+// NewAttempt returns an attempt outside any exchange, whose end is told to done; for tests of backs.
+func NewAttempt(e *Endpoint, m *Message, cut time.Time, done func(Result)) *Attempt {
+	return &Attempt{Endpoint: e, Message: m, Cut: cut, end: func(a *Attempt) { done(a.result) }}
+}
+
+// Over reports whether nothing may be sent for the attempt any more: its request has its final answer, its server is
+// closed, or its time is up.
+func (a *Attempt) Over() bool {
+	return a.answered.Load() || a.Endpoint.Closed() || !time.Now().Before(a.Cut)
+}
+
+// SetAnswered says that the request has its final answer.
+func (a *Attempt) SetAnswered() { a.answered.Store(true) }
+
+// End ends the attempt; the first call counts. It may wait for the exchange.
+func (a *Attempt) End(r Result) {
+	if a.ended.CompareAndSwap(false, true) {
+		a.result = r
+		a.end(a)
+	}
+}
--- /dev/null
+++ b/internal/core/loop.go
@@ -0,0 +1,498 @@
+package core
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"log/slog"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"cedararch/balance"
+	"cedararch/internal/door"
+	"cedararch/internal/roster"
+)
+
+// overdue is how long after its deadline a request that the module forgot is failed.
+const overdue = 10 // ms
+
+// Config is what the exchange is told at its start.
+type Config struct {
+	Balance balance.Config
+	Zones   map[string]int // by name
+	Kinds   map[string]int
+	Known   *roster.List // the servers as last listed; it may be old
+	// Back returns who makes attempts at a server of a kind of the roster's.
+	Back func(flavor string) Back
+	// Watch asks for news of the roster; it must not wait.
+	Watch func()
+	Door  *door.Keeper // nil: none
+	Log   *slog.Logger
+}
+
+// Events for the loop, besides balance's own, a *Call that arrives and an *Attempt that has ended.
+type (
+	leftBy struct{ call *Call } // its client is gone
+	probed struct {
+		endpoint *Endpoint
+		result   Result
+		took     float64
+	}
+	listed     struct{ list *roster.List }
+	listFailed struct{ err error }
+)
+
+// Loop owns the balancer and what is known of each request. All else talks to it by events; it never waits for
+// a socket.
+type Loop struct {
+	bal     *balance.Balancer
+	cfg     Config
+	log     *slog.Logger
+	inbox   chan any
+	pending []any // events of the loop's own, for right after the present one
+	ready   atomic.Bool
+
+	started time.Time // the clock's origin: the module is told Unix milliseconds, counted on by the monotonic clock
+	epoch   float64
+	now     float64
+
+	requests  map[balance.RequestID]*request
+	byCall    map[*Call]*request
+	byName    map[string]*request // by what the client calls it
+	lastID    balance.RequestID
+	endpoints map[string]*Endpoint
+	byID      map[balance.ServerID]*Endpoint
+	lastNode  balance.ServerID
+	timers    timers
+
+	ctx context.Context
+}
+
+// request is a client's request until it is answered and nothing is out for it.
+type request struct {
+	id       balance.RequestID
+	call     *Call
+	deadline float64
+	due      timer // its end, if the module forgets it
+	attempts []*Attempt
+	live     int
+	done     bool
+}
+
+// New returns an exchange that works until ctx ends, once Run is called.
+func New(ctx context.Context, cfg Config) *Loop {
+	start := time.Now()
+	return &Loop{
+		bal: balance.New(cfg.Balance), cfg: cfg, log: cfg.Log, inbox: make(chan any, 1024),
+		started: start, epoch: float64(start.UnixMicro()) / 1000,
+		requests: map[balance.RequestID]*request{}, byCall: map[*Call]*request{}, byName: map[string]*request{},
+		endpoints: map[string]*Endpoint{}, byID: map[balance.ServerID]*Endpoint{}, ctx: ctx,
+	}
+}
+
+// Arrive hands in a request. Its client is answered once, unless the exchange ends before.
+func (l *Loop) Arrive(c *Call) { l.post(c) }
+
+// Leave says that a client is gone. It is answered all the same, if it was not yet: it may only have ended its sending.
+func (l *Loop) Leave(c *Call) { l.post(leftBy{c}) }
+
+// Listed and ListFailed are news of the roster.
+func (l *Loop) Listed(list *roster.List) { l.post(listed{list}) }
+func (l *Loop) ListFailed(err error)     { l.post(listFailed{err}) }
+
+// Ready reports whether there are servers to send to.
+func (l *Loop) Ready() bool { return l.ready.Load() }
+
+// Done is closed when the exchange answers nothing any more.
+func (l *Loop) Done() <-chan struct{} { return l.ctx.Done() }
+
+// post hands an event to the loop; after its end it does nothing.
+func (l *Loop) post(ev any) {
+	select {
+	case l.inbox <- ev:
+	case <-l.ctx.Done():
+	}
+}
+
+func (l *Loop) clock(t time.Time) float64 {
+	return l.epoch + float64(t.Sub(l.started))/float64(time.Millisecond)
+}
+
+func (l *Loop) time(clock float64) time.Time {
+	return l.started.Add(time.Duration((clock - l.epoch) * float64(time.Millisecond)))
+}
+
+// Run handles events until its context ends. What is waiting makes one batch, with one clock.
+func (l *Loop) Run() {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	l.now = l.clock(time.Now())
+	l.do(l.bal.Start(l.now))
+	l.take(l.cfg.Known, balance.ListCached)
+	for {
+		l.settle()
+		l.fire()
+		l.settle()
+		if len(l.timers) > 0 {
+			timer.Reset(time.Until(l.time(l.timers[0].at)))
+		} else {
+			timer.Reset(time.Hour)
+		}
+		select {
+		case ev := <-l.inbox:
+			l.now = l.clock(time.Now())
+			l.handle(ev)
+			l.drain()
+		case <-timer.C:
+			l.now = l.clock(time.Now())
+		case <-l.ctx.Done():
+			return
+		}
+	}
+}
+
+func (l *Loop) drain() {
+	for n := len(l.inbox); n > 0; n-- {
+		l.settle()
+		l.handle(<-l.inbox)
+	}
+}
+
+// settle handles the loop's own events.
+func (l *Loop) settle() {
+	for len(l.pending) > 0 {
+		ev := l.pending[0]
+		l.pending = l.pending[1:]
+		l.handle(ev)
+	}
+}
+
+func (l *Loop) fire() {
+	for len(l.timers) > 0 && l.timers[0].at <= l.now {
+		t := heap.Pop(&l.timers).(*timer)
+		if t.request != nil {
+			l.expire(t.request)
+		} else {
+			l.tell(balance.Timer{Token: t.token})
+		}
+		l.settle()
+	}
+}
+
+func (l *Loop) handle(ev any) {
+	switch ev := ev.(type) {
+	case *Call:
+		l.cfg.Door.Waited(time.Since(ev.Received))
+		l.begin(ev)
+	case leftBy:
+		if r := l.byCall[ev.call]; r != nil && !r.done {
+			a := failed(ClientLeft, "the client has ended its sending")
+			if len(r.attempts) == 0 {
+				a = Refusal(0)
+			}
+			l.finish(r, a)
+			l.tell(balance.HangUp{Request: r.id})
+		}
+	case *Attempt:
+		l.end(ev)
+	case probed:
+		l.tell(balance.ProbeResult{
+			Server: ev.endpoint.id, Result: ev.result.Outcome, Took: ev.took, Report: ev.result.Report,
+		})
+	case listed:
+		kind := balance.ListDelta
+		if ev.list.Complete {
+			kind = balance.ListFull
+		}
+		l.take(ev.list, kind)
+	case listFailed:
+		l.log.Info("list of servers", "error", ev.err)
+		if l.cfg.Balance.Subscribe { // else the module did not ask, and discovery calls again by itself
+			l.tell(balance.ServerList{Kind: balance.ListFailed})
+		}
+	}
+}
+
+// tell hands an event to the module and does what it wants.
+func (l *Loop) tell(ev balance.Event) {
+	actions, err := l.ask(ev)
+	if err != nil {
+		l.log.Error("decision module", "event", fmt.Sprintf("%T", ev), "error", err)
+	}
+	l.do(actions)
+}
+
+// ask calls the module. What it panics on must not end the sidecar: requests are still failed in time.
+func (l *Loop) ask(ev balance.Event) (actions []balance.Action, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("panic: %v\n%s", p, debug.Stack())
+		}
+	}()
+	return l.bal.Handle(l.now, ev)
+}
+
+func (l *Loop) do(actions []balance.Action) {
+	for i := range actions {
+		a := &actions[i]
+		switch a.Kind {
+		case balance.Send:
+			l.send(a)
+		case balance.Refuse:
+			l.finish(l.requests[a.Request], l.refusal(a.At))
+		case balance.Fail:
+			l.finish(l.requests[a.Request], failed(ByServers, "failed"))
+		case balance.Cancel:
+			if r := l.requests[a.Request]; r != nil && a.Attempt < len(r.attempts) {
+				at := r.attempts[a.Attempt]
+				at.Endpoint.back.Cancel(at)
+			}
+		case balance.SetTimer:
+			heap.Push(&l.timers, &timer{at: l.now + a.At, token: a.Token})
+		case balance.Probe:
+			l.probe(a.Server)
+		case balance.CloseIdle:
+			if e := l.byID[a.Server]; e != nil {
+				e.back.CloseIdle(e)
+			}
+		case balance.Watch:
+			l.cfg.Watch()
+		case balance.Log:
+			l.log.Info(a.Text)
+		default: // Post and Fetch: the module never asks for them
+			l.log.Warn("action not carried out", "kind", a.Kind)
+		}
+	}
+}
+
+func failed(why Reason, text string) *Answer { return &Answer{Kind: Failed, Reason: why, Text: text} }
+
+func (l *Loop) refusal(holdOff float64) *Answer {
+	if b := &l.cfg.Balance; b.RetryAfter {
+		return Refusal(millis(min(holdOff, b.MaxRetryAfter)))
+	}
+	return Refusal(0)
+}
+
+// Refusal tells the client that trying again is harmless, after a hold-off if that is above 0.
+func Refusal(holdOff time.Duration) *Answer {
+	return &Answer{Kind: Refused, HoldOff: max(0, holdOff), Text: "refused, trying again is harmless"}
+}
+
+func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+func (l *Loop) begin(c *Call) {
+	l.lastID++
+	r := &request{id: l.lastID, call: c}
+	if c.Name != "" {
+		if l.byName[c.Name] != nil {
+			// Servers and clients know a request by its id: under one of an open request it would get that one's
+			// answer, or give it its own.
+			l.finish(r, failed(NameInUse, "a request of this id is open"))
+			return
+		}
+		l.byName[c.Name] = r
+	}
+	ask := c.Ask
+	ask.ID = r.id
+	ask.Remaining = max(0, ask.Remaining-(l.now-l.clock(c.Received))-float64(l.cfg.Door.Margin())/float64(time.Millisecond))
+	r.deadline = l.now + ask.Remaining
+	l.requests[r.id], l.byCall[c] = r, r
+	r.due = timer{at: r.deadline + overdue, request: r}
+	heap.Push(&l.timers, &r.due)
+	l.tell(ask)
+}
+
+// finish gives a request its final answer, or none where the client is gone; the first counts. This is the only
+// place from which a client is answered.
+func (l *Loop) finish(r *request, a *Answer) {
+	if r == nil || r.done {
+		return
+	}
+	r.done = true
+	delete(l.byCall, r.call)
+	for _, at := range r.attempts {
+		at.SetAnswered()
+	}
+	if a != nil {
+		r.call.Client.Answer(r.call, a)
+	}
+	l.forget(r)
+}
+
+func (l *Loop) forget(r *request) {
+	if r.done && r.live == 0 && r.call != nil {
+		delete(l.requests, r.id)
+		if name := r.call.Name; name != "" && l.byName[name] == r {
+			delete(l.byName, name)
+		}
+		// Left there until the deadline, the timers of answered requests would be most of what the heap holds.
+		if r.due.request != nil && r.due.place >= 0 {
+			heap.Remove(&l.timers, r.due.place)
+		}
+		r.call, r.attempts = nil, nil
+	}
+}
+
+// expire fails a request that is still open after its deadline, whatever the module thinks of it.
+func (l *Loop) expire(r *request) {
+	if r.done {
+		return
+	}
+	l.log.Error("a request was left without an answer", "request", r.id)
+	l.finish(r, failed(OutOfTime, "out of time"))
+	l.tell(balance.HangUp{Request: r.id})
+}
+
+func (l *Loop) send(a *balance.Action) {
+	r, e := l.requests[a.Request], l.byID[a.Server]
+	if r == nil {
+		return
+	}
+	cut := r.deadline
+	if a.At > 0 {
+		cut = min(cut, a.At)
+	}
+	at := &Attempt{
+		request: r.id, number: len(r.attempts), Endpoint: e, Message: &r.call.Message, sent: l.now, Cut: l.time(cut),
+		end: l.ended,
+	}
+	r.attempts = append(r.attempts, at)
+	r.live++
+	if r.done || e == nil || len(r.attempts) > l.cfg.Balance.MaxAttempts {
+		at.ended.Store(true)
+		at.result.Outcome = balance.Moot
+		l.pending = append(l.pending, at)
+		return
+	}
+	e.back.Begin(at)
+}
+
+// ended takes in the end of an attempt, on whatever goroutine it comes.
+func (l *Loop) ended(a *Attempt) {
+	a.took = l.clock(time.Now()) - a.sent
+	l.post(a)
+}
+
+// end takes in how an attempt ended. The first good answer goes to the client.
+func (l *Loop) end(at *Attempt) {
+	r := l.requests[at.request]
+	r.live--
+	if at.result.Outcome == balance.OK {
+		l.finish(r, at.result.Answer)
+	}
+	out := balance.Outcome{
+		Request: r.id, Attempt: at.number, Result: at.result.Outcome, Took: at.took,
+		Finished: r.done, Report: at.result.Report,
+	}
+	if at.Endpoint != nil {
+		out.Server = at.Endpoint.id
+	}
+	l.tell(out)
+	l.forget(r)
+}
+
+func (l *Loop) probe(id balance.ServerID) {
+	e := l.byID[id]
+	if e == nil || e.Closed() {
+		return
+	}
+	sent := l.now
+	e.back.Probe(e, func(r Result) { l.post(probed{e, r, l.clock(time.Now()) - sent}) })
+}
+
+// take brings a list to the endpoints and to the module.
+func (l *Loop) take(told *roster.List, kind balance.ListKind) {
+	list := balance.ServerList{Kind: kind}
+	seen := map[string]bool{}
+	for i := range told.Members {
+		m := &told.Members[i]
+		seen[m.ID] = true
+		e := l.endpoint(m)
+		list.Servers = append(list.Servers, balance.Server{
+			ID: e.id, State: m.State(), StartedAt: max(0, m.UpSince), Rating: m.Size,
+			Cell: m.Cell, Zone: position(l.cfg.Zones, m.Locality), Kind: position(l.cfg.Kinds, m.Flavor),
+		})
+		if m.Phase != "ready" {
+			l.shut(e)
+		}
+		if m.Phase == "gone" {
+			l.remove(e)
+		}
+	}
+	if kind != balance.ListDelta {
+		for name, e := range l.endpoints {
+			if !seen[name] {
+				l.shut(e)
+				l.remove(e)
+			}
+		}
+	}
+	l.ready.Store(len(l.endpoints) > 0)
+	l.tell(list)
+}
+
+// endpoint returns the endpoint of a list entry, which may be new, or at a new address.
+func (l *Loop) endpoint(m *roster.Member) *Endpoint {
+	e := l.endpoints[m.ID]
+	if e == nil {
+		l.lastNode++
+		e = &Endpoint{id: l.lastNode, name: m.ID, back: l.cfg.Back(m.Flavor)}
+		l.endpoints[m.ID], l.byID[e.id] = e, e
+	}
+	addr := m.HostPort // a pointer into the list would keep all of it
+	e.addr.Store(&addr)
+	e.closed.Store(m.Phase != "ready")
+	return e
+}
+
+// shut ends sends to an endpoint that drains or is gone.
+func (l *Loop) shut(e *Endpoint) {
+	e.Close()
+	e.back.CloseIdle(e)
+}
+
+func (l *Loop) remove(e *Endpoint) {
+	delete(l.endpoints, e.name)
+	delete(l.byID, e.id)
+}
+
+// position numbers a name; what the settings do not name comes after them, as one.
+func position(known map[string]int, name string) int {
+	if at, ok := known[name]; ok {
+		return at
+	}
+	return len(known)
+}
+
+// timer is a timer of the module, or the end of a request.
+type timer struct {
+	at      float64
+	token   uint64
+	request *request
+	place   int // in the heap; -1 once it has left it
+}
+
+type timers []*timer
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].at < t[j].at }
+func (t timers) Swap(i, j int) {
+	t[i], t[j] = t[j], t[i]
+	t[i].place, t[j].place = i, j
+}
+
+func (t *timers) Push(x any) {
+	x.(*timer).place = len(*t)
+	*t = append(*t, x.(*timer))
+}
+
+func (t *timers) Pop() any {
+	last := len(*t) - 1
+	x := (*t)[last]
+	(*t)[last] = nil
+	x.place = -1
+	*t = (*t)[:last]
+	return x
+}
--- /dev/null
+++ b/internal/core/loop_test.go
@@ -0,0 +1,84 @@
+package core
+
+import (
+	"container/heap"
+	"log/slog"
+	"testing"
+
+	"cedararch/balance"
+	"cedararch/internal/roster"
+)
+
+// caller is a client that keeps its answers.
+type caller []*Answer
+
+func (c *caller) Answer(_ *Call, a *Answer) { *c = append(*c, a) }
+
+// back keeps what it is given to do.
+type back struct {
+	begun     []*Attempt
+	cancelled int
+}
+
+func (b *back) Begin(a *Attempt)              { b.begun = append(b.begun, a) }
+func (b *back) Cancel(*Attempt)               { b.cancelled++ }
+func (b *back) Probe(*Endpoint, func(Result)) {}
+func (b *back) CloseIdle(*Endpoint)           {}
+
+func newLoop(t *testing.T, b *back) *Loop {
+	return New(t.Context(), Config{
+		Balance: balance.Config{
+			Classes: []balance.Class{{Deadline: 20000, Aim: 4000, Worth: 1}}, Tenants: []balance.Tenant{{Share: 1}},
+			MaxAttempts: 3, ColdFrom: 1, Streams: 1, Peers: 1, Cancel: true,
+		},
+		Known: &roster.List{}, Log: slog.New(slog.DiscardHandler), Back: func(string) Back { return b },
+	})
+}
+
+// A request that the module forgets is failed soon after its deadline, and what comes later is not sent.
+func TestOneFinalAnswer(t *testing.T) {
+	l, got := newLoop(t, &back{}), &caller{}
+	c := &Call{Client: got}
+	r := &request{id: 1, call: c}
+	l.requests[1], l.byCall[c] = r, r
+	r.due = timer{at: l.now, request: r}
+	heap.Push(&l.timers, &r.due)
+	l.fire()
+	l.do([]balance.Action{{Kind: balance.Refuse, Request: 1}, {Kind: balance.Fail, Request: 1}})
+	l.finish(r, &Answer{})
+	if len(*got) != 1 || (*got)[0].Reason != OutOfTime {
+		t.Errorf("answered %v", *got)
+	}
+	if len(l.requests) != 0 || len(l.byCall) != 0 {
+		t.Errorf("%d requests kept", len(l.requests))
+	}
+}
+
+// The deadline of an answered request may be far away: neither its timer nor headers and body may stay until then.
+func TestAnsweredRequestsLetGo(t *testing.T) {
+	b, got := &back{}, &caller{}
+	l := newLoop(t, b)
+	l.take(&roster.List{Complete: true, Members: []roster.Member{{ID: "s-1", HostPort: "h:1", Phase: "ready", Size: 1}}}, balance.ListFull)
+	before := len(l.timers)
+	c := &Call{Name: "7", Received: l.started, Ask: balance.Request{Remaining: 20000}, Client: got}
+	l.begin(c)
+	second := &Call{Name: "7", Received: l.started, Ask: balance.Request{Remaining: 20000}, Client: got}
+	l.begin(second)
+	if len(*got) != 1 || (*got)[0].Reason != NameInUse || len(b.begun) != 1 {
+		t.Fatalf("a second call of an open name: %v, %d sent", *got, len(b.begun))
+	}
+	b.begun[0].End(Result{Outcome: balance.OK, Answer: &Answer{}})
+	b.begun[0].End(Result{Outcome: balance.Reset}) // the first end counts
+	l.handle(<-l.inbox)
+	if len(*got) != 2 || (*got)[1].Kind != Served || len(l.inbox) != 0 {
+		t.Fatalf("answered %v", *got)
+	}
+	if len(l.requests)+len(l.byCall)+len(l.byName) != 0 {
+		t.Errorf("%d requests kept", len(l.requests))
+	}
+	for _, timer := range l.timers[min(before, len(l.timers)):] {
+		if timer.request != nil {
+			t.Error("its timer is kept")
+		}
+	}
+}
--- a/internal/sidecar/doorkeeper.go
+++ b/internal/door/keeper.go
@@ -1,4 +1,4 @@
-package sidecar
+package door
 
 import (
 	"context"
@@ -6,27 +6,27 @@
 	"sync/atomic"
 	"syscall"
 	"time"
-
-	"cedararch/internal/door"
 )
 
-// doorkeeper tells the door what it needs to know and asks it for each request. A nil one lets all in.
-type doorkeeper struct {
+// Keeper tells a door what it needs to know and asks it for each request. A nil one lets all in. It is the part that has
+// a clock and a goroutine.
+type Keeper struct {
 	start time.Time
 
 	late   atomic.Int64 // nanoseconds: the longest that a request waited for the loop since the last sample
 	recent atomic.Int64 // the same over some time: it fades by a tenth with each sample
 
 	mu   sync.Mutex
-	door *door.Door
+	door *Door
 }
 
-func newDoorkeeper(cores float64) *doorkeeper {
-	return &doorkeeper{start: time.Now(), door: door.New(cores)}
+// NewKeeper returns the keeper of an open door, for a sidecar that may use so many cores.
+func NewKeeper(cores float64) *Keeper {
+	return &Keeper{start: time.Now(), door: New(cores)}
 }
 
-// admit reports whether a request may come in, and else how long its client should stay away.
-func (k *doorkeeper) admit() (ok bool, holdOff time.Duration) {
+// Admit reports whether a request may come in, and else how long its client should stay away.
+func (k *Keeper) Admit() (ok bool, holdOff time.Duration) {
 	if k == nil {
 		return true, 0
 	}
@@ -38,8 +38,8 @@
 	return false, k.door.HoldOff()
 }
 
-// waited takes in how long a request waited for the loop.
-func (k *doorkeeper) waited(d time.Duration) {
+// Waited takes in how long a request waited for the loop.
+func (k *Keeper) Waited(d time.Duration) {
 	if k == nil {
 		return
 	}
@@ -54,23 +54,23 @@
 // mostMargin bounds the margin: a stall that is longer is no usual one.
 const mostMargin = 60 * time.Millisecond
 
-// margin is how much earlier than at its deadline a request has to be given up, so that its answer is in time although
+// Margin is how much earlier than at its deadline a request has to be given up, so that its answer is in time although
 // all runs late.
-func (k *doorkeeper) margin() time.Duration {
+func (k *Keeper) Margin() time.Duration {
 	if k == nil {
 		return 0
 	}
 	return min(mostMargin, time.Duration(k.recent.Load()))
 }
 
-// run samples until ctx ends.
-func (k *doorkeeper) run(ctx context.Context) {
-	tick := time.NewTicker(door.Period)
+// Run samples until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	tick := time.NewTicker(Period)
 	defer tick.Stop()
 	for {
 		select {
 		case due := <-tick.C:
-			k.waited(time.Since(due)) // this goroutine had to wait for the processor too
+			k.Waited(time.Since(due)) // this goroutine had to wait for the processor too
 		case <-ctx.Done():
 			return
 		}
--- a/internal/sidecar/clients.go
+++ b/internal/front/http/clients.go
@@ -1,4 +1,4 @@
-package sidecar
+package http
 
 import (
 	queues "container/list"
@@ -6,8 +6,9 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
+
+	"cedararch/internal/socket"
 )
 
 const (
@@ -26,7 +27,8 @@
 // clients holds the connections of the application to a number of descriptors. Without it, connections that
 // stay and say nothing take every descriptor, and nobody is served any more.
 type clients struct {
-	most int
+	most     int
+	stranger func(peer net.Addr) // told of who speaks something else; nil: nobody is
 
 	mu     sync.Mutex
 	open   int
@@ -117,7 +119,7 @@
 				continue
 			}
 			tries--
-			if peek(c.TCPConn) == silent {
+			if socket.Peek(c.TCPConn) == socket.Silent {
 				cs.dequeue(c)
 				return c
 			}
@@ -189,6 +191,10 @@
 		return 0, err
 	}
 	n, err := c.TCPConn.Read(p)
+	// No method begins with such a byte, and every frame of MessagePack-RPC does. net/http answers 400.
+	if n > 0 && p[0] >= 0x80 && c.framing.begun.Load() == 0 && c.owner.stranger != nil {
+		c.owner.stranger(c.RemoteAddr())
+	}
 	if fit := c.framing.scan(p[:n], time.Now()); fit < n {
 		if fit == 0 {
 			return 0, c.framing.err
@@ -216,63 +222,28 @@
 
 // behind tells what came behind the open request. An application sends one request at a time: if there is more, the
 // length is wrong, or the request hides another.
-func (c *client) behind() found {
+func (c *client) behind() socket.State {
 	if c.framing.begun.Load() > c.served.Load() {
-		return waiting
-	}
-	return peek(c.TCPConn)
-}
-
-// What peek finds on a connection.
-type found int
-
-const (
-	closed found = iota
-	waiting
-	silent
-)
-
-// peek tells whether a connection is open and whether anything waits to be read on it, beside a reader.
-func peek(c syscall.Conn) found {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return closed
+		return socket.Waiting
 	}
-	state := closed
-	raw.Control(func(fd uintptr) { // which fails on a closed one
-		var b [1]byte
-		switch n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT); {
-		case err == syscall.EAGAIN:
-			state = silent
-		case err == nil && n > 0:
-			state = waiting
-		}
-	})
-	return state
+	return socket.Peek(c.TCPConn)
 }
 
-// listener outlives a lack of descriptors: what waits in the backlog counts as taken, so that the pause must be
-// short, and a silent connection is worth less than a new one.
+// listener hands out connections within the budget.
 type listener struct {
 	net.Listener
 	clients *clients
-	pool    *pool
+	evict   func() bool // closes a connection elsewhere
 }
 
 func (l listener) Accept() (net.Conn, error) {
 	for {
-		c, err := l.Listener.Accept()
-		if err == nil {
-			if cl := l.clients.add(c.(*net.TCPConn)); cl != nil {
-				return cl, nil
-			}
-			continue
-		}
-		if !exhausted(err) {
+		c, err := socket.Accept(l.Listener, func() bool { return l.evict() || l.clients.evict() })
+		if err != nil {
 			return nil, err
 		}
-		if !l.pool.evict() && !l.clients.evict() {
-			time.Sleep(acceptPause)
+		if cl := l.clients.add(c.(*net.TCPConn)); cl != nil {
+			return cl, nil
 		}
 	}
 }
--- /dev/null
+++ b/internal/front/http/clients_test.go
@@ -0,0 +1,100 @@
+package http
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+
+	"cedararch/internal/testbed"
+)
+
+// Where each connection has an open request it is the new one that has to go.
+func TestOpenRequestsStay(t *testing.T) {
+	ln := testbed.Listen(t)
+	cs := &clients{most: 1}
+	add := func() *client {
+		if _, err := net.Dial("tcp", ln.Addr().String()); err != nil {
+			t.Fatal(err)
+		}
+		c, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return cs.add(c.(*net.TCPConn))
+	}
+	first := add()
+	cs.follow(first, http.StateActive)
+	if add() != nil || cs.open != 1 {
+		t.Errorf("a second one was taken; %d open", cs.open)
+	}
+	cs.follow(first, http.StateIdle)
+	second := add()
+	if second == nil || !first.closed || cs.open != 1 {
+		t.Errorf("the idle one stays; %d open", cs.open)
+	}
+	second.Close()
+	second.Close()
+	if cs.open != 0 || cs.silent.Len()+cs.idle.Len()+cs.active.Len() != 0 {
+		t.Errorf("%d open after all were closed", cs.open)
+	}
+}
+
+// A request that was read whole and waits for the processor is taken, though its handler has not begun: its connection
+// must not go in favour of a new one, however silent it is.
+func TestWaitingRequestIsNoVictim(t *testing.T) {
+	ln := testbed.Listen(t)
+	cs := &clients{most: 1}
+	accept := func() (*client, net.Conn) {
+		near, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { near.Close() })
+		far, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return cs.add(far.(*net.TCPConn)), near
+	}
+	first, near := accept()
+	io.WriteString(near, "GET /api HTTP/1.1\r\nHost: a\r\n\r\n")
+	buf := make([]byte, 100)
+	if _, err := first.Read(buf); err != nil {
+		t.Fatal(err)
+	}
+	if second, _ := accept(); second != nil {
+		t.Error("the connection of a waiting request was closed for a new one")
+	}
+	first.next() // its handler has begun and, here, ended: now it may go
+	if third, _ := accept(); third == nil {
+		t.Error("an unused connection was kept in favour of a new one")
+	}
+}
+
+// short is a listener that has no descriptor at first.
+type short struct {
+	net.Listener
+	failures int
+}
+
+func (s *short) Accept() (net.Conn, error) {
+	if s.failures--; s.failures >= 0 {
+		return nil, &net.OpError{Op: "accept", Err: syscall.EMFILE}
+	}
+	return nil, net.ErrClosed
+}
+
+// A lack of descriptors must neither end the server nor make it pause for long, as net/http does.
+func TestAcceptOutlivesLackOfDescriptors(t *testing.T) {
+	inner, evicted := &short{failures: 3}, 0
+	evict := func() bool { evicted++; return true }
+	if _, err := (listener{inner, &clients{most: 1}, evict}).Accept(); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("ended with %v", err)
+	}
+	if evicted != 3 {
+		t.Errorf("%d idle connections closed while descriptors were short three times", evicted)
+	}
+}
--- a/internal/sidecar/framing_test.go
+++ b/internal/front/http/framing_test.go
@@ -1,4 +1,4 @@
-package sidecar
+package http
 
 import (
 	"errors"
--- /dev/null
+++ b/internal/front/http/front.go
@@ -0,0 +1,373 @@
+// Package http is the front for applications that speak HTTP/1.1. It owns their connections and what the protocol's
+// headers and statuses mean, turns away what is no request, and gives each request the answer that the exchange has for
+// it. It decides nothing about servers and knows none.
+//
+// front.go reads requests and writes answers, over connections that clients.go budgets and framing.go tells apart into
+// requests. Begin with Front.
+package http
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"cedararch/balance"
+	"cedararch/internal/core"
+	"cedararch/internal/door"
+	"cedararch/internal/httpwire"
+	"cedararch/internal/socket"
+)
+
+const (
+	// What a client that stalls is owed is an error or a close within 3 s of connecting. A request that is
+	// written in one piece takes a moment; a connection may be silent for 2 s before its first.
+	headTimeout = 2200 * time.Millisecond // for the head of a request
+	readTimeout = 2500 * time.Millisecond // for all of it
+	// writeTimeout is for the answer, beyond the longest deadline: a client that does not read holds its answer
+	// and a descriptor.
+	writeTimeout = 2 * time.Second
+	// keepAlive is how long a connection may be idle while there are few: clients that ask once and stay hold their
+	// descriptors, of which the application has a number too.
+	keepAlive = 5 * time.Second
+	maxHeader = 32 << 10
+)
+
+// Config is what the front is told at its start.
+type Config struct {
+	Catalog     *core.Catalog
+	Door        *door.Keeper  // nil: all may come in
+	Connections int           // of clients, at most
+	LastCalls   time.Duration // how long new connections are taken after the signal to end
+	Evict       func() bool   // closes a connection of somebody else's where descriptors are short
+	// Params takes bodies in MessagePack also with safe requests, by POST, and Method names what a path is to servers that
+	// go by names; nil: neither.
+	Method func(path string) string
+	Log    *slog.Logger
+}
+
+// Front is the side that the application talks to.
+type Front struct {
+	cfg      Config
+	exchange *core.Loop
+	clients  *clients
+	server   *http.Server
+	failed   chan error
+	ending   atomic.Bool // the sidecar shuts down
+}
+
+// New returns a front that hands requests to an exchange.
+func New(cfg Config, exchange *core.Loop) *Front {
+	f := &Front{cfg: cfg, exchange: exchange, clients: &clients{most: cfg.Connections}, failed: make(chan error, 1)}
+	notes := rate.Sometimes{First: 3, Interval: time.Second}
+	f.clients.stranger = func(peer net.Addr) {
+		notes.Do(func() {
+			cfg.Log.Warn("a client speaks no HTTP; MessagePack-RPC has an address of its own", "peer", peer.String())
+		})
+	}
+	f.server = f.newServer()
+	return f
+}
+
+// Serve takes connections until End, on a goroutine of its own. What goes wrong comes on Failed.
+func (f *Front) Serve(ln net.Listener) {
+	go func() { f.failed <- f.server.Serve(listener{ln, f.clients, f.cfg.Evict}) }()
+}
+
+// Failed tells why the front has stopped serving, before End.
+func (f *Front) Failed() <-chan error { return f.failed }
+
+// End takes new connections for a little while yet, and answers all that was taken, within a time.
+func (f *Front) End(within time.Duration) error {
+	limit, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	f.ending.Store(true)
+	select {
+	case <-time.After(f.cfg.LastCalls):
+	case err := <-f.failed:
+		return fmt.Errorf("serve: %w", err)
+	}
+	err := f.server.Shutdown(limit)
+	if errors.Is(err, context.DeadlineExceeded) {
+		err = f.server.Close() // connections on which no request ever came
+	}
+	return err
+}
+
+// call is a core.Call with the way back to its handler.
+type call struct {
+	core.Call
+	answers chan *core.Answer // takes the one final answer
+}
+
+// Answer implements core.Client.
+func (c *call) Answer(_ *core.Call, a *core.Answer) { c.answers <- a }
+
+// clientKey is the context key of a request's connection.
+type clientKey struct{}
+
+func (f *Front) newServer() *http.Server {
+	return &http.Server{
+		Handler:           f,
+		ReadHeaderTimeout: headTimeout,
+		ReadTimeout:       readTimeout,
+		WriteTimeout:      time.Duration(f.cfg.Catalog.Longest()*float64(time.Millisecond)) + writeTimeout,
+		IdleTimeout:       keepAlive,
+		MaxHeaderBytes:    maxHeader,
+		ErrorLog:          slog.NewLogLogger(f.cfg.Log.Handler(), slog.LevelDebug),
+		ConnState:         f.clients.follow,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, clientKey{}, c)
+		},
+	}
+}
+
+// ServeHTTP takes each path as it is written: http.ServeMux would answer some with a redirection, which is no
+// answer that the application knows.
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	cl := r.Context().Value(clientKey{}).(*client)
+	cl.next()
+	switch path := r.URL.Path; {
+	case path == "/api" || strings.HasPrefix(path, "/api/"):
+		f.api(w, r, cl)
+	case path == "/up" && r.Method == http.MethodGet:
+		f.up(w)
+	default:
+		turnAway(w, &badRequest{http.StatusNotFound, "no such path"})
+	}
+}
+
+func (f *Front) up(w http.ResponseWriter) {
+	if !f.exchange.Ready() || f.ending.Load() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	io.WriteString(w, "ready\n")
+}
+
+// badRequest is a client's mistake: a plain answer that is no refusal.
+type badRequest struct {
+	status int
+	text   string
+}
+
+func (e *badRequest) Error() string { return e.text }
+
+func malformed(format string, args ...any) error {
+	return &badRequest{http.StatusBadRequest, fmt.Sprintf(format, args...)}
+}
+
+// turnAway answers a bad request and ends its connection: what follows on it may be anything.
+func turnAway(w http.ResponseWriter, err error) {
+	status := http.StatusBadRequest
+	var bad *badRequest
+	if errors.As(err, &bad) {
+		status = bad.status
+	}
+	w.Header().Set("Connection", "close")
+	http.Error(w, err.Error(), status)
+}
+
+func (f *Front) api(w http.ResponseWriter, r *http.Request, cl *client) {
+	if ok, holdOff := f.cfg.Door.Admit(); !ok {
+		write(w, core.Refusal(holdOff.Truncate(time.Millisecond)))
+		return
+	}
+	c, err := f.parse(w, r)
+	behind := cl.behind()
+	if err == nil && behind == socket.Waiting {
+		err = malformed("more than the request that was announced")
+	}
+	if err != nil {
+		turnAway(w, err)
+		return
+	}
+	if behind == socket.Closed {
+		// The client has gone before anything was done for it, as all have that a stopped sidecar finds when it goes on.
+		w.Header().Set("Connection", "close")
+		write(w, core.Refusal(0))
+		return
+	}
+	f.exchange.Arrive(&c.Call)
+	select {
+	case a := <-c.answers:
+		// Decided when the answer is there, not when the request came: many wait when the end comes.
+		if a.Reason == core.NameInUse || f.ending.Load() || cl.framing.blind || cl.behind() != socket.Silent || cl.owner.crowded() {
+			w.Header().Set("Connection", "close")
+		}
+		write(w, a)
+	case <-r.Context().Done():
+		// The client is gone, as far as can be told. One that has only ended its sending is owed an answer all the same.
+		f.exchange.Leave(&c.Call)
+		select {
+		case a := <-c.answers:
+			w.Header().Set("Connection", "close")
+			write(w, a)
+		case <-f.exchange.Done():
+			panic(http.ErrAbortHandler)
+		}
+	case <-f.exchange.Done():
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// failures are the statuses of what has failed.
+var failures = map[core.Reason]int{
+	core.ByServers: http.StatusBadGateway, core.ClientLeft: http.StatusBadGateway,
+	core.OutOfTime: http.StatusGatewayTimeout, core.NameInUse: http.StatusConflict,
+}
+
+// statusOf words an answer; only 503 says that trying again is harmless.
+func statusOf(a *core.Answer) int {
+	switch {
+	case a.Kind == core.Refused:
+		return http.StatusServiceUnavailable
+	case a.Kind == core.Failed:
+		return failures[a.Reason]
+	case a.Declined:
+		return http.StatusUnprocessableEntity
+	}
+	return http.StatusOK
+}
+
+// write writes an answer, in which nobody else writes by now.
+func write(w http.ResponseWriter, a *core.Answer) {
+	h, body := w.Header(), a.Body
+	if a.Kind == core.Served {
+		for name, values := range a.Meta {
+			h[name] = values
+		}
+		if a.Meta == nil && a.ContentType != "" {
+			h.Set("Content-Type", a.ContentType)
+		}
+	} else {
+		h.Set("Content-Type", "text/plain; charset=utf-8")
+		body = []byte(a.Text + "\n")
+		if a.HoldOff > 0 {
+			h.Set("Retry-After", strconv.FormatFloat(a.HoldOff.Seconds(), 'f', 3, 64))
+		}
+	}
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(statusOf(a))
+	w.Write(body)
+}
+
+// parse checks a request and turns it into a call.
+func (f *Front) parse(w http.ResponseWriter, r *http.Request) (*call, error) {
+	c := &call{answers: make(chan *core.Answer, 1)}
+	c.Received, c.Name, c.Client = time.Now(), r.Header.Get("X-Trace-Id"), c
+	for _, name := range once {
+		if len(r.Header[name]) > 1 {
+			return nil, malformed("%s more than once", name)
+		}
+	}
+	class, ok := f.cfg.Catalog.Class(r.Header.Get("X-Qos"))
+	if !ok {
+		return nil, malformed("unknown class %q in X-Qos", r.Header.Get("X-Qos"))
+	}
+	tenant, ok := f.cfg.Catalog.Tenant(r.Header.Get("X-Customer"))
+	if !ok {
+		return nil, malformed("unknown tenant %q in X-Customer", r.Header.Get("X-Customer"))
+	}
+	rules := &f.cfg.Catalog.Classes[class]
+	if err := f.checkForm(r, rules.Effect); err != nil {
+		return nil, err
+	}
+	left, err := parseExpiry(r.Header.Get(httpwire.ExpiryHeader), rules.Deadline)
+	if err != nil {
+		return nil, err
+	}
+	if r.ContentLength > httpwire.MaxBody {
+		return nil, errLongBody
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, httpwire.MaxBody))
+	if err != nil {
+		var long *http.MaxBytesError
+		if errors.As(err, &long) {
+			return nil, errLongBody
+		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return nil, &badRequest{http.StatusRequestTimeout, "the body does not come"}
+		}
+		return nil, malformed("body: %v", err)
+	}
+	if r.Method == http.MethodGet && len(body) > 0 {
+		return nil, malformed("a body where none belongs")
+	}
+	hint, _ := strconv.ParseFloat(r.Header.Get("X-Size-Hint"), 64)
+	if !(hint > 0) || math.IsInf(hint, 0) {
+		hint = 0
+	}
+	h := r.Header
+	c.Ask = balance.Request{
+		Class: class, Tenant: tenant, WorkHint: hint / 1000, Key: core.Key(h.Get("X-Object")),
+		Remaining: left, Repeat: h.Get("X-Second-Try") == "1",
+	}
+	httpwire.DropHop(h)
+	c.Message = core.Message{
+		Trace: c.Name, Class: h.Get("X-Qos"), Tenant: h.Get("X-Customer"), Object: h.Get("X-Object"),
+		IdempotencyKey: h.Get("Idempotency-Key"), Safe: rules.Effect == balance.Safe,
+		Target: r.RequestURI, Authority: r.Host, Meta: h, ContentType: h.Get("Content-Type"), Body: body,
+	}
+	if f.cfg.Method != nil {
+		c.Message.Method = f.cfg.Method(r.URL.Path)
+	}
+	return c, nil
+}
+
+// once lists the headers that say what a request is; of two values of one of them neither can be trusted.
+var once = []string{
+	"X-Trace-Id", "X-Qos", "X-Customer", "X-Object", "X-Expires-In", "X-Second-Try", "X-Size-Hint", "Idempotency-Key",
+}
+
+var errLongBody = &badRequest{http.StatusRequestEntityTooLarge, "body too long"}
+
+// checkForm: the method follows from the class, and what the servers need must be there.
+func (f *Front) checkForm(r *http.Request, effect balance.Effect) error {
+	method := http.MethodPost
+	if effect == balance.Safe && !(f.cfg.Method != nil && r.Header.Get("Content-Type") == core.MessagePack) {
+		method = http.MethodGet
+	}
+	if r.Method != method {
+		return &badRequest{http.StatusMethodNotAllowed, "this class wants " + method}
+	}
+	if !core.IsToken(r.Header.Get("X-Trace-Id")) {
+		return malformed("no X-Trace-Id, or one that is no token")
+	}
+	if effect == balance.Keyed && !core.IsToken(r.Header.Get("Idempotency-Key")) {
+		return malformed("no Idempotency-Key, which this class wants, or one that is no token")
+	}
+	return nil
+}
+
+// parseExpiry reads «480m» (milliseconds) or «480000u» (microseconds); at most is what the class allows, and
+// holds where the client does not say.
+func parseExpiry(text string, most float64) (float64, error) {
+	if text == "" {
+		return most, nil
+	}
+	number, unit := text[:len(text)-1], text[len(text)-1:]
+	v, err := strconv.ParseFloat(number, 64)
+	if err != nil || strings.Trim(number, "0123456789.") != "" { // no sign, exponent, infinity or NaN
+		return 0, malformed("%s %q is no time", httpwire.ExpiryHeader, text)
+	}
+	switch unit {
+	case "m":
+	case "u":
+		v /= 1000
+	default:
+		return 0, malformed("%s %q has no unit m or u", httpwire.ExpiryHeader, text)
+	}
+	return min(v, most), nil
+}
--- /dev/null
+++ b/internal/front/msgpackrpc/answer.go
@@ -0,0 +1,53 @@
+package msgpackrpc
+
+import (
+	"time"
+	"unicode/utf8"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"cedararch/internal/core"
+	codec "cedararch/msgpackrpc"
+)
+
+// resultLimits bound a server's result that came over another protocol.
+var resultLimits = codec.Limits{Frame: 64 << 10}
+
+// appendAnswer appends the response that a final answer makes. A result in MessagePack goes on as it is; any other is a
+// string, or bin where it is no UTF-8.
+func appendAnswer(dst []byte, id uint32, a *core.Answer) []byte {
+	switch {
+	case a.Kind == core.Refused:
+		return appendError(dst, id, "refused", a.Text, a.HoldOff)
+	case a.Kind == core.Failed && a.Reason == core.NameInUse:
+		return appendError(dst, id, "bad_request", a.Text, 0)
+	case a.Kind == core.Failed:
+		return appendError(dst, id, "failed", a.Text, 0)
+	case a.ContentType != core.MessagePack:
+		if utf8.Valid(a.Body) {
+			return codec.AppendResponse(dst, id, nil, msgp.AppendStringFromBytes(nil, a.Body))
+		}
+		return codec.AppendResponse(dst, id, nil, msgp.AppendBytes(nil, a.Body))
+	case a.Meta != nil && codec.CheckValue(a.Body, resultLimits) != nil:
+		return appendError(dst, id, "failed", "the server's answer is no MessagePack, as it says", 0)
+	case a.Declined:
+		return codec.AppendResponse(dst, id, a.Body, nil)
+	}
+	return codec.AppendResponse(dst, id, nil, a.Body)
+}
+
+// appendError appends a response with an error of the sidecar's own; only the code «refused» says that trying again is
+// harmless.
+func appendError(dst []byte, id uint32, code, text string, holdOff time.Duration) []byte {
+	fields := uint32(2)
+	if holdOff > 0 {
+		fields++
+	}
+	e := msgp.AppendMapHeader(make([]byte, 0, 64+len(text)), fields)
+	e = msgp.AppendString(msgp.AppendString(e, "code"), code)
+	e = msgp.AppendString(msgp.AppendString(e, "message"), text)
+	if holdOff > 0 {
+		e = msgp.AppendInt64(msgp.AppendString(e, "retry_after_ms"), max(1, holdOff.Milliseconds()))
+	}
+	return codec.AppendResponse(dst, id, e, nil)
+}
--- /dev/null
+++ b/internal/front/msgpackrpc/conn.go
@@ -0,0 +1,333 @@
+package msgpackrpc
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cedararch/internal/core"
+	codec "cedararch/msgpackrpc"
+)
+
+// conn is a client's connection. One goroutine reads it; one writes, and is there only while there is something to write.
+type conn struct {
+	front     *Front
+	nc        net.Conn
+	idleSince atomic.Int64 // Unix nanoseconds; 0 while a request is open
+
+	mu      sync.Mutex
+	open    map[uint32]*call // by the client's id: taken and not answered
+	unheard int              // notifications that are open
+	out     []byte           // answers that wait to be written
+	spare   []byte
+	writing bool
+	last    bool          // the client sends nothing more, or is not listened to: all ends with the last answer
+	unread  bool          // nobody reads any more
+	dead    bool          // nothing can be written any more
+	done    chan struct{} // closed when nothing is owed any more after unread
+}
+
+// call is a core.Call with the way back to its connection.
+type call struct {
+	core.Call
+	conn   *conn
+	id     uint32
+	silent bool // a notification
+	again  int  // further requests of the id that came while this one was open
+}
+
+// Answer implements core.Client.
+func (c *call) Answer(_ *core.Call, a *core.Answer) { c.conn.answer(c, a) }
+
+func newConn(f *Front, nc net.Conn) *conn {
+	c := &conn{front: f, nc: nc, open: map[uint32]*call{}, done: make(chan struct{})}
+	c.idleSince.Store(time.Now().UnixNano())
+	return c
+}
+
+// patientReader gives a frame that has begun a time to be whole, and none to a connection between two frames.
+type patientReader struct {
+	c     *conn
+	r     *codec.Reader
+	began bool
+}
+
+func (p *patientReader) Read(b []byte) (int, error) {
+	partial := p.r.Buffered() > 0
+	if partial != p.began {
+		p.began = partial
+		deadline := time.Time{}
+		if partial {
+			deadline = time.Now().Add(frameTimeout)
+		}
+		p.c.nc.SetReadDeadline(deadline)
+	}
+	return p.c.nc.Read(b)
+}
+
+// serve reads requests until the client sends no more.
+func (c *conn) serve() {
+	defer c.front.remove(c)
+	p := &patientReader{c: c}
+	p.r = codec.NewReader(p, c.front.cfg.Limits)
+	var err error
+	for err == nil {
+		var f codec.Frame
+		if f, err = p.r.Next(); err == nil {
+			err = c.take(&f)
+		}
+	}
+	c.readEnded(err)
+}
+
+// readEnded ends the connection where its client is gone or out of step. One that has only ended its sending is owed its
+// answers.
+func (c *conn) readEnded(err error) {
+	if err == io.EOF {
+		c.mu.Lock()
+		c.last, c.unread = true, true
+		over := c.over() || c.dead
+		c.mu.Unlock()
+		if !over {
+			<-c.done
+		}
+		c.nc.Close()
+		return
+	}
+	c.mu.Lock()
+	expected := c.last // lingering is over
+	c.mu.Unlock()
+	var network net.Error
+	if !expected && (!errors.As(err, &network) || network.Timeout()) {
+		c.front.note("a client's connection is closed", c.nc, err)
+	}
+	c.drop()
+}
+
+// drop ends the connection and gives up what is open on it.
+func (c *conn) drop() {
+	c.mu.Lock()
+	if !c.dead {
+		c.dead, c.last = true, true
+		close(c.done)
+	}
+	left := make([]*call, 0, len(c.open))
+	for _, open := range c.open {
+		left = append(left, open)
+	}
+	clear(c.open)
+	c.mu.Unlock()
+	c.nc.Close()
+	for _, open := range left {
+		c.front.exchange.Leave(&open.Call)
+	}
+}
+
+// over reports whether all is done that the connection is there for. The caller holds mu.
+func (c *conn) over() bool { return c.last && len(c.open) == 0 && !c.writing && len(c.out) == 0 }
+
+// finish lets what is open be answered, refuses what else comes, and closes then.
+func (c *conn) finish() {
+	c.mu.Lock()
+	c.last = true
+	over := c.over()
+	c.mu.Unlock()
+	if over {
+		c.closeGently()
+	}
+}
+
+// closeGently ends the sending and, when the client had time to read, the connection; what the client has sent
+// meanwhile is refused as long as that can be told.
+func (c *conn) closeGently() {
+	if tcp, ok := c.nc.(*net.TCPConn); ok {
+		tcp.CloseWrite()
+	}
+	c.nc.SetReadDeadline(time.Now().Add(lingering))
+}
+
+// take takes in a frame; an error ends the connection.
+func (c *conn) take(f *codec.Frame) error {
+	switch f.Kind {
+	case codec.Response:
+		return fmt.Errorf("%w: a response from a client", codec.ErrMalformed)
+	case codec.Notification:
+		c.notified(f)
+		return nil
+	}
+	received := time.Now()
+	c.mu.Lock()
+	first := c.open[f.ID]
+	if first != nil {
+		first.again++ // whatever was said at once would be taken for the answer to the first
+	}
+	full := len(c.open)+c.unheard >= c.front.cfg.Open
+	c.mu.Unlock()
+	if first != nil {
+		if first.again > c.front.cfg.Open {
+			return errors.New("an id that is open is used again and again")
+		}
+		return nil
+	}
+	if full || c.front.ending.Load() {
+		c.refuse(f.ID, 0)
+		return nil
+	}
+	if ok, holdOff := c.front.cfg.Door.Admit(); !ok {
+		c.refuse(f.ID, holdOff)
+		return nil
+	}
+	m := c.front.cfg.Methods.byName[string(f.Method)]
+	if m == nil {
+		c.reject(f.ID, "unknown_method", strconv.QuoteToASCII(string(f.Method)))
+		return nil
+	}
+	cl := &call{conn: c, id: f.ID}
+	if err := c.fill(cl, m, f, received); err != nil {
+		c.reject(f.ID, "bad_request", err.Error())
+		return nil
+	}
+	c.mu.Lock()
+	c.open[f.ID] = cl
+	c.idleSince.Store(0)
+	c.mu.Unlock()
+	c.front.exchange.Arrive(&cl.Call)
+	return nil
+}
+
+// notified takes in a notification, of which nobody hears what becomes: where it cannot be taken it is dropped, and
+// that is logged.
+func (c *conn) notified(f *codec.Frame) {
+	m := c.front.cfg.Methods.byName[string(f.Method)]
+	if m == nil || !m.Notify {
+		c.front.note("a notification is dropped", c.nc, fmt.Errorf("method %q takes none", f.Method))
+		return
+	}
+	if ok, _ := c.front.cfg.Door.Admit(); !ok || c.front.ending.Load() {
+		return
+	}
+	cl := &call{conn: c, silent: true}
+	if err := c.fill(cl, m, f, time.Now()); err != nil {
+		c.front.note("a notification is dropped", c.nc, err)
+		return
+	}
+	c.mu.Lock()
+	full := len(c.open)+c.unheard >= c.front.cfg.Open
+	if !full {
+		c.unheard++
+	}
+	c.mu.Unlock()
+	if !full {
+		c.front.exchange.Arrive(&cl.Call)
+	}
+}
+
+// fill makes a call of a frame, which is copied.
+func (c *conn) fill(cl *call, m *method, f *codec.Frame, received time.Time) error {
+	params := append([]byte(nil), f.Params...)
+	cl.Received, cl.Client = received, cl
+	if err := c.front.cfg.Methods.fill(&cl.Call, m, params); err != nil {
+		return err
+	}
+	if cl.Message.Trace == "" { // servers that go by an id need one; no client knows it, so that it is in nobody's way
+		cl.Message.Trace = c.front.prefix + strconv.FormatUint(c.front.made.Add(1), 16)
+	}
+	return nil
+}
+
+func (c *conn) refuse(id uint32, holdOff time.Duration) {
+	c.mu.Lock()
+	c.out = appendAnswer(c.out, id, core.Refusal(holdOff))
+	c.send()
+}
+
+func (c *conn) reject(id uint32, code, text string) {
+	c.mu.Lock()
+	c.out = appendError(c.out, id, code, text, 0)
+	c.send()
+}
+
+// answer writes the final answer of a call, from the exchange's goroutine.
+func (c *conn) answer(cl *call, a *core.Answer) {
+	c.mu.Lock()
+	if cl.silent {
+		c.unheard--
+		c.mu.Unlock()
+		return
+	}
+	if c.open[cl.id] != cl { // the connection is dead
+		c.mu.Unlock()
+		return
+	}
+	delete(c.open, cl.id)
+	if len(c.open) == 0 {
+		c.idleSince.Store(time.Now().UnixNano())
+	}
+	c.out = appendAnswer(c.out, cl.id, a)
+	for range cl.again {
+		c.out = appendError(c.out, cl.id, "bad_request", "a request of this id was open", 0)
+	}
+	c.send()
+}
+
+// send lets what waits be written, without waiting for that. Where too much waits for the client the connection ends. The
+// caller holds mu, which is released.
+func (c *conn) send() {
+	if c.dead {
+		c.out = nil
+		c.mu.Unlock()
+		return
+	}
+	start, full := !c.writing, len(c.out) > mostUnread
+	c.writing = true
+	c.mu.Unlock()
+	if full {
+		c.front.note("a client's connection is closed", c.nc, errors.New("it does not read its answers"))
+		c.nc.Close() // which ends the reader and the writer
+	}
+	if start {
+		c.front.tasks.Go(c.flush)
+	}
+}
+
+// flush writes until nothing waits.
+func (c *conn) flush() {
+	for {
+		c.mu.Lock()
+		b := c.out
+		if len(b) == 0 || c.dead {
+			c.writing = false
+			over, unread := c.over() && !c.dead, c.unread
+			c.mu.Unlock()
+			switch {
+			case over && unread:
+				c.drop()
+			case over:
+				c.closeGently()
+			}
+			return
+		}
+		c.out = c.spare[:0]
+		c.mu.Unlock()
+		c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
+		_, err := c.nc.Write(b)
+		if cap(b) > keptBuffer {
+			b = nil
+		}
+		c.mu.Lock()
+		c.spare = b
+		c.mu.Unlock()
+		if err != nil {
+			c.front.note("a client's connection is closed", c.nc, err)
+			c.drop()
+		}
+	}
+}
+
+// keptBuffer is what a connection keeps of its buffer for answers.
+const keptBuffer = 16 << 10
--- /dev/null
+++ b/internal/front/msgpackrpc/front_test.go
@@ -0,0 +1,535 @@
+package msgpackrpc
+
+import (
+	"bytes"
+	"io"
+	"log/slog"
+	"math"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/goleak"
+
+	"cedararch/balance"
+	"cedararch/internal/core"
+	"cedararch/internal/testbed"
+	codec "cedararch/msgpackrpc"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// exchange hands calls to the test, which answers them.
+type exchange struct {
+	arrived chan *core.Call
+	left    chan *core.Call
+}
+
+func (e *exchange) Arrive(c *core.Call) { e.arrived <- c }
+func (e *exchange) Leave(c *core.Call)  { e.left <- c }
+
+func testMethods(t *testing.T) *Methods {
+	t.Helper()
+	rules := []balance.Class{{Effect: balance.Safe, Deadline: 2000}, {Effect: balance.Keyed, Deadline: 900}, {Effect: balance.Unsafe, Deadline: 900}}
+	catalog, err := core.NewCatalog(rules, []string{"lookup", "reserve", "pay"}, []string{"north", "south"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ms, err := NewMethods([]Method{
+		{Name: "plate.lookup", Class: "lookup", Tenant: "north", Path: "/api/lookup", Notify: true},
+		{
+			Name: "plate.reserve", Class: "reserve", TenantParam: Under("tenant"), Key: Under("plate"), Idempotency: Under("key"),
+			Deadline: Under("ms"), Trace: Under("trace"), Repeat: Under("again"),
+		},
+		{Name: "plate.pay", Class: "pay", TenantParam: At(1), Key: At(0), Deadline: At(2)},
+	}, catalog)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ms
+}
+
+type bench struct {
+	t     *testing.T
+	front *Front
+	addr  string
+	calls *exchange
+	log   *testbed.Log
+}
+
+func start(t *testing.T, change func(*Config)) *bench {
+	t.Helper()
+	b := &bench{t: t, calls: &exchange{make(chan *core.Call, 5000), make(chan *core.Call, 5000)}, log: &testbed.Log{}}
+	cfg := Config{
+		Methods: testMethods(t), Open: 1000, Connections: 10, Evict: func() bool { return false },
+		Log: slog.New(slog.NewTextHandler(b.log, nil)),
+	}
+	if change != nil {
+		change(&cfg)
+	}
+	b.front = New(cfg, b.calls)
+	ln := testbed.Listen(t)
+	b.addr = ln.Addr().String()
+	b.front.Serve(ln)
+	t.Cleanup(b.front.Close)
+	return b
+}
+
+// client is a connection of the test's.
+type client struct {
+	*net.TCPConn
+	t  *testing.T
+	in *codec.Reader
+}
+
+func (b *bench) dial() *client {
+	b.t.Helper()
+	c, err := net.Dial("tcp", b.addr)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(testbed.Patience))
+	return &client{c.(*net.TCPConn), b.t, codec.NewReader(c, codec.Limits{Frame: 1 << 20})}
+}
+
+func pack(t testing.TB, v any) []byte {
+	t.Helper()
+	b, err := msgpack.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+func (c *client) send(frames ...[]byte) {
+	c.t.Helper()
+	if _, err := c.Write(bytes.Join(frames, nil)); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// response reads one: its id, the code of its error and its result.
+func (c *client) response() (id uint32, code string, result []byte) {
+	c.t.Helper()
+	f, err := c.in.Next()
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	if f.Failed() {
+		var e struct {
+			Code string `msgpack:"code"`
+		}
+		if err := msgpack.Unmarshal(f.Error, &e); err != nil {
+			c.t.Fatalf("error % x: %v", f.Error, err)
+		}
+		return f.ID, e.Code, nil
+	}
+	return f.ID, "", bytes.Clone(f.Result)
+}
+
+func (c *client) wantEnd(what string) {
+	c.t.Helper()
+	if f, err := c.in.Next(); err == nil {
+		c.t.Errorf("%s: got %+v in place of a close", what, f)
+	}
+}
+
+func lookup(id uint32) []byte { return codec.AppendRequest(nil, id, "plate.lookup", []byte{0x90}) }
+
+func serve(c *core.Call, body []byte) {
+	c.Client.Answer(c, &core.Answer{ContentType: core.MessagePack, Body: body})
+}
+
+// What a request says is read out of its params, and the params go on as they came, repeated keys and NaN among them.
+func TestReadsRequests(t *testing.T) {
+	b := start(t, nil)
+	c := b.dial()
+	params := pack(t, []any{map[string]any{
+		"tenant": "south", "plate": "あ 12-34", "key": "k-1", "ms": 300, "trace": "t-1", "again": true, "more": math.NaN(),
+	}})
+	c.send(codec.AppendRequest(nil, 7, "plate.reserve", params))
+	got := testbed.Next(t, b.calls.arrived)
+	m, ask := &got.Message, &got.Ask
+	if ask.Class != 1 || ask.Tenant != 1 || ask.Remaining != 300 || !ask.Repeat || ask.Key == 0 || got.Name != "t-1" {
+		t.Errorf("asked %+v as %q", ask, got.Name)
+	}
+	if m.IdempotencyKey != "k-1" || m.Trace != "t-1" || m.Class != "reserve" || m.Tenant != "south" || m.Safe || !bytes.Equal(m.Body, params) {
+		t.Errorf("message %+v", m)
+	}
+	positions := pack(t, []any{uint64(77), []byte("north"), 1e9, nil})
+	c.send(codec.AppendRequest(nil, math.MaxUint32, "plate.pay", positions))
+	second := testbed.Next(t, b.calls.arrived)
+	if second.Ask.Tenant != 0 || second.Message.Object != "77" || second.Ask.Remaining != 900 || second.Message.Trace == "" || second.Name != "" {
+		t.Errorf("by position: %+v", second)
+	}
+	serve(second, []byte{0xc3}) // out of order
+	serve(got, []byte{0x82, 0xa1, 'k', 1, 0xa1, 'k', 2})
+	if id, code, result := c.response(); id != math.MaxUint32 || code != "" || !bytes.Equal(result, []byte{0xc3}) {
+		t.Errorf("first response: %d %q % x", id, code, result)
+	}
+	if id, _, result := c.response(); id != 7 || len(result) != 7 {
+		t.Errorf("second response: %d % x", id, result)
+	}
+}
+
+// What is wrong with a request is told at once, and its connection goes on.
+func TestBadRequestsAreAnswered(t *testing.T) {
+	b := start(t, nil)
+	c := b.dial()
+	full := func(change map[string]any) []byte {
+		m := map[string]any{"tenant": "south", "plate": "7", "key": "k-1"}
+		for k, v := range change {
+			m[k] = v
+			if v == nil {
+				delete(m, k)
+			}
+		}
+		return pack(t, []any{m})
+	}
+	twice := append(bytes.TrimSuffix(pack(t, []any{map[string]any{"key": "a", "tenant": "south"}}), nil), 0)
+	twice = append([]byte{0x91, 0x83}, append(twice[2:len(twice)-1], 0xa3, 'k', 'e', 'y', 0xa1, 'b')...)
+	for name, frame := range map[string][]byte{
+		"unknown_method":            codec.AppendRequest(nil, 1, "plate.sell", []byte{0x90}),
+		"no tenant":                 codec.AppendRequest(nil, 1, "plate.reserve", full(map[string]any{"tenant": nil})),
+		"tenant of the wrong type":  codec.AppendRequest(nil, 1, "plate.reserve", full(map[string]any{"tenant": []int{1}})),
+		"no such tenant":            codec.AppendRequest(nil, 1, "plate.reserve", full(map[string]any{"tenant": "west"})),
+		"no key":                    codec.AppendRequest(nil, 1, "plate.reserve", full(map[string]any{"key": nil})),
+		"a key with a space":        codec.AppendRequest(nil, 1, "plate.reserve", full(map[string]any{"key": "a b"})),
+		"a key that is there twice": codec.AppendRequest(nil, 1, "plate.reserve", twice),
+		"a deadline that is text":   codec.AppendRequest(nil, 1, "plate.reserve", full(map[string]any{"ms": "soon"})),
+		"a deadline below 0":        codec.AppendRequest(nil, 1, "plate.reserve", full(map[string]any{"ms": -1})),
+		"a deadline that is NaN":    codec.AppendRequest(nil, 1, "plate.reserve", full(map[string]any{"ms": math.NaN()})),
+		"an id with a space":        codec.AppendRequest(nil, 1, "plate.reserve", full(map[string]any{"trace": "a b"})),
+		"too few params":            codec.AppendRequest(nil, 1, "plate.pay", []byte{0x91, 0x01}),
+	} {
+		c.send(frame)
+		want := "bad_request"
+		if name == "unknown_method" {
+			want = name
+		}
+		if id, code, _ := c.response(); id != 1 || code != want {
+			t.Errorf("%s: %d %q", name, id, code)
+		}
+	}
+	if len(b.calls.arrived) > 0 {
+		t.Errorf("%d reached the exchange", len(b.calls.arrived))
+	}
+}
+
+// An id that is open is used again: the first gets its own answer, first, and the second is told of its mistake.
+func TestIdOfAnOpenRequest(t *testing.T) {
+	b := start(t, nil)
+	c := b.dial()
+	c.send(lookup(5), lookup(5), codec.AppendRequest(nil, 5, "plate.sell", []byte{0x90}), lookup(6))
+	first, other := testbed.Next(t, b.calls.arrived), testbed.Next(t, b.calls.arrived)
+	serve(first, []byte{1})
+	serve(other, []byte{2})
+	for i, want := range []struct {
+		id   uint32
+		code string
+	}{{5, ""}, {5, "bad_request"}, {5, "bad_request"}, {6, ""}} {
+		if id, code, _ := c.response(); id != want.id || code != want.code {
+			t.Errorf("response %d: id %d, %q", i, id, code)
+		}
+	}
+	c.send(lookup(5)) // it is over: the id says no more
+	serve(testbed.Next(t, b.calls.arrived), []byte{3})
+	if id, code, _ := c.response(); id != 5 || code != "" {
+		t.Errorf("after that: id %d, %q", id, code)
+	}
+}
+
+// Requests come in any pieces.
+func TestPieces(t *testing.T) {
+	b := start(t, nil)
+	c := b.dial()
+	c.SetNoDelay(true)
+	for _, one := range lookup(1) {
+		c.send([]byte{one})
+	}
+	c.send(lookup(2), lookup(3))
+	for range 3 {
+		serve(testbed.Next(t, b.calls.arrived), []byte{0xc0})
+	}
+	for want := uint32(1); want <= 3; want++ {
+		if id, code, _ := c.response(); id != want || code != "" {
+			t.Errorf("response %d is of %d: %q", want, id, code)
+		}
+	}
+}
+
+// What is no frame ends its connection, and the log says why; a peer of another protocol is named.
+func TestNoFrames(t *testing.T) {
+	for name, c := range map[string]struct{ text, log string }{
+		"HTTP":         {"GET /api HTTP/1.1\r\nHost: x\r\n\r\n", "speaks HTTP"},
+		"4 GiB":        {"\x94\x00\x01\xdb\xff\xff\xff\xff", "beyond its limit"},
+		"nested":       {strings.Repeat("\x91", 100000), "array of 1"},
+		"deep params":  {"\x94\x00\x01\xa1a" + strings.Repeat("\x91", 100000), "nested beyond"},
+		"id of 2^32":   {"\x94\x00\xcf\x00\x00\x00\x01\x00\x00\x00\x00\xa1m\x90", "32 bits"},
+		"a response":   {"\x94\x01\x01\xc0\xc0", "response from a client"},
+		"code 0xc1":    {"\x94\x00\x01\xa1a\x91\xc1", "never used"},
+		"half and end": {"\x94\x00\x01\xa5ab", "unexpected EOF"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := start(t, nil)
+			cl := b.dial()
+			io.WriteString(cl, c.text)
+			cl.CloseWrite()
+			cl.wantEnd(name)
+			testbed.Until(t, "the log says why", func() bool { return b.log.Has(c.log) })
+		})
+	}
+}
+
+// Who ends its sending is owed what is open, and then the connection ends.
+func TestHalfClose(t *testing.T) {
+	b := start(t, nil)
+	c := b.dial()
+	c.send(lookup(1), lookup(2))
+	c.CloseWrite()
+	one, two := testbed.Next(t, b.calls.arrived), testbed.Next(t, b.calls.arrived)
+	serve(two, []byte{2})
+	serve(one, []byte{1})
+	for _, want := range []uint32{2, 1} {
+		if id, code, _ := c.response(); id != want || code != "" {
+			t.Errorf("id %d, %q: want %d", id, code, want)
+		}
+	}
+	c.wantEnd("after the last answer")
+}
+
+// A client that is gone is given up, each of its requests once.
+func TestGoneClient(t *testing.T) {
+	b := start(t, nil)
+	c := b.dial()
+	c.send(lookup(1), lookup(2), lookup(3))
+	for range 3 {
+		testbed.Next(t, b.calls.arrived)
+	}
+	c.SetLinger(0)
+	c.Close()
+	seen := map[*core.Call]bool{}
+	for range 3 {
+		left := testbed.Next(t, b.calls.left)
+		seen[left] = true
+		serve(left, []byte{1}) // as the exchange does: it goes nowhere
+	}
+	if len(seen) != 3 {
+		t.Errorf("%d were given up", len(seen))
+	}
+}
+
+// Requests beyond the bound are refused at once, and say that trying again is harmless.
+func TestOpenBound(t *testing.T) {
+	b := start(t, func(c *Config) { c.Open = 2 })
+	c := b.dial()
+	c.send(lookup(1), lookup(2), lookup(3))
+	if id, code, _ := c.response(); id != 3 || code != "refused" {
+		t.Errorf("id %d, %q", id, code)
+	}
+	for range 2 {
+		serve(testbed.Next(t, b.calls.arrived), []byte{1})
+	}
+}
+
+// A client that sends and never reads loses its connection when too much waits for it; its memory is bounded until then.
+func TestClientThatNeverReads(t *testing.T) {
+	b := start(t, nil)
+	c := b.dial()
+	c.SetReadBuffer(4096)
+	body := pack(t, strings.Repeat("x", 60<<10))
+	ended := false
+	for id := uint32(0); id < 2000 && !ended; id++ {
+		if _, err := c.Write(lookup(id)); err != nil {
+			break
+		}
+		select {
+		case call := <-b.calls.arrived:
+			serve(call, body)
+		case <-time.After(testbed.Patience):
+			t.Fatal("nothing came")
+		case <-b.calls.left:
+			ended = true
+		}
+		ended = ended || b.log.Has("does not read")
+	}
+	testbed.Until(t, "the log says why", func() bool { return b.log.Has("does not read") || b.log.Has("closed") })
+}
+
+// A frame that does not come to its end holds its connection for no longer than a time.
+func TestStalledFrame(t *testing.T) {
+	t.Parallel()
+	b := start(t, nil)
+	idle, stalled := b.dial(), b.dial()
+	begun := time.Now()
+	stalled.send(lookup(1)[:3])
+	stalled.wantEnd("stalled")
+	if took := time.Since(begun); took < frameTimeout/2 || took > testbed.Patience/2 {
+		t.Errorf("ended after %v", took)
+	}
+	idle.send(lookup(1)) // which may be silent for as long as it likes
+	serve(testbed.Next(t, b.calls.arrived), []byte{1})
+	if id, _, _ := idle.response(); id != 1 {
+		t.Errorf("id %d", id)
+	}
+}
+
+// Where all places are taken the connection goes that has been idle for longest; one with a request open stays.
+func TestConnectionBound(t *testing.T) {
+	b := start(t, func(c *Config) { c.Connections = 2 })
+	busy, idle := b.dial(), b.dial()
+	busy.send(lookup(1))
+	open := testbed.Next(t, b.calls.arrived)
+	idle.send(lookup(2))
+	serve(testbed.Next(t, b.calls.arrived), []byte{2})
+	idle.response()
+	third := b.dial()
+	idle.wantEnd("the idle one")
+	third.send(lookup(3))
+	third.t = t
+	serve(testbed.Next(t, b.calls.arrived), []byte{3})
+	third.response()
+	serve(open, []byte{1})
+	if id, code, _ := busy.response(); id != 1 || code != "" {
+		t.Errorf("the busy one: %d %q", id, code)
+	}
+}
+
+// At the end what is taken is answered, what comes later is refused, and then the connection closes.
+func TestEnd(t *testing.T) {
+	b := start(t, nil)
+	c, idle := b.dial(), b.dial()
+	c.send(lookup(1))
+	open := testbed.Next(t, b.calls.arrived)
+	ended := make(chan error, 1)
+	go func() { ended <- b.front.End(testbed.Patience) }()
+	idle.wantEnd("an idle connection")
+	c.send(lookup(2))
+	if id, code, _ := c.response(); id != 2 || code != "refused" {
+		t.Errorf("a late one: %d %q", id, code)
+	}
+	serve(open, []byte{1})
+	if id, code, _ := c.response(); id != 1 || code != "" {
+		t.Errorf("the open one: %d %q", id, code)
+	}
+	c.wantEnd("after the last answer")
+	if err := testbed.Next(t, ended); err != nil {
+		t.Error(err)
+	}
+}
+
+// A notification is taken where its method says so, and nobody is answered.
+func TestNotifications(t *testing.T) {
+	b := start(t, nil)
+	c := b.dial()
+	c.send(codec.AppendNotification(nil, "plate.pay", pack(t, []any{1, "north"})), codec.AppendNotification(nil, "plate.lookup", []byte{0x90}), lookup(9))
+	told := testbed.Next(t, b.calls.arrived)
+	if told.Message.Method != "plate.lookup" {
+		t.Errorf("took %s", told.Message.Method)
+	}
+	serve(told, []byte{1})
+	serve(testbed.Next(t, b.calls.arrived), []byte{1})
+	if id, _, _ := c.response(); id != 9 {
+		t.Errorf("answered %d", id)
+	}
+	testbed.Until(t, "the log says why", func() bool { return b.log.Has("plate.pay") })
+}
+
+// Answers of every kind have their form on the wire; a server's broken MessagePack never reaches the client's stream.
+func TestAnswers(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer core.Answer
+		want   any // error and result
+	}{
+		"refused":       {core.Answer{Kind: core.Refused, Text: "x", HoldOff: 1500 * time.Microsecond}, []any{map[string]any{"code": "refused", "message": "x", "retry_after_ms": int64(1)}, nil}},
+		"failed":        {core.Answer{Kind: core.Failed, Reason: core.OutOfTime, Text: "x"}, []any{map[string]any{"code": "failed", "message": "x"}, nil}},
+		"name in use":   {core.Answer{Kind: core.Failed, Reason: core.NameInUse, Text: "x"}, []any{map[string]any{"code": "bad_request", "message": "x"}, nil}},
+		"text":          {core.Answer{Meta: map[string][]string{}, Body: []byte("plate 7")}, []any{nil, "plate 7"}},
+		"bytes":         {core.Answer{Meta: map[string][]string{}, Body: []byte{0xff, 1}}, []any{nil, "\xff\x01"}},
+		"of HTTP":       {core.Answer{Meta: map[string][]string{}, ContentType: core.MessagePack, Body: []byte{0x91, 1}}, []any{nil, []any{int64(1)}}},
+		"of HTTP, cut":  {core.Answer{Meta: map[string][]string{}, ContentType: core.MessagePack, Body: []byte{0x92, 1}}, []any{map[string]any{"code": "failed", "message": "the server's answer is no MessagePack, as it says"}, nil}},
+		"own error":     {core.Answer{Declined: true, ContentType: core.MessagePack, Body: pack(t, "none")}, []any{"none", nil}},
+		"an empty body": {core.Answer{Meta: map[string][]string{}}, []any{nil, ""}},
+	} {
+		var got []any
+		d := msgpack.NewDecoder(bytes.NewReader(appendAnswer(nil, 7, &c.answer)))
+		d.UseLooseInterfaceDecoding(true)
+		if err := d.Decode(&got); err != nil || len(got) != 4 {
+			t.Fatalf("%s: %v %v", name, got, err)
+		}
+		if want := pack(t, c.want); !bytes.Equal(pack(t, got[2:]), want) && !equalMaps(got[2:], c.want.([]any)) {
+			t.Errorf("%s: %v, want %v", name, got[2:], c.want)
+		}
+	}
+}
+
+// What is no UTF-8 is no string on the wire.
+func TestBytesAreNoString(t *testing.T) {
+	got := appendAnswer(nil, 7, &core.Answer{Meta: map[string][]string{}, Body: []byte{0xff, 1}})
+	if !bytes.HasSuffix(got, []byte{0xc0, 0xc4, 2, 0xff, 1}) {
+		t.Errorf("% x", got)
+	}
+}
+
+// equalMaps compares an error that is a map; the library writes its keys in any order.
+func equalMaps(got, want []any) bool {
+	g, ok := got[0].(map[string]any)
+	w, ok2 := want[0].(map[string]any)
+	if !ok || !ok2 || len(g) != len(w) {
+		return false
+	}
+	for k := range w {
+		if g[k] != w[k] {
+			return false
+		}
+	}
+	return true
+}
+
+// A table that the settings do not bear out is refused at load, with the method and the key.
+func TestBadMethods(t *testing.T) {
+	catalog, _ := core.NewCatalog([]balance.Class{{Effect: balance.Safe}, {Effect: balance.Keyed}}, []string{"lookup", "reserve"}, []string{"north"})
+	ok := Method{Name: "a", Class: "lookup", Tenant: "north", Path: "/a"}
+	for want, change := range map[string]func(*Method){
+		"name: it is there twice":   func(m *Method) { m.Path = "" },
+		"path: method \"a\" has it": func(m *Method) { m.Name = "b" },
+		"class: ":                   func(m *Method) { m.Name, m.Class = "b", "none" },
+		"tenant: ":                  func(m *Method) { m.Name, m.Tenant = "b", "none" },
+		"tenant_param: ":            func(m *Method) { m.Name, m.TenantParam = "b", At(0) },
+		"notify: ":                  func(m *Method) { m.Name, m.Class, m.Notify, m.Idempotency = "b", "reserve", true, At(0) },
+		"idempotency_param: ":       func(m *Method) { m.Name, m.Class = "b", "reserve" },
+		"path: \"b\" does not":      func(m *Method) { m.Name, m.Path = "b", "b" },
+	} {
+		m := ok
+		change(&m)
+		if _, err := NewMethods([]Method{ok, m}, catalog); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v", want, err)
+		}
+	}
+}
+
+// Whatever a client sends: no panic, and each request that was taken is answered under its id or the connection ends.
+func FuzzParams(f *testing.F) {
+	f.Add([]byte{0x91, 0x80}, int64(0), "k")
+	f.Add([]byte{0x91, 0x82, 0xa1, 'k', 1, 0xa1, 'k', 2}, int64(-1), "k")
+	f.Add([]byte{0xdd, 0, 0, 0, 2, 0xc0, 0xd6, 0xff, 1, 2, 3, 4}, int64(1), "")
+	f.Fuzz(func(t *testing.T, params []byte, pos int64, key string) {
+		if codec.CheckParams(params, codec.Limits{}) != nil {
+			return
+		}
+		p := Under(key)
+		if pos >= 0 {
+			p = At(int(min(pos, 70000)))
+		}
+		if b, err := p.find(params); err == nil && len(b) == 0 {
+			t.Error("found nothing without an error")
+		}
+		p.text(params)
+		if v, err := p.number(params); err != nil && v != 0 {
+			t.Errorf("%v with %v", v, err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/front/msgpackrpc/methods.go
@@ -0,0 +1,290 @@
+package msgpackrpc
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"cedararch/balance"
+	"cedararch/internal/core"
+)
+
+// Param says where in a request's params something stands: at a position, or under a key of the map that is the first
+// param. The zero value means nowhere.
+type Param struct {
+	set bool
+	pos int
+	key string
+}
+
+// At is the param at a position, from 0, and Under the one of a key.
+func At(pos int) Param       { return Param{set: true, pos: pos} }
+func Under(key string) Param { return Param{set: true, pos: -1, key: key} }
+
+// Method is how requests of one method are taken.
+type Method struct {
+	Name        string
+	Class       string
+	Tenant      string // fixed; else that of TenantParam
+	TenantParam Param
+	Key         Param // what the request is about
+	Idempotency Param
+	Deadline    Param  // milliseconds that the client waits
+	Trace       Param  // the request's id, for servers that go by one; without it the front makes one
+	Repeat      Param  // true or above 0 with a client's later try
+	Path        string // of HTTP servers; empty: /api/ and the name
+	Notify      bool   // may come as a notification
+}
+
+// Methods are the methods that a front takes, checked against the deployment. They are never changed.
+type Methods struct {
+	catalog *core.Catalog
+	byName  map[string]*method
+	byPath  map[string]string
+}
+
+type method struct {
+	Method
+	class  int
+	tenant int
+	rules  *balance.Class
+}
+
+// NewMethods checks a table of methods. An error names the method and the key at fault.
+func NewMethods(table []Method, catalog *core.Catalog) (*Methods, error) {
+	ms := &Methods{catalog: catalog, byName: make(map[string]*method, len(table)), byPath: map[string]string{}}
+	var all []error
+	for _, m := range table {
+		if err := ms.add(m); err != nil {
+			all = append(all, fmt.Errorf("method %q: %w", m.Name, err))
+		}
+	}
+	return ms, errors.Join(all...)
+}
+
+func (ms *Methods) add(m Method) error {
+	class, ok := ms.catalog.Class(m.Class)
+	switch {
+	case m.Name == "" || len(m.Name) > 256:
+		return errors.New("name: want 1 to 256 bytes")
+	case ms.byName[m.Name] != nil:
+		return errors.New("name: it is there twice")
+	case !ok:
+		return fmt.Errorf("class: the settings have no class %q", m.Class)
+	}
+	known := &method{Method: m, class: class, rules: &ms.catalog.Classes[class]}
+	switch {
+	case m.Notify && known.rules.Effect != balance.Safe:
+		return fmt.Errorf("notify: class %q is not safe to repeat, and nobody would hear what became of it", m.Class)
+	case known.rules.Effect == balance.Keyed && !m.Idempotency.set:
+		return fmt.Errorf("idempotency_param: class %q wants a key", m.Class)
+	case m.Tenant != "" && m.TenantParam.set:
+		return errors.New("tenant_param: there is a fixed tenant already")
+	}
+	if !m.TenantParam.set {
+		if known.tenant, ok = ms.catalog.Tenant(m.Tenant); !ok {
+			return fmt.Errorf("tenant: the settings have no tenant %q", m.Tenant)
+		}
+	}
+	if m.Path != "" {
+		if m.Path[0] != '/' {
+			return fmt.Errorf("path: %q does not begin with a slash", m.Path)
+		}
+		if other, ok := ms.byPath[m.Path]; ok {
+			return fmt.Errorf("path: method %q has it too", other)
+		}
+		ms.byPath[m.Path] = m.Name
+	}
+	ms.byName[m.Name] = known
+	return nil
+}
+
+// ByPath names the method of an HTTP path; where the table has none it is the path as it is.
+func (ms *Methods) ByPath(path string) string {
+	if name, ok := ms.byPath[path]; ok {
+		return name
+	}
+	return path
+}
+
+// A client's mistakes.
+var (
+	errMissing  = errors.New("it is missing")
+	errTwice    = errors.New("its key is there twice")
+	errWrong    = errors.New("it has the wrong type")
+	errNoTenant = errors.New("there is no such tenant")
+)
+
+// find returns the value of a param; params passed the codec's check, so that they are whole and not deep. Of a key that
+// stands there twice neither value can be trusted.
+func (p Param) find(params []byte) ([]byte, error) {
+	n, rest, err := msgp.ReadArrayHeaderBytes(params)
+	if err != nil {
+		return nil, errWrong
+	}
+	if p.pos >= 0 {
+		if uint32(p.pos) >= n {
+			return nil, errMissing
+		}
+		for range p.pos {
+			if rest, err = msgp.Skip(rest); err != nil {
+				return nil, errWrong
+			}
+		}
+		return rest, nil
+	}
+	if n == 0 || msgp.NextType(rest) != msgp.MapType {
+		return nil, errMissing
+	}
+	pairs, rest, err := msgp.ReadMapHeaderBytes(rest)
+	if err != nil {
+		return nil, errWrong
+	}
+	var found []byte
+	for range pairs {
+		if msgp.NextType(rest) == msgp.StrType {
+			key, value, err := msgp.ReadStringZC(rest)
+			if err != nil {
+				return nil, errWrong
+			}
+			if string(key) == p.key {
+				if found != nil {
+					return nil, errTwice
+				}
+				found = value
+			}
+			rest = value
+		} else if rest, err = msgp.Skip(rest); err != nil {
+			return nil, errWrong
+		}
+		if rest, err = msgp.Skip(rest); err != nil {
+			return nil, errWrong
+		}
+	}
+	if found == nil {
+		return nil, errMissing
+	}
+	return found, nil
+}
+
+// text reads a param that names something: a string, the bytes of one, or a whole number.
+func (p Param) text(params []byte) (string, error) {
+	if !p.set {
+		return "", errMissing
+	}
+	b, err := p.find(params)
+	if err != nil {
+		return "", err
+	}
+	switch msgp.NextType(b) {
+	case msgp.NilType:
+		return "", errMissing
+	case msgp.StrType:
+		v, _, err := msgp.ReadStringBytes(b)
+		return v, err
+	case msgp.BinType:
+		v, _, err := msgp.ReadBytesZC(b)
+		return string(v), err
+	case msgp.IntType:
+		v, _, err := msgp.ReadInt64Bytes(b)
+		return strconv.FormatInt(v, 10), err
+	case msgp.UintType:
+		v, _, err := msgp.ReadUint64Bytes(b)
+		return strconv.FormatUint(v, 10), err
+	}
+	return "", errWrong
+}
+
+// number reads a param that is a number.
+func (p Param) number(params []byte) (float64, error) {
+	if !p.set {
+		return 0, errMissing
+	}
+	b, err := p.find(params)
+	if err != nil {
+		return 0, err
+	}
+	switch msgp.NextType(b) {
+	case msgp.NilType:
+		return 0, errMissing
+	case msgp.IntType, msgp.UintType, msgp.Float32Type, msgp.Float64Type:
+		var n msgp.Number
+		if _, err := n.UnmarshalMsg(b); err != nil {
+			return 0, errWrong
+		}
+		v, ok := n.Float()
+		if !ok {
+			if u, isUint := n.Uint(); isUint {
+				v = float64(u)
+			} else if i, isInt := n.Int(); isInt {
+				v = float64(i)
+			}
+		}
+		return v, nil
+	case msgp.BoolType:
+		if v, _, err := msgp.ReadBoolBytes(b); err == nil && v {
+			return 1, nil
+		}
+		return 0, nil
+	}
+	return 0, errWrong
+}
+
+// fill reads out of params what the exchange is to know of a request.
+func (ms *Methods) fill(c *core.Call, m *method, params []byte) error {
+	tenant, name := m.tenant, m.Tenant
+	if m.TenantParam.set {
+		var err error
+		if name, err = m.TenantParam.text(params); err != nil {
+			return fmt.Errorf("tenant: %w", err)
+		}
+		var ok bool
+		if tenant, ok = ms.catalog.Tenant(name); !ok {
+			return fmt.Errorf("tenant: %w", errNoTenant)
+		}
+	}
+	object, err := m.Key.text(params)
+	if err != nil && !errors.Is(err, errMissing) {
+		return fmt.Errorf("key: %w", err)
+	}
+	key := ""
+	if m.Idempotency.set {
+		key, err = m.Idempotency.text(params)
+		if errors.Is(err, errMissing) && m.rules.Effect != balance.Keyed {
+			err = nil
+		}
+		if err == nil && !core.IsToken(key) && m.rules.Effect == balance.Keyed {
+			err = errors.New("it is no token")
+		}
+		if err != nil {
+			return fmt.Errorf("idempotency key: %w", err)
+		}
+	}
+	left := m.rules.Deadline
+	if ms, err := m.Deadline.number(params); err == nil {
+		if !(ms >= 0) { // NaN neither
+			return errors.New("deadline: it is no time")
+		}
+		left = min(left, ms)
+	} else if !errors.Is(err, errMissing) {
+		return fmt.Errorf("deadline: %w", err)
+	}
+	if c.Name, err = m.Trace.text(params); err != nil && !errors.Is(err, errMissing) {
+		return fmt.Errorf("trace: %w", err)
+	}
+	if c.Name != "" && !core.IsToken(c.Name) {
+		return errors.New("trace: it is no token")
+	}
+	repeat, err := m.Repeat.number(params)
+	if err != nil && !errors.Is(err, errMissing) {
+		return fmt.Errorf("repeat: %w", err)
+	}
+	c.Ask = balance.Request{Class: m.class, Tenant: tenant, Key: core.Key(object), Remaining: left, Repeat: repeat > 0}
+	c.Message = core.Message{
+		Trace: c.Name, Class: m.Class, Tenant: name, Object: object, IdempotencyKey: key,
+		Safe: m.rules.Effect == balance.Safe, Method: m.Name, Target: m.Path, ContentType: core.MessagePack, Body: params,
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/httpwire/httpwire.go
@@ -0,0 +1,31 @@
+// Package httpwire holds what the front and the back for HTTP/1.1 have in common: which headers belong to a connection
+// and not to a message, and the names and bounds that the platform's protocol sets for both sides.
+package httpwire
+
+import (
+	"net/http"
+	"strings"
+)
+
+const (
+	MaxBody      = 64 << 10       // bytes of any message
+	ExpiryHeader = "X-Expires-In" // how long the asking side waits
+)
+
+// hopHeaders concern one connection only and are not passed on (RFC 9110, 7.6.1).
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade",
+}
+
+// DropHop removes the headers that concern one connection only, those that Connection names among them.
+func DropHop(h http.Header) {
+	for _, line := range h["Connection"] {
+		for _, name := range strings.Split(line, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+}
--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"net/netip"
 	"os"
 	"strings"
 
@@ -15,7 +16,8 @@
 
 // File is the whole file. The zero value is what an empty file or none means.
 type File struct {
-	Door Door `toml:"door"`
+	Door       Door       `toml:"door"`
+	MsgpackRPC MsgpackRPC `toml:"msgpack_rpc"`
 }
 
 // Door is about a sidecar that has run out of processor time; see internal/door.
@@ -23,6 +25,79 @@
 	Enabled bool `toml:"enabled"` // turn requests away unread then
 }
 
+// MsgpackRPC is about clients and servers that speak MessagePack-RPC; see internal/front/msgpackrpc and
+// internal/upstream/msgpackrpc. Without Listen there is no front, without Flavors no back.
+type MsgpackRPC struct {
+	Listen      string `toml:"listen"`          // address for clients
+	MaxFrame    int    `toml:"max_frame_bytes"` // 64 KiB where it is 0; so on below
+	MaxDepth    int    `toml:"max_depth"`       // 32
+	MaxOpen     int    `toml:"max_open"`        // requests open on a client's connection; 1024
+	Connections int    `toml:"connections"`     // of clients; 256
+
+	Flavors           []string `toml:"flavors"`            // of the roster: servers that speak it
+	ServerConnections int      `toml:"server_connections"` // to one server; 2
+	ServerOpen        int      `toml:"server_open"`        // requests open on one of them; 512
+	NeverRan          []string `toml:"never_ran"`          // error codes by which a server says that it has not begun
+	Answers           []string `toml:"answers"`            // error codes that are the application's own answer; "*": all others
+	Probe             string   `toml:"probe"`              // the method that tells how a server is; none: a connection
+
+	Methods []Method `toml:"method"`
+}
+
+// Enabled reports whether anything of it is on.
+func (m *MsgpackRPC) Enabled() bool { return m.Listen != "" || len(m.Flavors) > 0 }
+
+// Method is a method that clients may call. A param is a position, from 0, or a key of the map that is the first param.
+type Method struct {
+	Name        string `toml:"name"`
+	Class       string `toml:"class"`
+	Tenant      string `toml:"tenant"`
+	TenantParam any    `toml:"tenant_param"`
+	Key         any    `toml:"key_param"`
+	Idempotency any    `toml:"idempotency_param"`
+	Deadline    any    `toml:"deadline_param_ms"`
+	Trace       any    `toml:"trace_param"`
+	Repeat      any    `toml:"repeat_param"`
+	Path        string `toml:"path"`   // of HTTP servers; /api/ and the name where it is empty
+	Notify      bool   `toml:"notify"` // it may come as a notification
+}
+
+// The bounds of what may be set: a typing mistake must not cost all memory.
+const (
+	mostFrame = 16 << 20
+	mostDepth = 512
+	mostCount = 1 << 16
+)
+
+// fill checks the table and puts in what is not set. An error names the key.
+func (m *MsgpackRPC) fill() error {
+	if m.Listen != "" {
+		if _, err := netip.ParseAddrPort(m.Listen); err != nil {
+			return fmt.Errorf("msgpack_rpc.listen: %w", err)
+		}
+		if len(m.Methods) == 0 {
+			return errors.New("msgpack_rpc.listen: there is no msgpack_rpc.method that a client could call")
+		}
+	}
+	for _, f := range []struct {
+		key         string
+		value       *int
+		usual, most int
+	}{
+		{"max_frame_bytes", &m.MaxFrame, 64 << 10, mostFrame}, {"max_depth", &m.MaxDepth, 32, mostDepth},
+		{"max_open", &m.MaxOpen, 1024, mostCount}, {"connections", &m.Connections, 256, mostCount},
+		{"server_connections", &m.ServerConnections, 2, mostCount}, {"server_open", &m.ServerOpen, 512, mostCount},
+	} {
+		if *f.value < 0 || *f.value > f.most {
+			return fmt.Errorf("msgpack_rpc.%s is %d: want 1 to %d", f.key, *f.value, f.most)
+		}
+		if *f.value == 0 {
+			*f.value = f.usual
+		}
+	}
+	return nil
+}
+
 // Load reads and checks a file; an empty path means none. An error names the file and, where one is at fault, the line
 // and the key.
 func Load(path string) (*File, error) {
@@ -42,6 +117,9 @@
 	if err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(f); err != nil {
 		return nil, fmt.Errorf("options: %w", Placed(name, err))
 	}
+	if err := f.MsgpackRPC.fill(); err != nil {
+		return nil, fmt.Errorf("options: %s: %w", name, err)
+	}
 	return f, nil
 }
 
--- a/internal/sidecar/discovery.go
+++ b/internal/roster/follower.go
@@ -1,4 +1,7 @@
-package sidecar
+// Package roster reads the list of servers that a deployment's discovery gives, and follows it. It owns the wire form of
+// the list, its checks, and when to ask again; what a change means is for the exchange, which it tells through Events.
+// Begin with Follower.
+package roster
 
 import (
 	"context"
@@ -28,14 +31,15 @@
 	mostDoubled = 3                      // so often at most: a new address is heard within a second of its coming up
 )
 
-// list is a list of servers, or of those that changed, in discovery's form.
-type list struct {
+// List is a list of servers, or of those that changed, in discovery's form.
+type List struct {
 	Revision int64    `json:"revision"`
 	Complete bool     `json:"complete"`
-	Members  []member `json:"members"`
+	Members  []Member `json:"members"`
 }
 
-type member struct {
+// Member is a server in the list.
+type Member struct {
 	ID       string  `json:"id"`
 	HostPort string  `json:"host_port"`
 	Locality string  `json:"locality"`
@@ -46,10 +50,13 @@
 	UpSince  float64 `json:"up_since_ms"`
 }
 
+// State is what the list says of the member, which passed the check.
+func (m *Member) State() balance.State { return phases[m.Phase] }
+
 var phases = map[string]balance.State{"ready": balance.Ready, "draining": balance.Draining, "gone": balance.Gone}
 
-// check rejects a list as a whole: one entry skipped could be a drain missed.
-func (l *list) check() error {
+// Check rejects a list as a whole: one entry skipped could be a drain missed.
+func (l *List) Check() error {
 	for _, m := range l.Members {
 		if m.ID == "" {
 			return fmt.Errorf("a member without id")
@@ -65,12 +72,25 @@
 	return nil
 }
 
-// discovery follows the list of servers. What it learns goes to the loop as listed and listFailed events.
-type discovery struct {
+// Events is who is told of the list.
+type Events interface {
+	Listed(*List)
+	ListFailed(error)
+}
+
+// Config says whom to ask and what is known already.
+type Config struct {
+	Addr   string
+	Pushed bool  // the address is an agent that has the list sent to it
+	Known  *List // as last listed
+}
+
+// Follower follows the list of servers.
+type Follower struct {
 	client   *http.Client
 	pushed   bool          // the address is an agent that has the list sent to it
 	asked    chan struct{} // the module wants a watch
-	post     func(any)
+	events   Events
 	revision int64 // of the list held
 	held     bool  // a list is held, of this revision; it may be 0
 
@@ -79,28 +99,29 @@
 	cut  context.CancelFunc // ends what is asked of addr; nil before run
 }
 
-func newDiscovery(cfg *Config, post func(any)) *discovery {
-	return &discovery{
-		addr:     cfg.Discovery,
+// New returns a follower that has asked nothing yet.
+func New(cfg Config, events Events) *Follower {
+	return &Follower{
+		addr:     cfg.Addr,
 		client:   &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1, MaxIdleConns: 1}},
 		held:     cfg.Known.Complete,
 		revision: cfg.Known.Revision,
-		pushed:   !cfg.Balance.Subscribe,
+		pushed:   cfg.Pushed,
 		asked:    make(chan struct{}, 1),
-		post:     post,
+		events:   events,
 	}
 }
 
-// watch asks for a watch; where one is on or asked for already there is nothing to do.
-func (d *discovery) watch() {
+// Watch asks for a watch; where one is on or asked for already there is nothing to do.
+func (d *Follower) Watch() {
 	select {
 	case d.asked <- struct{}{}:
 	default:
 	}
 }
 
-// move turns to another address at once: what the old one still says is dropped.
-func (d *discovery) move(addr string) {
+// Move turns to another address at once: what the old one still says is dropped.
+func (d *Follower) Move(addr string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if addr == d.addr {
@@ -113,7 +134,7 @@
 }
 
 // settle returns the present address and a context that ends when it changes.
-func (d *discovery) settle(ctx context.Context) (context.Context, string) {
+func (d *Follower) settle(ctx context.Context) (context.Context, string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.cut != nil {
@@ -123,8 +144,8 @@
 	return ctx, d.addr
 }
 
-// run follows the list until ctx ends.
-func (d *discovery) run(ctx context.Context) {
+// Run follows the list until ctx ends.
+func (d *Follower) Run(ctx context.Context) {
 	at, addr := d.settle(ctx)
 	for moved := false; ; moved = true {
 		d.stay(at, addr, moved)
@@ -142,7 +163,7 @@
 // stay follows the list at one address until ctx ends. Where discovery is asked, the module says when, except
 // that after a move it is asked until it has answered: the module knows of no failure then, and would wait for
 // long after earlier ones. An agent is followed from the start.
-func (d *discovery) stay(ctx context.Context, addr string, moved bool) {
+func (d *Follower) stay(ctx context.Context, addr string, moved bool) {
 	for failed := 0; ctx.Err() == nil; {
 		eager := d.pushed || moved && !d.held
 		if !eager {
@@ -163,7 +184,7 @@
 }
 
 // follow keeps a watch going until a call fails, and reports whether any went well.
-func (d *discovery) follow(ctx context.Context, addr string) (went bool) {
+func (d *Follower) follow(ctx context.Context, addr string) (went bool) {
 	for {
 		start := time.Now()
 		l, err := d.call(ctx, addr)
@@ -171,12 +192,12 @@
 			return went
 		}
 		if err != nil {
-			d.post(listFailed{err})
+			d.events.ListFailed(err)
 			return went
 		}
 		news := !d.held || l.Revision != d.revision
 		went, d.held, d.revision = true, true, l.Revision
-		d.post(listed{l})
+		d.events.Listed(l)
 		if !news { // an agent may answer at once each time
 			sleep(ctx, leastGap-time.Since(start))
 		}
@@ -184,7 +205,7 @@
 }
 
 // call waits for what is newer than the list held, or gets the whole list where none is held.
-func (d *discovery) call(ctx context.Context, addr string) (*list, error) {
+func (d *Follower) call(ctx context.Context, addr string) (*List, error) {
 	if !d.held {
 		return d.get(ctx, addr, nil, callTimeout)
 	}
@@ -199,7 +220,7 @@
 	return l, err
 }
 
-func (d *discovery) get(ctx context.Context, addr string, query url.Values, timeout time.Duration) (*list, error) {
+func (d *Follower) get(ctx context.Context, addr string, query url.Values, timeout time.Duration) (*List, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	target := url.URL{Scheme: "http", Host: addr, Path: "/discovery/hosts", RawQuery: query.Encode()}
@@ -219,11 +240,11 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("discovery: %s", resp.Status)
 	}
-	l := &list{}
+	l := &List{}
 	if err := json.Unmarshal(body, l); err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
-	if err := l.check(); err != nil {
+	if err := l.Check(); err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
 	return l, nil
--- /dev/null
+++ b/internal/roster/follower_test.go
@@ -0,0 +1,185 @@
+package roster
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"testing"
+	"time"
+
+	"cedararch/internal/testbed"
+)
+
+// heard passes on what the follower tells, one after the other.
+type heard chan any
+
+func (h heard) Listed(l *List)       { h <- l }
+func (h heard) ListFailed(err error) { h <- err }
+
+func start(t *testing.T, cfg Config) heard {
+	t.Helper()
+	events := make(heard, 100)
+	run(t, New(cfg, events))
+	return events
+}
+
+func run(t *testing.T, f *Follower) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { f.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	f.Watch()
+}
+
+// held is a list that was known at the start.
+func held(revision int64) *List { return &List{Revision: revision, Complete: true} }
+
+// Revision 0 was taken for no list at all: each call asked for the whole list again, thousands a second.
+func TestWatchesFromRevisionZero(t *testing.T) {
+	r := testbed.NewRoster(t)
+	start(t, Config{Addr: r.Addr, Known: held(0)})
+	if got := testbed.Next(t, r.Calls); got != "from=0&hold_ms=4000" {
+		t.Errorf("first call: %q", got)
+	}
+	r.Lists <- List{Revision: 0, Complete: true}
+	if got := testbed.Next(t, r.Calls); got != "from=0&hold_ms=4000" {
+		t.Errorf("second call: %q", got)
+	}
+	r.Lists <- List{Revision: 3}
+	if got := testbed.Next(t, r.Calls); got != "from=3&hold_ms=4000" {
+		t.Errorf("third call: %q", got)
+	}
+}
+
+// Where no list is held there is nothing to watch from.
+func TestListsFirst(t *testing.T) {
+	r := testbed.NewRoster(t)
+	start(t, Config{Addr: r.Addr, Known: &List{}})
+	if got := testbed.Next(t, r.Calls); got != "" {
+		t.Errorf("first call: %q", got)
+	}
+	r.Lists <- List{Revision: 7, Complete: true}
+	if got := testbed.Next(t, r.Calls); got != "from=7&hold_ms=4000" {
+		t.Errorf("second call: %q", got)
+	}
+}
+
+// An older revision with changes only cannot be applied to the list held.
+func TestListsAgainAfterStepBack(t *testing.T) {
+	r := testbed.NewRoster(t)
+	events := start(t, Config{Addr: r.Addr, Known: held(41)})
+	testbed.Next(t, r.Calls)
+	r.Lists <- List{Revision: 2}
+	if got := testbed.Next(t, r.Calls); got != "" {
+		t.Errorf("call after the testbed.Step back: %q", got)
+	}
+	r.Lists <- List{Revision: 2, Complete: true}
+	if ev, ok := testbed.Next[any](t, events).(*List); !ok || !ev.Complete {
+		t.Errorf("heard %#v", ev)
+	}
+}
+
+// An agent that does not hold a watch must not be called in a tight loop.
+func TestPausesWhereNothingIsNew(t *testing.T) {
+	calls := make(chan time.Time, 100)
+	addr := testbed.ServeHTTP(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		select {
+		case calls <- time.Now():
+		default:
+		}
+		json.NewEncoder(w).Encode(List{Revision: 41})
+	}))
+	start(t, Config{Addr: addr, Known: held(41)})
+	first := testbed.Next(t, calls)
+	for range 3 {
+		testbed.Next(t, calls)
+	}
+	if took := testbed.Next(t, calls).Sub(first); took < 3*leastGap {
+		t.Errorf("four more calls within %v", took)
+	}
+}
+
+// A failed call is told once, and the module says when to call again; an agent is called again anyway.
+func TestFailedCalls(t *testing.T) {
+	for name, pushed := range map[string]bool{"asked": false, "pushed": true} {
+		t.Run(name, func(t *testing.T) {
+			failing := make(chan bool, 2)
+			failing <- true
+			failing <- true
+			calls := make(chan struct{}, 100)
+			addr := testbed.ServeHTTP(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				calls <- struct{}{}
+				select {
+				case <-failing:
+					w.WriteHeader(http.StatusServiceUnavailable)
+				default:
+					<-r.Context().Done()
+				}
+			}))
+			events := start(t, Config{Addr: addr, Pushed: pushed, Known: held(41)})
+			testbed.Next(t, calls)
+			if _, ok := testbed.Next[any](t, events).(error); !ok {
+				t.Error("a failed call was not told")
+			}
+			if pushed {
+				testbed.Next(t, calls)
+				testbed.Next(t, calls)
+			}
+		})
+	}
+}
+
+// Discovery may fall silent on a connection that stays open. It must be noticed within seconds: held for 20 s, a watch
+// missed the replacement of the whole fleet.
+func TestSilentDiscoveryIsNoticed(t *testing.T) {
+	t.Parallel()
+	r := testbed.NewRoster(t)
+	events := start(t, Config{Addr: r.Addr, Known: held(41)})
+	testbed.Next(t, r.Calls)
+	start := time.Now()
+	if ev, ok := testbed.Next[any](t, events).(error); !ok {
+		t.Errorf("heard %#v", ev)
+	}
+	if took := time.Since(start); took > testbed.Patience/2 {
+		t.Errorf("noticed after %v", took)
+	}
+}
+
+// The new discovery may not be up yet. It is asked again soon, and without the module, which waits for long
+// after many failures.
+func TestMoveOutlastsARefusal(t *testing.T) {
+	ln := testbed.Listen(t)
+	ln.Close()
+	r := testbed.NewRoster(t)
+	events := make(heard, 100)
+	f := New(Config{Addr: r.Addr, Known: held(41)}, events)
+	run(t, f)
+	testbed.Next(t, r.Calls)
+	f.Move(ln.Addr().String())
+	for range 3 { // none of them asked for
+		if _, ok := testbed.Next[any](t, events).(error); !ok {
+			t.Error("the refusal went unheard")
+		}
+	}
+	f.Move(r.Addr)
+	if got := testbed.Next(t, r.Calls); got != "" {
+		t.Errorf("first call after the move: %q", got)
+	}
+}
+
+// Several moves in a row end at the last address, and so does one before the first list.
+func TestMovesInARow(t *testing.T) {
+	first, second, third := testbed.NewRoster(t), testbed.NewRoster(t), testbed.NewRoster(t)
+	events := make(heard, 100)
+	f := New(Config{Addr: first.Addr, Known: &List{}}, events)
+	f.Move(second.Addr) // before it runs
+	run(t, f)
+	testbed.Next(t, second.Calls)
+	f.Move(first.Addr)
+	f.Move(third.Addr)
+	testbed.Next(t, third.Calls)
+	third.Lists <- List{Revision: 1, Complete: true}
+	if l, ok := testbed.Next[any](t, events).(*List); !ok || l.Revision != 1 {
+		t.Errorf("heard %#v", l)
+	}
+}
--- a/internal/sidecar/main.go
+++ b/internal/sidecar/main.go
@@ -39,11 +39,13 @@
 		return nil, err
 	}
 	cfg.Options = *opts
-	return cfg, nil
+	cfg.methods, err = rpcMethods(&opts.MsgpackRPC, cfg.catalog)
+	return cfg, err
 }
 
 // Summary tells in a line what a checked configuration holds.
 func (c *Config) Summary() string {
+	classes, tenants := c.catalog.Sizes()
 	return fmt.Sprintf("%s: %d classes, %d tenants, %d servers known, %d descriptors, listens on %s, discovery at %s",
-		c.Name, len(c.classes), len(c.tenants), len(c.Known.Members), c.Limits.Sockets, c.Listen, c.Discovery)
+		c.Name, classes, tenants, len(c.Known.Members), c.Limits.Sockets, c.Listen, c.Discovery)
 }
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -4,11 +4,13 @@
 	"context"
 	"log/slog"
 	"os"
+
+	"cedararch/internal/roster"
 )
 
 // reload reads the configuration's file again with each signal, until ctx ends, and moves to the discovery that
 // it names. The rest of the configuration holds until a restart; where the file cannot be used, all of it does.
-func reload(ctx context.Context, cfg *Config, signals <-chan os.Signal, d *discovery, log *slog.Logger) {
+func reload(ctx context.Context, cfg *Config, signals <-chan os.Signal, d *roster.Follower, log *slog.Logger) {
 	for {
 		select {
 		case <-signals:
@@ -21,6 +23,6 @@
 			continue
 		}
 		log.Info("configuration read again", "discovery", next.Discovery)
-		d.move(next.Discovery)
+		d.Move(next.Discovery)
 	}
 }
--- /dev/null
+++ b/internal/sidecar/rpc_test.go
@@ -0,0 +1,264 @@
+package sidecar
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cedararch/internal/options"
+	"cedararch/internal/roster"
+	"cedararch/internal/testbed"
+	codec "cedararch/msgpackrpc"
+)
+
+// rpcConfig is the tests' configuration with MessagePack-RPC for clients and, if wanted, for all servers.
+func rpcConfig(t *testing.T, servers bool, known ...roster.Member) *Config {
+	t.Helper()
+	cfg := testConfig(t, known...)
+	text := `
+[msgpack_rpc]
+listen = "127.0.0.1:0"
+never_ran = ["busy"]
+[[msgpack_rpc.method]]
+name = "plate.lookup"
+class = "read"
+tenant = "acme"
+path = "/api/lookup"
+[[msgpack_rpc.method]]
+name = "plate.reserve"
+class = "reserve"
+tenant = "acme"
+idempotency_param = 0
+trace_param = 1
+`
+	if servers {
+		text = strings.Replace(text, "never_ran", "flavors = [\"small\"]\nnever_ran", 1)
+	}
+	opts, err := options.Parse("test.toml", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.Options = *opts
+	if cfg.methods, err = rpcMethods(&opts.MsgpackRPC, cfg.catalog); err != nil {
+		t.Fatal(err)
+	}
+	return cfg
+}
+
+// rpcServer is a server that answers each request with what its test says, on a goroutine of its own.
+type rpcServer struct {
+	addr string
+
+	mu   sync.Mutex
+	came []time.Time
+}
+
+func newRPCServer(t *testing.T, answer func(f codec.Frame) (failure, result []byte)) *rpcServer {
+	t.Helper()
+	ln := testbed.Listen(t)
+	s := &rpcServer{addr: ln.Addr().String()}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+			go s.serve(c, answer)
+		}
+	}()
+	return s
+}
+
+func (s *rpcServer) serve(c net.Conn, answer func(codec.Frame) (failure, result []byte)) {
+	var writing sync.Mutex
+	for in := codec.NewReader(c, codec.Limits{}); ; {
+		f, err := in.Next()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.came = append(s.came, time.Now())
+		s.mu.Unlock()
+		f.Method, f.Params = bytes.Clone(f.Method), bytes.Clone(f.Params)
+		go func() {
+			failure, result := answer(f)
+			writing.Lock()
+			defer writing.Unlock()
+			c.Write(codec.AppendResponse(nil, f.ID, failure, result))
+		}()
+	}
+}
+
+func (s *rpcServer) times() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]time.Time(nil), s.came...)
+}
+
+func (n *node) dialRPC() (net.Conn, *codec.Reader) {
+	n.t.Helper()
+	c, err := net.Dial("tcp", n.rpc)
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	n.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(testbed.Patience))
+	return c, codec.NewReader(c, codec.Limits{})
+}
+
+// A client pipelines 500 requests on one connection while a server drains partway through. After the grace nothing new
+// reaches that one, what it holds is still answered, and every id is answered once.
+func TestPipelinedThroughADrain(t *testing.T) {
+	release := make(chan struct{})
+	draining := newRPCServer(t, func(codec.Frame) ([]byte, []byte) { <-release; return nil, []byte{1} })
+	staying := newRPCServer(t, func(codec.Frame) ([]byte, []byte) { return nil, []byte{2} })
+	a, b := ready("s-1", draining.addr), ready("s-2", staying.addr)
+	n := startNode(t, rpcConfig(t, true, a, b))
+	c, in := n.dialRPC()
+	testbed.Next(t, n.roster.Calls)
+	var half []byte
+	for id := range uint32(250) {
+		half = codec.AppendRequest(half, id, "plate.lookup", []byte{0x91, 0xcd, 1, byte(id)})
+	}
+	c.Write(half)
+	testbed.Until(t, "the draining one holds some", func() bool { return len(draining.times()) >= 10 })
+	a.Phase = "draining"
+	n.roster.Lists <- roster.List{Revision: 42, Members: []roster.Member{a}}
+	told := time.Now()
+	testbed.Next(t, n.roster.Calls)
+	half = half[:0]
+	for id := range uint32(250) {
+		half = codec.AppendRequest(half, 250+id, "plate.lookup", []byte{0x90})
+	}
+	c.Write(half)
+	var answered [500]int
+	var by [3]int
+	read := func(count int) {
+		for range count {
+			f, err := in.Next()
+			if err != nil {
+				t.Fatal(err)
+			}
+			answered[f.ID]++
+			if !f.Failed() {
+				by[f.Result[0]]++
+			}
+		}
+	}
+	time.Sleep(300 * time.Millisecond) // more than the grace: whatever is still to reach it has done so
+	before := len(draining.times())
+	close(release)
+	read(500)
+	for id, times := range answered {
+		if times != 1 {
+			t.Errorf("id %d was answered %d times", id, times)
+		}
+	}
+	for _, at := range draining.times() {
+		if late := at.Sub(told); late > 250*time.Millisecond {
+			t.Errorf("a request reached the draining server %v after the news", late)
+		}
+	}
+	if by[1] == 0 || by[2] < 250 || before != len(draining.times()) {
+		t.Errorf("%d answers of the draining one, which got %d, and %d of the other", by[1], before, by[2])
+	}
+}
+
+// A request and its answer cross between the protocols, both ways.
+func TestAcrossProtocols(t *testing.T) {
+	t.Run("RPC to HTTP", func(t *testing.T) {
+		s := testbed.NewScript(t, testbed.Say(200, "\x91\x07", "Content-Type: application/msgpack"), testbed.Say(200, "plate 7"))
+		n := startNode(t, rpcConfig(t, false, ready("s-1", s.Addr)))
+		c, in := n.dialRPC()
+		for id, want := range []string{"\x91\x07", "\xa7plate 7"} {
+			c.Write(codec.AppendRequest(nil, uint32(id), "plate.reserve", []byte("\x92\xa3k-1\xa3t-1")))
+			f, err := in.Next()
+			if err != nil || f.Failed() || string(f.Result) != want {
+				t.Errorf("answered %+v, %v", f, err)
+			}
+		}
+		requests, bodies, _ := s.Seen()
+		h := requests[0].Header
+		if h.Get("X-Trace-Id") != "t-1" || h.Get("Idempotency-Key") != "k-1" || h.Get("X-Qos") != "reserve" || h.Get("X-Expires-In") == "" ||
+			h.Get("Content-Type") != "application/msgpack" || requests[0].Method != "POST" || requests[0].RequestURI != "/api/plate.reserve" {
+			t.Errorf("the server saw %s %s %v", requests[0].Method, requests[0].RequestURI, h)
+		}
+		if bodies[0] != "\x92\xa3k-1\xa3t-1" {
+			t.Errorf("body %q", bodies[0])
+		}
+	})
+	t.Run("HTTP to RPC", func(t *testing.T) {
+		got := make(chan codec.Frame, 10)
+		s := newRPCServer(t, func(f codec.Frame) ([]byte, []byte) { got <- f; return nil, []byte("\xa2ok") })
+		n := startNode(t, rpcConfig(t, true, ready("s-1", s.addr)))
+		req := n.request("read")
+		req.Method, req.URL.Path, req.URL.RawQuery = "POST", "/api/lookup", ""
+		req.Header.Set("Content-Type", "application/msgpack")
+		req.Body, req.ContentLength = io.NopCloser(strings.NewReader("\x91\x05")), 2
+		resp, body := n.do(req)
+		if resp.StatusCode != 200 || body != "\xa2ok" || resp.Header.Get("Content-Type") != "application/msgpack" {
+			t.Errorf("answered %d %q %v", resp.StatusCode, body, resp.Header)
+		}
+		if f := testbed.Next(t, got); string(f.Method) != "plate.lookup" || string(f.Params) != "\x91\x05" {
+			t.Errorf("the server saw %q % x", f.Method, f.Params)
+		}
+		plain := n.request("pay")
+		if resp, _ := n.do(plain); resp.StatusCode != 200 {
+			t.Errorf("a body of another kind: %d", resp.StatusCode)
+		}
+		if f := testbed.Next(t, got); string(f.Params) != "\x91\xc4\x07order 7" {
+			t.Errorf("the server saw % x", f.Params)
+		}
+	})
+}
+
+// A server's word that it never ran lets even a request go elsewhere that must not run twice; another error does not.
+func TestNeverRanGoesElsewhere(t *testing.T) {
+	busy := newRPCServer(t, func(codec.Frame) ([]byte, []byte) { return []byte("\x81\xa4code\xa4busy"), nil })
+	well := newRPCServer(t, func(codec.Frame) ([]byte, []byte) { return nil, []byte{7} })
+	n := startNode(t, rpcConfig(t, true, ready("s-1", busy.addr), ready("s-2", well.addr)))
+	for range 50 {
+		if resp, body := n.do(n.request("pay")); resp.StatusCode != 200 || body != "\x07" {
+			t.Fatalf("answered %d %q", resp.StatusCode, body)
+		}
+		if len(busy.times()) > 0 {
+			return
+		}
+	}
+	t.Error("the busy one was never tried")
+}
+
+// A peer on the wrong port gets an answer or a close in its own protocol's sense, at once.
+func TestWrongPort(t *testing.T) {
+	n := startNode(t, rpcConfig(t, false, ready("s-1", "127.0.0.1:9")))
+	c := n.dial()
+	c.Write(codec.AppendRequest(nil, 1, "plate.lookup", []byte{0x90}))
+	c.(*net.TCPConn).CloseWrite()
+	if got, _ := io.ReadAll(c); !bytes.HasPrefix(got, []byte("HTTP/1.1 400")) {
+		t.Errorf("got %q", got)
+	}
+}
+
+// The table of methods is checked against the settings at load, and the error names the key.
+func TestBadRPCOptions(t *testing.T) {
+	cfg := testConfig(t)
+	for text, want := range map[string]string{
+		"name = \"a\"\nclass = \"none\"":                                      "class: the settings have no class",
+		"name = \"a\"\nclass = \"read\"\ntenant = \"acme\"\nkey_param = -1":   "key_param: -1 is neither",
+		"name = \"a\"\nclass = \"read\"\ntenant = \"acme\"\nkey_param = true": "key_param: true is neither",
+		"name = \"a\"\nclass = \"pay\"\ntenant = \"acme\"\nnotify = true":     "notify: class",
+	} {
+		opts, err := options.Parse("o.toml", []byte("[msgpack_rpc]\nlisten = \"127.0.0.1:0\"\n[[msgpack_rpc.method]]\n"+text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := rpcMethods(&opts.MsgpackRPC, cfg.catalog); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -1,9 +1,6 @@
-// Package sidecar is the program round the decision module: it takes an application's requests, sends them to
-// servers as the module decides, and follows the list of servers. Each file has one job: config.go reads the
-// configuration; front.go faces the application, over connections that clients.go budgets and framing.go tells apart
-// into requests; loop.go owns the module; upstream.go makes attempts over the connections of pool.go and reads what
-// comes back with answer.go; discovery.go follows the list, reload.go turns it to where a new configuration says; and
-// this file starts and ends it all.
+// Package sidecar puts the program together: it reads the configuration, starts the exchange with its fronts and backs
+// and the follower of the roster, and ends them in order. It owns no protocol and no decision. This file starts and ends
+// it all, config.go reads the configuration, reload.go turns to where a new one says.
 package sidecar
 
 import (
@@ -13,12 +10,17 @@
 	"fmt"
 	"log/slog"
 	"net"
-	"net/http"
 	"os"
 	"sync"
 	"time"
 
 	"cedararch/balance"
+	"cedararch/internal/core"
+	"cedararch/internal/door"
+	httpfront "cedararch/internal/front/http"
+	"cedararch/internal/roster"
+	httpback "cedararch/internal/upstream/http"
+	rpcback "cedararch/internal/upstream/msgpackrpc"
 )
 
 const (
@@ -36,82 +38,159 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	return serve(ctx, cfg, ln, reloads, log)
+	on := listeners{http: ln}
+	if addr := cfg.Options.MsgpackRPC.Listen; addr != "" {
+		if on.rpc, err = net.Listen("tcp", addr); err != nil {
+			ln.Close()
+			return fmt.Errorf("listen for MessagePack-RPC: %w", err)
+		}
+	}
+	return serve(ctx, cfg, on, reloads, log)
+}
+
+// listeners are the sockets that a sidecar serves on.
+type listeners struct {
+	http net.Listener
+	rpc  net.Listener // nil: no MessagePack-RPC for clients
+}
+
+// front is the side towards clients, of one protocol.
+type front interface {
+	Serve(net.Listener)
+	Failed() <-chan error
+	// End answers all that was taken, within a time.
+	End(within time.Duration) error
+}
+
+// sockets says how many connections each part may hold.
+type sockets struct{ servers, clients, rpcServers, rpcClients int }
+
+func (c *Config) sockets() sockets {
+	all := c.Limits.Sockets - spareSockets
+	n := sockets{servers: all / 2}
+	n.clients = all - n.servers
+	if c.Options.MsgpackRPC.Listen != "" {
+		n.rpcClients = min(c.Options.MsgpackRPC.Connections, n.clients/2)
+		n.clients -= n.rpcClients
+	}
+	if len(c.Options.MsgpackRPC.Flavors) > 0 {
+		n.rpcServers = max(1, n.servers/rpcShare)
+		n.servers -= n.rpcServers
+	}
+	return n
 }
 
 func serve(
-	ctx context.Context, cfg *Config, ln net.Listener, reloads <-chan os.Signal, log *slog.Logger,
+	ctx context.Context, cfg *Config, ln listeners, reloads <-chan os.Signal, log *slog.Logger,
 ) error {
-	log.Info("listening", "address", ln.Addr().String())
+	log.Info("listening", "address", ln.http.Addr().String())
 	inner, stop := context.WithCancel(context.Background())
 	idle := millis(cfg.Balance.ConnIdle * idleShare)
 	if idle > 0 {
 		cfg.Balance.ConnIdle *= idleShare // so long a connection stays open, as the module is to know
 	}
-	l := newLoop(inner, cfg, log)
-	dialTime := cmp.Or(millis(cfg.Balance.ConnectTimeout), time.Second)
-	pool := newPool(dialTime, cmp.Or(idle, time.Minute), cfg.restTime, cfg.Limits.Sockets)
-	pool.noteLate = func(e *endpoint) {
-		log.Warn("a server sends more than its answers, and late", "server", e.name)
-	}
-	probe := "/alive"
-	if cfg.Balance.Reports != balance.ReportNone {
-		probe = "/metrics/load"
-	}
-	l.upstream = &upstream{pool: pool, fields: cfg.fields, probe: probe}
-	l.discovery = newDiscovery(cfg, l.post)
-	clients := &clients{most: cfg.Limits.Sockets - spareSockets - pool.most}
-	l.front = &front{cfg: cfg, post: l.post, done: inner.Done(), clients: clients}
+	idle = cmp.Or(idle, time.Minute)
+	var keeper *door.Keeper
 	if cfg.Options.Door.Enabled {
-		l.front.door = newDoorkeeper(cfg.Limits.Cores)
+		keeper = door.NewKeeper(cfg.Limits.Cores)
 	}
-
-	defer pool.closeAll() // after the last attempt has ended
+	budget := cfg.sockets()
+	back := httpback.New(inner, httpback.Config{
+		ConnectTimeout: cmp.Or(millis(cfg.Balance.ConnectTimeout), time.Second), Idle: idle,
+		Rest: cfg.restTime, Sockets: budget.servers, Fields: cfg.fields, Reports: cfg.Balance.Reports != balance.ReportNone,
+		NoteLate: func(e *core.Endpoint) {
+			log.Warn("a server sends more than its answers, and late", "server", e.Name())
+		},
+	})
+	var rpcBack *rpcback.Back // nil without such servers
+	defer func() {            // after the exchange has ended
+		back.Close()
+		if rpcBack != nil {
+			rpcBack.Close()
+		}
+	}()
 	var tasks sync.WaitGroup
-	tasks.Go(l.run)
-	tasks.Go(func() { l.discovery.run(inner) })
-	tasks.Go(func() { pool.run(inner) })
-	if keeper := l.front.door; keeper != nil {
-		tasks.Go(func() { keeper.run(inner) })
-	}
-	tasks.Go(func() { reload(inner, cfg, reloads, l.discovery, log) })
 	defer tasks.Wait()
 	defer stop()
+	tasks.Go(func() { back.Run(inner) })
 
-	server := l.front.server(log)
-	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(listener{ln, clients, pool}) }()
-	select {
-	case err := <-failed:
-		return fmt.Errorf("serve: %w", err)
-	case <-ctx.Done():
+	backs, evict := map[string]core.Back{}, back.Evict
+	if rpc := &cfg.Options.MsgpackRPC; len(rpc.Flavors) > 0 {
+		rpcBack = newRPCBack(inner, cfg, budget.rpcServers, idle, log)
+		tasks.Go(func() { rpcBack.Run(inner) })
+		for _, flavor := range rpc.Flavors {
+			backs[flavor] = rpcBack
+		}
+		evict = func() bool { return back.Evict() || rpcBack.Evict() }
 	}
-	return l.front.end(server, longest(cfg.Balance.Classes)+lastSpare, failed)
-}
-
-// end takes new connections for a little while yet, and answers all that was taken.
-func (f *front) end(server *http.Server, within time.Duration, failed <-chan error) error {
-	limit, cancel := context.WithTimeout(context.Background(), within)
-	defer cancel()
-	f.ending.Store(true)
-	select {
-	case <-time.After(f.cfg.lastCalls):
-	case err := <-failed:
-		return fmt.Errorf("serve: %w", err)
+	var follower *roster.Follower
+	exchange := core.New(inner, core.Config{
+		Balance: cfg.Balance, Zones: cfg.zones, Kinds: cfg.kinds, Known: &cfg.Known, Door: keeper, Log: log,
+		Back: func(flavor string) core.Back {
+			if special := backs[flavor]; special != nil {
+				return special
+			}
+			return back
+		},
+		Watch: func() { follower.Watch() },
+	})
+	follower = roster.New(roster.Config{
+		Addr: cfg.Discovery, Pushed: !cfg.Balance.Subscribe, Known: &cfg.Known,
+	}, exchange)
+	httpCfg := httpfront.Config{
+		Catalog: cfg.catalog, Door: keeper, Connections: budget.clients, LastCalls: cfg.lastCalls, Evict: evict, Log: log,
+	}
+	if cfg.methods != nil {
+		httpCfg.Method = cfg.methods.ByPath
 	}
-	err := server.Shutdown(limit)
-	if errors.Is(err, context.DeadlineExceeded) {
-		err = server.Close() // connections on which no request ever came
+	fronts := []front{httpfront.New(httpCfg, exchange)}
+	serveOn := []net.Listener{ln.http}
+	if ln.rpc != nil {
+		log.Info("listening for MessagePack-RPC", "rpc_address", ln.rpc.Addr().String())
+		fronts = append(fronts, newRPCFront(cfg, budget.rpcClients, keeper, evict, exchange, log))
+		serveOn = append(serveOn, ln.rpc)
 	}
-	return err
+	tasks.Go(exchange.Run)
+	tasks.Go(func() { follower.Run(inner) })
+	if keeper != nil {
+		tasks.Go(func() { keeper.Run(inner) })
+	}
+	tasks.Go(func() { reload(inner, cfg, reloads, follower, log) })
+	return serveFronts(ctx, fronts, serveOn, millis(cfg.catalog.Longest())+lastSpare)
 }
 
-func longest(classes []balance.Class) time.Duration {
-	most := 0.0
-	for i := range classes {
-		most = max(most, classes[i].Deadline)
+// serveFronts serves until ctx ends or a front fails, and then ends them together, within a time.
+func serveFronts(ctx context.Context, fronts []front, on []net.Listener, within time.Duration) error {
+	broken := make(chan error, len(fronts))
+	for i, f := range fronts {
+		f.Serve(on[i])
+	}
+	over, stop := context.WithCancel(ctx)
+	defer stop()
+	var watching sync.WaitGroup
+	for _, f := range fronts {
+		watching.Go(func() {
+			select {
+			case err := <-f.Failed():
+				broken <- fmt.Errorf("serve: %w", err)
+				stop()
+			case <-over.Done():
+			}
+		})
+	}
+	<-over.Done()
+	watching.Wait()
+	var ends sync.WaitGroup
+	errs := make([]error, len(fronts)+1)
+	for i, f := range fronts {
+		ends.Go(func() { errs[i] = f.End(within) })
+	}
+	ends.Wait()
+	select {
+	case errs[len(fronts)] = <-broken:
+	default:
 	}
-	return millis(most)
+	return errors.Join(errs...)
 }
 
 func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- /dev/null
+++ b/internal/testbed/testbed.go
@@ -0,0 +1,187 @@
+// Package testbed holds what the tests of several packages play the program's surroundings with: scripted HTTP servers, a
+// roster that answers what the test says, and waits that have an end. Only tests use it.
+package testbed
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Patience bounds every wait; no test takes that long unless it fails.
+const Patience = 30 * time.Second
+
+// Next waits for what comes next.
+func Next[T any](t *testing.T, events <-chan T) T {
+	t.Helper()
+	select {
+	case ev := <-events:
+		return ev
+	case <-time.After(Patience):
+		t.Fatal("nothing came")
+	}
+	panic("unreachable")
+}
+
+// Until waits until something holds.
+func Until(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(Patience); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("in vain: ", what)
+		}
+	}
+}
+
+// ServeHTTP serves h on loopback until the test ends.
+func ServeHTTP(t *testing.T, h http.Handler) string {
+	t.Helper()
+	ln := Listen(t)
+	server := &http.Server{Handler: h}
+	go server.Serve(ln)
+	t.Cleanup(func() { server.Close() })
+	return ln.Addr().String()
+}
+
+// Listen listens on loopback until the test ends.
+func Listen(t *testing.T) net.Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	return ln
+}
+
+// Roster is a discovery service: it answers each call with what the test hands it, as JSON.
+type Roster struct {
+	Addr  string
+	Calls chan string // the query of each call
+	Lists chan any
+	Cut   chan bool // calls that were given up
+}
+
+// NewRoster starts one.
+func NewRoster(t *testing.T) *Roster {
+	r := &Roster{Calls: make(chan string, 100), Lists: make(chan any), Cut: make(chan bool, 100)}
+	r.Addr = ServeHTTP(t, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		r.Calls <- req.URL.RawQuery
+		select {
+		case l := <-r.Lists:
+			json.NewEncoder(w).Encode(l)
+		case <-req.Context().Done():
+			r.Cut <- true
+		}
+	}))
+	return r
+}
+
+// Script is a server that plays one step for each request that reaches it, on raw connections. A step gets the
+// connection after the request is read, and whether it returns true decides if the connection goes on.
+type Script struct {
+	Addr     string
+	mu       sync.Mutex
+	requests []*http.Request
+	bodies   []string
+	conns    int
+}
+
+// Step is what a Script does with a request.
+type Step func(net.Conn) bool
+
+// NewScript starts one; after the last step it plays that again.
+func NewScript(t *testing.T, steps ...Step) *Script {
+	s := &Script{}
+	ln := Listen(t)
+	s.Addr = ln.Addr().String()
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+			s.mu.Lock()
+			s.conns++
+			s.mu.Unlock()
+			go s.serve(c, steps)
+		}
+	}()
+	return s
+}
+
+func (s *Script) serve(c net.Conn, steps []Step) {
+	defer c.Close()
+	for in := bufio.NewReader(c); ; {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		next := steps[min(len(s.requests), len(steps)-1)]
+		s.requests, s.bodies = append(s.requests, req), append(s.bodies, string(body))
+		s.mu.Unlock()
+		if !next(c) {
+			return
+		}
+	}
+}
+
+// Seen returns the requests and their bodies so far, and how many connections there were.
+func (s *Script) Seen() (requests []*http.Request, bodies []string, conns int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]*http.Request(nil), s.requests...), append([]string(nil), s.bodies...), s.conns
+}
+
+// Say answers.
+func Say(status int, body string, headers ...string) Step {
+	return func(c net.Conn) bool {
+		head := "HTTP/1.1 " + strconv.Itoa(status) + " X\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n"
+		for _, h := range headers {
+			head += h + "\r\n"
+		}
+		_, err := io.WriteString(c, head+"\r\n"+body)
+		return err == nil
+	}
+}
+
+// BreakOff ends the connection after part of an answer.
+func BreakOff(part string) Step {
+	return func(c net.Conn) bool {
+		io.WriteString(c, part)
+		return false
+	}
+}
+
+// Log is a log that can be read while it is written.
+type Log struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (l *Log) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+// Has reports whether a text stands in the log.
+func (l *Log) Has(text string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Contains(l.text.String(), text)
+}
--- a/internal/sidecar/answer.go
+++ b/internal/upstream/http/answer.go
@@ -1,4 +1,4 @@
-package sidecar
+package http
 
 import (
 	"bufio"
@@ -8,6 +8,8 @@
 	"net/http"
 	"strconv"
 	"strings"
+
+	"cedararch/internal/httpwire"
 )
 
 const (
@@ -59,7 +61,7 @@
 		if resp.StatusCode < 200 { // an interim answer: the real one follows
 			continue
 		}
-		if resp.ContentLength > maxBody {
+		if resp.ContentLength > httpwire.MaxBody {
 			return nil, nil, fmt.Errorf("%w: it announces %d bytes", errHuge, resp.ContentLength)
 		}
 		if endless(resp) {
@@ -69,12 +71,12 @@
 			resp.Close = true // its head tells all that is asked of it
 			return resp, nil, nil
 		}
-		r.allowance.left = maxFraming * maxBody
-		body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
+		r.allowance.left = maxFraming * httpwire.MaxBody
+		body, err := io.ReadAll(io.LimitReader(resp.Body, httpwire.MaxBody+1))
 		if err != nil {
 			return nil, nil, err
 		}
-		if len(body) > maxBody {
+		if len(body) > httpwire.MaxBody {
 			return nil, nil, errHuge
 		}
 		return resp, body, nil
--- a/internal/sidecar/pool.go
+++ b/internal/upstream/http/pool.go
@@ -1,4 +1,4 @@
-package sidecar
+package http
 
 import (
 	"context"
@@ -10,14 +10,12 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"cedararch/internal/core"
+	"cedararch/internal/socket"
 )
 
 const (
-	defaultSockets = 1024
-	leastSockets   = 32
-	spareSockets   = 24  // for the listener, discovery, the poller, standard streams
-	idleShare      = 0.8 // of the time after which a server closes an idle connection; ours go before
-
 	// A server that has sent something on a connection long after the answer, a second copy of it say, may do so when
 	// the next request is out, and that would get an answer made for another: no answer names its request. lateMemory
 	// is how long connections to such a server carry one request only; where it were two servers, those to all others
@@ -33,7 +31,7 @@
 type conn struct {
 	net.Conn
 	in       answerReader
-	endpoint *endpoint
+	endpoint *core.Endpoint
 	addr     string
 	idleFrom time.Time
 	uses     int  // how often it was given back
@@ -50,16 +48,17 @@
 	most           int // open connections
 
 	mu   sync.Mutex
-	open int                   // dialled, in use and idle
-	idle map[*endpoint][]*conn // the most recently used last
+	open int                        // dialled, in use and idle
+	idle map[*core.Endpoint][]*conn // the most recently used last
 	// resting holds idle connections that were not looked at since their last use, in order; one may have been taken
 	// meanwhile.
 	resting   []resting
-	rested    chan struct{} // there is one more; has room for one
-	late      *endpoint     // that was last caught sending late, at lateAt
+	rested    chan struct{}  // there is one more; has room for one
+	late      *core.Endpoint // that was last caught sending late, at lateAt
 	lateAt    time.Time
-	lateUntil time.Time // until then connections to all servers rest longer
-	noteLate  func(*endpoint)
+	lateUntil time.Time                    // until then connections to all servers rest longer
+	lateOnes  map[*core.Endpoint]time.Time // servers that were caught, and until when no connection to them is used again
+	noteLate  func(*core.Endpoint)
 	seed      maphash.Seed
 }
 
@@ -69,16 +68,16 @@
 	uses int
 }
 
-func newPool(connectTimeout, idleTime, restTime time.Duration, sockets int) *pool {
+func newPool(connectTimeout, idleTime, restTime time.Duration, most int) *pool {
 	return &pool{
 		connectTimeout: connectTimeout, idleTime: idleTime, restTime: restTime,
-		most: (sockets - spareSockets) / 2, idle: map[*endpoint][]*conn{}, rested: make(chan struct{}, 1),
-		noteLate: func(*endpoint) {}, seed: maphash.MakeSeed(),
+		most: most, idle: map[*core.Endpoint][]*conn{}, rested: make(chan struct{}, 1),
+		lateOnes: map[*core.Endpoint]time.Time{}, noteLate: func(*core.Endpoint) {}, seed: maphash.MakeSeed(),
 	}
 }
 
 // get returns an idle connection that still stands, or a new one.
-func (p *pool) get(ctx context.Context, e *endpoint, cut time.Time) (*conn, error) {
+func (p *pool) get(ctx context.Context, e *core.Endpoint, cut time.Time) (*conn, error) {
 	for {
 		c := p.takeIdle(e)
 		if c == nil {
@@ -87,7 +86,7 @@
 		// The server may have closed it, or died, while it was idle. A request written to it would end as a
 		// reset, which may have run; a new connection tells for sure.
 		state := c.state()
-		if c.addr == *e.addr.Load() && state == silent {
+		if c.addr == e.Addr() && state == socket.Silent {
 			return c, nil
 		}
 		p.mu.Lock()
@@ -102,7 +101,7 @@
 	c, err := p.dial(ctx, e, cut)
 	if err != nil {
 		p.release()
-		if exhausted(err) {
+		if socket.Exhausted(err) {
 			p.evict()
 			return nil, fmt.Errorf("%w: %w", errNoSocket, err)
 		}
@@ -111,9 +110,9 @@
 	return c, nil
 }
 
-func (p *pool) dial(ctx context.Context, e *endpoint, cut time.Time) (*conn, error) {
+func (p *pool) dial(ctx context.Context, e *core.Endpoint, cut time.Time) (*conn, error) {
 	dialer := net.Dialer{Timeout: p.connectTimeout, Deadline: cut, KeepAlive: -1}
-	addr := *e.addr.Load()
+	addr := e.Addr()
 	c, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("connect: %w", err)
@@ -122,7 +121,7 @@
 }
 
 // takeIdle takes the most recently used connection that has rested.
-func (p *pool) takeIdle(e *endpoint) *conn {
+func (p *pool) takeIdle(e *core.Endpoint) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	idle, now, rest := p.idle[e], time.Now(), p.restTime
@@ -138,7 +137,7 @@
 	return nil
 }
 
-func (p *pool) setIdle(e *endpoint, idle []*conn) {
+func (p *pool) setIdle(e *core.Endpoint, idle []*conn) {
 	if len(idle) == 0 {
 		delete(p.idle, e)
 	} else {
@@ -161,7 +160,7 @@
 	p.mu.Lock()
 	c.idleFrom, c.looked = time.Now(), false
 	c.uses++
-	keep := !c.endpoint.closed.Load() && c.idleFrom.After(c.endpoint.lateUntil)
+	keep := !c.endpoint.Closed() && c.idleFrom.After(p.lateOnes[c.endpoint])
 	if keep {
 		p.idle[c.endpoint] = append(p.idle[c.endpoint], c)
 		p.resting = append(p.resting, resting{c, c.uses})
@@ -224,7 +223,7 @@
 }
 
 // closeIdle closes the idle connections to an endpoint.
-func (p *pool) closeIdle(e *endpoint) {
+func (p *pool) closeIdle(e *core.Endpoint) {
 	p.closeWhere(func(c *conn) bool { return c.endpoint == e })
 }
 
@@ -251,16 +250,21 @@
 }
 
 // judge takes in what was found on an idle connection, and returns its endpoint if that is news. The caller holds mu.
-func (p *pool) judge(c *conn, state found) *endpoint {
-	if state != waiting || !c.looked {
+func (p *pool) judge(c *conn, state socket.State) *core.Endpoint {
+	if state != socket.Waiting || !c.looked {
 		return nil // what came right behind the answer could do no harm: nothing is sent until the rest is over
 	}
 	e, now := c.endpoint, time.Now()
 	if p.late != nil && p.late != e && now.Sub(p.lateAt) < lateMemory {
 		p.lateUntil = now.Add(lateMemory)
 	}
-	news := now.After(e.lateUntil)
-	p.late, p.lateAt, e.lateUntil = e, now, now.Add(lateMemory)
+	news := now.After(p.lateOnes[e])
+	for old, until := range p.lateOnes { // those that are over, so that servers gone for good are let go
+		if now.After(until) {
+			delete(p.lateOnes, old)
+		}
+	}
+	p.late, p.lateAt, p.lateOnes[e] = e, now, now.Add(lateMemory)
 	if !news {
 		return nil
 	}
@@ -288,14 +292,14 @@
 	}
 	p.mu.Lock()
 	c.looked = true
-	caught := p.judge(c, waiting)
+	caught := p.judge(c, socket.Waiting)
 	p.mu.Unlock()
 	p.note(caught)
 	return true
 }
 
 // note reports an endpoint that was caught sending late; at most once in lateMemory for each.
-func (p *pool) note(e *endpoint) {
+func (p *pool) note(e *core.Endpoint) {
 	if e != nil {
 		p.closeIdle(e)
 		p.noteLate(e)
@@ -320,7 +324,7 @@
 		if i < 0 || r.uses != r.conn.uses { // taken, or gone
 			continue
 		}
-		if r.conn.looked = r.conn.state() == silent; !r.conn.looked {
+		if r.conn.looked = r.conn.state() == socket.Silent; !r.conn.looked {
 			p.setIdle(r.conn.endpoint, slices.Delete(idle, i, i+1))
 			dropped = append(dropped, r.conn)
 		}
@@ -335,7 +339,7 @@
 // sweep closes connections that have been idle for too long, that the other side has closed, or on which something has
 // come.
 func (p *pool) sweep(now time.Time) {
-	var caught []*endpoint
+	var caught []*core.Endpoint
 	p.closeWhere(func(c *conn) bool {
 		if now.Sub(c.idleFrom) >= p.idleTime {
 			return true
@@ -344,7 +348,7 @@
 		if e := p.judge(c, state); e != nil {
 			caught = append(caught, e)
 		}
-		return state != silent
+		return state != socket.Silent
 	})
 	for _, e := range caught {
 		p.note(e)
@@ -377,10 +381,10 @@
 }
 
 // state tells whether an idle connection is open and silent, as it has to be.
-func (c *conn) state() found {
+func (c *conn) state() socket.State {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return closed
+		return socket.Closed
 	}
-	return peek(sc)
+	return socket.Peek(sc)
 }
--- /dev/null
+++ b/internal/upstream/http/upstream.go
@@ -0,0 +1,282 @@
+// Package http makes attempts at servers that speak HTTP/1.1: it keeps connections to them, writes a request in one
+// piece, reads the answer within bounds, and tells what its end proves of whether the request ran. Which server, and
+// whether again, is not for it; it knows no client.
+//
+// upstream.go makes attempts over the connections of pool.go and reads what comes back with answer.go. Begin with Back.
+package http
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"cedararch/balance"
+	"cedararch/internal/core"
+	"cedararch/internal/httpwire"
+)
+
+const (
+	loadHeader    = "Endpoint-Load-Metrics"
+	neverRan      = "X-Never-Ran"
+	probePatience = 250 * time.Millisecond // beyond the time for a connection
+)
+
+// Config is what the back is told at its start.
+type Config struct {
+	ConnectTimeout time.Duration
+	Idle           time.Duration // after which an unused connection is closed
+	Rest           time.Duration // between two requests on a connection
+	Sockets        int           // connections at most
+	Fields         []string      // the figures of a load report, in the module's order
+	Reports        bool          // probes ask for the load report
+	NoteLate       func(*core.Endpoint)
+}
+
+// attempt is a core.Attempt with what it takes to give it up.
+type attempt struct {
+	*core.Attempt
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// Back makes attempts over HTTP/1.1.
+type Back struct {
+	up      *upstream
+	ctx     context.Context
+	running sync.WaitGroup // attempts and probes
+}
+
+// New returns a back whose attempts end when ctx does.
+func New(ctx context.Context, cfg Config) *Back {
+	p := newPool(cfg.ConnectTimeout, cfg.Idle, cfg.Rest, cfg.Sockets)
+	if cfg.NoteLate != nil {
+		p.noteLate = cfg.NoteLate
+	}
+	u := &upstream{pool: p, fields: cfg.Fields, probe: "/alive"}
+	if cfg.Reports {
+		u.probe = "/metrics/load"
+	}
+	return &Back{up: u, ctx: ctx}
+}
+
+// Begin implements core.Back.
+func (b *Back) Begin(a *core.Attempt) {
+	t := &attempt{Attempt: a}
+	t.ctx, t.cancel = context.WithCancel(b.ctx)
+	a.State = t
+	b.running.Go(func() {
+		defer t.cancel()
+		a.End(b.up.try(t))
+	})
+}
+
+// Cancel implements core.Back.
+func (b *Back) Cancel(a *core.Attempt) { a.State.(*attempt).cancel() }
+
+// Probe implements core.Back.
+func (b *Back) Probe(e *core.Endpoint, done func(core.Result)) {
+	b.running.Go(func() { done(b.up.ask(b.ctx, e)) })
+}
+
+// CloseIdle implements core.Back.
+func (b *Back) CloseIdle(e *core.Endpoint) { b.up.pool.closeIdle(e) }
+
+// Evict closes the connection that has been idle for longest, and reports whether there was one.
+func (b *Back) Evict() bool { return b.up.pool.evict() }
+
+// Run looks after idle connections until ctx ends.
+func (b *Back) Run(ctx context.Context) { b.up.pool.run(ctx) }
+
+// Close waits for what is out, after the context of New has ended, and closes all connections.
+func (b *Back) Close() {
+	b.running.Wait()
+	b.up.pool.closeAll()
+}
+
+// upstream sends attempts and probes to servers over connections of its own. It uses no http.Transport: that
+// sends a request again by itself when a kept connection turns out to be dead, and does not tell whether the
+// last byte was written, on which it hangs whether a request may have run.
+type upstream struct {
+	pool   *pool
+	fields []string
+	probe  string // path
+}
+
+// try makes an attempt and tells how it ended.
+func (u *upstream) try(a *attempt) core.Result {
+	c, err := u.pool.get(a.ctx, a.Endpoint, a.Cut)
+	if err != nil {
+		return core.Result{Outcome: unconnected(a, err)}
+	}
+	// A dial can outlast the news that the server drains, or the request itself. Nothing was sent yet.
+	if a.Over() || a.ctx.Err() != nil {
+		u.pool.put(c)
+		return core.Result{Outcome: balance.Moot}
+	}
+	r, reusable := u.exchange(a, c)
+	u.pool.giveBack(c, reusable)
+	return r
+}
+
+// unconnected tells the server's failures from this side's own, which must not be held against it.
+func unconnected(a *attempt, err error) balance.Result {
+	if a.ctx.Err() != nil || errors.Is(err, errNoSocket) || !time.Now().Before(a.Cut) {
+		return balance.Moot
+	}
+	return balance.ConnectFailed
+}
+
+// exchange writes the request and reads the answer. Cancelling an attempt ends its connection.
+func (u *upstream) exchange(a *attempt, c *conn) (r core.Result, reusable bool) {
+	request, err := encode(a.Message, a.Cut)
+	if err != nil {
+		return core.Result{Outcome: balance.Moot}, false
+	}
+	c.SetDeadline(a.Cut)
+	stop := context.AfterFunc(a.ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	defer func() { reusable = stop() && reusable }()
+
+	// One write, so that what the kernel took tells whether the last byte went out.
+	if n, err := c.Write(request); n < len(request) {
+		if interrupted(a, err) {
+			return core.Result{Outcome: balance.Moot}, false
+		}
+		return core.Result{Outcome: balance.ConnectFailed}, false
+	}
+	resp, body, err := c.in.next(methodOf(a.Message))
+	if err != nil {
+		return core.Result{Outcome: a.broken(err)}, false
+	}
+	r = core.Result{Outcome: outcomeOf(resp), Report: reportOf(resp, u.fields)}
+	if r.Outcome == balance.OK && u.pool.isCopy(c, body) {
+		return core.Result{Outcome: balance.Reset}, false // the answer to this request is yet to come, or never will
+	}
+	if r.Outcome == balance.OK {
+		resp.Header.Del(loadHeader)
+		httpwire.DropHop(resp.Header)
+		r.Answer = &core.Answer{Meta: resp.Header, ContentType: resp.Header.Get("Content-Type"), Body: body}
+	}
+	return r, !resp.Close && c.in.Buffered() == 0
+}
+
+func interrupted(a *attempt, err error) bool {
+	return a.ctx.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// broken is the outcome where no whole answer came to a request that was written whole.
+func (a *attempt) broken(err error) balance.Result {
+	if a.ctx.Err() != nil {
+		return balance.Cancelled
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return balance.TimedOut
+	}
+	return balance.Reset
+}
+
+func outcomeOf(resp *http.Response) balance.Result {
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return balance.OK
+	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		if resp.Header.Get(neverRan) == "1" {
+			return balance.Full
+		}
+	}
+	return balance.Failed
+}
+
+// methodOf follows from what the request may do; a safe one that has something to say cannot say it with GET.
+func methodOf(m *core.Message) string {
+	if m.Safe && len(m.Body) == 0 {
+		return http.MethodGet
+	}
+	return http.MethodPost
+}
+
+// headerOf returns the headers of a message, which may be changed: those that came, or where its protocol has none,
+// those that say the same.
+func headerOf(m *core.Message) http.Header {
+	if m.Meta != nil {
+		return http.Header(m.Meta).Clone()
+	}
+	h := make(http.Header, 8)
+	for _, f := range []struct{ name, value string }{
+		{"X-Trace-Id", m.Trace}, {"X-Qos", m.Class}, {"X-Customer", m.Tenant}, {"X-Object", m.Object},
+		{"Idempotency-Key", m.IdempotencyKey}, {"Content-Type", m.ContentType},
+	} {
+		if f.value != "" {
+			h[f.name] = []string{f.value}
+		}
+	}
+	return h
+}
+
+// encode writes the message as it goes to a server, which is told the time that remains until cut.
+func encode(m *core.Message, cut time.Time) ([]byte, error) {
+	req := http.Request{
+		Method: methodOf(m),
+		URL:    &url.URL{Opaque: cmp.Or(m.Target, "/api/"+m.Method)}, // goes on as the client wrote it
+		Header: headerOf(m),
+		Host:   cmp.Or(m.Authority, "app.svc"),
+	}
+	req.Header.Set(httpwire.ExpiryHeader, strconv.FormatInt(max(1, time.Until(cut).Microseconds()), 10)+"u")
+	if req.Header.Get("User-Agent") == "" {
+		req.Header.Set("User-Agent", "") // else Write adds one of its own
+	}
+	if len(m.Body) > 0 {
+		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(m.Body)), int64(len(m.Body))
+	} else if req.Method != http.MethodGet {
+		req.Body = http.NoBody
+	}
+	var out bytes.Buffer
+	if err := req.Write(&out); err != nil {
+		return nil, fmt.Errorf("encode request: %w", err)
+	}
+	return out.Bytes(), nil
+}
+
+// ask probes an endpoint.
+func (u *upstream) ask(ctx context.Context, e *core.Endpoint) core.Result {
+	cut := time.Now().Add(u.pool.connectTimeout + probePatience)
+	c, err := u.pool.get(ctx, e, cut)
+	if err != nil {
+		return core.Result{Outcome: balance.ConnectFailed}
+	}
+	r, reusable := u.askOn(ctx, e, c, cut)
+	u.pool.giveBack(c, reusable)
+	return r
+}
+
+func (u *upstream) askOn(ctx context.Context, e *core.Endpoint, c *conn, cut time.Time) (r core.Result, reusable bool) {
+	c.SetDeadline(cut)
+	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	defer func() { reusable = stop() && reusable }()
+	if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", u.probe, c.addr); err != nil {
+		return core.Result{Outcome: balance.ConnectFailed}, false
+	}
+	resp, body, err := c.in.next(http.MethodGet)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return core.Result{Outcome: balance.TimedOut}, false
+	}
+	if err != nil {
+		return core.Result{Outcome: balance.Reset}, false
+	}
+	r = core.Result{Outcome: balance.Failed, Report: reportOf(resp, u.fields)}
+	if r.Report == nil {
+		r.Report = parseReport(string(body), u.fields)
+	}
+	if resp.StatusCode == http.StatusOK {
+		r.Outcome = balance.OK
+	}
+	return r, !resp.Close && c.in.Buffered() == 0
+}
--- /dev/null
+++ b/internal/upstream/msgpackrpc/back.go
@@ -0,0 +1,222 @@
+// Package msgpackrpc makes attempts at servers that speak MessagePack-RPC: it pipelines requests over few connections,
+// under ids of its own, and tells what the end of each proves of whether it ran. Which server, and whether again, is not
+// for it; it knows no client. The codec is in the package of the same name at the root.
+//
+// back.go keeps the connections to each server, conn.go owns one, result.go reads what servers say. Begin with Back.
+package msgpackrpc
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"cedararch/balance"
+	"cedararch/internal/core"
+	codec "cedararch/msgpackrpc"
+)
+
+const (
+	// stall is how long a server may read nothing while requests for it wait: what was written counts as sent, so that a
+	// drain that is told meanwhile is still kept within its grace.
+	stall = 150 * time.Millisecond
+	// spreadAt is how many requests are open on each connection to a server before there is another one.
+	spreadAt = 64
+	// mostAbandoned bounds the late replies that a connection waits for; beyond it no new request is put on it.
+	mostAbandoned = 1024
+	probePatience = 250 * time.Millisecond // beyond the time for a connection
+)
+
+// Config is what the back is told at its start.
+type Config struct {
+	ConnectTimeout time.Duration
+	Idle           time.Duration // after which an unused connection is closed
+	Connections    int           // to one server, at most
+	Sockets        int           // to all of them together
+	Open           int           // requests on one connection
+	Limits         codec.Limits
+	NeverRan       []string // codes of errors by which a server says that it has not begun the request
+	Answers        []string // codes of errors that are the application's own answer; "*": all others
+	Probe          string   // the method that tells how a server is; empty: a connection has to come up
+	Log            *slog.Logger
+}
+
+// Back makes attempts over MessagePack-RPC.
+type Back struct {
+	cfg       Config
+	ctx       context.Context
+	neverRan  map[string]bool
+	answers   map[string]bool
+	notes     rate.Sometimes // bounds what is logged of servers' mistakes
+	unmatched atomic.Int64
+	running   sync.WaitGroup
+
+	mu      sync.Mutex
+	servers map[*core.Endpoint][]*conn
+	sockets int
+}
+
+// New returns a back whose attempts end when ctx does.
+func New(ctx context.Context, cfg Config) *Back {
+	set := func(names []string) map[string]bool {
+		m := make(map[string]bool, len(names))
+		for _, n := range names {
+			m[n] = true
+		}
+		return m
+	}
+	return &Back{
+		cfg: cfg, ctx: ctx, neverRan: set(cfg.NeverRan), answers: set(cfg.Answers),
+		notes: rate.Sometimes{First: 5, Interval: time.Second}, servers: map[*core.Endpoint][]*conn{},
+	}
+}
+
+// Unmatched returns how many replies came whose id matched nothing that was out.
+func (b *Back) Unmatched() int64 { return b.unmatched.Load() }
+
+// Begin implements core.Back.
+func (b *Back) Begin(a *core.Attempt) {
+	t := &try{Attempt: a}
+	a.State = t
+	if !b.place(t) {
+		b.later(t, balance.Moot)
+	}
+}
+
+// Cancel implements core.Back: the id is abandoned, and a late reply to it is no error.
+func (b *Back) Cancel(a *core.Attempt) {
+	if t := a.State.(*try); t.conn != nil {
+		t.conn.cancel(t)
+	}
+}
+
+// later ends an attempt from the exchange's own goroutine, which must not wait for itself.
+func (b *Back) later(t *try, outcome balance.Result) {
+	b.running.Go(func() { t.End(core.Result{Outcome: outcome}) })
+}
+
+// place puts an attempt on the connection to its server on which fewest are open, or on a new one. It is not placed
+// where all are full, or this side has no socket to spare.
+func (b *Back) place(t *try) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	addr := t.Endpoint.Addr()
+	var best *conn
+	least, fit := 0, 0
+	for _, c := range b.servers[t.Endpoint] {
+		load, ok := c.load(addr)
+		if !ok {
+			continue
+		}
+		fit++
+		if best == nil || load < least {
+			best, least = c, load
+		}
+	}
+	if (best == nil || least >= spreadAt) && fit < b.cfg.Connections && b.sockets < b.cfg.Sockets {
+		best, least = b.open(t.Endpoint, addr), 0
+	}
+	return best != nil && least < b.cfg.Open && best.add(t)
+}
+
+// open starts a connection. The caller holds mu.
+func (b *Back) open(e *core.Endpoint, addr string) *conn {
+	c := newConn(b, e, addr)
+	b.servers[e] = append(b.servers[e], c)
+	b.sockets++
+	b.running.Go(c.run)
+	return c
+}
+
+// remove forgets a connection that has ended.
+func (b *Back) remove(c *conn) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sockets--
+	all := b.servers[c.endpoint]
+	kept := make([]*conn, 0, len(all))
+	for _, other := range all {
+		if other != c {
+			kept = append(kept, other)
+		}
+	}
+	if len(kept) == 0 {
+		delete(b.servers, c.endpoint)
+	} else {
+		b.servers[c.endpoint] = kept
+	}
+}
+
+// CloseIdle implements core.Back. A connection that carries something ends with the last of it, if its server is closed.
+func (b *Back) CloseIdle(e *core.Endpoint) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, c := range b.servers[e] {
+		c.closeIf(func(open int, _ time.Time) bool { return open == 0 }, e.Closed())
+	}
+}
+
+// Evict closes a connection that carries nothing, and reports whether there was one.
+func (b *Back) Evict() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, all := range b.servers {
+		for _, c := range all {
+			if c.closeIf(func(open int, _ time.Time) bool { return open == 0 }, false) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Run looks after idle connections until ctx ends.
+func (b *Back) Run(ctx context.Context) {
+	tick := time.NewTicker(max(b.cfg.Idle/20, time.Millisecond))
+	defer tick.Stop()
+	for {
+		select {
+		case now := <-tick.C:
+			b.mu.Lock()
+			for _, all := range b.servers {
+				for _, c := range all {
+					c.closeIf(func(open int, last time.Time) bool { return open == 0 && now.Sub(last) >= b.cfg.Idle }, false)
+				}
+			}
+			b.mu.Unlock()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Close waits for what is out, after the context of New has ended.
+func (b *Back) Close() { b.running.Wait() }
+
+// Probe implements core.Back: it calls the method that is set for that, or tries whether a connection comes up.
+func (b *Back) Probe(e *core.Endpoint, done func(core.Result)) {
+	cut := time.Now().Add(b.cfg.ConnectTimeout + probePatience)
+	if b.cfg.Probe != "" {
+		m := &core.Message{Method: b.cfg.Probe, Safe: true}
+		b.Begin(core.NewAttempt(e, m, cut, done))
+		return
+	}
+	b.running.Go(func() {
+		c, err := b.dial(e.Addr())
+		if err != nil {
+			done(core.Result{Outcome: balance.ConnectFailed})
+			return
+		}
+		c.Close()
+		done(core.Result{Outcome: balance.OK})
+	})
+}
+
+func (b *Back) dial(addr string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: b.cfg.ConnectTimeout, KeepAlive: -1}
+	return dialer.DialContext(b.ctx, "tcp", addr)
+}
