--- /dev/null
+++ b/internal/upstream/msgpackrpc/back_test.go
@@ -0,0 +1,435 @@
+package msgpackrpc
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+	"go.uber.org/goleak"
+
+	"cedararch/balance"
+	"cedararch/internal/core"
+	"cedararch/internal/testbed"
+	codec "cedararch/msgpackrpc"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// seen is a request as the server of a test got it, and its connection.
+type seen struct {
+	id     uint32
+	method string
+	params []byte
+	conn   net.Conn
+}
+
+func (s *seen) reply(failure, result []byte) {
+	s.conn.Write(codec.AppendResponse(nil, s.id, failure, result))
+}
+
+// server hands what comes to the test.
+type server struct {
+	addr     string
+	requests chan *seen
+	conns    chan net.Conn
+}
+
+func newServer(t *testing.T) *server {
+	t.Helper()
+	ln := testbed.Listen(t)
+	s := &server{ln.Addr().String(), make(chan *seen, 5000), make(chan net.Conn, 100)}
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+			s.conns <- c
+			go func() {
+				for in := codec.NewReader(c, codec.Limits{}); ; {
+					f, err := in.Next()
+					if err != nil {
+						return
+					}
+					s.requests <- &seen{f.ID, string(f.Method), bytes.Clone(f.Params), c}
+				}
+			}()
+		}
+	}()
+	return s
+}
+
+type bench struct {
+	*Back
+	t    *testing.T
+	note *testbed.Log
+}
+
+func newBack(t *testing.T, change func(*Config)) *bench {
+	t.Helper()
+	b := &bench{t: t, note: &testbed.Log{}}
+	cfg := Config{
+		ConnectTimeout: testbed.Patience, Idle: testbed.Patience, Connections: 1, Sockets: 10, Open: 1000,
+		NeverRan: []string{"busy", "-7"}, Answers: []string{"none"}, Log: slog.New(slog.NewTextHandler(b.note, nil)),
+	}
+	if change != nil {
+		change(&cfg)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	b.Back = New(ctx, cfg)
+	t.Cleanup(func() { stop(); b.Close() })
+	return b
+}
+
+var message = &core.Message{Method: "m", ContentType: core.MessagePack, Body: []byte{0x91, 7}}
+
+// attempt begins one and returns where its end comes.
+func (b *bench) attempt(e *core.Endpoint, within time.Duration) (*core.Attempt, chan core.Result) {
+	ended := make(chan core.Result, 2)
+	a := core.NewAttempt(e, message, time.Now().Add(within), func(r core.Result) { ended <- r })
+	b.Begin(a)
+	return a, ended
+}
+
+func want(t *testing.T, ended <-chan core.Result, outcome balance.Result) core.Result {
+	t.Helper()
+	r := testbed.Next(t, ended)
+	if r.Outcome != outcome {
+		t.Errorf("outcome %d, want %d", r.Outcome, outcome)
+	}
+	return r
+}
+
+// Requests are pipelined over one connection, and each gets its own answer in whatever order they come.
+func TestPipelines(t *testing.T) {
+	s, b := newServer(t), newBack(t, nil)
+	e := core.NewEndpoint("s-1", s.addr)
+	const n = 50
+	var ends [n]chan core.Result
+	for i := range n {
+		_, ends[i] = b.attempt(e, testbed.Patience)
+	}
+	var got [n]*seen
+	for i := range n {
+		got[i] = testbed.Next(t, s.requests)
+		if got[i].method != "m" || !bytes.Equal(got[i].params, message.Body) {
+			t.Fatalf("server got %+v", got[i])
+		}
+	}
+	for i := n - 1; i >= 0; i-- {
+		got[i].reply(nil, []byte{0xcd, 0, byte(i)})
+	}
+	for i := range n {
+		if r := want(t, ends[i], balance.OK); !bytes.Equal(r.Answer.Body, []byte{0xcd, 0, byte(i)}) {
+			t.Errorf("attempt %d got % x", i, r.Answer.Body)
+		}
+	}
+	if len(s.conns) != 1 {
+		t.Errorf("%d connections", len(s.conns))
+	}
+}
+
+// What a server says tells whether the request ran.
+func TestOutcomes(t *testing.T) {
+	s, b := newServer(t), newBack(t, nil)
+	e := core.NewEndpoint("s-1", s.addr)
+	pack := func(v any) []byte { p, _ := msgpack.Marshal(v); return p }
+	for name, c := range map[string]struct {
+		failure any
+		want    balance.Result
+	}{
+		"code that it never ran":   {map[string]any{"text": []int{1}, "code": "busy"}, balance.Full},
+		"number that it never ran": {-7, balance.Full},
+		"first of an array":        {[]any{"busy", "queue full"}, balance.Full},
+		"an answer of its own":     {"none", balance.OK},
+		"any other error":          {"oops", balance.Failed},
+		"a map without a code":     {map[string]any{"text": "busy"}, balance.Failed},
+		"a code that is a map":     {map[string]any{"code": map[string]any{}}, balance.Failed},
+		"true":                     {true, balance.Failed},
+	} {
+		_, ended := b.attempt(e, testbed.Patience)
+		testbed.Next(t, s.requests).reply(pack(c.failure), nil)
+		r := want(t, ended, c.want)
+		if c.want == balance.OK && (!r.Answer.Declined || !bytes.Equal(r.Answer.Body, pack(c.failure))) {
+			t.Errorf("%s: %+v", name, r.Answer)
+		}
+		if t.Failed() {
+			t.Fatal(name)
+		}
+	}
+}
+
+// A reply whose id matches nothing, and a second reply to one id, make their connection unfit: what is out on it goes on,
+// what is new goes over another, and it closes with the last.
+func TestReplyThatMatchesNothing(t *testing.T) {
+	for name, stray := range map[string]func(s *seen){
+		"no id":        func(s *seen) { s.conn.Write(codec.AppendResponse(nil, s.id+1<<30, nil, []byte{1})) },
+		"second reply": func(s *seen) { s.reply(nil, []byte{1}); s.reply(nil, []byte{1}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, b := newServer(t), newBack(t, nil)
+			e := core.NewEndpoint("s-1", s.addr)
+			_, first := b.attempt(e, testbed.Patience)
+			_, second := b.attempt(e, testbed.Patience)
+			one, two := testbed.Next(t, s.requests), testbed.Next(t, s.requests)
+			stray(one)
+			testbed.Until(t, "it is counted", func() bool { return b.Unmatched() == 1 })
+			testbed.Until(t, "it is logged", func() bool { return b.note.Has("matches nothing") })
+			_, third := b.attempt(e, testbed.Patience)
+			three := testbed.Next(t, s.requests)
+			if three.conn == one.conn {
+				t.Error("a new request goes over the unfit connection")
+			}
+			if name == "no id" {
+				one.reply(nil, []byte{1})
+			}
+			want(t, first, balance.OK)
+			two.reply(nil, []byte{2})
+			want(t, second, balance.OK)
+			three.reply(nil, []byte{3})
+			want(t, third, balance.OK)
+			one.conn.SetReadDeadline(time.Now().Add(testbed.Patience))
+			testbed.Until(t, "it closes", func() bool {
+				b.mu.Lock()
+				defer b.mu.Unlock()
+				return b.sockets == 1
+			})
+		})
+	}
+}
+
+// A connection that breaks with N requests out gives N outcomes: all of them may have run.
+func TestBreakWithManyOut(t *testing.T) {
+	s, b := newServer(t), newBack(t, nil)
+	e := core.NewEndpoint("s-1", s.addr)
+	var ends []chan core.Result
+	for range 20 {
+		_, ended := b.attempt(e, testbed.Patience)
+		ends = append(ends, ended)
+	}
+	var last *seen
+	for range 20 {
+		last = testbed.Next(t, s.requests)
+	}
+	last.conn.(*net.TCPConn).SetLinger(0)
+	last.conn.Close()
+	for _, ended := range ends {
+		want(t, ended, balance.Reset)
+	}
+	_, again := b.attempt(e, testbed.Patience) // over a new connection
+	testbed.Next(t, s.requests).reply(nil, nil)
+	want(t, again, balance.OK)
+	for _, ended := range ends {
+		if len(ended) > 0 {
+			t.Error("a second outcome")
+		}
+	}
+}
+
+// A server that reads nothing stalls the writer: of what the kernel has not taken nothing can have run, and the rest may
+// have. Nothing is written later than that.
+func TestServerThatReadsNothing(t *testing.T) {
+	ln := testbed.Listen(t)
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		if c, err := ln.Accept(); err == nil {
+			c.(*net.TCPConn).SetReadBuffer(4096)
+			accepted <- c
+		}
+	}()
+	b := newBack(t, func(c *Config) { c.Open = 5000 })
+	e := core.NewEndpoint("s-1", ln.Addr().String())
+	big := &core.Message{Method: "m", ContentType: core.MessagePack, Body: append([]byte{0x91, 0xc5, 0xf0, 0}, make([]byte, 0xf000)...)}
+	const n = 300
+	ended := make(chan core.Result, n)
+	for range n {
+		b.Begin(core.NewAttempt(e, big, time.Now().Add(testbed.Patience), func(r core.Result) { ended <- r }))
+	}
+	defer testbed.Next(t, accepted).Close()
+	count := map[balance.Result]int{}
+	for range n {
+		count[testbed.Next(t, ended).Outcome]++
+	}
+	if count[balance.ConnectFailed] == 0 || count[balance.Reset] == 0 || count[balance.ConnectFailed]+count[balance.Reset] != n {
+		t.Errorf("outcomes %v", count)
+	}
+}
+
+// A server that is not there has run nothing.
+func TestRefusedConnection(t *testing.T) {
+	ln := testbed.Listen(t)
+	ln.Close()
+	b := newBack(t, nil)
+	_, ended := b.attempt(core.NewEndpoint("s-1", ln.Addr().String()), testbed.Patience)
+	want(t, ended, balance.ConnectFailed)
+}
+
+// An attempt that is given up abandons its id; the late reply is dropped, and is no error.
+func TestLateReplies(t *testing.T) {
+	s, b := newServer(t), newBack(t, nil)
+	e := core.NewEndpoint("s-1", s.addr)
+	cancelled, one := b.attempt(e, testbed.Patience)
+	_, two := b.attempt(e, 100*time.Millisecond)
+	first, second := testbed.Next(t, s.requests), testbed.Next(t, s.requests)
+	b.Cancel(cancelled)
+	b.Cancel(cancelled)
+	want(t, one, balance.Cancelled)
+	want(t, two, balance.TimedOut)
+	first.reply(nil, nil)
+	second.reply(nil, nil)
+	_, three := b.attempt(e, testbed.Patience)
+	third := testbed.Next(t, s.requests)
+	third.reply(nil, nil)
+	want(t, three, balance.OK)
+	if b.Unmatched() != 0 || third.conn != first.conn {
+		t.Errorf("%d unmatched, the same connection: %v", b.Unmatched(), third.conn == first.conn)
+	}
+	first.reply(nil, nil) // but a second late one is
+	testbed.Until(t, "it is counted", func() bool { return b.Unmatched() == 1 })
+}
+
+// A connection may be there only after the news that the server drains, or after the request's final answer. Nothing may
+// be sent then, and the attempt never ran.
+func TestLooksAgainBeforeTheFirstByte(t *testing.T) {
+	for name, late := range map[string]func(*core.Attempt, *bench){
+		"draining": func(a *core.Attempt, b *bench) { a.Endpoint.Close(); b.CloseIdle(a.Endpoint) },
+		"answered": func(a *core.Attempt, _ *bench) { a.SetAnswered() },
+		"given up": func(a *core.Attempt, b *bench) { b.Cancel(a) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, b := newServer(t), newBack(t, nil)
+			e := core.NewEndpoint("s-1", s.addr)
+			b.mu.Lock() // the connection is not up before the news
+			c := newConn(b.Back, e, s.addr)
+			b.servers[e] = append(b.servers[e], c)
+			b.sockets++
+			b.mu.Unlock()
+			a, ended := b.attempt(e, testbed.Patience)
+			late(a, b)
+			b.running.Go(c.run)
+			want(t, ended, balance.Moot)
+			if len(s.requests) != 0 {
+				t.Error("it was sent")
+			}
+		})
+	}
+}
+
+// A drain lets what is out end, and the connection with it.
+func TestDrainLetsWhatIsOutEnd(t *testing.T) {
+	s, b := newServer(t), newBack(t, nil)
+	e := core.NewEndpoint("s-1", s.addr)
+	_, ended := b.attempt(e, testbed.Patience)
+	open := testbed.Next(t, s.requests)
+	e.Close()
+	b.CloseIdle(e)
+	open.reply(nil, nil)
+	want(t, ended, balance.OK)
+	testbed.Until(t, "its connection closes", func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return b.sockets == 0 && len(b.servers) == 0
+	})
+}
+
+// Connections that carry nothing close in time, or when a socket is wanted elsewhere.
+func TestIdleConnections(t *testing.T) {
+	s, b := newServer(t), newBack(t, func(c *Config) { c.Idle = 50 * time.Millisecond })
+	e := core.NewEndpoint("s-1", s.addr)
+	use := func() {
+		_, ended := b.attempt(e, testbed.Patience)
+		testbed.Next(t, s.requests).reply(nil, nil)
+		want(t, ended, balance.OK)
+	}
+	none := func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return b.sockets == 0
+	}
+	use()
+	if !b.Evict() {
+		t.Error("nothing to evict")
+	}
+	testbed.Until(t, "the evicted one is gone", none)
+	ctx, stop := context.WithCancel(context.Background())
+	b.running.Go(func() { b.Run(ctx) })
+	use()
+	testbed.Until(t, "the idle one is gone", none)
+	stop()
+}
+
+// A peer of another protocol, or out of its mind, ends the connection; what was out may have run, and the log says why.
+func TestServersOutOfStep(t *testing.T) {
+	for name, c := range map[string]struct{ text, log string }{
+		"HTTP":       {"HTTP/1.1 400 Bad Request\r\n\r\n", "speaks HTTP"},
+		"4 GiB":      {"\x94\x01\x07\xc0\xdb\xff\xff\xff\xff", "beyond its limit"},
+		"a request":  {"\x94\x00\x07\xa1m\x90", "no response"},
+		"cut string": {"\x94\x01\x07\xc0\xa5ab", "unexpected EOF"},
+		"a reserved": {"\x94\x01\x07\xc0\xc1", "never used"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, b := newServer(t), newBack(t, nil)
+			_, ended := b.attempt(core.NewEndpoint("s-1", s.addr), testbed.Patience)
+			conn := testbed.Next(t, s.requests).conn
+			io.WriteString(conn, c.text)
+			if strings.HasPrefix(name, "cut") {
+				conn.Close()
+			}
+			want(t, ended, balance.Reset)
+			testbed.Until(t, "the log says why", func() bool { return b.note.Has(c.log) })
+		})
+	}
+}
+
+// A notification from a server is no answer, and does no harm.
+func TestNotificationFromServer(t *testing.T) {
+	s, b := newServer(t), newBack(t, nil)
+	_, ended := b.attempt(core.NewEndpoint("s-1", s.addr), testbed.Patience)
+	got := testbed.Next(t, s.requests)
+	got.conn.Write(codec.AppendNotification(nil, "progress", []byte{0x90}))
+	got.reply(nil, []byte{5})
+	want(t, ended, balance.OK)
+}
+
+// Whatever a body is, it goes out as params.
+func TestBodiesBecomeParams(t *testing.T) {
+	meta := map[string][]string{}
+	for name, c := range map[string]struct {
+		m    core.Message
+		want string
+	}{
+		"none":             {core.Message{Meta: meta}, "\x90"},
+		"params":           {core.Message{Meta: meta, ContentType: core.MessagePack, Body: []byte("\x92\x01\x02")}, "\x92\x01\x02"},
+		"a value":          {core.Message{Meta: meta, ContentType: core.MessagePack, Body: []byte("\x07")}, "\x91\x07"},
+		"broken":           {core.Message{Meta: meta, ContentType: core.MessagePack, Body: []byte("\x92\x01")}, "\x91\xc4\x02\x92\x01"},
+		"text":             {core.Message{Meta: meta, ContentType: "text/plain", Body: []byte("ab")}, "\x91\xc4\x02ab"},
+		"of the same kind": {core.Message{ContentType: core.MessagePack, Body: []byte("\x91\x05")}, "\x91\x05"},
+	} {
+		if got := paramsOf(&c.m, codec.Limits{}); string(got) != c.want {
+			t.Errorf("%s: % x, want % x", name, got, c.want)
+		}
+	}
+}
+
+func TestProbe(t *testing.T) {
+	s := newServer(t)
+	ended := make(chan core.Result, 1)
+	b := newBack(t, func(c *Config) { c.Probe = "ping" })
+	b.Probe(core.NewEndpoint("s-1", s.addr), func(r core.Result) { ended <- r })
+	if got := testbed.Next(t, s.requests); got.method != "ping" || string(got.params) != "\x90" {
+		t.Errorf("asked %q % x", got.method, got.params)
+	} else {
+		got.reply([]byte{0xa3, 'b', 'a', 'd'}, nil)
+	}
+	want(t, ended, balance.Failed)
+	plain := newBack(t, nil)
+	plain.Probe(core.NewEndpoint("s-1", s.addr), func(r core.Result) { ended <- r })
+	want(t, ended, balance.OK)
+}
--- /dev/null
+++ b/internal/upstream/msgpackrpc/result.go
@@ -0,0 +1,95 @@
+package msgpackrpc
+
+import (
+	"strconv"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"cedararch/balance"
+	"cedararch/internal/core"
+	codec "cedararch/msgpackrpc"
+)
+
+// appendRequest writes a message as a request. Params in MessagePack go on as they are; a value that is no array
+// becomes the only param, any other body a bin, and no body no param.
+func appendRequest(dst []byte, id uint32, m *core.Message, limits codec.Limits) []byte {
+	method := m.Method
+	if method == "" {
+		method = m.Target
+	}
+	return codec.AppendRequest(dst, id, method, paramsOf(m, limits))
+}
+
+func paramsOf(m *core.Message, limits codec.Limits) []byte {
+	switch {
+	case len(m.Body) == 0:
+		return msgp.AppendArrayHeader(nil, 0)
+	case m.ContentType != core.MessagePack:
+	case m.Meta == nil: // read by the codec already
+		return m.Body
+	case codec.CheckParams(m.Body, limits) == nil:
+		return m.Body
+	case codec.CheckValue(m.Body, limits) == nil:
+		return append(msgp.AppendArrayHeader(nil, 1), m.Body...)
+	}
+	return msgp.AppendBytes(msgp.AppendArrayHeader(nil, 1), m.Body)
+}
+
+// result tells what a response comes to. It is copied.
+func (b *Back) result(f *codec.Frame) core.Result {
+	if !f.Failed() {
+		body := append([]byte(nil), f.Result...)
+		return core.Result{Outcome: balance.OK, Answer: &core.Answer{ContentType: core.MessagePack, Body: body}}
+	}
+	code := errorCode(f.Error)
+	switch {
+	case b.neverRan[code]:
+		return core.Result{Outcome: balance.Full}
+	case b.answers[code] || b.answers["*"]:
+		body := append([]byte(nil), f.Error...)
+		return core.Result{
+			Outcome: balance.OK, Answer: &core.Answer{Declined: true, ContentType: core.MessagePack, Body: body},
+		}
+	}
+	return core.Result{Outcome: balance.Failed}
+}
+
+// errorCode returns the code of an error: a string or whole number as it is, of a map what its key «code» holds, of an
+// array its first element; empty where there is none. The error is one whole value, not deep.
+func errorCode(b []byte) string {
+	switch msgp.NextType(b) {
+	case msgp.StrType:
+		v, _, _ := msgp.ReadStringZC(b)
+		return string(v)
+	case msgp.IntType:
+		v, _, _ := msgp.ReadInt64Bytes(b)
+		return strconv.FormatInt(v, 10)
+	case msgp.UintType:
+		v, _, _ := msgp.ReadUint64Bytes(b)
+		return strconv.FormatUint(v, 10)
+	case msgp.ArrayType:
+		if n, rest, err := msgp.ReadArrayHeaderBytes(b); err == nil && n > 0 && msgp.NextType(rest) != msgp.ArrayType {
+			return errorCode(rest)
+		}
+	case msgp.MapType:
+		n, rest, _ := msgp.ReadMapHeaderBytes(b)
+		for range n {
+			isCode := false
+			if msgp.NextType(rest) == msgp.StrType {
+				key, _, err := msgp.ReadStringZC(rest)
+				isCode = err == nil && string(key) == "code"
+			}
+			value, err := msgp.Skip(rest)
+			if err != nil {
+				return ""
+			}
+			if t := msgp.NextType(value); isCode && t != msgp.MapType && t != msgp.ArrayType {
+				return errorCode(value)
+			}
+			if rest, err = msgp.Skip(value); err != nil {
+				return ""
+			}
+		}
+	}
+	return ""
+}
--- a/lab/run/alone.go
+++ b/lab/run/alone.go
@@ -54,8 +54,12 @@
 	clock := standin.StartClock()
 	j := judge.New(judge.Config{Classes: judgedClasses(s), Slack: ruleSlack, Blind: true})
 	seen := newRecorder(j, s.Length())
+	var rpcAddrs []string
+	if s.Clients.RPC() {
+		rpcAddrs = addrs
+	}
 	callers := standin.NewCallers(standin.CallersConfig{
-		Scenario: s, Plan: plan, Addrs: addrs, Clock: clock, Observer: seen, MostOpen: max(16, s.Limits.Sockets/3),
+		Scenario: s, Plan: plan, Addrs: addrs, RPCAddrs: rpcAddrs, Clock: clock, Observer: seen, MostOpen: max(16, s.Limits.Sockets/3),
 		Linger: answerSlack*time.Millisecond + ruleSlack,
 	})
 	tallies := callers.Run(ctx)
--- a/lab/run/config.go
+++ b/lab/run/config.go
@@ -6,6 +6,8 @@
 	"os"
 	"path/filepath"
 
+	"github.com/pelletier/go-toml/v2"
+
 	"cedararch/lab/scenario"
 	"cedararch/lab/standin"
 )
@@ -72,6 +74,38 @@
 	}
 }
 
+// rpcOptions renders the sidecar's options for MessagePack-RPC, where clients or servers of the scenario speak it; else it
+// is empty.
+func rpcOptions(s *scenario.Scenario, listen string) ([]byte, error) {
+	if !s.Clients.RPC() && !s.RPCServers() {
+		return nil, nil
+	}
+	table := object{"never_ran": []string{"never_ran"}, "probe": "alive"}
+	if s.Clients.RPC() {
+		table["listen"] = listen
+	}
+	if s.RPCServers() {
+		table["flavors"] = s.RPCKinds()
+	}
+	var methods []object
+	for _, c := range s.Classes {
+		m := object{
+			"name": c.Name, "class": c.Name, "path": "/api/" + c.Name, "tenant_param": "tenant", "key_param": "object",
+			"deadline_param_ms": "left_ms", "trace_param": "trace", "repeat_param": "repeat",
+		}
+		if c.Effect == "keyed" {
+			m["idempotency_param"] = "key"
+		}
+		methods = append(methods, m)
+	}
+	table["method"] = methods
+	text, err := toml.Marshal(object{"msgpack_rpc": table})
+	if err != nil {
+		return nil, fmt.Errorf("options: %w", err)
+	}
+	return text, nil
+}
+
 // writeConfig writes the file that NODE_CONFIG names, as a whole.
 func writeConfig(dir string, s *scenario.Scenario, number int, listen, discovery string, known standin.List) (string, error) {
 	text, err := json.MarshalIndent(object{
@@ -84,11 +118,16 @@
 		return "", fmt.Errorf("configuration of sidecar %d: %w", number, err)
 	}
 	path := filepath.Join(dir, fmt.Sprintf("n%d.json", number+1))
-	if err := os.WriteFile(path+".new", text, 0o600); err != nil {
-		return "", fmt.Errorf("configuration of sidecar %d: %w", number, err)
-	}
-	if err := os.Rename(path+".new", path); err != nil {
+	if err := replaceFile(path, text); err != nil {
 		return "", fmt.Errorf("configuration of sidecar %d: %w", number, err)
 	}
 	return path, nil
 }
+
+// replaceFile writes a file as a whole.
+func replaceFile(path string, text []byte) error {
+	if err := os.WriteFile(path+".new", text, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(path+".new", path)
+}
--- /dev/null
+++ b/lab/run/echo.go
@@ -0,0 +1,249 @@
+package run
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+
+	codec "cedararch/msgpackrpc"
+)
+
+// echoBody is what the servers of a throughput run answer: some 60 bytes, as a looked-up plate has.
+var echoBody = []byte(`{"plate":"asahikawa 500 a 12-34","district":"kamikawa","ok":1}`)
+
+// echoServer answers at once, so that what is measured is what stands before it.
+type echoServer struct {
+	ln   net.Listener
+	http *http.Server
+
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+	tasks sync.WaitGroup
+}
+
+func newEchoServer(rpc bool) (*echoServer, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("throughput: %w", err)
+	}
+	e := &echoServer{ln: ln, conns: map[net.Conn]bool{}}
+	if !rpc {
+		e.http = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Type", "application/json")
+			w.Write(echoBody)
+		})}
+		e.tasks.Go(func() { e.http.Serve(ln) })
+		return e, nil
+	}
+	e.tasks.Go(func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			e.mu.Lock()
+			e.conns[c] = true
+			e.mu.Unlock()
+			e.tasks.Go(func() { echoFrames(c) })
+		}
+	})
+	return e, nil
+}
+
+// echoFrames answers requests until the connection ends, those that came together in one piece.
+func echoFrames(c net.Conn) {
+	defer c.Close()
+	result := append([]byte{0xd9, byte(len(echoBody))}, echoBody...)
+	in := codec.NewReader(c, codec.Limits{})
+	var out []byte
+	for {
+		f, err := in.Next()
+		if err != nil {
+			return
+		}
+		out = codec.AppendResponse(out, f.ID, nil, result)
+		if in.Buffered() == 0 || len(out) > 32<<10 {
+			if _, err := c.Write(out); err != nil {
+				return
+			}
+			out = out[:0]
+		}
+	}
+}
+
+func (e *echoServer) close() {
+	e.ln.Close()
+	if e.http != nil {
+		e.http.Close()
+	}
+	e.mu.Lock()
+	for c := range e.conns {
+		c.Close()
+	}
+	e.mu.Unlock()
+	e.tasks.Wait()
+}
+
+// counts are what the load of a throughput run came to so far.
+type counts struct{ served, refused, failed atomic.Int64 }
+
+// load keeps so many requests in flight at an address until ctx ends.
+func load(ctx context.Context, addr string, rpc bool, inFlight int, n *counts) error {
+	if rpc {
+		return loadFrames(ctx, addr, inFlight, n)
+	}
+	var all sync.WaitGroup
+	errs := make(chan error, inFlight)
+	for i := range inFlight {
+		all.Go(func() { errs <- loadHTTP(ctx, addr, i, n) })
+	}
+	all.Wait()
+	for range inFlight {
+		if err := <-errs; err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// loadHTTP sends one request after the other on a connection.
+func loadHTTP(ctx context.Context, addr string, number int, n *counts) error {
+	request := []byte("GET /api/lookup HTTP/1.1\r\nHost: lab.svc\r\nX-Trace-Id: 0000000000000000\r\nX-Qos: lookup\r\n" +
+		"X-Customer: north\r\nX-Object: 7f3a9c21e0b4d655\r\nX-Expires-In: 4000m\r\n\r\n")
+	at := bytes.Index(request, []byte("0000000000000000"))
+	var in *bufio.Reader
+	var c net.Conn
+	defer func() {
+		if c != nil {
+			c.Close()
+		}
+	}()
+	for count := 0; ctx.Err() == nil; count++ {
+		if c == nil {
+			var err error
+			if c, err = net.Dial("tcp", addr); err != nil {
+				return fmt.Errorf("throughput: %w", err)
+			}
+			in = bufio.NewReader(c)
+		}
+		copy(request[at:], fmt.Sprintf("%04x%012x", number, count))
+		if _, err := c.Write(request); err != nil {
+			return fmt.Errorf("throughput: %w", err)
+		}
+		status, last, err := skipAnswer(in)
+		if err != nil {
+			return fmt.Errorf("throughput: %w", err)
+		}
+		n.count(status)
+		if last {
+			c.Close()
+			c = nil
+		}
+	}
+	return nil
+}
+
+func (n *counts) count(status int) {
+	switch status {
+	case http.StatusOK:
+		n.served.Add(1)
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		n.refused.Add(1)
+	default:
+		n.failed.Add(1)
+	}
+}
+
+var errAnswer = errors.New("an answer that a throughput run cannot read")
+
+// skipAnswer reads past an answer with a Content-Length.
+func skipAnswer(in *bufio.Reader) (status int, last bool, err error) {
+	length := -1
+	for first := true; ; first = false {
+		line, err := in.ReadSlice('\n')
+		if err != nil {
+			return 0, false, err
+		}
+		line = bytes.TrimRight(line, "\r\n")
+		switch name, value, _ := bytes.Cut(line, []byte(": ")); {
+		case first:
+			if len(line) < 12 {
+				return 0, false, errAnswer
+			}
+			if status, err = strconv.Atoi(string(line[9:12])); err != nil {
+				return 0, false, errAnswer
+			}
+		case len(line) == 0:
+			if length < 0 {
+				return 0, false, errAnswer
+			}
+			_, err = in.Discard(length)
+			return status, last, err
+		case bytes.EqualFold(name, []byte("Content-Length")):
+			if length, err = strconv.Atoi(string(value)); err != nil {
+				return 0, false, errAnswer
+			}
+		case bytes.EqualFold(name, []byte("Connection")):
+			last = bytes.EqualFold(value, []byte("close"))
+		}
+	}
+}
+
+// loadFrames keeps requests in flight on one connection: for each answer there is a next request.
+func loadFrames(ctx context.Context, addr string, inFlight int, n *counts) error {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		return fmt.Errorf("throughput: %w", err)
+	}
+	defer c.Close()
+	defer context.AfterFunc(ctx, func() { c.Close() })()
+	params := []byte{0x91, 0x81, 0xa6}
+	params = append(append(params, "object"...), 0xcf)
+	params = binary.BigEndian.AppendUint64(params, 0x7f3a9c21e0b4d655)
+	var out []byte
+	id := uint32(0)
+	for range inFlight {
+		out = codec.AppendRequest(out, id, "lookup", params)
+		id++
+	}
+	in := codec.NewReader(c, codec.Limits{})
+	for {
+		if len(out) > 0 && in.Buffered() == 0 || len(out) > 32<<10 {
+			if _, err := c.Write(out); err != nil {
+				return ended(ctx, err)
+			}
+			out = out[:0]
+		}
+		f, err := in.Next()
+		if err != nil {
+			return ended(ctx, err)
+		}
+		switch {
+		case !f.Failed():
+			n.served.Add(1)
+		case bytes.Contains(f.Error, []byte("refused")):
+			n.refused.Add(1)
+		default:
+			n.failed.Add(1)
+		}
+		out = codec.AppendRequest(out, id, "lookup", params)
+		id++
+	}
+}
+
+// ended drops the error of a connection that was closed at the run's end.
+func ended(ctx context.Context, err error) error {
+	if ctx.Err() != nil || errors.Is(err, io.EOF) && ctx.Err() != nil {
+		return nil
+	}
+	return fmt.Errorf("throughput: %w", err)
+}
--- a/lab/run/faults.go
+++ b/lab/run/faults.go
@@ -104,7 +104,11 @@
 					st.tasks.Go(func() {
 						ctx, cancel := context.WithTimeout(ctx, f.For())
 						defer cancel()
-						standin.Flood(ctx, n.address(), int(f.Size))
+						if st.s.Clients.RPC() {
+							standin.FloodRPC(ctx, n.rpcAddress(), int(f.Size))
+						} else {
+							standin.Flood(ctx, n.address(), int(f.Size))
+						}
 					})
 				}
 				return nil
--- a/lab/run/process.go
+++ b/lab/run/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -9,6 +10,7 @@
 	"os"
 	"os/exec"
 	"regexp"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -21,6 +23,10 @@
 type Program struct {
 	Args []string
 	Env  []string // further variables, NAME=value
+	// Options is a file of options for each sidecar, to which a scenario may add. OptionsVar is the variable that tells
+	// which file it is; empty: it is told by --config.
+	Options    string
+	OptionsVar string
 }
 
 const (
@@ -35,12 +41,17 @@
 	program Program
 	config  string
 	cores   float64 // that it may use; below 1 it is held to that
+	// options renders what the scenario adds to the program's options, for an address of MessagePack-RPC; nil: nothing.
+	options func(listen string) ([]byte, error)
+	rpc     bool // it listens for MessagePack-RPC
 
 	mu    sync.Mutex
 	addr  string // known once it has listened
 	cmd   *exec.Cmd
 	ended chan struct{} // closed when cmd has ended
 	place *standin.Reservation
+	rpcAt string // its address for MessagePack-RPC, once known
+	kept  *standin.Reservation
 	log   tail
 	use   Use
 	exit  error
@@ -58,18 +69,27 @@
 type tail struct {
 	mu    sync.Mutex
 	text  []byte
-	found chan string
+	rpc   bool // there are two addresses to be found
+	found chan [2]string
 }
 
-var listening = regexp.MustCompile(`msg=listening address=(\S+)\n`)
+var (
+	listening    = regexp.MustCompile(`msg=listening address=(\S+)\n`)
+	listeningRPC = regexp.MustCompile(`rpc_address=(\S+)\n`)
+)
 
 func (t *tail) Write(p []byte) (int, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.text = append(t.text, p...)
 	if t.found != nil {
-		if m := listening.FindSubmatch(t.text); m != nil {
-			t.found <- string(m[1])
+		m, r := listening.FindSubmatch(t.text), listeningRPC.FindSubmatch(t.text)
+		if m != nil && (r != nil || !t.rpc) {
+			both := [2]string{string(m[1])}
+			if r != nil {
+				both[1] = string(r[1])
+			}
+			t.found <- both
 			t.found = nil
 		}
 	}
@@ -88,19 +108,20 @@
 // start starts the process and waits until it listens; the first time at an address that the kernel chooses, later at
 // the same one.
 func (p *process) start(ctx context.Context) error {
-	found := make(chan string, 1)
+	found := make(chan [2]string, 1)
 	p.mu.Lock()
 	p.log.mu.Lock()
-	p.log.text, p.log.found = nil, found
+	p.log.text, p.log.rpc, p.log.found = nil, p.rpc, found
 	p.log.mu.Unlock()
-	listen := p.addr
-	if listen == "" {
-		listen = "127.0.0.1:0"
+	listen := cmp.Or(p.addr, "127.0.0.1:0")
+	p.release()
+	args, env, err := p.withOptions()
+	if err != nil {
+		p.mu.Unlock()
+		return fmt.Errorf("sidecar %d: %w", p.number, err)
 	}
-	p.place.Release()
-	p.place = nil
-	cmd := exec.Command(p.program.Args[0], p.program.Args[1:]...)
-	cmd.Env = append(append(os.Environ(), p.program.Env...), "NODE_CONFIG="+p.config, "NODE_LISTEN="+listen)
+	cmd := exec.Command(args[0], args[1:]...)
+	cmd.Env = append(append(os.Environ(), env...), "NODE_CONFIG="+p.config, "NODE_LISTEN="+listen)
 	cmd.Stderr = &p.log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it must not outlive the laboratory
 	if err := cmd.Start(); err != nil {
@@ -126,13 +147,16 @@
 		if p.addr != "" {
 			p.place = standin.Reserve(p.addr)
 		}
+		if p.rpcAt != "" {
+			p.kept = standin.Reserve(p.rpcAt)
+		}
 		p.mu.Unlock()
 		close(ended)
 	}()
 	select {
-	case addr := <-found:
+	case both := <-found:
 		p.mu.Lock()
-		p.addr = addr
+		p.addr, p.rpcAt = both[0], both[1]
 		p.mu.Unlock()
 		return nil
 	case <-ended:
@@ -144,6 +168,43 @@
 	}
 }
 
+// release frees the addresses that are kept while nothing listens there. The caller holds mu.
+func (p *process) release() {
+	p.place.Release()
+	p.kept.Release()
+	p.place, p.kept = nil, nil
+}
+
+// withOptions returns the program's arguments and variables, with a file of options if there are any. The caller holds mu.
+func (p *process) withOptions() (args, env []string, err error) {
+	args, env = p.program.Args, p.program.Env
+	path := p.program.Options
+	if p.options != nil {
+		var text []byte
+		if path != "" {
+			if text, err = os.ReadFile(path); err != nil {
+				return nil, nil, fmt.Errorf("options: %w", err)
+			}
+		}
+		more, err := p.options(cmp.Or(p.rpcAt, "127.0.0.1:0"))
+		if err != nil {
+			return nil, nil, err
+		}
+		path = p.config + ".toml"
+		if err := replaceFile(path, append(append(text, '\n'), more...)); err != nil {
+			return nil, nil, fmt.Errorf("options: %w", err)
+		}
+	}
+	switch {
+	case path == "":
+	case p.program.OptionsVar != "":
+		env = append(slices.Clone(env), p.program.OptionsVar+"="+path)
+	default:
+		args = append(slices.Clone(args), "--config", path)
+	}
+	return args, env, nil
+}
+
 // awaitReady waits until the sidecar says that it serves.
 func (p *process) awaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startPatience)
@@ -209,8 +270,14 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.place.Release()
-	p.place = nil
+	p.release()
+}
+
+// rpcAddress is where clients of MessagePack-RPC find the sidecar.
+func (p *process) rpcAddress() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.rpcAt
 }
 
 // running reports whether the process runs.
--- a/lab/run/run.go
+++ b/lab/run/run.go
@@ -134,7 +134,11 @@
 		if err != nil {
 			return err
 		}
-		st.nodes = append(st.nodes, &process{number: i, program: program, config: path, cores: s.Limits.Cores})
+		n := &process{number: i, program: program, config: path, cores: s.Limits.Cores, rpc: s.Clients.RPC()}
+		if s.Clients.RPC() || s.RPCServers() {
+			n.options = func(listen string) ([]byte, error) { return rpcOptions(s, listen) }
+		}
+		st.nodes = append(st.nodes, n)
 	}
 	for _, n := range st.nodes {
 		if err := n.start(ctx); err != nil {
@@ -183,7 +187,7 @@
 	server, err := standin.NewServer(standin.ServerConfig{
 		ID: fmt.Sprintf("s-%02d", number), Cell: cell, Spec: spec, Cold: cold, Classes: classes, Reports: reports, Probes: true,
 		Handshake: scenario.MS(f.HandshakeMS), MostConns: f.MostConns, Idle: scenario.MS(f.IdleS * 1000),
-		Clock: st.clock, Witness: st.seen,
+		RPC: k.RPC(), Clock: st.clock, Witness: st.seen,
 	}, st.s.Sidecars)
 	if err != nil {
 		return nil, err
@@ -206,8 +210,12 @@
 	s := st.s
 	offset := st.clock()
 	addrs := make([]string, len(st.nodes))
+	var rpcAddrs []string
 	for i, n := range st.nodes {
 		addrs[i] = n.address()
+		if s.Clients.RPC() {
+			rpcAddrs = append(rpcAddrs, n.rpcAddress())
+		}
 	}
 	// The plan's times count from here; all else goes by the one clock.
 	shifted := &scenario.Plan{Arrivals: slices.Clone(plan.Arrivals)}
@@ -216,7 +224,7 @@
 	}
 	st.seen.begin(offset)
 	st.callers = standin.NewCallers(standin.CallersConfig{
-		Scenario: s, Plan: shifted, Addrs: addrs, Clock: st.clock, Observer: st.seen,
+		Scenario: s, Plan: shifted, Addrs: addrs, RPCAddrs: rpcAddrs, Clock: st.clock, Observer: st.seen,
 		MostOpen: max(16, s.Limits.Sockets/3), Linger: answerSlack*time.Millisecond + st.slack,
 	})
 	faultsCtx, endFaults := context.WithCancel(ctx)
--- a/lab/run/run_test.go
+++ b/lab/run/run_test.go
@@ -20,14 +20,13 @@
 // role is the variable by which this test's binary starts itself as a sidecar, as a peer or as a faulty proxy.
 const role = "FIRPLANK_LAB_ROLE"
 
+// optionsVar tells it then which options to use.
+const optionsVar = "FIRPLANK_LAB_OPTIONS"
+
 func TestMain(m *testing.M) {
 	switch r := os.Getenv(role); {
-	case r == "sidecar" || r == "sidecar:door":
-		options := ""
-		if r == "sidecar:door" {
-			options = "testdata/door.toml"
-		}
-		if err := sidecar.Main(os.Getenv, options, os.Stderr); err != nil {
+	case r == "sidecar":
+		if err := sidecar.Main(os.Getenv, os.Getenv(optionsVar), os.Stderr); err != nil {
 			os.Stderr.WriteString(err.Error())
 			os.Exit(1)
 		}
@@ -48,7 +47,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return Program{Args: []string{self}, Env: []string{role + "=" + name}}
+	return Program{Args: []string{self}, Env: []string{role + "=" + name}, OptionsVar: optionsVar}
 }
 
 // extra is what a loaded machine and the race detector add to the time limits of the rules.
@@ -180,11 +179,18 @@
 	}
 }
 
-// Every kind of fault is caused at real sidecars, and the rules hold. What is served is not judged here: that hangs on
-// the machine.
-func TestFaults(t *testing.T) {
-	const base = "rate = 50\nsidecars = 2\n"
-	const few = base + "length_s = 4\n[clients]\nretries = 1\nfailover = true\n"
+// pairs are the protocols of clients and of servers.
+var pairs = map[string]string{
+	"HTTP to HTTP": "", "HTTP to RPC": "[fleet]\nprotocol = \"msgpack-rpc\"\n", "RPC to HTTP": "protocol = \"msgpack-rpc\"\n",
+	"RPC to RPC": "protocol = \"msgpack-rpc\"\n[fleet]\nprotocol = \"msgpack-rpc\"\n",
+}
+
+// Every kind of fault is caused at real sidecars, with every pair of protocols, and the rules hold: one final answer for
+// every request, nothing run twice, drains kept. What is served is not judged here: that hangs on the machine.
+func TestConformance(t *testing.T) {
+	// The protocol of clients stands at the end of their table, which is the last.
+	const few = "rate = 50\nsidecars = 2\nlength_s = 4\n"
+	const clients = "[clients]\nretries = 1\nfailover = true\n"
 	fault := func(kind, target string, at, lasts float64, more ...string) string {
 		b := strings.Builder{}
 		json := func(x float64) string { text, _ := json.Marshal(x); return string(text) }
@@ -197,35 +203,37 @@
 		}
 		return b.String()
 	}
+	spoil := func(target, form string) string {
+		return fault("spoil", target, 0.2, 3, "share = 0.4", "form = \""+form+"\"")
+	}
 	for name, text := range map[string]string{
 		"servers die and return": few + fault("crash", "server:1", 0.5, 1) + fault("replace", "server:2", 1, 0) +
-			fault("leave_return", "server:3", 1.5, 1) + fault("crash", "share:0.2", 2.5, 0.5),
-		"all servers drain while others start": few + fault("drain", "all", 1, 1.5) + fault("grow", "", 0.8, 0, "size = 4"),
-		"servers go bad": few + fault("slow", "cell:0", 0.5, 1.5, "size = 5") + fault("error", "server:1", 0.5, 2, "share = 0.5") +
-			fault("late_reports", "all", 1, 2, "size = 2"),
-		"silent machine and cut link": few + fault("silent", "server:0", 0.5, 1.5) + fault("cut", "cell:1", 2, 1.5, "size = 1"),
+			fault("leave_return", "server:3", 1.5, 1) + fault("crash", "share:0.2", 2.5, 0.5) + clients,
+		"all servers drain while others start": few + fault("drain", "all", 1, 1.5) + fault("grow", "", 0.8, 0, "size = 4") + clients,
+		"servers go bad, one silent, a link cut": few + fault("slow", "cell:0", 0.5, 1.5, "size = 5") +
+			fault("error", "server:1", 0.5, 2, "share = 0.5") + fault("late_reports", "all", 1, 2, "size = 2") +
+			fault("silent", "server:0", 0.5, 1.5) + fault("cut", "cell:1", 2, 1.5, "size = 1") + clients,
 		"sidecars are killed, stopped and restarted": few + fault("kill", "sidecar:0", 0.7, 0.3) + fault("stop", "sidecar:1", 1.5, 0.8) +
-			fault("term", "sidecar:0", 2.6, 0) + fault("hup", "all", 0.4, 0),
+			fault("term", "sidecar:0", 2.6, 0) + fault("hup", "all", 0.4, 0) + clients,
 		"roster": few + fault("roster_slow", "", 0.2, 0.6, "size = 0.3") + fault("roster_down", "", 1, 1) + fault("roster_garble", "", 2.2, 0.4) +
-			fault("roster_restart", "", 2.8, 0) + fault("drain", "server:4", 1.2, 1) + fault("drain", "server:5", 3, 0.8),
-		"pushed list": few + "[roster]\nmode = \"push\"\nalways_full = true\ndelay_ms = 50\n" + fault("roster_down", "", 1, 1) +
-			fault("drain", "server:0", 0.5, 1),
-		"the fleet doubles and halves": few + fault("grow", "", 0.3, 0, "size = 8") + fault("drain", "kind:fast", 1.8, 1),
-		"surge":                        few + fault("surge", "", 1, 1, "size = 8"),
-		"odd clients": base + "length_s = 3\n[clients]\nhang_up = 0.1\nhalf_close = 0.1\nslow_reader = 0.1\nmarks = true\n" +
-			fault("flood", "", 0.5, 1.5, "size = 40"),
-		"spoilt answers": few + fault("spoil", "server:0", 0.2, 3, "share = 0.4", "form = \"noise\"") +
-			fault("spoil", "server:1", 0.2, 3, "share = 0.4", "form = \"endless_head\"") +
-			fault("spoil", "server:2", 0.2, 3, "share = 0.4", "form = \"long_length\"") +
-			fault("spoil", "server:3", 0.2, 3, "share = 0.4", "form = \"huge_length\"") +
-			fault("spoil", "server:4", 0.2, 3, "share = 0.4", "form = \"cut_off\"") +
-			fault("spoil", "server:5", 0.2, 3, "share = 0.4", "form = \"interim\"") +
-			fault("spoil", "server:6", 0.2, 3, "share = 0.4", "form = \"pieces\"") +
-			fault("spoil", "server:7", 0.2, 3, "share = 0.4", "form = \"short_length\""),
-		"answers with more than belongs to them": few + fault("spoil", "cell:0", 0.2, 3, "share = 0.4", "form = \"second_copy\"") +
-			fault("spoil", "cell:1", 0.2, 3, "share = 0.4", "form = \"bad_report\""),
+			fault("roster_restart", "", 2.8, 0) + fault("drain", "server:4", 1.2, 1) + fault("drain", "server:5", 3, 0.8) + clients,
+		"pushed list, a surge, the fleet doubles and halves": few + fault("roster_down", "", 1, 1) + fault("drain", "server:0", 0.5, 1) +
+			fault("grow", "", 0.3, 0, "size = 8") + fault("drain", "kind:fast", 1.8, 1) + fault("surge", "", 1, 1, "size = 8") +
+			"[roster]\nmode = \"push\"\nalways_full = true\ndelay_ms = 50\n" + clients,
+		"odd clients": few + fault("flood", "", 0.5, 1.5, "size = 40") +
+			"[clients]\nhang_up = 0.1\nhalf_close = 0.1\nslow_reader = 0.1\nmarks = true\n",
+		"spoilt answers": few + spoil("server:0", "noise") + spoil("server:1", "endless_head") + spoil("server:2", "long_length") +
+			spoil("server:3", "huge_length") + spoil("server:4", "cut_off") + spoil("server:5", "interim") +
+			spoil("server:6", "pieces") + spoil("server:7", "short_length") + clients,
+		"answers with more than belongs to them": few + spoil("cell:0", "second_copy") + spoil("server:1", "bad_report") +
+			spoil("server:3", "wrong_id") + clients,
 	} {
-		t.Run(name, func(t *testing.T) { good(t, play(t, as(t, "sidecar"), text)) })
+		for pair, protocols := range pairs {
+			t.Run(name+"/"+pair, func(t *testing.T) {
+				t.Parallel()
+				good(t, play(t, as(t, "sidecar"), text+protocols))
+			})
+		}
 	}
 }
 
@@ -288,7 +296,9 @@
 // Many times the usual load comes at once on a sidecar with a part of a core: it turns away what it cannot carry, loses
 // nothing, and still serves.
 func TestRushIsTurnedAway(t *testing.T) {
-	r := play(t, as(t, "sidecar:door"), "rate = 60\nlength_s = 4\nsidecars = 1\n"+rush)
+	program := as(t, "sidecar")
+	program.Options = "testdata/door.toml"
+	r := play(t, program, "rate = 60\nlength_s = 4\nsidecars = 1\n"+rush)
 	good(t, r)
 	if r.Total.Refused == 0 || r.Total.InAim == 0 {
 		t.Errorf("%d refused, %d served in aim", r.Total.Refused, r.Total.InAim)
--- /dev/null
+++ b/lab/run/throughput.go
@@ -0,0 +1,263 @@
+package run
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"regexp"
+	"slices"
+	"strconv"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"cedararch/lab/judge"
+	"cedararch/lab/scenario"
+	"cedararch/lab/standin"
+)
+
+// Subject is a program whose throughput is measured.
+type Subject struct {
+	Name    string
+	Program Program
+	RPC     bool // clients and servers speak MessagePack-RPC
+}
+
+// ThroughputOptions say what to measure.
+type ThroughputOptions struct {
+	Subjects []Subject
+	InFlight []int
+	Seconds  float64 // of each measurement
+	Rounds   int     // the subjects take turns so often
+	Idle     int     // connections that are opened and say nothing, for the memory that each costs; 0: not measured
+}
+
+// Measured is the throughput of a subject, the median of its rounds.
+type Measured struct {
+	Name     string  `json:"name"`
+	InFlight int     `json:"in_flight"`
+	PerS     float64 `json:"per_s"`
+	PerCPU   float64 `json:"per_cpu_s"` // requests in a second of the processor
+	CPU      float64 `json:"cpu_us"`    // processor time of a request
+	Least    float64 `json:"least_per_cpu_s"`
+	Most     float64 `json:"most_per_cpu_s"`
+	Refused  int64   `json:"refused"`
+	Failed   int64   `json:"failed"`
+	MemoryKB int64   `json:"memory_kb"`
+	IdleB    int64   `json:"idle_bytes"` // of memory for each idle connection
+}
+
+const throughputScenario = `
+rate = 20000
+length_s = 1
+sidecars = 1
+[limits]
+memory_mb = 512
+sockets = 12000
+[clients]
+protocol = %q
+[fleet]
+handshake_ms = 0
+protocol = %q
+[[fleet.kind]]
+name = "echo"
+count = 4
+cores = 64
+speed = 1
+slots_per_core = 64
+queue_per_core = 64
+[[class]]
+name = "lookup"
+share = 1
+effect = "safe"
+work_ms = 0.01
+dist = "fixed"
+aim_ms = 2000
+deadline_ms = 4000
+worth = 1
+[[tenant]]
+name = "north"
+share = 1
+`
+
+// Throughput measures how many requests each subject passes on, and what one costs it, with a number of requests in flight
+// all the time. Each subject is one process on one core; servers answer at once. The subjects take turns, so that a
+// machine whose speed changes does so for all of them.
+func Throughput(ctx context.Context, o ThroughputOptions) ([]Measured, error) {
+	all := map[string][]Measured{}
+	var order []string
+	for range o.Rounds {
+		for _, n := range o.InFlight {
+			for _, s := range o.Subjects {
+				m, err := measure(ctx, &s, n, o)
+				if err != nil {
+					return nil, fmt.Errorf("%s, %d in flight: %w", s.Name, n, err)
+				}
+				key := fmt.Sprint(s.Name, n)
+				if all[key] == nil {
+					order = append(order, key)
+				}
+				all[key] = append(all[key], *m)
+			}
+		}
+	}
+	var out []Measured
+	for _, key := range order {
+		rounds := all[key]
+		slices.SortFunc(rounds, func(a, b Measured) int { return int(a.PerCPU - b.PerCPU) })
+		m := rounds[len(rounds)/2]
+		m.Least, m.Most = rounds[0].PerCPU, rounds[len(rounds)-1].PerCPU
+		out = append(out, m)
+	}
+	return out, nil
+}
+
+func measure(ctx context.Context, s *Subject, inFlight int, o ThroughputOptions) (*Measured, error) {
+	protocol := scenario.HTTP
+	if s.RPC {
+		protocol = scenario.MsgpackRPC
+	}
+	sc, err := scenario.Parse("throughput.toml", fmt.Appendf(nil, throughputScenario, protocol, protocol))
+	if err != nil {
+		return nil, err
+	}
+	dir, err := os.MkdirTemp("", "firplank-lab-")
+	if err != nil {
+		return nil, fmt.Errorf("throughput: %w", err)
+	}
+	defer os.RemoveAll(dir)
+	roster, err := standin.NewRoster(standin.RosterConfig{MostWait: time.Second, Clock: standin.StartClock(), Notary: judge.New(judge.Config{})}, 1)
+	if err != nil {
+		return nil, err
+	}
+	defer roster.Close()
+	for i := range sc.Servers() {
+		e, err := newEchoServer(s.RPC)
+		if err != nil {
+			return nil, err
+		}
+		defer e.close()
+		addr := e.ln.Addr().String()
+		roster.SetNow(standin.Entry{ID: fmt.Sprint("s-", i), Addr: func(int) string { return addr }, Zone: zone, Kind: "echo", Size: 1}, "ready")
+	}
+	path, err := writeConfig(dir, sc, 0, "127.0.0.1:0", roster.Addr(0), roster.Current(0))
+	if err != nil {
+		return nil, err
+	}
+	p := &process{program: s.Program, config: path, rpc: s.RPC}
+	p.program.Env = append(slices.Clone(p.program.Env), "GOMAXPROCS=1")
+	if s.RPC {
+		p.options = func(listen string) ([]byte, error) { return rpcOptions(sc, listen) }
+	}
+	defer p.close()
+	if err := p.start(ctx); err != nil {
+		return nil, err
+	}
+	if err := p.awaitReady(ctx); err != nil {
+		return nil, err
+	}
+	addr := p.address()
+	if s.RPC {
+		addr = p.rpcAddress()
+	}
+	m := &Measured{Name: s.Name, InFlight: inFlight}
+	if o.Idle > 0 {
+		if m.IdleB, err = idleMemory(p.cmd.Process.Pid, addr, o.Idle); err != nil {
+			return nil, err
+		}
+	}
+	return m, m.run(ctx, p, addr, s.RPC, o)
+}
+
+// run measures after a warm-up of a third of the time.
+func (m *Measured) run(ctx context.Context, p *process, addr string, rpc bool, o ThroughputOptions) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	var n counts
+	var loading sync.WaitGroup
+	broken := make(chan error, 1)
+	loading.Go(func() { broken <- load(ctx, addr, rpc, m.InFlight, &n) })
+	lasts := time.Duration(o.Seconds * float64(time.Second))
+	pid := p.cmd.Process.Pid
+	select {
+	case <-time.After(lasts / 3):
+	case err := <-broken:
+		return err
+	}
+	served, cpu, begun := n.served.Load(), processTime(pid), time.Now()
+	select {
+	case <-time.After(lasts):
+	case err := <-broken:
+		return err
+	}
+	served, cpu = n.served.Load()-served, processTime(pid)-cpu
+	took := time.Since(begun)
+	m.MemoryKB = resident(pid) >> 10
+	stop()
+	loading.Wait()
+	if err := <-broken; err != nil {
+		return err
+	}
+	m.Refused, m.Failed = n.refused.Load(), n.failed.Load()
+	if served == 0 || cpu <= 0 {
+		return fmt.Errorf("nothing was served: %d refused, %d failed", m.Refused, m.Failed)
+	}
+	m.PerS = float64(served) / took.Seconds()
+	m.PerCPU = float64(served) / cpu.Seconds()
+	m.CPU = cpu.Seconds() * 1e6 / float64(served)
+	return nil
+}
+
+var residentLine = regexp.MustCompile(`(?m)^VmRSS:\s+(\d+) kB$`)
+
+// resident is how many bytes of memory a process holds; 0 where that cannot be read.
+func resident(pid int) int64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	m := residentLine.FindSubmatch(text)
+	if m == nil {
+		return 0
+	}
+	kb, _ := strconv.ParseInt(string(m[1]), 10, 64)
+	return kb << 10
+}
+
+// idleMemory opens connections that say nothing and tells by how much the process grows for each. The kernel's part of
+// them is not in it.
+func idleMemory(pid int, addr string, n int) (int64, error) {
+	before := resident(pid)
+	conns := make([]net.Conn, 0, n)
+	defer func() {
+		for _, c := range conns {
+			c.Close()
+		}
+	}()
+	for range n {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			return 0, fmt.Errorf("throughput: idle connection %d: %w", len(conns), err)
+		}
+		conns = append(conns, c)
+	}
+	time.Sleep(300 * time.Millisecond) // until the last is taken in
+	return (resident(pid) - before) / int64(n), nil
+}
+
+// ThroughputTable writes what was measured, with the ratio to the first subject at the same number in flight.
+func ThroughputTable(out io.Writer, all []Measured) error {
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "through\tin flight\trequests/s\tper processor s\tleast\tmost\tus a request\tratio\trefused\tfailed\tMB\tbytes an idle connection\t")
+	first := map[int]float64{}
+	for _, m := range all {
+		if first[m.InFlight] == 0 {
+			first[m.InFlight] = m.PerCPU
+		}
+		fmt.Fprintf(t, "%s\t%d\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f\t%.2f\t%d\t%d\t%.0f\t%d\t\n", m.Name, m.InFlight, m.PerS, m.PerCPU, m.Least,
+			m.Most, m.CPU, m.PerCPU/first[m.InFlight], m.Refused, m.Failed, float64(m.MemoryKB)/1024, m.IdleB)
+	}
+	return t.Flush()
+}
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"embed"
 	"errors"
 	"fmt"
@@ -47,6 +48,7 @@
 
 // Fleet is the servers.
 type Fleet struct {
+	Protocol      string  `toml:"protocol"` // of kinds that do not say; "http" if left out
 	Cells         int     `toml:"cells"`
 	Kinds         []Kind  `toml:"kind"`
 	Thrash        float64 `toml:"thrash"`
@@ -67,6 +69,7 @@
 // Kind is a number of servers that are alike.
 type Kind struct {
 	Name         string  `toml:"name"`
+	Protocol     string  `toml:"protocol"` // "http" or "msgpack-rpc"
 	Count        int     `toml:"count"`
 	Cores        float64 `toml:"cores"`
 	Speed        float64 `toml:"speed"`
@@ -76,7 +79,8 @@
 
 // Clients is how the callers behave.
 type Clients struct {
-	Retries    int     `toml:"retries"` // after the first try
+	Protocol   string  `toml:"protocol"` // "http" or "msgpack-rpc"
+	Retries    int     `toml:"retries"`  // after the first try
 	BackoffMS  float64 `toml:"backoff_ms"`
 	Honour     bool    `toml:"honour"`    // wait as long as Retry-After says
 	Marks      bool    `toml:"marks"`     // mark retries
@@ -176,6 +180,7 @@
 var forms = map[string]bool{
 	"noise": true, "endless_head": true, "short_length": true, "long_length": true, "huge_length": true,
 	"second_copy": true, "pieces": true, "cut_off": true, "interim": true, "bad_report": true,
+	"wrong_id": true, // MessagePack-RPC only: another id than any that is out, ahead of the answer
 }
 
 // Kinds returns the names of the faults, sorted, with what each does.
@@ -220,6 +225,29 @@
 	return c
 }
 
+// The protocols.
+const (
+	HTTP       = "http"
+	MsgpackRPC = "msgpack-rpc"
+)
+
+// RPC reports whether they speak MessagePack-RPC.
+func (k *Kind) RPC() bool    { return k.Protocol == MsgpackRPC }
+func (c *Clients) RPC() bool { return c.Protocol == MsgpackRPC }
+
+// RPCServers reports whether any server speaks MessagePack-RPC.
+func (s *Scenario) RPCServers() bool { return len(s.RPCKinds()) > 0 }
+
+// RPCKinds returns the kinds of servers that speak MessagePack-RPC.
+func (s *Scenario) RPCKinds() (names []string) {
+	for i := range s.Fleet.Kinds {
+		if s.Fleet.Kinds[i].RPC() {
+			names = append(names, s.Fleet.Kinds[i].Name)
+		}
+	}
+	return names
+}
+
 // Demand is the work a second that first tries ask for on average.
 func (s *Scenario) Demand() float64 {
 	work, shares := 0.0, 0.0
@@ -285,6 +313,12 @@
 			{Name: "wide", Count: 4, Cores: 4, Speed: 0.9, SlotsPerCore: 5, QueuePerCore: 8},
 		}
 	}
+	for i := range s.Fleet.Kinds {
+		if k := &s.Fleet.Kinds[i]; k.Protocol == "" {
+			k.Protocol = cmp.Or(s.Fleet.Protocol, HTTP)
+		}
+	}
+	s.Clients.Protocol = cmp.Or(s.Clients.Protocol, HTTP)
 	if len(s.Classes) == 0 {
 		s.Classes = []Class{
 			{
@@ -343,7 +377,9 @@
 	}
 	n := s.Servers()
 	bad(n > 0 && n <= mostServers, "fleet has %d servers: want 1 to %d", n, mostServers)
+	bad(known(s.Clients.Protocol), "clients.protocol is %q: want %s or %s", s.Clients.Protocol, HTTP, MsgpackRPC)
 	for i, k := range s.Fleet.Kinds {
+		bad(known(k.Protocol), "fleet.kind %d (%q): protocol is %q: want %s or %s", i+1, k.Name, k.Protocol, HTTP, MsgpackRPC)
 		bad(k.Name != "" && k.Count >= 0 && k.Cores > 0 && k.Speed > 0 && k.SlotsPerCore > 0 && k.QueuePerCore >= 0,
 			"fleet.kind %d (%q): name, cores, speed and slots_per_core are wanted, none of them 0", i+1, k.Name)
 	}
@@ -356,6 +392,8 @@
 	return errors.Join(all...)
 }
 
+func known(protocol string) bool { return protocol == HTTP || protocol == MsgpackRPC }
+
 func (s *Scenario) checkClasses(bad func(bool, string, ...any)) {
 	seen := map[string]bool{}
 	for _, c := range s.Classes {
--- a/lab/standin/client.go
+++ b/lab/standin/client.go
@@ -15,6 +15,8 @@
 	"syscall"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"cedararch/lab/judge"
 	"cedararch/lab/model"
 	"cedararch/lab/scenario"
@@ -37,6 +39,7 @@
 	Scenario *scenario.Scenario
 	Plan     *scenario.Plan
 	Addrs    []string // of the sidecars
+	RPCAddrs []string // ... for MessagePack-RPC, where the clients speak that
 	Clock    Clock
 	Observer Observer
 	MostOpen int // connections to one sidecar; tries beyond it wait for one
@@ -49,6 +52,7 @@
 type Callers struct {
 	cfg   CallersConfig
 	pools []*callerPool
+	rpc   []*rpcPool
 	tally []Tally
 	late  atomic.Int64 // nanoseconds by which the latest start came after its plan
 }
@@ -79,6 +83,9 @@
 	for _, addr := range cfg.Addrs {
 		c.pools = append(c.pools, &callerPool{addr: addr, room: make(chan struct{}, cfg.MostOpen)})
 	}
+	for _, addr := range cfg.RPCAddrs {
+		c.rpc = append(c.rpc, &rpcPool{addr: addr})
+	}
 	return c
 }
 
@@ -108,6 +115,9 @@
 	for _, p := range c.pools {
 		p.close()
 	}
+	for _, p := range c.rpc {
+		p.close()
+	}
 	return c.tally
 }
 
@@ -160,6 +170,9 @@
 	p.room <- struct{}{}
 	defer func() { <-p.room }()
 	trace := a.Trace(c.cfg.Scenario.Seed, number)
+	if c.cfg.Scenario.Clients.RPC() {
+		return c.tryRPC(a, number, sidecar, trace, give)
+	}
 	for {
 		conn, err := p.get(c.cfg.Observer, c.cfg.Clock)
 		if err != nil {
@@ -263,8 +276,15 @@
 	if class.Effect == "safe" {
 		method, body = "GET", ""
 	}
-	fmt.Fprintf(&b, "%s /api/%s/%s HTTP/1.1\r\nHost: lab.svc\r\nX-Trace-Id: %s\r\nX-Qos: %s\r\nX-Customer: %s\r\nX-Object: %s\r\nX-Expires-In: %du\r\n",
-		method, class.Name, a.Object, trace, class.Name, s.Tenants[a.Tenant].Name, a.Object, left.Microseconds())
+	path := "/" + a.Object
+	if s.RPCServers() { // by the path they know the method
+		method, path, body = "POST", "", string(c.params(a, try, trace, left))
+	}
+	fmt.Fprintf(&b, "%s /api/%s%s HTTP/1.1\r\nHost: lab.svc\r\nX-Trace-Id: %s\r\nX-Qos: %s\r\nX-Customer: %s\r\nX-Object: %s\r\nX-Expires-In: %du\r\n",
+		method, class.Name, path, trace, class.Name, s.Tenants[a.Tenant].Name, a.Object, left.Microseconds())
+	if s.RPCServers() {
+		b.WriteString("Content-Type: application/msgpack\r\n")
+	}
 	if a.Key != "" {
 		fmt.Fprintf(&b, "Idempotency-Key: %s\r\n", a.Key)
 	}
@@ -305,6 +325,13 @@
 		return nil, err
 	}
 	a := &clientAnswer{end: scenario.Failed, judged: judge.Failed, closes: resp.Close}
+	if resp.Header.Get("Content-Type") == "application/msgpack" {
+		text := ""
+		if err := msgpack.Unmarshal(body, &text); err != nil {
+			return nil, err
+		}
+		body = []byte(text)
+	}
 	switch resp.StatusCode {
 	case http.StatusOK:
 		made, _, _ := strings.Cut(string(body), " ")
@@ -392,11 +419,21 @@
 
 // Flood keeps connections open that say nothing, or send what is no request, until ctx ends.
 func Flood(ctx context.Context, addr string, connections int) {
+	flood(ctx, addr, connections, []string{
+		"", // silent
+		"\x16\x03\x01 no request\r\n\r\n",
+		"GET /api HTTP/1.1\r\nX-Half: a req",
+		"POST /api HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	})
+}
+
+// flood keeps connections open on which one of the texts is sent.
+func flood(ctx context.Context, addr string, connections int, texts []string) {
 	var tasks sync.WaitGroup
 	for i := range connections {
 		tasks.Go(func() {
 			for ctx.Err() == nil {
-				floodOnce(ctx, addr, i)
+				floodOnce(ctx, addr, texts[i%len(texts)])
 				select {
 				case <-time.After(20 * time.Millisecond):
 				case <-ctx.Done():
@@ -407,7 +444,7 @@
 	tasks.Wait()
 }
 
-func floodOnce(ctx context.Context, addr string, number int) {
+func floodOnce(ctx context.Context, addr, text string) {
 	c, err := net.DialTimeout("tcp", addr, time.Second)
 	if err != nil {
 		return
@@ -415,14 +452,6 @@
 	defer c.Close()
 	defer context.AfterFunc(ctx, func() { c.Close() })()
 	c.SetDeadline(time.Now().Add(10 * time.Second))
-	switch number % 4 {
-	case 0: // silent
-	case 1:
-		io.WriteString(c, "\x16\x03\x01 no request\r\n\r\n")
-	case 2:
-		io.WriteString(c, "GET /api HTTP/1.1\r\nX-Half: a req")
-	case 3:
-		io.WriteString(c, "POST /api HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")
-	}
+	io.WriteString(c, text)
 	io.Copy(io.Discard, io.LimitReader(c, mostAnswer))
 }
--- /dev/null
+++ b/lab/standin/rpcclient.go
@@ -0,0 +1,326 @@
+package standin
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"cedararch/lab/judge"
+	"cedararch/lab/scenario"
+)
+
+const (
+	// rpcShared is how many connections the clients of one sidecar share.
+	rpcShared = 2
+	// crossing is how long before the end of a connection a frame may have been sent that the sidecar had not read.
+	crossing = 100 * time.Millisecond
+)
+
+// rpcPool keeps the connections to one sidecar over which tries are pipelined.
+type rpcPool struct {
+	addr string
+
+	mu     sync.Mutex
+	next   int
+	shared [rpcShared]*rpcClient
+}
+
+// rpcAnswer is a response frame, or how the connection ended.
+type rpcAnswer struct {
+	failure any
+	result  any
+	at      time.Duration
+	err     error
+}
+
+// rpcClient is a connection with many requests open.
+type rpcClient struct {
+	net.Conn
+	clock    Clock
+	observer Observer
+	done     sync.WaitGroup
+
+	mu      sync.Mutex
+	lastID  uint32
+	open    map[uint32]chan rpcAnswer
+	givenUp map[uint32]bool
+	last    string // the request that was answered last
+	used    bool
+	ended   bool
+}
+
+func (p *rpcPool) dial(cfg *CallersConfig, slow bool) (*rpcClient, error) {
+	conn, err := net.DialTimeout("tcp", p.addr, 2*time.Second)
+	if err != nil {
+		return nil, fmt.Errorf("client: %w", err)
+	}
+	c := &rpcClient{
+		Conn: conn, clock: cfg.Clock, observer: cfg.Observer, open: map[uint32]chan rpcAnswer{}, givenUp: map[uint32]bool{},
+	}
+	from := io.Reader(conn)
+	if slow {
+		from = &slowReader{conn}
+	}
+	c.done.Go(func() { c.read(bufio.NewReaderSize(from, 16)) })
+	return c, nil
+}
+
+// get returns one of the shared connections, a new one in place of one that has ended.
+func (p *rpcPool) get(cfg *CallersConfig, away bool) (*rpcClient, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.next = (p.next + 1) % rpcShared
+	if c := p.shared[p.next]; c != nil && !c.isEnded() {
+		return c, nil
+	}
+	if away {
+		return nil, errAway
+	}
+	c, err := p.dial(cfg, false)
+	if err != nil {
+		return nil, err
+	}
+	if old := p.shared[p.next]; old != nil {
+		old.close()
+	}
+	p.shared[p.next] = c
+	return c, nil
+}
+
+func (p *rpcPool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.shared {
+		if c != nil {
+			c.close()
+		}
+	}
+}
+
+func (c *rpcClient) close() {
+	c.Conn.Close()
+	c.done.Wait()
+}
+
+func (c *rpcClient) isEnded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ended
+}
+
+// read hands responses to who waits for them, until the connection ends.
+func (c *rpcClient) read(in *bufio.Reader) {
+	for {
+		id, a, err := readResponse(in)
+		c.mu.Lock()
+		a.at, a.err = c.clock(), err
+		if err != nil {
+			c.ended = true
+			for id, w := range c.open {
+				delete(c.open, id)
+				w <- a
+			}
+			c.mu.Unlock()
+			return
+		}
+		w, last := c.open[id], c.last
+		late := c.givenUp[id]
+		delete(c.open, id)
+		delete(c.givenUp, id)
+		c.used = true
+		c.mu.Unlock()
+		switch {
+		case w != nil:
+			w <- a
+		case !late:
+			c.observer.Extra(last, a.at)
+		}
+	}
+}
+
+var errNoResponse = errors.New("client: no response frame")
+
+func readResponse(in *bufio.Reader) (id uint32, a rpcAnswer, err error) {
+	dec := msgpack.NewDecoder(in)
+	if n, err := dec.DecodeArrayLen(); err != nil || n != 4 {
+		return 0, a, errors.Join(errNoResponse, err)
+	}
+	if kind, err := dec.DecodeInt(); err != nil || kind != 1 {
+		return 0, a, errors.Join(errNoResponse, err)
+	}
+	if id, err = dec.DecodeUint32(); err != nil {
+		return 0, a, err
+	}
+	dec.UseLooseInterfaceDecoding(true)
+	if a.failure, err = dec.DecodeInterface(); err != nil {
+		return 0, a, err
+	}
+	a.result, err = dec.DecodeInterface()
+	return id, a, err
+}
+
+// send writes a request and returns where its response comes.
+func (c *rpcClient) send(method string, params []byte) (uint32, <-chan rpcAnswer, error) {
+	w := make(chan rpcAnswer, 1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended {
+		return 0, nil, net.ErrClosed
+	}
+	c.lastID++
+	id := c.lastID
+	c.open[id] = w
+	c.Conn.SetWriteDeadline(time.Now().Add(time.Second))
+	frame := encode([]any{0, id, method, nil})
+	_, err := c.Write(append(frame[:len(frame)-1], params...)) // in place of the nil
+	if err != nil {
+		delete(c.open, id)
+	}
+	return id, w, err
+}
+
+func (c *rpcClient) giveUp(id uint32) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open[id] != nil {
+		delete(c.open, id)
+		c.givenUp[id] = true
+	}
+}
+
+// params are what a try says; HTTP clients send them as a body where servers speak MessagePack-RPC.
+func (c *Callers) params(a *scenario.Arrival, try int, trace string, left time.Duration) []byte {
+	s := c.cfg.Scenario
+	fields := map[string]any{
+		"trace": trace, "tenant": s.Tenants[a.Tenant].Name, "object": a.Object,
+		"left_ms": float64(left) / float64(time.Millisecond),
+	}
+	if a.Key != "" {
+		fields["key"] = a.Key
+	}
+	if try > 0 && s.Clients.Marks {
+		fields["repeat"] = true
+	}
+	return encode([]any{fields})
+}
+
+// tryRPC sends a request once. One that crossed the end of its connection is sent once more on a new one.
+func (c *Callers) tryRPC(a *scenario.Arrival, number, sidecar int, trace string, give time.Duration) (scenario.Ending, time.Duration) {
+	p := c.rpc[sidecar]
+	for {
+		conn, err := c.rpcConn(p, a, sidecar)
+		if err != nil {
+			return scenario.Lost, 0 // it never reached the sidecar
+		}
+		end, after, stale := c.exchangeRPC(conn, a, number, trace, sidecar, give)
+		if a.Quirk != scenario.Usual {
+			conn.close()
+		}
+		if !stale {
+			return end, after
+		}
+	}
+}
+
+// rpcConn returns a shared connection, or one of its own for a client that is odd.
+func (c *Callers) rpcConn(p *rpcPool, a *scenario.Arrival, sidecar int) (*rpcClient, error) {
+	away := c.pools[sidecar].away.Load()
+	if a.Quirk == scenario.Usual {
+		return p.get(&c.cfg, away)
+	}
+	if away {
+		return nil, errAway
+	}
+	return p.dial(&c.cfg, a.Quirk == scenario.ReadsSlowly)
+}
+
+func (c *Callers) exchangeRPC(conn *rpcClient, a *scenario.Arrival, number int, trace string, sidecar int, give time.Duration) (
+	end scenario.Ending, after time.Duration, stale bool,
+) {
+	left := give - c.cfg.Clock()
+	if left <= 0 {
+		return scenario.Lost, 0, false
+	}
+	sent := c.cfg.Clock()
+	c.cfg.Observer.Sent(judge.Try{
+		Trace: trace, Arrival: a.Number, Class: a.Class, Key: a.Key, Sidecar: sidecar, Sent: sent, Deadline: give,
+	})
+	id, answered, err := conn.send(c.cfg.Scenario.Classes[a.Class].Name, c.params(a, number, trace, left))
+	if err != nil {
+		return scenario.Lost, 0, true
+	}
+	switch a.Quirk {
+	case scenario.HangsUp:
+		time.Sleep(min(a.GoesAt, left))
+		c.cfg.Observer.Gone(trace, c.cfg.Clock())
+		return scenario.Lost, 0, false
+	case scenario.HalfCloses:
+		conn.Conn.(*net.TCPConn).CloseWrite()
+	}
+	timer := time.NewTimer(left + c.cfg.Linger)
+	defer timer.Stop()
+	var r rpcAnswer
+	select {
+	case r = <-answered:
+	case <-timer.C:
+		conn.giveUp(id) // the judge finds it unanswered
+		return scenario.Lost, 0, false
+	}
+	if r.err != nil {
+		if conn.used && a.Quirk != scenario.HalfCloses && r.at-sent < crossing && errors.Is(r.err, io.EOF) {
+			return scenario.Lost, 0, true
+		}
+		c.cfg.Observer.Answered(trace, r.at, judge.Broken, "")
+		return scenario.Lost, 0, false
+	}
+	conn.mu.Lock()
+	conn.last = trace
+	conn.mu.Unlock()
+	end, judged, after, made := r.read()
+	c.cfg.Observer.Answered(trace, r.at, judged, made)
+	if r.at > give {
+		end = scenario.Lost
+	}
+	return end, after, false
+}
+
+// read tells what a response comes to.
+func (r *rpcAnswer) read() (end scenario.Ending, judged judge.Answer, after time.Duration, made string) {
+	if fields, ok := r.failure.(map[string]any); ok {
+		if fields["code"] != "refused" {
+			return scenario.Failed, judge.Failed, 0, ""
+		}
+		ms, _ := fields["retry_after_ms"].(int64)
+		return scenario.Refused, judge.Refused, time.Duration(ms) * time.Millisecond, ""
+	}
+	text, ok := r.result.(string)
+	if r.failure != nil || !ok {
+		return scenario.Failed, judge.Failed, 0, ""
+	}
+	made, _, _ = strings.Cut(text, " ")
+	if !strings.HasSuffix(text, ".\n") {
+		return scenario.Failed, judge.Failed, 0, made
+	}
+	return scenario.Served, judge.Served, 0, made
+}
+
+// FloodRPC keeps connections open to an address for MessagePack-RPC that say nothing, or send what is no request, until
+// ctx ends.
+func FloodRPC(ctx context.Context, addr string, connections int) {
+	flood(ctx, addr, connections, []string{
+		"",                                  // silent
+		"GET / HTTP/1.1\r\nHost: x\r\n\r\n", // another protocol
+		"\x94\x00\x07\xa4half",              // half a request
+		"\x94\x00\x07\xdb\xff\xff\xff\xff",  // 4 GiB are announced
+		"\x94\x00\xcf\x00\x00\x00\x01\x00\x00\x00\x00\xa1m\x90", // an id of 2^32
+		strings.Repeat("\x91", 100000),
+	})
+}
--- /dev/null
+++ b/lab/standin/rpcserver.go
@@ -0,0 +1,202 @@
+package standin
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// The stand-ins for MessagePack-RPC read and write with a library that the sidecar does not use, so that they share no
+// mistake with it.
+
+// rpcRequest is a request frame as a server reads it.
+type rpcRequest struct {
+	id     uint32
+	method string
+	fields map[string]any // the first param
+	first  time.Duration
+	silent bool // a notification
+}
+
+var errNoFrame = errors.New("no frame of a client's")
+
+// readRequest reads a request or notification.
+func (s *Server) readRequest(in *bufio.Reader) (*rpcRequest, error) {
+	if _, err := in.Peek(1); err != nil {
+		return nil, err
+	}
+	req := &rpcRequest{first: s.cfg.Clock()}
+	dec := msgpack.NewDecoder(in) // which reads no further than it decodes
+	n, err := dec.DecodeArrayLen()
+	if err != nil {
+		return nil, err
+	}
+	kind, err := dec.DecodeInt()
+	if err != nil || !(n == 4 && kind == 0 || n == 3 && kind == 2) {
+		return nil, errNoFrame
+	}
+	req.silent = kind == 2
+	if !req.silent {
+		if req.id, err = dec.DecodeUint32(); err != nil {
+			return nil, err
+		}
+	}
+	if req.method, err = dec.DecodeString(); err != nil {
+		return nil, err
+	}
+	var params []any
+	if err := dec.Decode(&params); err != nil {
+		return nil, err
+	}
+	if len(params) > 0 {
+		req.fields, _ = params[0].(map[string]any)
+	}
+	return req, nil
+}
+
+func (r *rpcRequest) text(key string) string {
+	v, _ := r.fields[key].(string)
+	return v
+}
+
+// left is how long the client waits.
+func (r *rpcRequest) left() time.Duration {
+	ms, ok := r.fields["left_ms"].(float64)
+	if !ok {
+		return time.Minute
+	}
+	return time.Duration(ms * float64(time.Millisecond))
+}
+
+// rpcConn is a connection with many requests in work.
+type rpcConn struct {
+	*serverConn
+	writing sync.Mutex
+}
+
+// serveRPC answers what comes on a connection, each request when it is done.
+func (s *Server) serveRPC(c *serverConn) {
+	rc := &rpcConn{serverConn: c}
+	gone := make(chan incoming)
+	var working sync.WaitGroup
+	var mu sync.Mutex
+	open := 0
+	idle := time.AfterFunc(cmp.Or(s.cfg.Idle, time.Hour), func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if open == 0 {
+			c.Close()
+		}
+	})
+	defer idle.Stop()
+	for in := bufio.NewReader(io.LimitReader(c, 1<<30)); ; {
+		req, err := s.readRequest(in)
+		if err != nil {
+			break
+		}
+		if s.quiet(c.link) {
+			continue
+		}
+		mu.Lock()
+		open++
+		mu.Unlock()
+		working.Go(func() {
+			r := s.handle(c, request{
+				trace: req.text("trace"), class: req.method, key: req.text("key"), left: req.left(), first: req.first,
+				probe: req.method == "alive",
+			}, gone)
+			mu.Lock()
+			open--
+			if open == 0 {
+				idle.Reset(cmp.Or(s.cfg.Idle, time.Hour))
+			}
+			mu.Unlock()
+			if r != nil && !req.silent && !s.quiet(c.link) {
+				s.writeRPC(rc, req.id, r)
+			}
+		})
+	}
+	close(gone)
+	working.Wait()
+}
+
+// encode encodes what cannot fail.
+func encode(v any) []byte {
+	b, err := msgpack.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("encode %T: %v", v, err))
+	}
+	return b
+}
+
+// frame renders a reply.
+func (r *reply) frame(id uint32) []byte {
+	switch r.status {
+	case http.StatusOK:
+		return encode([]any{1, id, nil, r.body})
+	case http.StatusServiceUnavailable:
+		return encode([]any{1, id, map[string]any{"code": "never_ran", "message": r.body}, nil})
+	}
+	return encode([]any{1, id, map[string]any{"code": "error", "message": r.body}, nil})
+}
+
+// writeRPC sends a reply, spoilt as the fault says: in each form the frame is what the HTTP answer of that form is.
+func (s *Server) writeRPC(c *rpcConn, id uint32, r *reply) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	plain := r.frame(id)
+	ends := false // the connection is of no further use
+	switch r.spoil.Form {
+	case "noise":
+		plain, ends = []byte("\xc1\x16\x03 no frame at all"), true
+	case "endless_head": // arrays in arrays, without end
+		spoilt(c, strings.Repeat("\x91", 10000), mostSpoilt/10000)
+		return
+	case "short_length":
+		half := len(r.body) / 2
+		plain = append(encode([]any{1, id, nil, r.body[:half]}), r.body[half:]...)
+	case "long_length":
+		plain = bytes.TrimSuffix(encode([]any{1, id, nil, r.body + strings.Repeat("x", 100)}), bytes.Repeat([]byte("x"), 100))
+	case "huge_length":
+		spoilt(c, "\x94\x01\x07\xc0\xdb\xff\xff\xff\xff"+strings.Repeat("more ", 2000), mostSpoilt/10000)
+		return
+	case "cut_off":
+		plain, ends = plain[:len(plain)/2], true
+	case "interim":
+		plain = append(encode([]any{2, "progress", []any{0.5}}), plain...)
+	case "wrong_id":
+		plain = append(r.frame(id+1<<30), plain...)
+	case "pieces":
+		for i := range plain {
+			if _, err := c.Write(plain[i : i+1]); err != nil {
+				return
+			}
+		}
+		return
+	case "second_copy":
+		if r.spoil.Delay == 0 {
+			plain = append(plain, plain...)
+			break
+		}
+		again := bytes.Clone(plain)
+		s.tasks.Go(func() {
+			time.Sleep(r.spoil.Delay)
+			c.writing.Lock()
+			defer c.writing.Unlock()
+			c.Write(again)
+		})
+	}
+	c.Write(plain)
+	if ends {
+		c.Close()
+	}
+}
--- a/lab/standin/server.go
+++ b/lab/standin/server.go
@@ -36,6 +36,7 @@
 	Handshake time.Duration // work that a new connection costs
 	MostConns int           // open at once; 0: no cap
 	Idle      time.Duration // after which an unused connection is closed; 0: never
+	RPC       bool          // it speaks MessagePack-RPC in place of HTTP
 	Clock     Clock
 	Witness   Witness
 }
@@ -167,6 +168,10 @@
 		s.mu.Unlock()
 		c.Close()
 	}()
+	if s.cfg.RPC {
+		s.serveRPC(c)
+		return
+	}
 	requests := make(chan incoming)
 	stop := make(chan struct{})
 	defer close(stop)
@@ -230,11 +235,32 @@
 }
 
 func (s *Server) answer(c *serverConn, req incoming, more <-chan incoming) *reply {
-	if req.URL.Path == "/alive" || req.URL.Path == "/metrics/load" {
-		return s.probe(req.URL.Path)
+	if req.URL.Path == "/metrics/load" {
+		return s.probe(true)
+	}
+	h := req.Header
+	return s.handle(c, request{
+		trace: h.Get("X-Trace-Id"), class: h.Get("X-Qos"), key: h.Get("Idempotency-Key"), left: expiry(h.Get("X-Expires-In")),
+		first: req.first, probe: req.URL.Path == "/alive",
+	}, more)
+}
+
+// request is a request as any protocol tells it.
+type request struct {
+	trace, class, key string
+	left              time.Duration
+	first             time.Duration // when its first byte came
+	probe             bool
+}
+
+// handle gives a request its reply, or none where the connection ends with it. Something comes on more, or it is closed,
+// when the other side has given the request up.
+func (s *Server) handle(c *serverConn, req request, more <-chan incoming) *reply {
+	if req.probe {
+		return s.probe(false)
 	}
-	trace := req.Header.Get("X-Trace-Id")
-	class, known := s.cfg.Classes[req.Header.Get("X-Qos")]
+	trace, key := req.trace, req.key
+	class, known := s.cfg.Classes[req.class]
 	if trace == "" || !known {
 		return &reply{status: http.StatusBadRequest, body: "no trace, or no such class\n"}
 	}
@@ -245,7 +271,6 @@
 	if away {
 		return s.turnedAway()
 	}
-	key := req.Header.Get("Idempotency-Key")
 	if class.Keyed && key != "" {
 		repeated := make(chan bool, 1)
 		switch class.Cell.take(s.cfg.Clock(), key, class.Window, repeated) {
@@ -265,7 +290,7 @@
 	} else {
 		class.Cell = nil
 	}
-	return s.work(trace, key, class, expiry(req.Header.Get("X-Expires-In")), more)
+	return s.work(trace, key, class, req.left, more)
 }
 
 // work runs a request through the model.
@@ -363,7 +388,7 @@
 	return time.Minute
 }
 
-func (s *Server) probe(path string) *reply {
+func (s *Server) probe(load bool) *reply {
 	if !s.cfg.Probes {
 		return &reply{status: http.StatusNotFound, body: "no probes\n"}
 	}
@@ -374,7 +399,7 @@
 	if s.draining {
 		r.status = http.StatusServiceUnavailable
 	}
-	if path == "/metrics/load" {
+	if load {
 		r.body = s.report()
 	}
 	return r
--- a/msgpackrpc/msgpackrpc.go
+++ b/msgpackrpc/msgpackrpc.go
@@ -8,9 +8,10 @@
 // It owns the framing and its limits, and nothing else: params, errors and results are passed on as the bytes that came,
 // neither decoded nor encoded again. It knows no connection, no deadline and no routing.
 //
-// Where a frame ends is found by a scanner of this package's own. The MessagePack libraries decode values, or skip them by
-// recursion; none of those looked at bounds depth, length and allocation of a frame before it is read, which a frame
-// from outside needs. The tests hold the scanner against one of them.
+// Headers, integers and strings are read and written by tinylib/msgp. Only where a frame ends, and whether it keeps the
+// limits, is found by a scanner of this package's own, which goes on where it stopped when more bytes have come: the
+// libraries decode or skip values that are whole, and bound neither depth nor length before that. The tests hold the
+// scanner against another library.
 //
 // Begin with Reader.
 package msgpackrpc
@@ -21,6 +22,8 @@
 	"io"
 	"math"
 	"unicode/utf8"
+
+	"github.com/tinylib/msgp/msgp"
 )
 
 // Limits bound what a reader takes. A field that is 0 has its default.
@@ -66,14 +69,14 @@
 type Frame struct {
 	Kind   Kind
 	ID     uint32 // of a Request or Response
-	Method string // of a Request or Notification
+	Method []byte // of a Request or Notification: UTF-8
 	Params []byte // of a Request or Notification: an array
 	Error  []byte // of a Response: nil where it went well
 	Result []byte // of a Response
 }
 
 // Failed reports whether a response holds an error.
-func (f *Frame) Failed() bool { return len(f.Error) != 1 || f.Error[0] != codeNil }
+func (f *Frame) Failed() bool { return !msgp.IsNil(f.Error) }
 
 // Reader reads frames from a stream. It holds one frame at a time, of Limits.Frame bytes at most, and allocates no more
 // than twice what has come of it, whatever lengths are announced. It is not safe for concurrent use.
@@ -82,12 +85,15 @@
 	limits Limits
 	buf    []byte // what has come; the present frame begins at start
 	start  int
-	used   int // bytes of buf that belong to the frame returned last
+	used   int      // bytes of buf that belong to the frame returned last
+	open   []uint64 // the scanner's, kept for the next frame
+	rush   bool     // the last read filled the buffer
 	err    error
 }
 
-// firstBuffer is what a reader allocates for a connection that says little.
-const firstBuffer = 512
+// firstBuffer is what a reader allocates for a connection that says little, and mostBuffer what it may grow to for one
+// that says much, whose frames are short.
+const firstBuffer, mostBuffer = 512, 16 << 10
 
 // NewReader returns a reader of the frames of from, which need not be buffered.
 func NewReader(from io.Reader, limits Limits) *Reader {
@@ -108,7 +114,8 @@
 func (r *Reader) next() (Frame, error) {
 	r.start += r.used
 	r.used = 0
-	s := scanner{limits: r.limits}
+	s := scanner{limits: r.limits, open: r.open[:0]}
+	defer func() { r.open = s.open }()
 	for {
 		done, err := s.scan(r.buf[r.start:])
 		if err != nil {
@@ -136,7 +143,10 @@
 		r.buf = r.buf[:copy(r.buf, r.buf[r.start:])]
 		r.start = 0
 	}
-	if len(r.buf) == cap(r.buf) {
+	switch {
+	case len(r.buf) == 0 && cap(r.buf) > firstBuffer && !r.rush:
+		r.buf = make([]byte, 0, firstBuffer) // what a long frame or a rush took is given back
+	case len(r.buf) == cap(r.buf) || r.rush && cap(r.buf) < mostBuffer:
 		bigger := make([]byte, len(r.buf), max(firstBuffer, 2*cap(r.buf)))
 		copy(bigger, r.buf)
 		r.buf = bigger
@@ -144,6 +154,7 @@
 	for range 100 { // as bufio does with a reader that returns nothing
 		n, err := r.from.Read(r.buf[len(r.buf):cap(r.buf)])
 		r.buf = r.buf[:len(r.buf)+n]
+		r.rush = n > 0 && len(r.buf) == cap(r.buf)
 		if n > 0 {
 			return nil // an error comes again
 		}
@@ -154,37 +165,40 @@
 	return io.ErrNoProgress
 }
 
+// counts is how many elements the frame of each kind has.
+var counts = [...]uint32{Request: 4, Response: 4, Notification: 3}
+
 // parse takes a whole frame apart.
 func (r *Reader) parse(b []byte) (f Frame, err error) {
-	n, size, _ := arrayHeader(b)
-	b = b[size:]
-	kind, size, ok := uintValue(b)
-	if !ok || kind > uint64(Notification) {
+	n, b, _ := msgp.ReadArrayHeaderBytes(b)
+	kind, b, err := msgp.ReadUint64Bytes(b)
+	if err != nil || kind > uint64(Notification) {
 		return f, fmt.Errorf("%w: its kind is not 0, 1 or 2", ErrMalformed)
 	}
 	f.Kind = Kind(kind)
-	if want := map[Kind]int{Request: 4, Response: 4, Notification: 3}[f.Kind]; n != want {
+	if want := counts[f.Kind]; n != want {
 		return f, fmt.Errorf("%w: %d elements where %d are wanted", ErrMalformed, n, want)
 	}
-	b = b[size:]
 	if f.Kind != Notification {
-		id, size, ok := uintValue(b)
-		if !ok || id > math.MaxUint32 {
+		id, rest, err := msgp.ReadUint64Bytes(b)
+		if err != nil || id > math.MaxUint32 {
 			return f, fmt.Errorf("%w: its id is no number of 32 bits", ErrMalformed)
 		}
-		f.ID, b = uint32(id), b[size:]
+		f.ID, b = uint32(id), rest
 	}
 	if f.Kind == Response {
-		size := valueSize(b)
-		f.Error, f.Result = b[:size], b[size:]
+		rest, err := msgp.Skip(b) // as deep as the limit, at the most
+		if err != nil {
+			return f, fmt.Errorf("%w: %w", ErrMalformed, err)
+		}
+		f.Error, f.Result = b[:len(b)-len(rest)], rest
 		return f, nil
 	}
-	start, length, ok := stringHeader(b)
-	if !ok || length > r.limits.Method || !utf8.Valid(b[start:start+length]) {
+	f.Method, f.Params, err = msgp.ReadStringZC(b)
+	if err != nil || len(f.Method) > r.limits.Method || !utf8.Valid(f.Method) {
 		return f, fmt.Errorf("%w: its method is no string of at most %d bytes", ErrMalformed, r.limits.Method)
 	}
-	f.Method, f.Params = string(b[start:start+length]), b[start+length:]
-	if _, _, ok := arrayHeader(f.Params); !ok {
+	if msgp.NextType(f.Params) != msgp.ArrayType {
 		return f, fmt.Errorf("%w: its params are no array", ErrMalformed)
 	}
 	return f, nil
--- a/msgpackrpc/msgpackrpc_test.go
+++ b/msgpackrpc/msgpackrpc_test.go
@@ -41,7 +41,7 @@
 		if err != nil {
 			return frames, err
 		}
-		f.Params, f.Error, f.Result = bytes.Clone(f.Params), bytes.Clone(f.Error), bytes.Clone(f.Result)
+		f.Method, f.Params, f.Error, f.Result = bytes.Clone(f.Method), bytes.Clone(f.Params), bytes.Clone(f.Error), bytes.Clone(f.Result)
 		frames = append(frames, f)
 	}
 }
@@ -55,7 +55,7 @@
 	if err != io.EOF || len(frames) != 4 {
 		t.Fatalf("%d frames, %v", len(frames), err)
 	}
-	if f := frames[0]; f.Kind != Request || f.ID != 7 || f.Method != "plate.lookup" || !bytes.Equal(f.Params, pack(t, []any{"あ 12-34", 3.5, nil})) {
+	if f := frames[0]; f.Kind != Request || f.ID != 7 || string(f.Method) != "plate.lookup" || !bytes.Equal(f.Params, pack(t, []any{"あ 12-34", 3.5, nil})) {
 		t.Errorf("request %+v", f)
 	}
 	if f := frames[1]; f.Kind != Response || f.Failed() || !bytes.Equal(f.Result, pack(t, map[string]any{"free": true})) {
@@ -64,7 +64,7 @@
 	if f := frames[2]; f.ID != math.MaxUint32 || !f.Failed() || !bytes.Equal(f.Error, pack(t, "no such plate")) {
 		t.Errorf("response with an error %+v", f)
 	}
-	if f := frames[3]; f.Kind != Notification || f.Method != "log" || len(f.Params) != 1 {
+	if f := frames[3]; f.Kind != Notification || string(f.Method) != "log" || len(f.Params) != 1 {
 		t.Errorf("notification %+v", f)
 	}
 }
@@ -85,7 +85,7 @@
 			t.Fatalf("%s: %d frames, %v", name, len(frames), err)
 		}
 		for i := range frames {
-			if frames[i].ID != whole[i].ID || frames[i].Method != whole[i].Method || !bytes.Equal(frames[i].Params, whole[i].Params) {
+			if frames[i].ID != whole[i].ID || string(frames[i].Method) != string(whole[i].Method) || !bytes.Equal(frames[i].Params, whole[i].Params) {
 				t.Errorf("%s: frame %d is %+v", name, i, frames[i])
 			}
 		}
@@ -206,20 +206,23 @@
 				t.Fatalf("%d frames, %v", len(frames), err)
 			}
 			a, b, c, d := frames[0], frames[1], frames[2], frames[3]
-			if a.ID != id || a.Method != method || !bytes.Equal(a.Params, params) || b.ID != id || b.Failed() ||
-				!bytes.Equal(b.Result, params) || !c.Failed() || !bytes.Equal(c.Error, params) || d.Method != method {
+			if a.ID != id || string(a.Method) != method || !bytes.Equal(a.Params, params) || b.ID != id || b.Failed() ||
+				!bytes.Equal(b.Result, params) || !c.Failed() || !bytes.Equal(c.Error, params) || string(d.Method) != method {
 				t.Fatalf("%+v", frames)
 			}
 		}
 	})
 }
 
-// Strings have the form that the library gives them, whatever their length.
-func TestStringsAsTheLibraryWritesThem(t *testing.T) {
-	for _, n := range []int{0, 1, 31, 32, 255, 256, 65535, 65536} {
-		text := strings.Repeat("s", n)
-		if got, want := AppendString(nil, text), pack(t, text); !bytes.Equal(got, want) {
-			t.Errorf("%d bytes: begins % x, want % x", n, got[:min(6, len(got))], want[:min(6, len(want))])
+// A body that is to become params or a result has to be one whole value, or the frame round it would be none.
+func TestCheckValue(t *testing.T) {
+	for text, want := range map[string][2]bool{ // as a value, as params
+		"92 01 a1 61": {true, true}, "90": {true, true}, "80": {true, false}, "c0": {true, false}, "a1 61": {true, false},
+		"": {}, "91": {}, "90 90": {}, "c1": {}, "dd ffffffff": {},
+	} {
+		b := unhex(t, text)
+		if got := [2]bool{CheckValue(b, Limits{}) == nil, CheckParams(b, Limits{}) == nil}; got != want {
+			t.Errorf("% x: %v, want %v", b, got, want)
 		}
 	}
 }
@@ -277,7 +280,7 @@
 		if err != io.EOF || len(frames) != 2 {
 			t.Fatalf("%d frames, %v", len(frames), err)
 		}
-		if fr := frames[1]; fr.ID != id || fr.Method != method || !bytes.Equal(fr.Params, stream[len(stream)-len(fr.Params):]) {
+		if fr := frames[1]; fr.ID != id || string(fr.Method) != method || !bytes.Equal(fr.Params, stream[len(stream)-len(fr.Params):]) {
 			t.Fatalf("%+v", fr)
 		}
 		var back []any
--- a/msgpackrpc/scan.go
+++ b/msgpackrpc/scan.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/binary"
 	"fmt"
+
+	"github.com/tinylib/msgp/msgp"
 )
 
 // The codes of MessagePack that this package names.
@@ -88,6 +90,7 @@
 // never calls itself.
 type scanner struct {
 	limits Limits
+	value  bool     // any one value, in place of a frame
 	at     int      // where the next value begins; it may lie beyond what has come
 	open   []uint64 // values yet to come, of each array and map that is open
 }
@@ -106,7 +109,7 @@
 		if err != nil || !e.ok {
 			return false, err
 		}
-		if s.at == 0 {
+		if s.at == 0 && !s.value {
 			if err := first(b); err != nil {
 				return false, err
 			}
@@ -135,11 +138,11 @@
 
 // first checks how a frame begins: with an array of three or four.
 func first(b []byte) error {
-	n, _, ok := arrayHeader(b)
+	n, _, err := msgp.ReadArrayHeaderBytes(b)
 	switch {
-	case !ok && (b[0] >= 'A' && b[0] <= 'Z'): // a method, or the version in an answer
+	case err != nil && b[0] >= 'A' && b[0] <= 'Z': // a method, or the version in an answer
 		return ErrHTTP
-	case !ok:
+	case err != nil:
 		return fmt.Errorf("%w: it begins with 0x%02x, which is no array", ErrMalformed, b[0])
 	case n != 3 && n != 4:
 		return fmt.Errorf("%w: an array of %d", ErrMalformed, n)
@@ -147,61 +150,29 @@
 	return nil
 }
 
-// valueSize returns the length of the value at the start of b, which is whole.
-func valueSize(b []byte) int {
-	at := 0
-	for values := uint64(1); values > 0; values-- {
-		e, _ := describe(b[at:])
-		at += e.header + int(e.payload)
-		values += e.children
-	}
-	return at
-}
-
-// arrayHeader reads how many elements an array has; ok is false where there is no array.
-func arrayHeader(b []byte) (n, size int, ok bool) {
+// CheckValue reports what is wrong with b as one whole value in MessagePack within the limits, of which Frame is for all
+// of it.
+func CheckValue(b []byte, limits Limits) error {
+	s := scanner{limits: limits.filled(), value: true}
+	done, err := s.scan(b)
 	switch {
-	case len(b) > 0 && b[0] >= 0x90 && b[0] <= 0x9f:
-		return int(b[0] & 0x0f), 1, true
-	case len(b) >= 3 && b[0] == 0xdc:
-		return int(bigEndian(b[1:3])), 3, true
-	case len(b) >= 5 && b[0] == 0xdd:
-		return int(bigEndian(b[1:5])), 5, true
-	}
-	return 0, 0, false
-}
-
-// stringHeader returns where a string's bytes begin and how many there are.
-func stringHeader(b []byte) (start, length int, ok bool) {
-	if len(b) == 0 || !(b[0] >= 0xa0 && b[0] <= 0xbf || b[0] >= 0xd9 && b[0] <= 0xdb) {
-		return 0, 0, false
-	}
-	e, err := describe(b)
-	if err != nil || !e.ok || uint64(len(b)-e.header) < e.payload {
-		return 0, 0, false
+	case err != nil:
+		return err
+	case !done:
+		return fmt.Errorf("%w: it ends early", ErrMalformed)
+	case s.at != len(b):
+		return fmt.Errorf("%w: %d bytes behind it", ErrMalformed, len(b)-s.at)
 	}
-	return e.header, int(e.payload), true
+	return nil
 }
 
-// uintValue reads a whole number that is not negative, in whichever form it is written.
-func uintValue(b []byte) (v uint64, size int, ok bool) {
-	if len(b) == 0 {
-		return 0, 0, false
+// CheckParams reports what is wrong with b as params: one whole array within the limits.
+func CheckParams(b []byte, limits Limits) error {
+	if err := CheckValue(b, limits); err != nil {
+		return err
 	}
-	code := b[0]
-	switch {
-	case code <= 0x7f:
-		return uint64(code), 1, true
-	case code >= 0xcc && code <= 0xcf, code >= 0xd0 && code <= 0xd3:
-		size = 1 + int(fixed[code])
-		if len(b) < size {
-			return 0, 0, false
-		}
-		v = bigEndian(b[1:size])
-		if code >= 0xd0 && v>>(8*uint(size-1)-1) != 0 { // signed, and below 0
-			return 0, 0, false
-		}
-		return v, size, true
+	if msgp.NextType(b) != msgp.ArrayType {
+		return fmt.Errorf("%w: params are no array", ErrMalformed)
 	}
-	return 0, 0, false
+	return nil
 }
