--- a/cmd/firplank-lab/main.go
+++ b/cmd/firplank-lab/main.go
@@ -46,6 +46,8 @@
 	Cores    float64 `help:"Cores of each sidecar in place of the scenario's."`
 	Config   string  `help:"Options file in TOML for the sidecars." type:"existingfile" placeholder:"FILE"`
 	Binary   string  `help:"The sidecar's program; without it this program serves as one." type:"path"`
+
+	NoContracts bool `help:"Do not tell the sidecars of the scenario's contracts."`
 }
 
 func (p *played) open() (*scenario.Scenario, error) {
@@ -65,6 +67,7 @@
 	if p.Sidecars != 0 {
 		s.Sidecars = p.Sidecars
 	}
+	s.Broker.Off = s.Broker.Off || p.NoContracts
 	if p.Cores != 0 {
 		s.Limits.Cores = p.Cores
 	}
@@ -247,6 +250,7 @@
 	Binary   string   `help:"The sidecar's program; without it this program serves as one." type:"path"`
 	Before   string   `help:"Another build of it, to compare with over HTTP." type:"path"`
 	Only     []string `help:"Of http, rpc, before and proxy."`
+	Bench    string   `help:"Write each round to a file in the form of Go's benchmarks, for benchstat." placeholder:"FILE" type:"path"`
 }
 
 func (c *throughputCommand) Run(ctx context.Context, out io.Writer) error {
@@ -272,6 +276,11 @@
 	if err != nil {
 		return err
 	}
+	if c.Bench != "" {
+		if err := toFile(c.Bench, func(w io.Writer) error { return run.ThroughputBench(w, all) }); err != nil {
+			return err
+		}
+	}
 	return run.ThroughputTable(out, all)
 }
 
--- a/cmd/firplank/main.go
+++ b/cmd/firplank/main.go
@@ -19,11 +19,12 @@
 
 // commands is the command line. Without arguments the sidecar serves.
 type commands struct {
-	Serve   serveCommand   `cmd:"" default:"withargs" help:"Serve until SIGTERM (the default)."`
-	Check   checkCommand   `cmd:"" help:"Read and check the configuration, and start nothing."`
-	Call    callCommand    `cmd:"" help:"Make a request over HTTP or MessagePack-RPC and show the answer."`
-	Version versionCommand `cmd:"" help:"Show the version."`
-	Help    helpCommand    `cmd:"" help:"Show this help."`
+	Serve     serveCommand     `cmd:"" default:"withargs" help:"Serve until SIGTERM (the default)."`
+	Check     checkCommand     `cmd:"" help:"Read and check the configuration, and start nothing."`
+	Call      callCommand      `cmd:"" help:"Make a request over HTTP or MessagePack-RPC and show the answer."`
+	Contracts contractsCommand `cmd:"" help:"Look at the contracts between teams."`
+	Version   versionCommand   `cmd:"" help:"Show the version."`
+	Help      helpCommand      `cmd:"" help:"Show this help."`
 }
 
 // files is what a sidecar is configured by, beside the NODE_ variables.
--- /dev/null
+++ b/internal/broker/gate.go
@@ -0,0 +1,92 @@
+package broker
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cedararch/contract"
+	"cedararch/internal/core"
+)
+
+// Gate puts contracts before the exchange. Like the exchange's own state it belongs to one goroutine.
+type Gate struct {
+	broker     *contract.Broker
+	classes    []string // by number
+	deadlines  []float64
+	retryAfter bool
+}
+
+// New returns a gate with the contracts of a version. retryAfter is whether clients are told when to come back.
+func New(set *contract.Set, catalog *core.Catalog, retryAfter bool) *Gate {
+	g := &Gate{broker: contract.New(0, set), classes: catalog.ClassNames(), retryAfter: retryAfter}
+	for i := range catalog.Classes {
+		g.deadlines = append(g.deadlines, catalog.Classes[i].Deadline)
+	}
+	return g
+}
+
+// Swap puts another version in force, and Report tells how things stand.
+func (g *Gate) Swap(now time.Duration, set *contract.Set) { g.broker.Swap(now, set) }
+func (g *Gate) Report(now time.Duration) contract.Report  { return g.broker.Report(now) }
+
+// Admit implements core.Gate.
+func (g *Gate) Admit(now time.Duration, c *core.Call) (contract.Grant, *core.Answer) {
+	claim := c.Claim
+	if claim == nil {
+		claim = &contract.Claim{Tenant: c.Message.Tenant}
+	}
+	set := g.broker.Set()
+	team, ok := set.Team(claim)
+	if !ok {
+		return contract.Grant{}, Answer(g.broker.Nobody(), g.retryAfter)
+	}
+	d := g.broker.Admit(now, contract.Ask{
+		Team: team, Class: c.Ask.Class, Marked: c.Ask.Repeat,
+		Identity: identity(set.Terms(team), &c.Message),
+	})
+	if d.Verdict != contract.Admitted {
+		return contract.Grant{}, Answer(d, g.retryAfter)
+	}
+	if d.Class != c.Ask.Class {
+		c.Ask.Class, c.Message.Class = d.Class, g.classes[d.Class]
+		c.Ask.Remaining = min(c.Ask.Remaining, g.deadlines[d.Class])
+	}
+	return d.Grant, nil
+}
+
+// Release implements core.Gate.
+func (g *Gate) Release(now time.Duration, grant contract.Grant, ran bool) {
+	g.broker.Done(now, grant, ran)
+}
+
+// identity hashes what the tries of a request have in common; 0 where nothing is known.
+func identity(t *contract.Terms, m *core.Message) uint64 {
+	what := m.IdempotencyKey
+	if what == "" && t.Retries.Identity == contract.ByObject {
+		what = m.Object
+	}
+	if what == "" {
+		return 0
+	}
+	var d xxhash.Digest
+	d.Reset()
+	for _, part := range []string{t.Team, m.Class} {
+		d.WriteString(part)
+		d.Write([]byte{0})
+	}
+	d.WriteString(what)
+	return max(1, d.Sum64())
+}
+
+// Answer words a decision that does not admit.
+func Answer(d contract.Decision, retryAfter bool) *core.Answer {
+	if d.Verdict == contract.Denied {
+		return &core.Answer{Kind: core.Failed, Reason: core.NotAllowed, Text: "not in the contract: " + d.Reason.String()}
+	}
+	a := &core.Answer{Kind: core.Refused, Reason: core.OverBudget, Text: "refused by contract, trying again is harmless: " + d.Reason.String()}
+	if retryAfter {
+		a.HoldOff = d.HoldOff
+	}
+	return a
+}
--- a/internal/core/catalog.go
+++ b/internal/core/catalog.go
@@ -13,13 +13,14 @@
 // It is never changed.
 type Catalog struct {
 	Classes []balance.Class
+	names   []string
 	classes map[string]int
 	tenants map[string]int
 }
 
 // NewCatalog returns a catalog of classes and tenants by name, each in the order of the module's numbers.
 func NewCatalog(rules []balance.Class, classes, tenants []string) (*Catalog, error) {
-	c := &Catalog{Classes: rules, classes: Positions(classes), tenants: Positions(tenants)}
+	c := &Catalog{Classes: rules, names: classes, classes: Positions(classes), tenants: Positions(tenants)}
 	if len(c.classes) != len(classes) || len(c.tenants) != len(tenants) {
 		return nil, fmt.Errorf("settings: two classes or tenants of one name")
 	}
@@ -46,6 +47,9 @@
 	return at, ok || len(c.tenants) == 0
 }
 
+// ClassNames returns the classes' names, in the order of their numbers.
+func (c *Catalog) ClassNames() []string { return c.names }
+
 // Sizes returns how many classes and tenants there are.
 func (c *Catalog) Sizes() (classes, tenants int) { return len(c.classes), len(c.tenants) }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"cedararch/balance"
+	"cedararch/contract"
 )
 
 // Message is what a request says, as it goes on to servers. The exchange does not look into it. Each front fills in what
@@ -44,6 +45,7 @@
 	Ask      balance.Request // without ID; Remaining counts from Received
 	Received time.Time
 	Client   Client
+	Claim    *contract.Claim // who sends it, besides its tenant; nil where nobody asks
 }
 
 // Client is given the one final answer of each of its calls.
@@ -62,21 +64,23 @@
 	Failed              // it may have run
 )
 
-// Reason says why an answer is Failed.
+// Reason says why an answer is Failed or Refused.
 type Reason uint8
 
 // The reasons.
 const (
-	ByServers Reason = iota // no server gave a good answer
+	ByServers Reason = iota // no server gave a good answer; or, of Refused, there is no room for it
 	OutOfTime
 	ClientLeft
-	NameInUse // another open call has its Name; nothing ran
+	NameInUse  // another open call has its Name; nothing ran
+	NotAllowed // its sender may not ask for that; nothing ran
+	OverBudget // of Refused: its sender has asked for more than it may
 )
 
 // Answer is a final answer.
 type Answer struct {
 	Kind    Kind
-	Reason  Reason        // of Failed
+	Reason  Reason        // of Refused and Failed
 	HoldOff time.Duration // of Refused: how long the client should stay away; 0: not said
 	Text    string        // of Refused and Failed: for people
 
@@ -94,6 +98,15 @@
 	Report  []float32
 }
 
+// Gate is asked about each call before the decision module is. The exchange calls it from its own goroutine, with the time
+// since it began.
+type Gate interface {
+	// Admit lets a call in, holding a grant for it, or gives it its final answer. It may change what the call asks for.
+	Admit(now time.Duration, c *Call) (contract.Grant, *Answer)
+	// Release takes a grant back when the call has its final answer; ran is false where no server can have begun it.
+	Release(now time.Duration, g contract.Grant, ran bool)
+}
+
 // Back makes attempts at servers of one protocol. The exchange calls it from its own goroutine: no method may wait.
 type Back interface {
 	// Begin starts an attempt, which ends with one call of its End. Nothing may be sent once Over says so, nor after
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cedararch/balance"
+	"cedararch/contract"
 	"cedararch/internal/door"
 	"cedararch/internal/roster"
 )
@@ -28,6 +29,7 @@
 	// Watch asks for news of the roster; it must not wait.
 	Watch func()
 	Door  *door.Keeper // nil: none
+	Gate  Gate         // nil: all may come in
 	Log   *slog.Logger
 }
 
@@ -41,6 +43,7 @@
 	}
 	listed     struct{ list *roster.List }
 	listFailed struct{ err error }
+	inspection struct{ do func(now time.Duration) }
 )
 
 // Loop owns the balancer and what is known of each request. All else talks to it by events; it never waits for
@@ -75,6 +78,7 @@
 	call     *Call
 	deadline float64
 	due      timer // its end, if the module forgets it
+	grant    contract.Grant
 	attempts []*Attempt
 	live     int
 	done     bool
@@ -101,6 +105,9 @@
 func (l *Loop) Listed(list *roster.List) { l.post(listed{list}) }
 func (l *Loop) ListFailed(err error)     { l.post(listFailed{err}) }
 
+// Inspect calls do on the exchange's goroutine, with the time that its Gate is told. It returns at once.
+func (l *Loop) Inspect(do func(now time.Duration)) { l.post(inspection{do}) }
+
 // Ready reports whether there are servers to send to.
 func (l *Loop) Ready() bool { return l.ready.Load() }
 
@@ -123,6 +130,9 @@
 	return l.started.Add(time.Duration((clock - l.epoch) * float64(time.Millisecond)))
 }
 
+// elapsed is the time since the start, as of the present batch of events.
+func (l *Loop) elapsed() time.Duration { return millis(l.now - l.epoch) }
+
 // Run handles events until its context ends. What is waiting makes one batch, with one clock.
 func (l *Loop) Run() {
 	timer := time.NewTimer(time.Hour)
@@ -200,6 +210,8 @@
 		l.tell(balance.ProbeResult{
 			Server: ev.endpoint.id, Result: ev.result.Outcome, Took: ev.took, Report: ev.result.Report,
 		})
+	case inspection:
+		ev.do(l.elapsed())
 	case listed:
 		kind := balance.ListDelta
 		if ev.list.Complete {
@@ -294,6 +306,13 @@
 		}
 		l.byName[c.Name] = r
 	}
+	if l.cfg.Gate != nil {
+		var denied *Answer
+		if r.grant, denied = l.cfg.Gate.Admit(l.elapsed(), c); denied != nil {
+			l.finish(r, denied)
+			return
+		}
+	}
 	ask := c.Ask
 	ask.ID = r.id
 	ask.Remaining = max(0, ask.Remaining-(l.now-l.clock(c.Received))-float64(l.cfg.Door.Margin())/float64(time.Millisecond))
@@ -315,6 +334,9 @@
 	for _, at := range r.attempts {
 		at.SetAnswered()
 	}
+	if r.grant.Valid() {
+		l.cfg.Gate.Release(l.elapsed(), r.grant, a == nil || a.Kind != Refused)
+	}
 	if a != nil {
 		r.call.Client.Answer(r.call, a)
 	}
--- a/internal/front/http/clients_test.go
+++ b/internal/front/http/clients_test.go
@@ -87,6 +87,28 @@
 	return nil, net.ErrClosed
 }
 
+// A peer that speaks MessagePack-RPC is named once; one that speaks HTTP is not.
+func TestStrangersAreNamed(t *testing.T) {
+	ln, named := testbed.Listen(t), 0
+	cs := &clients{most: 2, stranger: func(net.Addr) { named++ }}
+	for i, text := range []string{"\x94\x00\x01\xa1m\x90", "GET / HTTP/1.1\r\nHost: a\r\n\r\n"} {
+		near, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer near.Close()
+		far, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(near, text)
+		cs.add(far.(*net.TCPConn)).Read(make([]byte, 100))
+		if named != 1 {
+			t.Errorf("after %d: %d were named", i+1, named)
+		}
+	}
+}
+
 // A lack of descriptors must neither end the server nor make it pause for long, as net/http does.
 func TestAcceptOutlivesLackOfDescriptors(t *testing.T) {
 	inner, evicted := &short{failures: 3}, 0
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -24,6 +24,7 @@
 	"golang.org/x/time/rate"
 
 	"cedararch/balance"
+	"cedararch/contract"
 	"cedararch/internal/core"
 	"cedararch/internal/door"
 	"cedararch/internal/httpwire"
@@ -54,6 +55,7 @@
 	// Params takes bodies in MessagePack also with safe requests, by POST, and Method names what a path is to servers that
 	// go by names; nil: neither.
 	Method func(path string) string
+	Claims bool // the exchange wants to know who sends a request
 	Log    *slog.Logger
 }
 
@@ -226,11 +228,14 @@
 var failures = map[core.Reason]int{
 	core.ByServers: http.StatusBadGateway, core.ClientLeft: http.StatusBadGateway,
 	core.OutOfTime: http.StatusGatewayTimeout, core.NameInUse: http.StatusConflict,
+	core.NotAllowed: http.StatusForbidden,
 }
 
-// statusOf words an answer; only 503 says that trying again is harmless.
+// statusOf words an answer; only 429 and 503 say that trying again is harmless.
 func statusOf(a *core.Answer) int {
 	switch {
+	case a.Kind == core.Refused && a.Reason == core.OverBudget:
+		return http.StatusTooManyRequests
 	case a.Kind == core.Refused:
 		return http.StatusServiceUnavailable
 	case a.Kind == core.Failed:
@@ -320,15 +325,32 @@
 		IdempotencyKey: h.Get("Idempotency-Key"), Safe: rules.Effect == balance.Safe,
 		Target: r.RequestURI, Authority: r.Host, Meta: h, ContentType: h.Get("Content-Type"), Body: body,
 	}
+	if f.cfg.Claims {
+		c.Claim = claimOf(r)
+	}
 	if f.cfg.Method != nil {
 		c.Message.Method = f.cfg.Method(r.URL.Path)
 	}
 	return c, nil
 }
 
+// listenerName is how contracts call this front.
+const listenerName = "http"
+
+// claimOf is what a request says of who sends it. Its token goes no further than its digest.
+func claimOf(r *http.Request) *contract.Claim {
+	c := &contract.Claim{Tenant: r.Header.Get("X-Customer"), Listener: listenerName}
+	scheme, token, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	if strings.EqualFold(scheme, "Bearer") {
+		c.Token, c.HasToken = contract.DigestOf(strings.TrimSpace(token)), true
+	}
+	return c
+}
+
 // once lists the headers that say what a request is; of two values of one of them neither can be trusted.
 var once = []string{
 	"X-Trace-Id", "X-Qos", "X-Customer", "X-Object", "X-Expires-In", "X-Second-Try", "X-Size-Hint", "Idempotency-Key",
+	"Authorization",
 }
 
 var errLongBody = &badRequest{http.StatusRequestEntityTooLarge, "body too long"}
--- a/internal/front/msgpackrpc/answer.go
+++ b/internal/front/msgpackrpc/answer.go
@@ -21,6 +21,8 @@
 		return appendError(dst, id, "refused", a.Text, a.HoldOff)
 	case a.Kind == core.Failed && a.Reason == core.NameInUse:
 		return appendError(dst, id, "bad_request", a.Text, 0)
+	case a.Kind == core.Failed && a.Reason == core.NotAllowed:
+		return appendError(dst, id, "denied", a.Text, 0)
 	case a.Kind == core.Failed:
 		return appendError(dst, id, "failed", a.Text, 0)
 	case a.ContentType != core.MessagePack:
--- a/internal/front/msgpackrpc/methods.go
+++ b/internal/front/msgpackrpc/methods.go
@@ -8,6 +8,7 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"cedararch/balance"
+	"cedararch/contract"
 	"cedararch/internal/core"
 )
 
@@ -31,8 +32,9 @@
 	TenantParam Param
 	Key         Param // what the request is about
 	Idempotency Param
-	Deadline    Param  // milliseconds that the client waits
-	Trace       Param  // the request's id, for servers that go by one; without it the front makes one
+	Deadline    Param // milliseconds that the client waits
+	Trace       Param // the request's id, for servers that go by one; without it the front makes one
+	Token       Param
 	Repeat      Param  // true or above 0 with a client's later try
 	Path        string // of HTTP servers; empty: /api/ and the name
 	Notify      bool   // may come as a notification
@@ -40,6 +42,7 @@
 
 // Methods are the methods that a front takes, checked against the deployment. They are never changed.
 type Methods struct {
+	Claims  bool // the exchange wants to know who sends a request; set before the first
 	catalog *core.Catalog
 	byName  map[string]*method
 	byPath  map[string]string
@@ -232,6 +235,9 @@
 	return 0, errWrong
 }
 
+// listenerName is how contracts call this front.
+const listenerName = "msgpack-rpc"
+
 // fill reads out of params what the exchange is to know of a request.
 func (ms *Methods) fill(c *core.Call, m *method, params []byte) error {
 	tenant, name := m.tenant, m.Tenant
@@ -281,6 +287,14 @@
 	if err != nil && !errors.Is(err, errMissing) {
 		return fmt.Errorf("repeat: %w", err)
 	}
+	if ms.Claims {
+		c.Claim = &contract.Claim{Tenant: name, Listener: listenerName}
+		if token, err := m.Token.text(params); err == nil {
+			c.Claim.Token, c.Claim.HasToken = contract.DigestOf(token), true
+		} else if !errors.Is(err, errMissing) {
+			return fmt.Errorf("token: %w", err)
+		}
+	}
 	c.Ask = balance.Request{Class: m.class, Tenant: tenant, Key: core.Key(object), Remaining: left, Repeat: repeat > 0}
 	c.Message = core.Message{
 		Trace: c.Name, Class: m.Class, Tenant: name, Object: object, IdempotencyKey: key,
--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -12,12 +12,28 @@
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
+
+	"cedararch/internal/operators"
 )
 
 // File is the whole file. The zero value is what an empty file or none means.
 type File struct {
 	Door       Door       `toml:"door"`
 	MsgpackRPC MsgpackRPC `toml:"msgpack_rpc"`
+	Broker     Broker     `toml:"broker"`
+	Operators  Operators  `toml:"operators"`
+}
+
+// Broker is about contracts between teams; see internal/broker and contract.
+type Broker struct {
+	Contracts string  `toml:"contracts"`      // a folder of files in TOML; empty: none
+	Capacity  float64 `toml:"capacity_per_s"` // worth that all instances together can serve; 0: not reckoned with
+	Part      float64 `toml:"part"`           // of every budget that is this instance's; 0: one over the number of instances
+}
+
+// Operators is about the pages that operators look at.
+type Operators struct {
+	Listen string `toml:"listen"` // a loopback address; empty: none
 }
 
 // Door is about a sidecar that has run out of processor time; see internal/door.
@@ -57,6 +73,7 @@
 	Idempotency any    `toml:"idempotency_param"`
 	Deadline    any    `toml:"deadline_param_ms"`
 	Trace       any    `toml:"trace_param"`
+	Token       any    `toml:"token_param"`
 	Repeat      any    `toml:"repeat_param"`
 	Path        string `toml:"path"`   // of HTTP servers; /api/ and the name where it is empty
 	Notify      bool   `toml:"notify"` // it may come as a notification
@@ -120,6 +137,14 @@
 	if err := f.MsgpackRPC.fill(); err != nil {
 		return nil, fmt.Errorf("options: %s: %w", name, err)
 	}
+	if b := &f.Broker; !(b.Capacity >= 0) || !(b.Part >= 0 && b.Part <= 1) {
+		return nil, fmt.Errorf("options: %s: broker: capacity_per_s is %v and part %v: want 0 or more, and 0 to 1", name, b.Capacity, b.Part)
+	}
+	if f.Operators.Listen != "" {
+		if err := operators.CheckAddress(f.Operators.Listen); err != nil {
+			return nil, fmt.Errorf("options: %s: operators.listen: %w", name, err)
+		}
+	}
 	return f, nil
 }
 
--- a/internal/options/options_test.go
+++ b/internal/options/options_test.go
@@ -9,7 +9,7 @@
 
 func TestNoFileMeansNothing(t *testing.T) {
 	f, err := Load("")
-	if err != nil || f.Door.Enabled || f.MsgpackRPC.Enabled() {
+	if err != nil || f.Door.Enabled || f.MsgpackRPC.Enabled() || f.Broker.Contracts != "" || f.Operators.Listen != "" {
 		t.Errorf("%+v, %v", f, err)
 	}
 }
@@ -17,7 +17,7 @@
 // The platform's own file leaves all that is new off.
 func TestPlatformFileIsAllOff(t *testing.T) {
 	f, err := Load("../../deploy/firplank.toml")
-	if err != nil || f.Door.Enabled || f.MsgpackRPC.Enabled() {
+	if err != nil || f.Door.Enabled || f.MsgpackRPC.Enabled() || f.Broker.Contracts != "" || f.Operators.Listen != "" {
 		t.Errorf("%+v, %v", f, err)
 	}
 }
@@ -35,6 +35,9 @@
 		"[msgpack_rpc]\nlisten = \"127.0.0.1:0\"\n":        "no msgpack_rpc.method",
 		"[msgpack_rpc]\nmax_open = -1\n":                   "o.toml: msgpack_rpc.max_open",
 		"[msgpack_rpc]\nmax_frame_bytes = 99999999999\n":   "o.toml: msgpack_rpc.max_frame_bytes",
+		"[broker]\npart = 2\n":                             "o.toml: broker: capacity_per_s is 0 and part 2",
+		"[operators]\nlisten = \"0.0.0.0:80\"\n":           "operators.listen: 0.0.0.0:80 is not a loopback address",
+		"[operators]\nlisten = \"localhost\"\n":            "operators.listen: ",
 		"[[msgpack_rpc.method]]\nname = \"a\"\nkind = 1\n": "o.toml:3: unknown key msgpack_rpc.method.kind",
 	} {
 		path := filepath.Join(dir, "o.toml")
--- /dev/null
+++ b/internal/sidecar/bench_test.go
@@ -0,0 +1,196 @@
+package sidecar
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"testing"
+
+	"cedararch/internal/options"
+	codec "cedararch/msgpackrpc"
+)
+
+// BenchmarkRequests passes requests through a sidecar in this process, with a number in flight. Client and server are loops
+// that allocate nothing for a request, so that what is counted is the sidecar's.
+func BenchmarkRequests(b *testing.B) {
+	for _, n := range []int{1, 32, 256} {
+		b.Run(fmt.Sprintf("http/inflight=%d", n), func(b *testing.B) { benchmark(b, n, false) })
+		b.Run(fmt.Sprintf("rpc/inflight=%d", n), func(b *testing.B) { benchmark(b, n, true) })
+	}
+}
+
+func benchmark(b *testing.B, inFlight int, rpc bool) {
+	server := benchListen(b)
+	go func() {
+		for {
+			c, err := server.Accept()
+			if err != nil {
+				return
+			}
+			if rpc {
+				go benchFrames(c)
+			} else {
+				go benchHTTP(c)
+			}
+		}
+	}()
+	cfg := benchConfig(b, server.Addr().String(), rpc)
+	on := listeners{http: benchListen(b)}
+	if rpc {
+		on.rpc = benchListen(b)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- serve(ctx, cfg, on, nil, slog.New(slog.DiscardHandler)) }()
+	b.ReportAllocs()
+	b.ResetTimer()
+	if rpc {
+		benchCalls(b, on.rpc.Addr().String(), inFlight)
+	} else {
+		var all sync.WaitGroup
+		for i := range inFlight {
+			all.Go(func() { benchAsks(b, on.http.Addr().String(), i, b.N/inFlight+1) })
+		}
+		all.Wait()
+	}
+	b.StopTimer()
+	stop()
+	<-ended
+}
+
+func benchListen(b *testing.B) net.Listener {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { ln.Close() })
+	return ln
+}
+
+func benchConfig(b *testing.B, addr string, rpc bool) *Config {
+	cfg, err := Load(onlyPath("testdata/config.json"))
+	if err == nil {
+		cfg.Listen, cfg.Discovery, cfg.lastCalls = "127.0.0.1:0", "127.0.0.1:9", 0
+		cfg.Known.Members = cfg.Known.Members[:1]
+		cfg.Known.Members[0].HostPort = addr
+		text := "[msgpack_rpc]\n"
+		if rpc {
+			text += "listen = \"127.0.0.1:0\"\nflavors = [\"small\"]\n[[msgpack_rpc.method]]\nname = \"m\"\nclass = \"read\"\ntenant = \"acme\"\n"
+		}
+		var opts *options.File
+		if opts, err = options.Parse("bench.toml", []byte(text)); err == nil {
+			cfg.Options = *opts
+			cfg.methods, err = rpcMethods(&opts.MsgpackRPC, cfg.catalog)
+		}
+	}
+	if err != nil {
+		b.Fatal(err)
+	}
+	return cfg
+}
+
+func benchFrames(c net.Conn) {
+	in := codec.NewReader(c, codec.Limits{})
+	var out []byte
+	for {
+		f, err := in.Next()
+		if err != nil {
+			return
+		}
+		if out = codec.AppendResponse(out, f.ID, nil, []byte{7}); in.Buffered() == 0 {
+			c.Write(out)
+			out = out[:0]
+		}
+	}
+}
+
+func benchCalls(b *testing.B, addr string, inFlight int) {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer c.Close()
+	in := codec.NewReader(c, codec.Limits{})
+	var out []byte
+	id := uint32(0)
+	next := func() {
+		out = codec.AppendRequest(out, id, "m", []byte{0x90})
+		id++
+	}
+	for range inFlight {
+		next()
+	}
+	for range b.N {
+		if len(out) > 0 && in.Buffered() == 0 {
+			c.Write(out)
+			out = out[:0]
+		}
+		f, err := in.Next()
+		if err != nil || f.Failed() {
+			b.Errorf("answered %s, %v", f.Error, err)
+			return
+		}
+		next()
+	}
+}
+
+func benchHTTP(c net.Conn) {
+	answer := []byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	for in := bufio.NewReader(c); ; {
+		for {
+			line, err := in.ReadSlice('\n')
+			if err != nil {
+				return
+			}
+			if len(line) == 2 {
+				break
+			}
+		}
+		c.Write(answer)
+	}
+}
+
+func benchAsks(b *testing.B, addr string, number, times int) {
+	request := []byte("GET /api HTTP/1.1\r\nHost: a\r\nX-Trace-Id: 0000000000000000\r\nX-Qos: read\r\nX-Customer: acme\r\n\r\n")
+	at := bytes.Index(request, []byte("0000000000000000"))
+	for count := 0; count < times; {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			b.Error(err)
+			return
+		}
+		for in := bufio.NewReader(c); count < times; count++ {
+			for i := range 8 { // hexadecimal, without allocating
+				request[at+i] = "0123456789abcdef"[number>>(4*i)&15]
+				request[at+8+i] = "0123456789abcdef"[count>>(4*i)&15]
+			}
+			c.Write(request)
+			last := false
+			for {
+				line, err := in.ReadSlice('\n')
+				if err != nil {
+					b.Error(err)
+					return
+				}
+				last = last || bytes.HasPrefix(line, []byte("Connection: close"))
+				if len(line) == 2 {
+					break
+				}
+			}
+			if body, err := in.Peek(2); err != nil || string(body) != "ok" {
+				b.Errorf("answered %q, %v", body, err)
+				return
+			}
+			in.Discard(2)
+			if last {
+				count++
+				break
+			}
+		}
+		c.Close()
+	}
+}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"cedararch/balance"
+	"cedararch/contract"
 	"cedararch/internal/core"
 	rpcfront "cedararch/internal/front/msgpackrpc"
 	"cedararch/internal/options"
@@ -43,9 +44,11 @@
 	Balance balance.Config
 	catalog *core.Catalog
 	methods *rpcfront.Methods // of MessagePack-RPC; nil where that is off
-	zones   map[string]int
-	kinds   map[string]int
-	fields  []string // the figures of a load report, in the module's order
+
+	contracts *contract.Set // nil without any
+	zones     map[string]int
+	kinds     map[string]int
+	fields    []string // the figures of a load report, in the module's order
 
 	reread    func() (*Config, error) // reads the file again, which then goes before the environment
 	restTime  time.Duration           // how long a connection to a server rests between two requests
--- a/internal/sidecar/helpers_test.go
+++ b/internal/sidecar/helpers_test.go
@@ -38,13 +38,14 @@
 
 // node is a sidecar under test.
 type node struct {
-	t      *testing.T
-	addr   string
-	rpc    string // of MessagePack-RPC, where that is on
-	roster *testbed.Roster
-	end    context.CancelFunc // as SIGTERM does
-	ended  chan error
-	client *http.Client
+	t         *testing.T
+	addr      string
+	operators string // of the operators' pages, where there are contracts
+	rpc       string // of MessagePack-RPC, where that is on
+	roster    *testbed.Roster
+	end       context.CancelFunc // as SIGTERM does
+	ended     chan error
+	client    *http.Client
 
 	reloads chan os.Signal // SIGHUP
 }
@@ -58,6 +59,10 @@
 	ln := testbed.Listen(t)
 	n.addr = ln.Addr().String()
 	on := listeners{http: ln}
+	if cfg.contracts != nil {
+		on.operators = testbed.Listen(t)
+		n.operators = on.operators.Addr().String()
+	}
 	if cfg.methods != nil {
 		on.rpc = testbed.Listen(t)
 		n.rpc = on.rpc.Addr().String()
--- a/internal/sidecar/main.go
+++ b/internal/sidecar/main.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -39,8 +40,13 @@
 		return nil, err
 	}
 	cfg.Options = *opts
-	cfg.methods, err = rpcMethods(&opts.MsgpackRPC, cfg.catalog)
-	return cfg, err
+	var errs [2]error
+	cfg.methods, errs[0] = rpcMethods(&opts.MsgpackRPC, cfg.catalog)
+	cfg.contracts, errs[1] = cfg.loadContracts()
+	if err := errors.Join(errs[:]...); err != nil {
+		return nil, err
+	}
+	return cfg, nil
 }
 
 // Summary tells in a line what a checked configuration holds.
--- a/internal/sidecar/reload.go
+++ b/internal/sidecar/reload.go
@@ -9,14 +9,18 @@
 )
 
 // reload reads the configuration's file again with each signal, until ctx ends, and moves to the discovery that
-// it names. The rest of the configuration holds until a restart; where the file cannot be used, all of it does.
-func reload(ctx context.Context, cfg *Config, signals <-chan os.Signal, d *roster.Follower, log *slog.Logger) {
+// it names. Contracts are read again too. The rest of the configuration holds until a restart; where a file cannot be
+// used, all of it does.
+func reload(
+	ctx context.Context, cfg *Config, signals <-chan os.Signal, d *roster.Follower, contracts func(), log *slog.Logger,
+) {
 	for {
 		select {
 		case <-signals:
 		case <-ctx.Done():
 			return
 		}
+		contracts()
 		next, err := cfg.reread()
 		if err != nil {
 			log.Error("the old configuration stays", "error", err)
--- a/internal/sidecar/rpc.go
+++ b/internal/sidecar/rpc.go
@@ -48,6 +48,7 @@
 			Name: m.Name, Class: m.Class, Tenant: m.Tenant, TenantParam: param("tenant_param", m.TenantParam),
 			Key: param("key_param", m.Key), Idempotency: param("idempotency_param", m.Idempotency),
 			Deadline: param("deadline_param_ms", m.Deadline), Trace: param("trace_param", m.Trace),
+			Token:  param("token_param", m.Token),
 			Repeat: param("repeat_param", m.Repeat), Path: m.Path, Notify: m.Notify,
 		})
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -18,6 +18,7 @@
 	"cedararch/internal/core"
 	"cedararch/internal/door"
 	httpfront "cedararch/internal/front/http"
+	"cedararch/internal/operators"
 	"cedararch/internal/roster"
 	httpback "cedararch/internal/upstream/http"
 	rpcback "cedararch/internal/upstream/msgpackrpc"
@@ -45,6 +46,15 @@
 			return fmt.Errorf("listen for MessagePack-RPC: %w", err)
 		}
 	}
+	if addr := cfg.Options.Operators.Listen; addr != "" {
+		if on.operators, err = net.Listen("tcp", addr); err != nil {
+			ln.Close()
+			if on.rpc != nil {
+				on.rpc.Close()
+			}
+			return fmt.Errorf("listen for operators: %w", err)
+		}
+	}
 	return serve(ctx, cfg, on, reloads, log)
 }
 
@@ -52,6 +62,8 @@
 type listeners struct {
 	http net.Listener
 	rpc  net.Listener // nil: no MessagePack-RPC for clients
+
+	operators net.Listener // nil: no pages
 }
 
 // front is the side towards clients, of one protocol.
@@ -124,7 +136,8 @@
 		evict = func() bool { return back.Evict() || rpcBack.Evict() }
 	}
 	var follower *roster.Follower
-	exchange := core.New(inner, core.Config{
+	gate := cfg.newGate()
+	coreCfg := core.Config{
 		Balance: cfg.Balance, Zones: cfg.zones, Kinds: cfg.kinds, Known: &cfg.Known, Door: keeper, Log: log,
 		Back: func(flavor string) core.Back {
 			if special := backs[flavor]; special != nil {
@@ -133,14 +146,20 @@
 			return back
 		},
 		Watch: func() { follower.Watch() },
-	})
+	}
+	if gate != nil {
+		coreCfg.Gate = gate
+	}
+	exchange := core.New(inner, coreCfg)
 	follower = roster.New(roster.Config{
 		Addr: cfg.Discovery, Pushed: !cfg.Balance.Subscribe, Known: &cfg.Known,
 	}, exchange)
 	httpCfg := httpfront.Config{
-		Catalog: cfg.catalog, Door: keeper, Connections: budget.clients, LastCalls: cfg.lastCalls, Evict: evict, Log: log,
+		Catalog: cfg.catalog, Door: keeper, Connections: budget.clients, LastCalls: cfg.lastCalls, Evict: evict,
+		Claims: gate != nil, Log: log,
 	}
 	if cfg.methods != nil {
+		cfg.methods.Claims = gate != nil
 		httpCfg.Method = cfg.methods.ByPath
 	}
 	fronts := []front{httpfront.New(httpCfg, exchange)}
@@ -155,7 +174,17 @@
 	if keeper != nil {
 		tasks.Go(func() { keeper.Run(inner) })
 	}
-	tasks.Go(func() { reload(inner, cfg, reloads, follower, log) })
+	tasks.Go(func() {
+		reload(inner, cfg, reloads, follower, func() { cfg.swapContracts(exchange, gate, log) }, log)
+	})
+	if ln.operators != nil {
+		log.Info("pages for operators", "operators_address", ln.operators.Addr().String())
+		tasks.Go(func() {
+			if err := operators.Serve(inner, ln.operators, pages(exchange, gate), log); err != nil {
+				log.Error("pages for operators", "error", err)
+			}
+		})
+	}
 	return serveFronts(ctx, fronts, serveOn, millis(cfg.catalog.Longest())+lastSpare)
 }
 
--- a/internal/upstream/http/upstream.go
+++ b/internal/upstream/http/upstream.go
@@ -207,7 +207,11 @@
 // those that say the same.
 func headerOf(m *core.Message) http.Header {
 	if m.Meta != nil {
-		return http.Header(m.Meta).Clone()
+		h := http.Header(m.Meta).Clone()
+		if m.Class != "" && h.Get("X-Qos") != m.Class { // a contract has changed it
+			h.Set("X-Qos", m.Class)
+		}
+		return h
 	}
 	h := make(http.Header, 8)
 	for _, f := range []struct{ name, value string }{
--- a/internal/upstream/msgpackrpc/back_test.go
+++ b/internal/upstream/msgpackrpc/back_test.go
@@ -205,6 +205,25 @@
 	}
 }
 
+// A server that answers on one connection what came on another answers neither: ids of two connections do not match.
+func TestAnswerToAnotherConnection(t *testing.T) {
+	one, two, b := newServer(t), newServer(t), newBack(t, nil)
+	_, first := b.attempt(core.NewEndpoint("s-1", one.addr), testbed.Patience)
+	_, second := b.attempt(core.NewEndpoint("s-2", two.addr), testbed.Patience)
+	a, c := testbed.Next(t, one.requests), testbed.Next(t, two.requests)
+	a.conn.Write(codec.AppendResponse(nil, c.id, nil, []byte{2}))
+	testbed.Until(t, "it is counted", func() bool { return b.Unmatched() == 1 })
+	if len(first)+len(second) > 0 {
+		t.Error("it was taken for an answer")
+	}
+	a.reply(nil, []byte{1})
+	c.reply(nil, []byte{2})
+	if r := want(t, first, balance.OK); r.Answer.Body[0] != 1 {
+		t.Errorf("the first got % x", r.Answer.Body)
+	}
+	want(t, second, balance.OK)
+}
+
 // A connection that breaks with N requests out gives N outcomes: all of them may have run.
 func TestBreakWithManyOut(t *testing.T) {
 	s, b := newServer(t), newBack(t, nil)
--- a/lab/run/config.go
+++ b/lab/run/config.go
@@ -74,12 +74,27 @@
 	}
 }
 
-// rpcOptions renders the sidecar's options for MessagePack-RPC, where clients or servers of the scenario speak it; else it
-// is empty.
-func rpcOptions(s *scenario.Scenario, listen string) ([]byte, error) {
-	if !s.Clients.RPC() && !s.RPCServers() {
+// nodeOptions renders what a scenario adds to the sidecar's options: MessagePack-RPC, where clients or servers speak it, and
+// the folder of the contracts, where there are any. Else it is empty.
+func nodeOptions(s *scenario.Scenario, listen, contracts string) ([]byte, error) {
+	all := object{}
+	if s.Clients.RPC() || s.RPCServers() {
+		all["msgpack_rpc"] = rpcTable(s, listen)
+	}
+	if s.Contracts() {
+		all["broker"] = object{"contracts": contracts, "capacity_per_s": s.Broker.Capacity}
+	}
+	if len(all) == 0 {
 		return nil, nil
 	}
+	text, err := toml.Marshal(all)
+	if err != nil {
+		return nil, fmt.Errorf("options: %w", err)
+	}
+	return text, nil
+}
+
+func rpcTable(s *scenario.Scenario, listen string) object {
 	table := object{"never_ran": []string{"never_ran"}, "probe": "alive"}
 	if s.Clients.RPC() {
 		table["listen"] = listen
@@ -99,11 +114,41 @@
 		methods = append(methods, m)
 	}
 	table["method"] = methods
-	text, err := toml.Marshal(object{"msgpack_rpc": table})
+	return table
+}
+
+// writeContracts writes the tenants' contracts, their budgets multiplied by factors, to a folder.
+func writeContracts(dir string, s *scenario.Scenario, factors map[string]float64) error {
+	var teams, classes []object
+	for _, c := range s.Classes {
+		classes = append(classes, object{"name": c.Name})
+	}
+	for _, t := range s.Tenants {
+		c := t.Contract
+		if c == nil {
+			continue
+		}
+		factor := 1.0
+		if f, ok := factors[t.Name]; ok {
+			factor = f
+		}
+		teams = append(teams, object{
+			"name": t.Name, "tenants": []string{t.Name}, "worth_per_s": c.Worth * factor, "burst": c.Burst, "guaranteed": c.Guaranteed,
+			"most": c.Most, "over": c.Over, "class": classes,
+			"retries": object{"share": c.Share, "floor_per_s": c.Floor, "identity": c.Identity},
+		})
+	}
+	text, err := toml.Marshal(object{"team": teams})
+	if err == nil {
+		err = os.MkdirAll(dir, 0o700)
+	}
+	if err == nil {
+		err = replaceFile(filepath.Join(dir, "teams.toml"), text)
+	}
 	if err != nil {
-		return nil, fmt.Errorf("options: %w", err)
+		return fmt.Errorf("contracts: %w", err)
 	}
-	return text, nil
+	return nil
 }
 
 // writeConfig writes the file that NODE_CONFIG names, as a whole.
--- a/lab/run/echo.go
+++ b/lab/run/echo.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
@@ -14,6 +13,8 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	codec "cedararch/msgpackrpc"
 )
 
@@ -206,9 +207,10 @@
 	}
 	defer c.Close()
 	defer context.AfterFunc(ctx, func() { c.Close() })()
-	params := []byte{0x91, 0x81, 0xa6}
-	params = append(append(params, "object"...), 0xcf)
-	params = binary.BigEndian.AppendUint64(params, 0x7f3a9c21e0b4d655)
+	params, err := msgpack.Marshal([]any{map[string]any{"tenant": "north", "object": "7f3a9c21e0b4d655", "left_ms": 4000}})
+	if err != nil {
+		return fmt.Errorf("throughput: %w", err)
+	}
 	var out []byte
 	id := uint32(0)
 	for range inFlight {
--- a/lab/run/faults.go
+++ b/lab/run/faults.go
@@ -86,6 +86,9 @@
 
 // deeds returns what begins a fault and what ends it.
 func (st *stage) deeds(i int, f *scenario.Fault) (begin, end func(context.Context) error) {
+	if f.Kind == "recontract" {
+		return func(context.Context) error { return st.recontract(f) }, nil
+	}
 	switch f.Subject() {
 	case scenario.TheRoster:
 		return st.rosterDeeds(f)
@@ -128,6 +131,29 @@
 		}
 }
 
+// recontract changes a tenant's budget and tells all sidecars that run.
+func (st *stage) recontract(f *scenario.Fault) error {
+	if !st.s.Contracts() {
+		return nil
+	}
+	st.mu.Lock()
+	if st.budgets == nil {
+		st.budgets = map[string]float64{}
+	}
+	st.budgets[f.Tenant()] = f.Size
+	err := writeContracts(st.contracts(), st.s, st.budgets)
+	st.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	return each(st.nodes, func(n *process) error {
+		if !n.running() {
+			return nil // it reads them when it starts
+		}
+		return n.signal(syscall.SIGHUP)
+	})
+}
+
 func each[T any](all []T, do func(T) error) error {
 	for _, x := range all {
 		if err := do(x); err != nil {
--- a/lab/run/report.go
+++ b/lab/run/report.go
@@ -33,6 +33,15 @@
 	asked, found float64
 }
 
+// Team is what a tenant with a contract was served of what it was entitled to: what its budget had room for of what it asked.
+type Team struct {
+	Name     string  `json:"name"`
+	Asked    float64 `json:"asked_worth"`
+	Entitled float64 `json:"entitled_worth"`
+	Served   float64 `json:"served_worth"`
+	Share    float64 `json:"share"` // served of entitled
+}
+
 // Point is one moment of the plots.
 type Point struct {
 	At     float64 `json:"at_s"`
@@ -50,8 +59,10 @@
 	LengthS     float64          `json:"length_s"`
 	Rows        []Row            `json:"rows"`
 	Total       Row              `json:"total"`
-	RefusalP99  float64          `json:"refusal_p99_ms"` // how long a refused try took
-	Attempts    int              `json:"attempts"`       // that reached servers
+	Teams       []Team           `json:"teams,omitempty"`
+	Fairness    float64          `json:"fairness,omitempty"` // Jain's index of the teams' shares: 1 is the same for all
+	RefusalP99  float64          `json:"refusal_p99_ms"`     // how long a refused try took
+	Attempts    int              `json:"attempts"`           // that reached servers
 	Verdict     *judge.Verdict   `json:"verdict"`
 	Crashes     []string         `json:"crashes"`
 	Use         Use              `json:"use"`
@@ -108,6 +119,7 @@
 		}
 	}
 	total.close()
+	r.addTeams(s, tallies)
 	r.Total, r.RefusalP99 = *total, Quantile(refusals, 0.99)
 	for i, p := range points {
 		if p.asked > 0 {
@@ -120,6 +132,36 @@
 	return r
 }
 
+// addTeams reckons what each team was served, and Jain's index of it. Tallies are in the order of their times.
+func (r *Report) addTeams(s *scenario.Scenario, tallies []standin.Tally) {
+	sum, squares := 0.0, 0.0
+	for tenant := range s.Tenants {
+		if s.Tenants[tenant].Contract == nil {
+			continue
+		}
+		e := s.Entitlement(tenant)
+		for i := range tallies {
+			if t := &tallies[i]; t.Tenant == tenant {
+				e.Ask(t.At, s.Classes[t.Class].Worth)
+			}
+		}
+		team := Team{Name: s.Tenants[tenant].Name, Asked: e.Asked, Entitled: e.Worth}
+		for _, row := range r.Rows {
+			if row.Tenant == team.Name {
+				team.Served += row.found
+			}
+		}
+		if team.Entitled > 0 {
+			team.Share = team.Served / team.Entitled
+		}
+		sum, squares = sum+team.Share, squares+team.Share*team.Share
+		r.Teams = append(r.Teams, team)
+	}
+	if squares > 0 {
+		r.Fairness = sum * sum / (float64(len(r.Teams)) * squares)
+	}
+}
+
 func (row *Row) add(t *standin.Tally, c *scenario.Class) {
 	row.Asked++
 	row.Tries += t.Tries
@@ -170,6 +212,13 @@
 			row.Late, row.Refused, row.Failed, row.Lost, row.Tries, row.P50, row.P99, row.P999, row.Worth)
 	}
 	t.Flush()
+	for _, team := range r.Teams {
+		fmt.Fprintf(w, "team %s: asked for %.0f worth, entitled to %.0f, served %.0f: %.3f of that\n", team.Name, team.Asked, team.Entitled,
+			team.Served, team.Share)
+	}
+	if len(r.Teams) > 0 {
+		fmt.Fprintf(w, "fairness between teams (Jain's index): %.3f\n", r.Fairness)
+	}
 	v := r.Verdict
 	fmt.Fprintf(w, "\n%d tries, %d attempts at servers, refused tries answered within %.1f ms (p99), %d excused as their sidecar was down\n",
 		v.Tries, r.Attempts, r.RefusalP99, v.Excused)
--- a/lab/run/run.go
+++ b/lab/run/run.go
@@ -10,6 +10,7 @@
 	"context"
 	"fmt"
 	"os"
+	"path/filepath"
 	"slices"
 	"sync"
 	"syscall"
@@ -65,10 +66,11 @@
 	dir     string
 	slack   time.Duration // beyond the time limits of the rules
 
-	mu     sync.Mutex
-	fleet  []*slot
-	faults []error
-	tasks  sync.WaitGroup
+	mu      sync.Mutex
+	budgets map[string]float64 // by tenant: what its budget is multiplied by
+	fleet   []*slot
+	faults  []error
+	tasks   sync.WaitGroup
 }
 
 // Play plays a scenario that passed its check.
@@ -124,19 +126,27 @@
 	return nil
 }
 
+// contracts is the folder of the tenants' contracts.
+func (st *stage) contracts() string { return filepath.Join(st.dir, "contracts") }
+
 func (st *stage) build(ctx context.Context, program Program) error {
 	if err := st.buildServers(); err != nil {
 		return err
 	}
 	s := st.s
+	if s.Contracts() {
+		if err := writeContracts(st.contracts(), s, nil); err != nil {
+			return err
+		}
+	}
 	for i := range s.Sidecars {
 		path, err := writeConfig(st.dir, s, i, "127.0.0.1:0", st.roster.Addr(i), st.roster.Current(i))
 		if err != nil {
 			return err
 		}
 		n := &process{number: i, program: program, config: path, cores: s.Limits.Cores, rpc: s.Clients.RPC()}
-		if s.Clients.RPC() || s.RPCServers() {
-			n.options = func(listen string) ([]byte, error) { return rpcOptions(s, listen) }
+		if s.Clients.RPC() || s.RPCServers() || s.Contracts() {
+			n.options = func(listen string) ([]byte, error) { return nodeOptions(s, listen, st.contracts()) }
 		}
 		st.nodes = append(st.nodes, n)
 	}
--- a/lab/run/throughput.go
+++ b/lab/run/throughput.go
@@ -47,6 +47,8 @@
 	Failed   int64   `json:"failed"`
 	MemoryKB int64   `json:"memory_kb"`
 	IdleB    int64   `json:"idle_bytes"` // of memory for each idle connection
+
+	rounds []Measured
 }
 
 const throughputScenario = `
@@ -108,6 +110,7 @@
 		rounds := all[key]
 		slices.SortFunc(rounds, func(a, b Measured) int { return int(a.PerCPU - b.PerCPU) })
 		m := rounds[len(rounds)/2]
+		m.rounds = rounds
 		m.Least, m.Most = rounds[0].PerCPU, rounds[len(rounds)-1].PerCPU
 		out = append(out, m)
 	}
@@ -149,7 +152,7 @@
 	p := &process{program: s.Program, config: path, rpc: s.RPC}
 	p.program.Env = append(slices.Clone(p.program.Env), "GOMAXPROCS=1")
 	if s.RPC {
-		p.options = func(listen string) ([]byte, error) { return rpcOptions(sc, listen) }
+		p.options = func(listen string) ([]byte, error) { return nodeOptions(sc, listen, "") }
 	}
 	defer p.close()
 	if err := p.start(ctx); err != nil {
@@ -261,3 +264,15 @@
 	}
 	return t.Flush()
 }
+
+// ThroughputBench writes each round as a line of Go's benchmarks, for tools that compare such lines.
+func ThroughputBench(out io.Writer, all []Measured) error {
+	for _, m := range all {
+		for _, r := range m.rounds {
+			if _, err := fmt.Fprintf(out, "BenchmarkThrough/%s/inflight=%d 1 %.0f ns/op %.0f req/s\n", r.Name, r.InFlight, r.CPU*1000, r.PerS); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
--- a/lab/scenario/plan.go
+++ b/lab/scenario/plan.go
@@ -73,7 +73,7 @@
 func (s *Scenario) drawOne(r *rand.Rand, number int, at time.Duration) Arrival {
 	a := Arrival{Number: number, At: at, Sidecar: r.IntN(s.Sidecars)}
 	a.Class = pick(r, len(s.Classes), func(i int) float64 { return s.Classes[i].Share })
-	a.Tenant = pick(r, len(s.Tenants), func(i int) float64 { return s.Tenants[i].Share * s.Tenants[i].Usage })
+	a.Tenant = pick(r, len(s.Tenants), func(i int) float64 { return s.pull(i, at) })
 	a.Object = fmt.Sprintf("%016x", r.Uint64())
 	key, quirk, goes := r.Uint64(), r.Float64(), r.Float64()
 	c := &s.Classes[a.Class]
@@ -105,10 +105,27 @@
 	return n - 1
 }
 
+// surge is what arrivals are multiplied by at a time, over all tenants.
 func (s *Scenario) surge(at time.Duration) float64 {
+	usual, now := 0.0, 0.0
+	for i := range s.Tenants {
+		usual += s.Tenants[i].Share * s.Tenants[i].Usage
+		now += s.pull(i, at)
+	}
+	return s.surgeOf("", at) * (now / usual)
+}
+
+// pull is a tenant's part of the arrivals at a time, besides what surges all of them.
+func (s *Scenario) pull(tenant int, at time.Duration) float64 {
+	t := &s.Tenants[tenant]
+	return t.Share * t.Usage * s.surgeOf(t.Name, at)
+}
+
+// surgeOf multiplies the surges of one tenant, or those of all.
+func (s *Scenario) surgeOf(tenant string, at time.Duration) float64 {
 	factor := 1.0
 	for i := range s.Faults {
-		if f := &s.Faults[i]; f.Kind == "surge" && at >= f.At() && at < f.At()+f.For() {
+		if f := &s.Faults[i]; f.Kind == "surge" && f.Tenant() == tenant && at >= f.At() && at < f.At()+f.For() {
 			factor *= f.Size
 		}
 	}
@@ -179,7 +196,7 @@
 	switch what {
 	case "all", "":
 		t.what = "all"
-	case "kind":
+	case "kind", "tenant":
 	case "server", "cell", "sidecar":
 		_, err = strconv.Atoi(value)
 	case "share":
@@ -188,7 +205,7 @@
 			err = fmt.Errorf("not in 0 to 1")
 		}
 	default:
-		err = fmt.Errorf("want all, server:N, cell:N, kind:NAME, share:X or sidecar:N")
+		err = fmt.Errorf("want all, server:N, cell:N, kind:NAME, share:X, sidecar:N or tenant:NAME")
 	}
 	if err != nil {
 		return t, fmt.Errorf("target %q: %w", text, err)
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -9,6 +9,7 @@
 	"embed"
 	"errors"
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -34,6 +35,7 @@
 	Fleet    Fleet    `toml:"fleet"`
 	Clients  Clients  `toml:"clients"`
 	Roster   Roster   `toml:"roster"`
+	Broker   Broker   `toml:"broker"`
 	Classes  []Class  `toml:"class"`
 	Tenants  []Tenant `toml:"tenant"`
 	Faults   []Fault  `toml:"fault"`
@@ -122,6 +124,31 @@
 	Name  string  `toml:"name"`
 	Share float64 `toml:"share"`
 	Usage float64 `toml:"usage"` // of its share; 1 if left out
+
+	Contract *Contract `toml:"contract"` // where the sidecars hold teams to contracts, for all classes
+}
+
+// Broker is what sidecars are told besides the tenants' contracts.
+type Broker struct {
+	Capacity float64 `toml:"capacity_per_s"`
+	Off      bool    `toml:"off"` // the sidecars are not told of the contracts, which the report goes by all the same
+}
+
+// Contract is a tenant's, in the words of the sidecar's own files.
+type Contract struct {
+	Worth      float64 `toml:"worth_per_s"`
+	Burst      float64 `toml:"burst"`
+	Guaranteed float64 `toml:"guaranteed"`
+	Most       float64 `toml:"most"`
+	Over       string  `toml:"over"`
+	Share      float64 `toml:"retry_share"`
+	Floor      float64 `toml:"retry_floor_per_s"`
+	Identity   string  `toml:"retry_identity"`
+}
+
+// Contracts reports whether sidecars hold tenants to contracts. A tenant without one is nobody's then.
+func (s *Scenario) Contracts() bool {
+	return !s.Broker.Off && slices.ContainsFunc(s.Tenants, func(t Tenant) bool { return t.Contract != nil })
 }
 
 // Fault is something that goes wrong at a time.
@@ -172,7 +199,8 @@
 	"roster_slow":    {TheRoster, "size", "answers come size seconds later"},
 	"roster_restart": {TheRoster, "", "it comes back with a lower revision"},
 	"roster_garble":  {TheRoster, "for_s", "it answers with what is no list"},
-	"surge":          {Callers, "size for_s", "arrivals are multiplied by size"},
+	"surge":          {Callers, "size for_s", "arrivals are multiplied by size, or with target tenant:NAME those of one tenant"},
+	"recontract":     {Sidecars, "size", "the budget of tenant:NAME is multiplied by size, and all sidecars get SIGHUP"},
 	"flood":          {Callers, "size for_s", "size connections are kept open that say nothing or send what is no request"},
 }
 
@@ -197,6 +225,55 @@
 // Subject returns whom the fault strikes.
 func (f *Fault) Subject() Subject { return kinds[f.Kind].subject }
 
+// Entitlement reckons what a tenant's contract lets it have of what it asks for: a bucket of its burst that fills with its
+// budget, as that changes over the day, and gives any part of a request.
+type Entitlement struct {
+	Asked, Worth float64 // so far
+
+	s      *Scenario
+	tenant *Tenant
+	have   float64
+	at     time.Duration
+}
+
+// Entitlement begins a day of a tenant with a contract.
+func (s *Scenario) Entitlement(tenant int) *Entitlement {
+	t := &s.Tenants[tenant]
+	return &Entitlement{s: s, tenant: t, have: t.Contract.Burst}
+}
+
+// Ask takes in a first try. Times do not go back.
+func (e *Entitlement) Ask(at time.Duration, worth float64) {
+	for i := range e.s.Faults { // in the order of their times
+		if f := &e.s.Faults[i]; f.Kind == "recontract" && f.Tenant() == e.tenant.Name && f.At() > e.at && f.At() < at {
+			e.fill(f.At())
+		}
+	}
+	e.fill(at)
+	got := min(worth, e.have)
+	e.have -= got
+	e.Asked, e.Worth = e.Asked+worth, e.Worth+got
+}
+
+func (e *Entitlement) fill(to time.Duration) {
+	factor := 1.0
+	for i := range e.s.Faults {
+		if f := &e.s.Faults[i]; f.Kind == "recontract" && f.Tenant() == e.tenant.Name && f.At() <= e.at {
+			factor = f.Size
+		}
+	}
+	e.have = min(e.tenant.Contract.Burst, e.have+(to-e.at).Seconds()*e.tenant.Contract.Worth*factor)
+	e.at = to
+}
+
+// Tenant is whom a surge or a change of contract is about; empty: all.
+func (f *Fault) Tenant() string {
+	if t, err := parseTarget(f.Target); err == nil && t.what == "tenant" {
+		return t.value
+	}
+	return ""
+}
+
 // At and For are the fault's times.
 func (f *Fault) At() time.Duration  { return seconds(f.AtS) }
 func (f *Fault) For() time.Duration { return seconds(f.ForS) }
@@ -385,8 +462,14 @@
 	}
 	s.checkClasses(bad)
 	for i := range s.Faults {
-		if err := s.Faults[i].check(); err != nil {
+		f := &s.Faults[i]
+		if err := f.check(); err != nil {
 			all = append(all, fmt.Errorf("fault %d: %w", i+1, err))
+			continue
+		}
+		if name := f.Tenant(); f.Kind == "recontract" || name != "" {
+			at := slices.IndexFunc(s.Tenants, func(t Tenant) bool { return t.Name == name })
+			bad(at >= 0 && (f.Kind != "recontract" || s.Tenants[at].Contract != nil), "fault %d: %s: no such tenant %q, or it has no contract", i+1, f.Kind, name)
 		}
 	}
 	return errors.Join(all...)
@@ -433,7 +516,7 @@
 			return fmt.Errorf("%s: %s is missing or out of range", f.Kind, need)
 		}
 	}
-	if k.subject == Servers || k.subject == Sidecars {
+	if k.subject == Servers || k.subject == Sidecars || f.Kind == "surge" {
 		if _, err := parseTarget(f.Target); err != nil {
 			return fmt.Errorf("%s: %w", f.Kind, err)
 		}
