A place for a new connection is looked for among all that could go

Cause: where the only silent connection had a request that was not read yet, eviction tried it again and again and closed the new connection in its stead (TestSlowRequestsGo, once in some ten runs). Change: candidates are the silent ones, the idle ones and the slowest on its way, each tried once; a test causes it.

--- a/internal/front/http/poll_linux.go
+++ b/internal/front/http/poll_linux.go
@@ -280,19 +280,22 @@
 // that never asked rather than one that has been idle for a short while; where there is neither, the one whose request has
 // been on its way for longest without being whole.
 func (f *PollFront) evict() bool {
-	for range triedAtOnce {
-		f.mu.Lock()
-		c := f.silent.first
-		if i := f.idle.first; i != nil && (c == nil || f.now()-i.since >= mayClose && i.since < c.since) {
-			c = i
-		}
-		if c == nil {
-			c = f.partly.first
-		}
-		f.mu.Unlock()
-		if c == nil {
-			return false
+	var candidates []*pollConn
+	f.mu.Lock()
+	first, second := &f.silent, &f.idle
+	if c := second.first; c != nil && f.now()-c.since >= mayClose && (first.first == nil || c.since < first.first.since) {
+		first, second = second, first
+	}
+	for _, q := range []*queue{first, second} {
+		for c := q.first; c != nil && len(candidates) < triedAtOnce; c = c.next {
+			candidates = append(candidates, c)
 		}
+	}
+	if c := f.partly.first; c != nil {
+		candidates = append(candidates, c)
+	}
+	f.mu.Unlock()
+	for _, c := range candidates {
 		if c.closeIfUnused() {
 			return true
 		}
--- a/internal/front/http/poll_linux_test.go
+++ b/internal/front/http/poll_linux_test.go
@@ -242,6 +242,46 @@
 	}
 }
 
+// A connection whose request has come and is not read yet is spared, however silent it counts; the slowest of the others
+// goes for a new one.
+func TestUnreadRequestIsSpared(t *testing.T) {
+	s := startPoll(t, 2, serveText("ok"))
+	slow := s.dial()
+	io.WriteString(slow, "GET /a")
+	testbed.Until(t, "it is on its way", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.partly.n == 1
+	})
+	unread := s.dial()
+	testbed.Until(t, "it is silent", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.silent.n == 1
+	})
+	s.mu.Lock()
+	c := s.silent.first
+	s.mu.Unlock()
+	c.mu.Lock() // the poller has not come to it
+	io.WriteString(unread, ask(1))
+	var b [1]byte
+	testbed.Until(t, "it has come", func() bool {
+		n, _, err := unix.Recvfrom(c.fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		return err == nil && n > 0
+	})
+	evicted := make(chan bool, 1)
+	go func() { evicted <- s.evict() }()
+	time.Sleep(10 * time.Millisecond)
+	c.mu.Unlock()
+	if !testbed.Next(t, evicted) {
+		t.Error("nothing was closed, though one is slow")
+	}
+	s.want(unread, bufio.NewReader(unread), 200, "ok")
+	if _, err := slow.Read(b[:]); err == nil {
+		t.Error("the slow one goes on")
+	}
+}
+
 // At the end an open request gets its answer, and then nobody listens.
 func TestEndAnswersWhatIsOpen(t *testing.T) {
 	release := make(chan bool)
--- a/internal/front/http/pollconn_linux.go
+++ b/internal/front/http/pollconn_linux.go
@@ -440,14 +440,7 @@
 	if !c.began {
 		var b [1]byte
 		if n, _, err := unix.Recvfrom(c.fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT); err == nil && n > 0 {
-			// A request has come that the poller has not read: it is worth as much as one that is open.
-			c.front.mu.Lock()
-			if q := c.queue; q != nil {
-				c.leave()
-				q.push(c)
-			}
-			c.front.mu.Unlock()
-			return false
+			return false // a request that the poller has not read: it is worth as much as one that is open
 		}
 	}
 	c.close()
