The door lets in what is worth most; last answers end their connections at once

Need: out of processor time the door threw a coin for each request, whatever it was worth. And on the new front every connection that ended with its answer was kept for its client to close, which held descriptors.

The door says how many. Hold-offs are spread by 40 %. A connection lingers only where something unread may be behind the answer, and is the first to go for a new one.

--- a/internal/door/door.go
+++ b/internal/door/door.go
@@ -4,10 +4,15 @@
 // processor can carry and turns the rest away at once, before they are read any further.
 //
 // It does no I/O, has no goroutine and no clock of its own: it is told how much processor time was used and how late
-// things run, and is asked for each request. Which requests are worth more it does not know; that is for the module.
+// things run, and is asked for each request. How many come in is decided here, which ones in package overload, by what
+// their classes are worth.
 package door
 
-import "time"
+import (
+	"time"
+
+	"cedararch/overload"
+)
 
 // The figures of the control. Use is a share of what the sidecar may use.
 const (
@@ -42,13 +47,13 @@
 
 // Door is the control. The zero value is not usable. It is not safe for concurrent use.
 type Door struct {
-	cores  float64
-	at     [window]time.Duration // of the last samples, in a ring
-	used   [window]time.Duration
-	next   int
-	taken  int
-	part   float64 // of the requests that is let in
-	credit float64
+	cores float64
+	at    [window]time.Duration // of the last samples, in a ring
+	used  [window]time.Duration
+	next  int
+	taken int
+	part  float64 // of the requests that is let in
+	shed  *overload.Shedder
 
 	cost   float64 // of a request, in seconds of a core
 	let    float64 // requests since the last sample, those turned away by their part
@@ -58,8 +63,10 @@
 }
 
 // New returns a door that is open, for a sidecar that may use so many cores; 0 means that nobody knows, and the door
-// stays open.
-func New(cores float64) *Door { return &Door{cores: cores, part: 1, cost: firstCost} }
+// stays open. worth is that of each class; without any all are the same.
+func New(cores float64, worth []float64) *Door {
+	return &Door{cores: cores, part: 1, cost: firstCost, shed: overload.New(worth)}
+}
 
 // Sample takes in the clock, the processor time used so far, and the longest delay of an event since the last sample.
 func (d *Door) Sample(now, used, late time.Duration) {
@@ -89,24 +96,22 @@
 	case use < spare || late < lateness:
 		d.part = min(1, d.part*ease)
 	}
+	d.shed.Sample(d.part)
 }
 
-// Admit reports whether a request that comes at now may come in. While a part is let in, those that may are spread
-// evenly.
-func (d *Door) Admit(now time.Duration) bool {
+// Admit reports whether a request of a class that comes at now may come in. While a part is let in, those of the most
+// worth come first, and those of the least stop first as work piles up.
+func (d *Door) Admit(now time.Duration, class int) bool {
 	if d.cores <= 0 {
 		return true
 	}
 	d.owed = max(0, d.owed-max(0, now-d.owedAt).Seconds()*d.cores)
 	d.owedAt = now
-	d.credit += d.part
-	in := d.credit >= 1 && d.owed <= backlog.Seconds()*d.cores
+	in := d.shed.Offer(class) && d.owed <= backlog.Seconds()*d.cores*d.shed.Room(class)
 	weight := turnedCost
 	if in {
 		weight = 1
-		d.credit--
 	}
-	d.credit = min(1, d.credit) // turned away for the backlog: that is not made up for later
 	d.owed += weight * d.cost
 	d.let += weight
 	return in
--- a/internal/door/keeper.go
+++ b/internal/door/keeper.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 )
 
+// spread is by how much of itself a hold-off is longer or shorter.
+const spread = 0.4
+
 // Keeper tells a door what it needs to know and asks it for each request. A nil one lets all in. It is the part that has
 // a clock and a goroutine.
 type Keeper struct {
@@ -20,22 +24,23 @@
 	door *Door
 }
 
-// NewKeeper returns the keeper of an open door, for a sidecar that may use so many cores.
-func NewKeeper(cores float64) *Keeper {
-	return &Keeper{start: time.Now(), door: New(cores)}
+// NewKeeper returns the keeper of an open door, for a sidecar that may use so many cores and classes of a worth each.
+func NewKeeper(cores float64, worth []float64) *Keeper {
+	return &Keeper{start: time.Now(), door: New(cores, worth)}
 }
 
-// Admit reports whether a request may come in, and else how long its client should stay away.
-func (k *Keeper) Admit() (ok bool, holdOff time.Duration) {
+// Admit reports whether a request of a class may come in, and else how long its client should stay away: each for another
+// time, so that they do not come back as one.
+func (k *Keeper) Admit(class int) (ok bool, holdOff time.Duration) {
 	if k == nil {
 		return true, 0
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.door.Admit(time.Since(k.start)) {
+	if k.door.Admit(time.Since(k.start), class) {
 		return true, 0
 	}
-	return false, k.door.HoldOff()
+	return false, time.Duration(float64(k.door.HoldOff()) * (1 - spread + 2*spread*rand.Float64()))
 }
 
 // Waited takes in how long a request waited for the loop.
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -189,7 +189,7 @@
 }
 
 func (f *Front) api(w http.ResponseWriter, r *http.Request, cl *client) {
-	if ok, holdOff := f.cfg.Door.Admit(); !ok {
+	if ok, holdOff := f.cfg.Door.Admit(f.cfg.classOf(r.Header)); !ok {
 		write(w, core.Refusal(holdOff.Truncate(time.Millisecond)))
 		return
 	}
@@ -297,6 +297,14 @@
 	return c, f.cfg.fill(&c.Call, h, body)
 }
 
+// classOf is the class that a request says it is of; -1 for none that there is.
+func (cfg *Config) classOf(h http.Header) int {
+	if class, ok := cfg.Catalog.Class(h.Get("X-Qos")); ok {
+		return class
+	}
+	return -1
+}
+
 // fill checks a request and makes a call of it. The header is the call's from now on.
 func (cfg *Config) fill(c *core.Call, r *head, body []byte) error {
 	h := r.header
--- a/internal/front/http/poll_linux.go
+++ b/internal/front/http/poll_linux.go
@@ -50,6 +50,7 @@
 	wheel     wheel
 	silent    queue // connections that never asked, the oldest first
 	idle      queue // between two requests, the longest idle first
+	ended     queue // that wait for their client to read the last answer
 	partly    queue // with a request on its way, the one that began first first
 	empty     chan struct{}
 }
@@ -286,7 +287,7 @@
 	if c := second.first; c != nil && f.now()-c.since >= mayClose && (first.first == nil || c.since < first.first.since) {
 		first, second = second, first
 	}
-	for _, q := range []*queue{first, second} {
+	for _, q := range []*queue{&f.ended, first, second} {
 		for c := q.first; c != nil && len(candidates) < triedAtOnce; c = c.next {
 			candidates = append(candidates, c)
 		}
--- a/internal/front/http/pollconn_linux.go
+++ b/internal/front/http/pollconn_linux.go
@@ -43,6 +43,7 @@
 	last    bool   // it ends with the answer that is being made or written
 	gone    bool   // the client has ended its sending
 	more    bool   // something came behind the request that is open
+	wary    bool   // more may come: the end has to wait for the client to have read its answer
 	began   bool   // a request is on its way
 	buf     []byte // what has come of it; nil where nothing has
 	scan    headScan
@@ -271,7 +272,7 @@
 		c.turnAway(&badRequest{http.StatusNotFound, "no such path"})
 		return nil
 	}
-	if ok, holdOff := f.cfg.Door.Admit(); !ok {
+	if ok, holdOff := f.cfg.Door.Admit(f.cfg.classOf(h.header)); !ok {
 		c.reply(core.Refusal(holdOff.Truncate(time.Millisecond)))
 		return nil
 	}
@@ -305,7 +306,7 @@
 	if errors.As(err, &bad) {
 		status = bad.status
 	}
-	c.last = true
+	c.last, c.wary = true, true
 	c.plain(status, err.Error()+"\n")
 }
 
@@ -387,14 +388,14 @@
 		f.mu.Unlock()
 		return
 	}
-	if c.gone {
+	if c.gone || !c.wary && !c.more { // nothing is unread, so that the answer goes ahead of the end
 		c.close()
 		return
 	}
 	unix.Shutdown(c.fd, unix.SHUT_WR)
 	c.state = pollLingering
 	f.mu.Lock()
-	f.enter(c, nil, lingering)
+	f.enter(c, &f.ended, lingering)
 	f.mu.Unlock()
 	if c.more { // of that the kernel has told already, and closed with bytes unread it would destroy the answer
 		c.drain()
@@ -434,6 +435,10 @@
 func (c *pollConn) closeIfUnused() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.state == pollLingering {
+		c.close()
+		return true
+	}
 	if c.state != pollWaiting || c.isWhole() {
 		return false
 	}
--- a/internal/front/msgpackrpc/conn.go
+++ b/internal/front/msgpackrpc/conn.go
@@ -178,15 +178,15 @@
 		c.refuse(f.ID, 0)
 		return nil
 	}
-	if ok, holdOff := c.front.cfg.Door.Admit(); !ok {
-		c.refuse(f.ID, holdOff)
-		return nil
-	}
 	m := c.front.cfg.Methods.byName[string(f.Method)]
 	if m == nil {
 		c.reject(f.ID, "unknown_method", strconv.QuoteToASCII(string(f.Method)))
 		return nil
 	}
+	if ok, holdOff := c.front.cfg.Door.Admit(m.class); !ok {
+		c.refuse(f.ID, holdOff)
+		return nil
+	}
 	cl := &call{conn: c, id: f.ID}
 	if err := c.fill(cl, m, f, received); err != nil {
 		c.reject(f.ID, "bad_request", err.Error())
@@ -208,7 +208,7 @@
 		c.front.note("a notification is dropped", c.nc, fmt.Errorf("method %q takes none", f.Method))
 		return
 	}
-	if ok, _ := c.front.cfg.Door.Admit(); !ok || c.front.ending.Load() {
+	if ok, _ := c.front.cfg.Door.Admit(m.class); !ok || c.front.ending.Load() {
 		return
 	}
 	cl := &call{conn: c, silent: true}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -104,7 +104,11 @@
 	idle = cmp.Or(idle, time.Minute)
 	var keeper *door.Keeper
 	if cfg.Options.Door.Enabled {
-		keeper = door.NewKeeper(cfg.Limits.Cores)
+		var worth []float64
+		for i := range cfg.Balance.Classes {
+			worth = append(worth, cfg.Balance.Classes[i].Worth)
+		}
+		keeper = door.NewKeeper(cfg.Limits.Cores, worth)
 	}
 	budget := cfg.sockets()
 	back := httpback.New(inner, httpback.Config{
