--- a/internal/front/http/poll_linux_test.go
+++ b/internal/front/http/poll_linux_test.go
@@ -235,6 +235,11 @@
 			c.Write(text[i : i+1])
 		}
 	}
+	testbed.Until(t, "all of them are known to be slow", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.partly.n == len(slow)
+	})
 	for i := range 20 {
 		c := s.dial()
 		io.WriteString(c, ask(i+1))
