A test of late events waits until its connection is idle

The answer goes out a moment before the connection is put among the idle ones; the test failed in some of many runs at once.

--- a/internal/front/http/poll_linux_test.go
+++ b/internal/front/http/poll_linux_test.go
@@ -168,6 +168,11 @@
 	first := s.dial()
 	io.WriteString(first, ask(1))
 	s.want(first, bufio.NewReader(first), 200, "ok")
+	testbed.Until(t, "it is idle", func() bool { // the answer goes out a moment before
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.idle.n == 1
+	})
 	s.mu.Lock()
 	old, gen := s.idle.first, s.gens[s.idle.first.slot]
 	s.mu.Unlock()
