--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -56,8 +56,8 @@
 	LastCalls   time.Duration // how long new connections are taken after the signal to end
 	Idle        time.Duration // how long a connection may stand between two requests; 0: 5 s
 	Evict       func() bool   // closes a connection of somebody else's where descriptors are short
-	// Params takes bodies in MessagePack also with safe requests, by POST, and Method names what a path is to servers that
-	// go by names; nil: neither.
+	// Method names what a path is to servers that go by names. With it bodies in MessagePack are taken also with safe
+	// requests, by POST; nil: neither.
 	Method func(path string) string
 	Claims bool // the exchange wants to know who sends a request
 	Log    *slog.Logger
--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -12,6 +12,8 @@
 	"net/http"
 	"net/netip"
 	"time"
+
+	"golang.org/x/net/netutil"
 )
 
 // Page gathers what a page shows, or an error when ctx ends first.
@@ -20,6 +22,9 @@
 // patience bounds a request of an operator's.
 const patience = 5 * time.Second
 
+// mostOpen bounds the connections of operators; those beyond wait. They are few beside the sockets kept in reserve.
+const mostOpen = 8
+
 // CheckAddress reports what is wrong with an address to listen on. Pages have no lock of their own, so that it has to be on
 // this machine only.
 func CheckAddress(addr string) error {
@@ -35,6 +40,7 @@
 
 // Serve serves pages by path until ctx ends, and closes ln.
 func Serve(ctx context.Context, ln net.Listener, pages map[string]Page, log *slog.Logger) error {
+	ln = netutil.LimitListener(ln, mostOpen)
 	mux := http.NewServeMux()
 	for path, page := range pages {
 		mux.HandleFunc("GET "+path, func(w http.ResponseWriter, r *http.Request) {
--- a/lab/run/echo.go
+++ b/lab/run/echo.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -244,7 +243,7 @@
 
 // ended drops the error of a connection that was closed at the run's end.
 func ended(ctx context.Context, err error) error {
-	if ctx.Err() != nil || errors.Is(err, io.EOF) && ctx.Err() != nil {
+	if ctx.Err() != nil {
 		return nil
 	}
 	return fmt.Errorf("throughput: %w", err)
