Operators' calls, figures, servers out by hand, drains and upgrades beside the running process

The new one listens (SO_REUSEPORT) when it has a fresh list; the old one takes in its backlog and closes. Passing the listener over a socket would close the last gap of microseconds, but ties the two versions to one protocol. While there are two, each has half of the descriptors and of the memory.

--- a/balance/state.go
+++ b/balance/state.go
@@ -277,6 +277,12 @@
 	return b.out, err
 }
 
+// Rests reports whether the balancer now keeps first sends from a listed server because of what became of earlier ones.
+func (b *Balancer) Rests(id ServerID, now float64) bool {
+	s := b.byID[id]
+	return s != nil && now < s.restUntil
+}
+
 func (b *Balancer) emit(a Action) { b.out = append(b.out, a) }
 
 // random is splitmix64 from the seed.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -14,6 +14,7 @@
 
 	"cedararch/balance"
 	"cedararch/contract"
+	"cedararch/internal/roster"
 )
 
 // Message is what a request says, as it goes on to servers. The exchange does not look into it. Each front fills in what
@@ -127,6 +128,7 @@
 	addr   atomic.Pointer[string]
 	closed atomic.Bool
 	back   Back
+	member roster.Member // as last listed; the exchange's own
 }
 
 // NewEndpoint returns a server that is open, for tests of backs.
@@ -159,6 +161,7 @@
 	answered atomic.Bool
 	ended    atomic.Bool
 	end      func(*Attempt)
+	written  func() // counts it
 	result   Result
 	took     float64
 }
@@ -177,6 +180,13 @@
 // SetAnswered says that the request has its final answer.
 func (a *Attempt) SetAnswered() { a.answered.Store(true) }
 
+// Written says that the attempt's last byte has gone out.
+func (a *Attempt) Written() {
+	if a.written != nil {
+		a.written()
+	}
+}
+
 // End ends the attempt; the first call counts. It may wait for the exchange.
 func (a *Attempt) End(r Result) {
 	if a.ended.CompareAndSwap(false, true) {
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -13,6 +13,7 @@
 	"cedararch/contract"
 	"cedararch/internal/door"
 	"cedararch/internal/roster"
+	"cedararch/report"
 )
 
 // overdue is how long after its deadline a request that the module forgot is failed.
@@ -30,7 +31,11 @@
 	Watch func()
 	Door  *door.Keeper // nil: none
 	Gate  Gate         // nil: all may come in
-	Log   *slog.Logger
+	// Counts counts requests and attempts; nil: nobody does.
+	Counts *report.Counts
+	Log    *slog.Logger
+	// Fresh says that what is known of the roster does not do to be ready: it has to be heard of again.
+	Fresh bool
 }
 
 // Events for the loop, besides balance's own, a *Call that arrives and an *Attempt that has ended.
@@ -68,6 +73,9 @@
 	byID      map[balance.ServerID]*Endpoint
 	lastNode  balance.ServerID
 	timers    timers
+	out       map[string]float64  // servers that are out by hand, by name, and since when by the clock
+	seen      map[string]struct{} // servers that were ever listed, by name
+	listings  int                 // lists that discovery has given
 
 	ctx context.Context
 }
@@ -79,6 +87,7 @@
 	deadline float64
 	due      timer // its end, if the module forgets it
 	grant    contract.Grant
+	class    int // as it came
 	attempts []*Attempt
 	live     int
 	done     bool
@@ -91,7 +100,7 @@
 		bal: balance.New(cfg.Balance), cfg: cfg, log: cfg.Log, inbox: make(chan any, 1024),
 		started: start, epoch: float64(start.UnixMicro()) / 1000,
 		requests: map[balance.RequestID]*request{}, byCall: map[*Call]*request{}, byName: map[string]*request{},
-		endpoints: map[string]*Endpoint{}, byID: map[balance.ServerID]*Endpoint{}, ctx: ctx,
+		out: map[string]float64{}, seen: map[string]struct{}{}, endpoints: map[string]*Endpoint{}, byID: map[balance.ServerID]*Endpoint{}, ctx: ctx,
 	}
 }
 
@@ -213,6 +222,7 @@
 	case inspection:
 		ev.do(l.elapsed())
 	case listed:
+		l.listings++
 		kind := balance.ListDelta
 		if ev.list.Complete {
 			kind = balance.ListFull
@@ -296,7 +306,8 @@
 
 func (l *Loop) begin(c *Call) {
 	l.lastID++
-	r := &request{id: l.lastID, call: c}
+	r := &request{id: l.lastID, call: c, class: c.Ask.Class}
+	l.cfg.Counts.Asked(r.class)
 	if c.Name != "" {
 		if l.byName[c.Name] != nil {
 			// Servers and clients know a request by its id: under one of an open request it would get that one's
@@ -330,6 +341,9 @@
 		return
 	}
 	r.done = true
+	if a != nil {
+		l.cfg.Counts.Ended(r.class, counted[a.Kind])
+	}
 	delete(l.byCall, r.call)
 	for _, at := range r.attempts {
 		at.SetAnswered()
@@ -343,6 +357,9 @@
 	l.forget(r)
 }
 
+// counted is under what an answer counts.
+var counted = map[Kind]report.Kind{Served: report.Served, Refused: report.Refused, Failed: report.Failed}
+
 func (l *Loop) forget(r *request) {
 	if r.done && r.live == 0 && r.call != nil {
 		delete(l.requests, r.id)
@@ -378,7 +395,7 @@
 	}
 	at := &Attempt{
 		request: r.id, number: len(r.attempts), Endpoint: e, Message: &r.call.Message, sent: l.now, Cut: l.time(cut),
-		end: l.ended,
+		end: l.ended, written: l.cfg.Counts.Sent,
 	}
 	r.attempts = append(r.attempts, at)
 	r.live++
@@ -432,11 +449,8 @@
 		m := &told.Members[i]
 		seen[m.ID] = true
 		e := l.endpoint(m)
-		list.Servers = append(list.Servers, balance.Server{
-			ID: e.id, State: m.State(), StartedAt: max(0, m.UpSince), Rating: m.Size,
-			Cell: m.Cell, Zone: position(l.cfg.Zones, m.Locality), Kind: position(l.cfg.Kinds, m.Flavor),
-		})
-		if m.Phase != "ready" {
+		list.Servers = append(list.Servers, l.entry(e))
+		if e.Closed() {
 			l.shut(e)
 		}
 		if m.Phase == "gone" {
@@ -451,7 +465,7 @@
 			}
 		}
 	}
-	l.ready.Store(len(l.endpoints) > 0)
+	l.settleReady()
 	l.tell(list)
 }
 
@@ -462,13 +476,29 @@
 		l.lastNode++
 		e = &Endpoint{id: l.lastNode, name: m.ID, back: l.cfg.Back(m.Flavor)}
 		l.endpoints[m.ID], l.byID[e.id] = e, e
+		l.see(m.ID)
 	}
 	addr := m.HostPort // a pointer into the list would keep all of it
 	e.addr.Store(&addr)
-	e.closed.Store(m.Phase != "ready")
+	e.member = *m
+	_, out := l.out[m.ID]
+	e.closed.Store(m.Phase != "ready" || out)
 	return e
 }
 
+// entry is what the module is told of a server. One that is out by hand drains, whatever the list says.
+func (l *Loop) entry(e *Endpoint) balance.Server {
+	m := &e.member
+	s := balance.Server{
+		ID: e.id, State: m.State(), StartedAt: max(0, m.UpSince), Rating: m.Size,
+		Cell: m.Cell, Zone: position(l.cfg.Zones, m.Locality), Kind: position(l.cfg.Kinds, m.Flavor),
+	}
+	if s.State == balance.Ready && e.Closed() {
+		s.State = balance.Draining
+	}
+	return s
+}
+
 // shut ends sends to an endpoint that drains or is gone.
 func (l *Loop) shut(e *Endpoint) {
 	e.Close()
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -21,7 +21,6 @@
 	"os"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -32,6 +31,7 @@
 	"cedararch/internal/door"
 	"cedararch/internal/httpwire"
 	"cedararch/internal/socket"
+	"cedararch/report"
 )
 
 const (
@@ -59,7 +59,8 @@
 	// Method names what a path is to servers that go by names. With it bodies in MessagePack are taken also with safe
 	// requests, by POST; nil: neither.
 	Method func(path string) string
-	Claims bool // the exchange wants to know who sends a request
+	Claims bool           // the exchange wants to know who sends a request
+	Counts *report.Counts // nil: nobody counts what the door turns away
 	Log    *slog.Logger
 }
 
@@ -73,7 +74,7 @@
 	clients  *clients
 	server   *http.Server
 	failed   chan error
-	ending   atomic.Bool // the sidecar shuts down
+	state
 }
 
 // New returns a front that hands requests to an exchange.
@@ -94,6 +95,19 @@
 	go func() { f.failed <- f.server.Serve(listener{ln, f.clients, f.cfg.Evict}) }()
 }
 
+// Pause sends clients away, or takes them in again.
+func (f *Front) Pause(on bool) {
+	f.state.Pause(on)
+	f.server.SetKeepAlivesEnabled(!on)
+}
+
+// Resize changes how many connections may be open.
+func (f *Front) Resize(n int) {
+	f.clients.mu.Lock()
+	defer f.clients.mu.Unlock()
+	f.clients.most = max(1, n)
+}
+
 // Failed tells why the front has stopped serving, before End.
 func (f *Front) Failed() <-chan error { return f.failed }
 
@@ -103,7 +117,7 @@
 	defer cancel()
 	f.ending.Store(true)
 	select {
-	case <-time.After(f.cfg.LastCalls):
+	case <-time.After(f.lastCalls(f.cfg.LastCalls)):
 	case err := <-f.failed:
 		return fmt.Errorf("serve: %w", err)
 	}
@@ -151,14 +165,14 @@
 	case path == "/api" || strings.HasPrefix(path, "/api/"):
 		f.api(w, r, cl)
 	case path == "/up" && r.Method == http.MethodGet:
-		f.up(w)
+		f.tellUp(w)
 	default:
 		turnAway(w, &badRequest{http.StatusNotFound, "no such path"})
 	}
 }
 
-func (f *Front) up(w http.ResponseWriter) {
-	if !f.exchange.Ready() || f.ending.Load() {
+func (f *Front) tellUp(w http.ResponseWriter) {
+	if !f.up() || !f.exchange.Ready() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
 		return
 	}
@@ -189,7 +203,10 @@
 }
 
 func (f *Front) api(w http.ResponseWriter, r *http.Request, cl *client) {
-	if ok, holdOff := f.cfg.Door.Admit(f.cfg.classOf(r.Header)); !ok {
+	class := f.cfg.classOf(r.Header)
+	if ok, holdOff := f.cfg.Door.Admit(class); !ok {
+		f.cfg.Counts.Asked(class)
+		f.cfg.Counts.Ended(class, report.Refused)
 		write(w, core.Refusal(holdOff.Truncate(time.Millisecond)))
 		return
 	}
@@ -212,7 +229,7 @@
 	select {
 	case a := <-c.answers:
 		// Decided when the answer is there, not when the request came: many wait when the end comes.
-		if a.Reason == core.NameInUse || f.ending.Load() || cl.framing.blind || cl.behind() != socket.Silent || cl.owner.crowded() {
+		if a.Reason == core.NameInUse || f.leaving() || cl.framing.blind || cl.behind() != socket.Silent || cl.owner.crowded() {
 			w.Header().Set("Connection", "close")
 		}
 		write(w, a)
--- a/internal/front/http/poll_linux.go
+++ b/internal/front/http/poll_linux.go
@@ -29,10 +29,11 @@
 	exchange *core.Loop
 	start    time.Time
 	failed   chan error
-	ending   atomic.Bool
-	strange  rate.Sometimes
-	epoll    *os.File
-	tasks    sync.WaitGroup
+	state
+	most    atomic.Int64 // connections
+	strange rate.Sometimes
+	epoll   *os.File
+	tasks   sync.WaitGroup
 
 	// The poller's own.
 	scratch []byte
@@ -109,6 +110,7 @@
 		strange: rate.Sometimes{First: 3, Interval: time.Second},
 	}
 	f.setDate(time.Now())
+	f.Resize(cfg.Connections)
 	return f, nil
 }
 
@@ -206,7 +208,7 @@
 func (f *PollFront) add(fd int) {
 	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
 	f.mu.Lock()
-	full := f.open >= f.cfg.Connections
+	full := f.open >= int(f.most.Load())
 	f.mu.Unlock()
 	if full && !f.evict() {
 		unix.Close(fd)
@@ -274,7 +276,7 @@
 func (f *PollFront) crowded() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.silent.n+f.idle.n >= f.cfg.Connections/keptShare
+	return f.silent.n+f.idle.n >= int(f.most.Load())/keptShare
 }
 
 // evict closes the connection that is missed least, and reports whether there was one: the one silent for longest, but one
@@ -353,19 +355,51 @@
 			c.expired()
 		}
 		clear(due)
+		f.sendAway()
 	}
 }
 
+// sendAway closes connections that carry nothing: some of those beyond the budget after it was lowered, and while clients
+// are sent away all that could have been used since.
+func (f *PollFront) sendAway() {
+	f.mu.Lock()
+	over := f.open - int(f.most.Load())
+	f.mu.Unlock()
+	for range min(over, triedAtOnce) {
+		if !f.evict() {
+			break
+		}
+	}
+	if !f.away() {
+		return
+	}
+	var unused []*pollConn
+	f.mu.Lock()
+	for _, q := range []*queue{&f.idle, &f.silent} {
+		for c := q.first; c != nil && f.now()-c.since >= awayIdle; c = c.next {
+			unused = append(unused, c)
+		}
+	}
+	f.mu.Unlock()
+	for _, c := range unused {
+		c.closeIfUnused()
+	}
+}
+
+// Resize changes how many connections may be open. Beyond it those that carry nothing go, one after another.
+func (f *PollFront) Resize(n int) { f.most.Store(int64(max(1, n))) }
+
 // End takes new connections for a little while yet, and answers all that was taken, within a time.
 func (f *PollFront) End(within time.Duration) error {
 	limit, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
 	f.ending.Store(true)
 	select {
-	case <-time.After(f.cfg.LastCalls):
+	case <-time.After(f.lastCalls(f.cfg.LastCalls)):
 	case err := <-f.failed:
 		return fmt.Errorf("serve: %w", err)
 	}
+	f.drainBacklog()
 	f.mu.Lock()
 	f.unlisten()
 	empty := make(chan struct{})
@@ -390,6 +424,35 @@
 	return nil
 }
 
+// drainBacklog takes in what the kernel has accepted: closing the listener would reset it.
+func (f *PollFront) drainBacklog() {
+	f.mu.Lock()
+	listening := f.listening
+	f.mu.Unlock()
+	if listening == nil {
+		return
+	}
+	raw, err := listening.SyscallConn()
+	if err != nil {
+		return
+	}
+	raw.Control(func(l uintptr) {
+		for range mostBacklog {
+			fd, _, err := unix.Accept4(int(l), unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+			if err == unix.EINTR || err == unix.ECONNABORTED {
+				continue
+			}
+			if err != nil {
+				return
+			}
+			f.add(fd)
+		}
+	})
+}
+
+// mostBacklog bounds what is taken in at the end.
+const mostBacklog = 4096
+
 // unlisten ends the taking of connections. The caller holds mu.
 func (f *PollFront) unlisten() {
 	if f.ln != nil {
--- a/internal/front/http/pollconn_linux.go
+++ b/internal/front/http/pollconn_linux.go
@@ -14,6 +14,7 @@
 
 	"cedararch/internal/core"
 	"cedararch/internal/httpwire"
+	"cedararch/report"
 )
 
 // pollState is what a connection is doing.
@@ -262,7 +263,8 @@
 	switch {
 	case h.path == "/api" || strings.HasPrefix(h.path, "/api/"):
 	case h.path == "/up" && h.method == http.MethodGet:
-		if !f.exchange.Ready() || f.ending.Load() {
+		c.last = c.last || f.leaving()
+		if !f.up() || !f.exchange.Ready() {
 			c.plain(http.StatusServiceUnavailable, "not ready\n")
 		} else {
 			c.plain(http.StatusOK, "ready\n")
@@ -272,7 +274,11 @@
 		c.turnAway(&badRequest{http.StatusNotFound, "no such path"})
 		return nil
 	}
-	if ok, holdOff := f.cfg.Door.Admit(f.cfg.classOf(h.header)); !ok {
+	class := f.cfg.classOf(h.header)
+	if ok, holdOff := f.cfg.Door.Admit(class); !ok {
+		f.cfg.Counts.Asked(class)
+		f.cfg.Counts.Ended(class, report.Refused)
+		c.last = c.last || f.leaving()
 		c.reply(core.Refusal(holdOff.Truncate(time.Millisecond)))
 		return nil
 	}
@@ -324,7 +330,7 @@
 	}
 	c.call = nil
 	// Decided when the answer is there, not when the request came: many wait when the end comes.
-	c.last = c.last || a.Reason == core.NameInUse || c.front.ending.Load() || c.more || c.gone || c.front.crowded()
+	c.last = c.last || a.Reason == core.NameInUse || c.front.leaving() || c.more || c.gone || c.front.crowded()
 	c.reply(a)
 }
 
--- a/internal/front/msgpackrpc/front.go
+++ b/internal/front/msgpackrpc/front.go
@@ -60,6 +60,8 @@
 	exchange Exchange
 	failed   chan error
 	ending   atomic.Bool // what comes is refused
+	paused   atomic.Bool // connections end as soon as nothing is open on them
+	heir     atomic.Bool // another process serves at the address
 	prefix   string      // of the ids that are made here
 	made     atomic.Uint64
 	notes    rate.Sometimes // bounds what is logged of clients' mistakes
@@ -117,7 +119,7 @@
 	f.conns[c] = true
 	f.mu.Unlock()
 	f.tasks.Go(c.serve)
-	if f.ending.Load() {
+	if f.ending.Load() || f.paused.Load() {
 		c.finish()
 	}
 }
@@ -159,13 +161,40 @@
 	})
 }
 
+// Pause ends every connection with its last answer, also those that come, or takes clients in again.
+func (f *Front) Pause(on bool) {
+	f.paused.Store(on)
+	if !on {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		c.finish()
+	}
+}
+
+// HandOver says that another process serves at the same address by now: with End no further connection is taken.
+func (f *Front) HandOver() { f.heir.Store(true) }
+
+// Resize changes how many connections may be open; those beyond it that carry nothing go when others come.
+func (f *Front) Resize(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cfg.Connections = max(1, n)
+}
+
 // End takes requests for a little while yet, refuses what comes then, answers all that was taken within a time, and
 // closes.
 func (f *Front) End(within time.Duration) error {
 	limit, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
+	calls := f.cfg.LastCalls
+	if f.heir.Load() {
+		calls = 0
+	}
 	select {
-	case <-time.After(f.cfg.LastCalls):
+	case <-time.After(calls):
 	case err := <-f.failed:
 		return fmt.Errorf("serve MessagePack-RPC: %w", err)
 	}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -37,6 +37,7 @@
 	Name      string
 	Listen    string
 	Discovery string
+	Admin     string // the operators' own address; empty: none
 	Limits    Limits
 	Known     roster.List // the servers as last listed; it may be old
 	Options   options.File
@@ -66,13 +67,13 @@
 // count: the program's text and the kernel's socket buffers.
 const heapShare = 0.75
 
-// Apply holds the Go runtime to the limits.
-func (l Limits) Apply() {
+// Apply holds the Go runtime to the limits, of which so many processes of the sidecar have a part each.
+func (l Limits) Apply(processes int) {
 	if l.Cores > 0 {
 		runtime.GOMAXPROCS(max(1, int(math.Ceil(l.Cores))))
 	}
 	if l.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(l.MemoryMB * heapShare * (1 << 20)))
+		debug.SetMemoryLimit(int64(l.MemoryMB * heapShare * (1 << 20) / float64(processes)))
 	}
 }
 
@@ -109,6 +110,7 @@
 		Name      string          `json:"name"`
 		Listen    string          `json:"listen"`
 		Discovery string          `json:"discovery"`
+		Admin     string          `json:"admin_addr"`
 		Seed      string          `json:"seed"`
 		Limits    Limits          `json:"limits"`
 		Known     roster.List     `json:"known"`
@@ -121,6 +123,7 @@
 		Name:      cmp.Or(getenv("NODE_NAME"), file.Name),
 		Listen:    cmp.Or(getenv("NODE_LISTEN"), file.Listen),
 		Discovery: cmp.Or(getenv("NODE_DISCOVERY"), file.Discovery),
+		Admin:     cmp.Or(getenv("NODE_ADMIN_ADDR"), file.Admin),
 		Limits:    file.Limits,
 		Known:     file.Known,
 		restTime:  restTime,
@@ -164,6 +167,11 @@
 	if _, _, err := net.SplitHostPort(c.Discovery); err != nil {
 		return fmt.Errorf("discovery address %q: %w", c.Discovery, err)
 	}
+	if c.Admin != "" {
+		if _, err := netip.ParseAddrPort(c.Admin); err != nil {
+			return fmt.Errorf("admin_addr %q: %w", c.Admin, err)
+		}
+	}
 	if l := c.Limits; l.Cores < 0 || l.MemoryMB < 0 || l.Sockets < 0 {
 		return fmt.Errorf("a limit below 0: %+v", l)
 	}
--- a/internal/sidecar/main.go
+++ b/internal/sidecar/main.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		return err
 	}
-	cfg.Limits.Apply()
+	cfg.Limits.Apply(1)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	return Run(ctx, cfg, reloads, slog.New(slog.NewTextHandler(log, nil)))
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -1,12 +1,15 @@
-// Package socket tells what the kernel knows of a socket that no Go interface shows: whether anything waits to be read
+// Package socket does with sockets what no Go interface shows: it listens where another process may too, and tells whether anything waits to be read
 // on a connection beside its reader, and whether an error means that the machine has no socket to spare.
 package socket
 
 import (
+	"context"
 	"errors"
 	"net"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // State is what Peek finds on a connection.
@@ -48,6 +51,22 @@
 	return false
 }
 
+// Listen listens at a TCP address. Where shared is set, another process of the same user may listen there too, and the kernel
+// gives each a part of the connections (SO_REUSEPORT).
+func Listen(addr string, shared bool) (net.Listener, error) {
+	cfg := net.ListenConfig{}
+	if shared {
+		cfg.Control = func(_, _ string, c syscall.RawConn) error {
+			var failed error
+			err := c.Control(func(fd uintptr) {
+				failed = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+			})
+			return errors.Join(err, failed)
+		}
+	}
+	return cfg.Listen(context.Background(), "tcp", addr)
+}
+
 // acceptPause is the wait while there is no descriptor for a connection.
 const acceptPause = 2 * time.Millisecond
 
--- a/internal/upstream/http/pool.go
+++ b/internal/upstream/http/pool.go
@@ -196,6 +196,19 @@
 	}
 }
 
+// resize changes how many connections may be open.
+func (p *pool) resize(n int) {
+	for {
+		p.mu.Lock()
+		p.most = n
+		over := p.open > n
+		p.mu.Unlock()
+		if !over || !p.evict() {
+			return
+		}
+	}
+}
+
 func (p *pool) release() {
 	p.mu.Lock()
 	p.open--
--- a/internal/upstream/http/upstream.go
+++ b/internal/upstream/http/upstream.go
@@ -93,6 +93,9 @@
 // Evict closes the connection that has been idle for longest, and reports whether there was one.
 func (b *Back) Evict() bool { return b.up.pool.evict() }
 
+// Resize changes how many connections may be open; idle ones beyond it go at once.
+func (b *Back) Resize(n int) { b.up.pool.resize(max(1, n)) }
+
 // Run looks after idle connections until ctx ends.
 func (b *Back) Run(ctx context.Context) { b.up.pool.run(ctx) }
 
@@ -152,6 +155,7 @@
 		}
 		return core.Result{Outcome: balance.ConnectFailed}, false
 	}
+	a.Written()
 	resp, body, err := c.in.next(methodOf(a.Message))
 	if err != nil {
 		return core.Result{Outcome: a.broken(err)}, false
--- a/internal/upstream/msgpackrpc/conn.go
+++ b/internal/upstream/msgpackrpc/conn.go
@@ -402,6 +402,9 @@
 	var ended []ending
 	c.mu.Lock()
 	for _, t := range c.batch {
+		if t.end <= n {
+			t.Written()
+		}
 		switch {
 		case t.state != writing: // given up meanwhile
 		case t.end <= n && !c.dead:
