Bodies up to 32 MB pass through bounded pipes; the clock of an upload starts with its last byte

Time-outs of bodies go by progress. Connections stay open after a request in chunks. Ruled out on the way, by a log of each head, body and answer: late heads, 100-continue, chunked requests, early closes.

--- a/balance/api.go
+++ b/balance/api.go
@@ -178,6 +178,7 @@
 	Remaining     float64 // time until the client gives this try up
 	Repeat        bool    // the client says that it tried before
 	Write         bool
+	Upload        bool // its body is yet to come: Remaining counts from Sent
 }
 
 // Result is how an attempt or a probe ended.
@@ -207,6 +208,13 @@
 	Took     float64
 	Finished bool      // the request needs no answer (any more)
 	Report   []float32 // load report, empty if none; not kept
+	Spent    bool      // the request's body has gone with it: there can be no other attempt
+}
+
+// Sent says that the last byte of an upload has been written to a server: time counts from now.
+type Sent struct {
+	Request RequestID
+	Attempt int
 }
 
 // Started says that a streamed answer has begun; the client owns the attempt now.
@@ -241,6 +249,7 @@
 func (Request) event()     {}
 func (Outcome) event()     {}
 func (Started) event()     {}
+func (Sent) event()        {}
 func (HangUp) event()      {}
 func (Timer) event()       {}
 func (ProbeResult) event() {}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -233,7 +233,7 @@
 // hopeless: nothing more can be sent for the request, or it is no use to wait for a server.
 func (b *Balancer) hopeless(r *request) bool {
 	tries, cuts := len(r.tries), r.cuts()
-	if tries >= b.cfg.MaxAttempts || tries-cuts > maxRepeats || cuts > maxCuts {
+	if r.spent || tries >= b.cfg.MaxAttempts || tries-cuts > maxRepeats || cuts > maxCuts {
 		return true
 	}
 	for _, a := range r.tries {
@@ -477,7 +477,7 @@
 // markOverdue counts an attempt far beyond its class's answers as an error: else hangs show late.
 func (b *Balancer) markOverdue(r *request) {
 	for i := range r.tries {
-		if a := &r.tries[i]; a.live && !a.overdue && b.now >= a.sent+b.overdueAfter(r) {
+		if a := &r.tries[i]; a.live && !a.overdue && !a.coming && b.now >= a.sent+b.overdueAfter(r) {
 			a.overdue = true
 			b.lose(r, a, 1)
 			b.fault(a.s, false)
@@ -567,7 +567,7 @@
 		next = min(next, b.now+max(b.cfg.Quantum, r.class.Aim/20))
 	}
 	for i := range r.tries {
-		if a := &r.tries[i]; a.live && !a.overdue {
+		if a := &r.tries[i]; a.live && !a.overdue && !a.coming {
 			next = min(next, a.sent+b.overdueAfter(r))
 		}
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -133,6 +133,7 @@
 	clean   bool // proved never to have run
 	cut     bool // its connection was reset
 	overdue bool
+	coming  bool    // the body is still on its way: neither time nor load counts
 	held    float64 // what the server held before, by a fresh report; else -1
 }
 
@@ -147,6 +148,7 @@
 	live      int
 	done      bool
 	stream    bool
+	spent     bool      // its body is gone
 	wakeAt    float64   // when its next timer comes
 	probed    []*server // asked before the first send
 	holdUntil float64
@@ -273,6 +275,8 @@
 		}
 	case Started:
 		b.onStarted(ev)
+	case Sent:
+		b.onSent(ev)
 	}
 	return b.out, err
 }
@@ -302,6 +306,7 @@
 		return err
 	}
 	b.judge(r, a, ev)
+	r.spent = r.spent || ev.Spent
 	if r.done || ev.Finished || r.stream {
 		b.close(r)
 	}
@@ -344,6 +349,19 @@
 	}
 }
 
+// onSent starts the clock of an upload.
+func (b *Balancer) onSent(ev Sent) {
+	r := b.reqs[ev.Request]
+	if r == nil || r.done || ev.Attempt >= len(r.tries) || !r.tries[ev.Attempt].coming {
+		return
+	}
+	a := &r.tries[ev.Attempt]
+	a.coming, a.sent = false, b.now
+	a.s.load += 1 / r.class.Aim
+	r.arrived, r.deadline = b.now, b.now+r.Remaining
+	b.wake(r)
+}
+
 func (b *Balancer) cancelOthers(r *request, keep int) {
 	for i := range r.tries {
 		if r.tries[i].live && i != keep && b.cfg.Cancel {
@@ -439,6 +457,9 @@
 		Request: ev, class: &b.cfg.Classes[ev.Class], stats: &b.classes[ev.Class],
 		tenant: b.tenant(ev.Tenant), arrived: b.now, deadline: b.now + ev.Remaining, wakeAt: math.Inf(1),
 	}
+	if r.Upload {
+		r.deadline = math.Inf(1)
+	}
 	b.reqs[ev.ID] = r
 	r.stats.asked++
 	r.tenant.asked++
@@ -464,7 +485,9 @@
 	if a.overdue {
 		b.lose(r, a, -1)
 	}
-	a.s.load -= 1 / r.class.Aim
+	if !a.coming {
+		a.s.load -= 1 / r.class.Aim
+	}
 	r.live--
 	b.note(a.s, ev.Report)
 	b.unconnected -= b.unconnected / (recent / 2)
@@ -499,8 +522,10 @@
 	s.inFlight++
 	s.usedAt = b.now
 	s.sentSince++
-	s.load += 1 / r.class.Aim
+	if !r.Upload {
+		s.load += 1 / r.class.Aim
+	}
 	r.live++
-	r.tries = append(r.tries, attempt{s: s, sent: b.now, live: true, held: held})
+	r.tries = append(r.tries, attempt{s: s, sent: b.now, live: true, held: held, coming: r.Upload})
 	b.emit(Action{Kind: Send, Request: r.ID, Server: s.ID})
 }
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -14,6 +14,7 @@
 
 	"cedararch/balance"
 	"cedararch/contract"
+	"cedararch/internal/pipe"
 	"cedararch/internal/roster"
 )
 
@@ -34,6 +35,12 @@
 	Meta        map[string][]string
 	ContentType string
 	Body        []byte
+	// Stream is a body that is still coming, in place of Body; nil: there is none. Remaining is how long its answer is waited
+	// for once the last byte of it is written.
+	Stream    *pipe.Pipe
+	Remaining time.Duration
+	// Streams says that the client can take an answer whose body is still coming.
+	Streams bool
 }
 
 // MessagePack is the content type of a body that holds MessagePack.
@@ -90,6 +97,7 @@
 	Meta        map[string][]string
 	ContentType string
 	Body        []byte
+	Stream      *pipe.Pipe // a body that is still coming, in place of Body; whoever gets it takes it out or gives it up
 }
 
 // Result is how an attempt or a probe ended.
@@ -161,7 +169,7 @@
 	answered atomic.Bool
 	ended    atomic.Bool
 	end      func(*Attempt)
-	written  func() // counts it
+	written  func(*Attempt)
 	result   Result
 	took     float64
 }
@@ -180,10 +188,10 @@
 // SetAnswered says that the request has its final answer.
 func (a *Attempt) SetAnswered() { a.answered.Store(true) }
 
-// Written says that the attempt's last byte has gone out.
+// Written says that the attempt's last byte has gone out. Where the body was a stream it may wait for the exchange.
 func (a *Attempt) Written() {
 	if a.written != nil {
-		a.written()
+		a.written(a)
 	}
 }
 
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -3,8 +3,10 @@
 import (
 	"container/heap"
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
@@ -19,6 +21,9 @@
 // overdue is how long after its deadline a request that the module forgot is failed.
 const overdue = 10 // ms
 
+// mostUpload bounds an attempt whose body is still coming, in milliseconds.
+const mostUpload = 15 * 60 * 1000
+
 // Config is what the exchange is told at its start.
 type Config struct {
 	Balance balance.Config
@@ -49,6 +54,7 @@
 	listed     struct{ list *roster.List }
 	listFailed struct{ err error }
 	inspection struct{ do func(now time.Duration) }
+	sent       struct{ attempt *Attempt } // its body was a stream, and has gone out
 )
 
 // Loop owns the balancer and what is known of each request. All else talks to it by events; it never waits for
@@ -215,6 +221,8 @@
 		}
 	case *Attempt:
 		l.end(ev)
+	case sent:
+		l.startClock(ev.attempt)
 	case probed:
 		l.tell(balance.ProbeResult{
 			Server: ev.endpoint.id, Result: ev.result.Outcome, Took: ev.took, Report: ev.result.Report,
@@ -288,6 +296,8 @@
 	}
 }
 
+var errAnswered = errors.New("the request has its answer")
+
 func failed(why Reason, text string) *Answer { return &Answer{Kind: Failed, Reason: why, Text: text} }
 
 func (l *Loop) refusal(holdOff float64) *Answer {
@@ -329,9 +339,38 @@
 	ask.Remaining = max(0, ask.Remaining-(l.now-l.clock(c.Received))-float64(l.cfg.Door.Margin())/float64(time.Millisecond))
 	r.deadline = l.now + ask.Remaining
 	l.requests[r.id], l.byCall[c] = r, r
+	if c.Message.Stream != nil { // the front sees to it that the body goes on coming
+		ask.Upload, r.deadline = true, math.Inf(1)
+		c.Message.Remaining = millis(ask.Remaining)
+	} else {
+		l.setDue(r)
+	}
+	l.tell(ask)
+}
+
+// setDue has a request failed after its deadline, if nothing else ends it.
+func (l *Loop) setDue(r *request) {
 	r.due = timer{at: r.deadline + overdue, request: r}
 	heap.Push(&l.timers, &r.due)
-	l.tell(ask)
+}
+
+// written counts an attempt that was written whole, on whatever goroutine.
+func (l *Loop) written(a *Attempt) {
+	l.cfg.Counts.Sent()
+	if a.Message.Stream != nil {
+		l.post(sent{a})
+	}
+}
+
+// startClock begins the time of a request whose body was still coming.
+func (l *Loop) startClock(a *Attempt) {
+	r := l.requests[a.request]
+	if r == nil || r.done || r.due.request != nil {
+		return
+	}
+	r.deadline = l.now + float64(r.call.Message.Remaining)/float64(time.Millisecond)
+	l.setDue(r)
+	l.tell(balance.Sent{Request: r.id, Attempt: a.number})
 }
 
 // finish gives a request its final answer, or none where the client is gone; the first counts. This is the only
@@ -341,13 +380,14 @@
 		return
 	}
 	r.done = true
-	if a != nil {
-		l.cfg.Counts.Ended(r.class, counted[a.Kind])
-	}
+	l.count(r, a)
 	delete(l.byCall, r.call)
 	for _, at := range r.attempts {
 		at.SetAnswered()
 	}
+	if s := r.call.Message.Stream; s != nil {
+		s.CloseRead(errAnswered)
+	}
 	if r.grant.Valid() {
 		l.cfg.Gate.Release(l.elapsed(), r.grant, a == nil || a.Kind != Refused)
 	}
@@ -357,6 +397,24 @@
 	l.forget(r)
 }
 
+// count counts how a request ends; what streams has ended when it is through.
+func (l *Loop) count(r *request, a *Answer) {
+	counts, class := l.cfg.Counts, r.class
+	switch {
+	case a == nil:
+	case a.Stream == nil:
+		counts.Ended(class, counted[a.Kind])
+	default:
+		a.Stream.OnEnd(func(whole bool) {
+			kind := report.Failed
+			if whole {
+				kind = report.Served
+			}
+			counts.Ended(class, kind)
+		})
+	}
+}
+
 // counted is under what an answer counts.
 var counted = map[Kind]report.Kind{Served: report.Served, Refused: report.Refused, Failed: report.Failed}
 
@@ -389,13 +447,13 @@
 	if r == nil {
 		return
 	}
-	cut := r.deadline
+	cut := min(r.deadline, l.now+mostUpload)
 	if a.At > 0 {
 		cut = min(cut, a.At)
 	}
 	at := &Attempt{
 		request: r.id, number: len(r.attempts), Endpoint: e, Message: &r.call.Message, sent: l.now, Cut: l.time(cut),
-		end: l.ended, written: l.cfg.Counts.Sent,
+		end: l.ended, written: l.written,
 	}
 	r.attempts = append(r.attempts, at)
 	r.live++
@@ -418,12 +476,19 @@
 func (l *Loop) end(at *Attempt) {
 	r := l.requests[at.request]
 	r.live--
+	spent := false
+	if s := at.Message.Stream; s != nil && s.Started() {
+		spent = true
+	}
 	if at.result.Outcome == balance.OK {
+		if a := at.result.Answer; r.done && a != nil && a.Stream != nil {
+			a.Stream.CloseRead(errAnswered)
+		}
 		l.finish(r, at.result.Answer)
 	}
 	out := balance.Outcome{
 		Request: r.id, Attempt: at.number, Result: at.result.Outcome, Took: at.took,
-		Finished: r.done, Report: at.result.Report,
+		Finished: r.done, Report: at.result.Report, Spent: spent,
 	}
 	if at.Endpoint != nil {
 		out.Server = at.Endpoint.id
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -30,6 +30,7 @@
 	"cedararch/internal/core"
 	"cedararch/internal/door"
 	"cedararch/internal/httpwire"
+	"cedararch/internal/pipe"
 	"cedararch/internal/socket"
 	"cedararch/report"
 )
@@ -45,7 +46,11 @@
 	// keepAlive is how long a connection may be idle while there are few: clients that ask once and stay hold their
 	// descriptors, of which the application has a number too.
 	keepAlive = 5 * time.Second
-	maxHeader = 32 << 10
+	// streamTimeout is how long a client may take nothing of an answer that passes through, and pumped how much of a body is
+	// written at a time.
+	streamTimeout = 10 * time.Second
+	pumped        = 16 << 10
+	maxHeader     = 32 << 10
 )
 
 // Config is what the front is told at its start.
@@ -212,14 +217,17 @@
 	}
 	c, err := f.parse(w, r)
 	behind := cl.behind()
-	if err == nil && behind == socket.Waiting {
+	if err == nil && c.Message.Stream != nil {
+		defer c.Message.Stream.CloseWrite(errGone)
+		go feedBody(w, r, c.Message.Stream)
+	} else if err == nil && behind == socket.Waiting {
 		err = malformed("more than the request that was announced")
 	}
 	if err != nil {
 		turnAway(w, err)
 		return
 	}
-	if behind == socket.Closed {
+	if c.Message.Stream == nil && behind == socket.Closed {
 		// The client has gone before anything was done for it, as all have that a stopped sidecar finds when it goes on.
 		w.Header().Set("Connection", "close")
 		write(w, core.Refusal(0))
@@ -287,29 +295,88 @@
 			h.Set("Retry-After", strconv.FormatFloat(a.HoldOff.Seconds(), 'f', 3, 64))
 		}
 	}
+	if a.Stream != nil {
+		writeStream(w, a)
+		return
+	}
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(statusOf(a))
 	w.Write(body)
 }
 
+var errGone = errors.New("the request is over")
+
+// feedBody passes on a body that comes, as fast as both sides allow.
+func feedBody(w http.ResponseWriter, r *http.Request, to *pipe.Pipe) {
+	deadline := http.NewResponseController(w)
+	buf := make([]byte, pumped)
+	for {
+		deadline.SetReadDeadline(time.Now().Add(readTimeout))
+		n, err := r.Body.Read(buf)
+		if n > 0 && to.Write(buf[:n], streamTimeout) != nil {
+			return
+		}
+		if err == io.EOF {
+			to.CloseWrite(nil)
+			return
+		}
+		if err != nil {
+			to.CloseWrite(err)
+			return
+		}
+	}
+}
+
+// writeStream writes an answer as it comes. One that breaks off ends its connection where the client can tell.
+func writeStream(w http.ResponseWriter, a *core.Answer) {
+	defer a.Stream.CloseRead(errGone)
+	if n := a.Stream.Length(); n >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(n, 10))
+	}
+	w.WriteHeader(statusOf(a))
+	deadline := http.NewResponseController(w)
+	buf := make([]byte, pumped)
+	for {
+		n, err := a.Stream.Read(buf, 2*streamTimeout)
+		deadline.SetWriteDeadline(time.Now().Add(streamTimeout))
+		if n > 0 {
+			if _, werr := w.Write(buf[:n]); werr != nil {
+				return
+			}
+			deadline.Flush()
+		}
+		if err == io.EOF {
+			return
+		}
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
 // parse checks a request and turns it into a call.
 func (f *Front) parse(w http.ResponseWriter, r *http.Request) (*call, error) {
 	c := &call{answers: make(chan *core.Answer, 1)}
 	c.Client = c
-	if r.ContentLength > httpwire.MaxBody {
+	if r.ContentLength > httpwire.MaxStream {
 		return nil, errLongBody
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, httpwire.MaxBody))
+	var body []byte
+	var err error
+	if r.ContentLength <= httpwire.MaxBody {
+		body, err = io.ReadAll(io.LimitReader(r.Body, httpwire.MaxBody+1))
+	}
 	if err != nil {
-		var long *http.MaxBytesError
-		if errors.As(err, &long) {
-			return nil, errLongBody
-		}
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil, &badRequest{http.StatusRequestTimeout, "the body does not come"}
 		}
 		return nil, malformed("body: %v", err)
 	}
+	if r.ContentLength > httpwire.MaxBody || len(body) > httpwire.MaxBody {
+		c.Message.Stream = pipe.New(r.ContentLength)
+		c.Message.Stream.Put(body)
+		body = nil
+	}
 	h := &head{method: r.Method, target: r.RequestURI, path: r.URL.Path, host: r.Host, header: r.Header}
 	return c, f.cfg.fill(&c.Call, h, body)
 }
@@ -346,7 +413,7 @@
 	if err != nil {
 		return err
 	}
-	if r.method == http.MethodGet && len(body) > 0 {
+	if r.method == http.MethodGet && (len(body) > 0 || c.Message.Stream != nil) {
 		return malformed("a body where none belongs")
 	}
 	hint, _ := strconv.ParseFloat(h.Get("X-Size-Hint"), 64)
@@ -363,6 +430,7 @@
 		Trace: c.Name, Class: h.Get("X-Qos"), Tenant: h.Get("X-Customer"), Object: h.Get("X-Object"),
 		IdempotencyKey: h.Get("Idempotency-Key"), Safe: rules.Effect == balance.Safe,
 		Target: r.target, Authority: r.host, Meta: h, ContentType: h.Get("Content-Type"), Body: body,
+		Stream: c.Message.Stream, Streams: true,
 	}
 	if cfg.Claims {
 		c.Claim = claimOf(h)
--- a/internal/front/http/head.go
+++ b/internal/front/http/head.go
@@ -21,6 +21,7 @@
 	length                     int64 // of the body; -1 where none is announced
 	chunked                    bool
 	last                       bool // the client closes after this request, or speaks HTTP/1.0
+	old                        bool // it speaks HTTP/1.0
 	expects                    bool // it waits for leave to send its body
 }
 
@@ -129,7 +130,7 @@
 	switch version {
 	case "HTTP/1.1":
 	case "HTTP/1.0":
-		h.last = true
+		h.last, h.old = true, true
 	default:
 		return errVersion
 	}
@@ -187,7 +188,8 @@
 
 // chunks reads a chunked body that comes piece by piece. Extensions and trailers are dropped.
 type chunks struct {
-	body     []byte
+	body     []byte // what has not been taken away
+	total    int64
 	left     int // of the present chunk, with its line end
 	trailers int // bytes of them so far
 	ending   bool
@@ -244,9 +246,10 @@
 		if err != nil || len(size) == 0 || size[0] == '+' || size[0] == '_' {
 			return taken, false, errChunk
 		}
-		if len(c.body)+int(n) > httpwire.MaxBody {
+		if c.total+int64(n) > httpwire.MaxStream {
 			return taken, false, errLongBody
 		}
+		c.total += int64(n)
 		c.left, c.ending = int(n)+2, n == 0
 		if c.ending {
 			c.left = 0
--- a/internal/front/http/poll_linux.go
+++ b/internal/front/http/poll_linux.go
@@ -32,6 +32,7 @@
 	state
 	most    atomic.Int64 // connections
 	strange rate.Sometimes
+	cuts    rate.Sometimes // bounds what is logged of answers cut short
 	epoll   *os.File
 	tasks   sync.WaitGroup
 
@@ -107,7 +108,7 @@
 	f := &PollFront{
 		cfg: cfg, exchange: exchange, start: time.Now(), failed: make(chan error, 1), epoll: os.NewFile(uintptr(fd), "epoll"),
 		scratch: make([]byte, readAtOnce), events: make([]unix.EpollEvent, 256),
-		strange: rate.Sometimes{First: 3, Interval: time.Second},
+		strange: rate.Sometimes{First: 3, Interval: time.Second}, cuts: rate.Sometimes{First: 5, Interval: time.Second},
 	}
 	f.setDate(time.Now())
 	f.Resize(cfg.Connections)
@@ -235,9 +236,7 @@
 	f.enter(c, &f.silent, headTimeout)
 	f.mu.Unlock()
 	err := f.control(func(epoll int) error {
-		return unix.EpollCtl(epoll, unix.EPOLL_CTL_ADD, fd, &unix.EpollEvent{
-			Events: unix.EPOLLIN | unix.EPOLLOUT | unix.EPOLLRDHUP | unix.EPOLLET, Fd: c.slot, Pad: gen,
-		})
+		return unix.EpollCtl(epoll, unix.EPOLL_CTL_ADD, fd, pollEvent(c.slot, gen))
 	})
 	if err != nil {
 		c.mu.Lock()
@@ -246,6 +245,11 @@
 	}
 }
 
+// pollEvent asks for all that happens on the connection of a slot.
+func pollEvent(slot, gen int32) *unix.EpollEvent {
+	return &unix.EpollEvent{Events: unix.EPOLLIN | unix.EPOLLOUT | unix.EPOLLRDHUP | unix.EPOLLET, Fd: slot, Pad: gen}
+}
+
 func (f *PollFront) control(do func(epoll int) error) error {
 	raw, err := f.epoll.SyscallConn()
 	if err != nil {
--- a/internal/front/http/pollconn_linux.go
+++ b/internal/front/http/pollconn_linux.go
@@ -14,6 +14,7 @@
 
 	"cedararch/internal/core"
 	"cedararch/internal/httpwire"
+	"cedararch/internal/pipe"
 	"cedararch/report"
 )
 
@@ -30,7 +31,10 @@
 
 // lingering is how long a connection that has been ended is kept for its client to read what was written: closed with
 // bytes unread, the kernel would reset it and destroy the answer.
-const lingering = 500 * time.Millisecond
+const (
+	lingering     = 500 * time.Millisecond
+	longLingering = 10 * time.Second // ... for one that was still sending
+)
 
 // pollConn is one connection of the application. Its lock guards what it reads and writes.
 type pollConn struct {
@@ -54,6 +58,16 @@
 	call    *pollCall
 	out     []byte // of an answer, what is not written
 
+	bodyFrom time.Duration // when the head was whole
+	bodyGot  int64         // bytes behind it so far
+	up       *pipe.Pipe    // the open request's body, which is still coming
+	upLeft   int64         // ... bytes of it; -1: chunks tell
+	waitFrom time.Duration // since when the other side of it has been waited for; 0: it is not
+	down     *pipe.Pipe    // of the answer, what is still coming
+	inChunks bool          // ... goes out in chunks
+	unsaid   bool          // it was answered before its body had come
+	old      bool          // the open request speaks HTTP/1.0
+
 	// Guarded by front.mu.
 	queue      *queue
 	prev, next *pollConn
@@ -76,10 +90,6 @@
 	c.mu.Lock()
 	if c.state == pollWriting && events&(unix.EPOLLOUT|unix.EPOLLERR|unix.EPOLLHUP) != 0 {
 		c.flush()
-		if c.state == pollWaiting && c.more { // it came while the answer waited
-			c.more = false
-			events |= unix.EPOLLIN
-		}
 	}
 	var arrive, leave *pollCall
 	if events&(unix.EPOLLIN|unix.EPOLLRDHUP|unix.EPOLLHUP|unix.EPOLLERR) != 0 {
@@ -97,10 +107,18 @@
 // read reads all there is. The caller holds mu.
 func (c *pollConn) read() (arrive, leave *pollCall) {
 	for {
-		switch c.state {
-		case pollClosed:
+		switch {
+		case c.state == pollClosed:
 			return arrive, leave
-		case pollOpen, pollWriting:
+		case c.state == pollOpen && c.up != nil:
+			if !c.feed() {
+				return arrive, leave
+			}
+			if c.gone && c.call != nil {
+				return arrive, c.call
+			}
+			continue
+		case c.state == pollOpen || c.state == pollWriting:
 			return arrive, c.peek(leave)
 		}
 		n, err := unix.Read(c.fd, c.front.scratch)
@@ -120,6 +138,9 @@
 			continue // what a client says that has its last answer is of no use
 		}
 		c.take(c.front.scratch[:n])
+		if c.state == pollWaiting && c.isLong() {
+			arrive = c.begin()
+		}
 	}
 }
 
@@ -173,6 +194,7 @@
 		c.buf = readBuffers.Get().([]byte)[:0]
 	}
 	c.buf = append(c.buf, b...)
+	c.bodyGot += int64(len(b))
 	if err := c.parse(); err != nil {
 		c.turnAway(err)
 	}
@@ -211,16 +233,20 @@
 			return err
 		}
 		c.headEnd = end
-		if c.head.length > httpwire.MaxBody {
+		if c.head.length > httpwire.MaxStream {
 			return errLongBody
 		}
 		if c.head.chunked {
 			c.chunks = &chunks{}
 		}
+		c.bodyFrom, c.bodyGot = c.front.now(), int64(len(c.buf)-end)
 		if c.head.expects && len(c.buf) == end && (c.head.chunked || c.head.length > 0) {
 			unix.Write(c.fd, []byte("HTTP/1.1 100 Continue\r\n\r\n")) // a client that does not get it sends its body after a while
 		}
 	}
+	if c.isLong() { // begin goes on with it
+		return nil
+	}
 	if c.chunks != nil && !c.isWhole() {
 		taken, done, err := c.chunks.next(c.buf[c.headEnd:])
 		if err != nil {
@@ -254,12 +280,18 @@
 	if c.state != pollWaiting || !c.isWhole() {
 		return nil
 	}
-	h, f := c.head, c.front
 	body := c.buf[c.headEnd:]
 	if c.chunks != nil {
 		body = c.chunks.body
 	}
-	c.last = h.last || c.chunks != nil
+	return c.accept(body, nil)
+}
+
+// accept makes a call of a request, with its body or what that is still to come through. The caller holds mu.
+func (c *pollConn) accept(body []byte, stream *pipe.Pipe) *pollCall {
+	h, f := c.head, c.front
+	// What is answered here ends the connection where the body is still coming.
+	c.last, c.old, c.wary = h.last || stream != nil, h.old, stream != nil
 	switch {
 	case h.path == "/api" || strings.HasPrefix(h.path, "/api/"):
 	case h.path == "/up" && h.method == http.MethodGet:
@@ -284,12 +316,16 @@
 	}
 	call := &pollCall{conn: c}
 	call.Client = call
+	call.Message.Stream = stream
 	// The body outlives the buffer, which is the connection's next request's.
 	if err := f.cfg.fill(&call.Call, h, append([]byte(nil), body...)); err != nil {
 		c.turnAway(err)
 		return nil
 	}
 	c.call, c.state = call, pollOpen
+	if stream != nil {
+		return call // begin goes on
+	}
 	c.reset()
 	f.mu.Lock()
 	f.enter(c, nil, 0)
@@ -325,10 +361,19 @@
 func (c *pollConn) answer(call *pollCall, a *core.Answer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.call != call {
-		return // its connection is closed
+	if c.call != call { // its connection is closed
+		if a.Stream != nil {
+			a.Stream.CloseRead(errClosed)
+		}
+		return
 	}
 	c.call = nil
+	if c.up != nil { // the rest of the request is of no use
+		c.up = nil
+		c.last, c.wary, c.unsaid = true, true, true
+	} else {
+		c.wary = false
+	}
 	// Decided when the answer is there, not when the request came: many wait when the end comes.
 	c.last = c.last || a.Reason == core.NameInUse || c.front.leaving() || c.more || c.gone || c.front.crowded()
 	c.reply(a)
@@ -339,7 +384,13 @@
 
 // send writes an answer, as much of it as there is room for. The caller holds mu.
 func (c *pollConn) send(status int, a *core.Answer) {
-	c.out = c.front.render(outBuffers.Get().([]byte)[:0], status, a, c.last)
+	c.inChunks = false
+	if c.down = a.Stream; c.down != nil {
+		c.inChunks = c.down.Length() < 0 && !c.old
+		c.last = c.last || c.down.Length() < 0 && c.old
+		c.down.OnData(c.pump)
+	}
+	c.out = c.front.render(outBuffers.Get().([]byte)[:0], status, a, c.last, c.inChunks)
 	c.state = pollWriting
 	c.reset()
 	f := c.front
@@ -360,6 +411,19 @@
 
 // flush writes what waits. The caller holds mu, and the state is pollWriting.
 func (c *pollConn) flush() {
+	for c.flushOut() {
+		if c.down == nil {
+			c.written()
+			return
+		}
+		if !c.refill() {
+			return
+		}
+	}
+}
+
+// flushOut writes out, and reports whether all of it has gone. The caller holds mu.
+func (c *pollConn) flushOut() bool {
 	whole := c.out
 	for len(c.out) > 0 {
 		n, err := unix.Write(c.fd, c.out)
@@ -369,19 +433,23 @@
 			if &whole[0] != &c.out[0] { // what is left moves to the front, or the buffer would be lost to the pool
 				c.out = whole[:copy(whole, c.out)]
 			}
-			return
+			if c.down != nil { // it is the client's turn
+				c.setTimeout(streamTimeout)
+			}
+			return false
 		case err != nil:
+			c.note("a client has left its answer", err)
 			c.close()
-			return
+			return false
 		default:
 			c.out = c.out[n:]
 		}
 	}
-	if cap(whole) <= mostKept {
+	if whole != nil && cap(whole) <= mostKept {
 		outBuffers.Put(whole[:0])
 	}
 	c.out = nil
-	c.written()
+	return true
 }
 
 // written goes on after an answer: to the next request, or to the end. The caller holds mu.
@@ -392,6 +460,10 @@
 		f.mu.Lock()
 		f.enter(c, &f.idle, f.cfg.idle())
 		f.mu.Unlock()
+		if c.more { // it came while the answer was written, and the kernel tells of it once
+			c.more = false
+			c.again()
+		}
 		return
 	}
 	if c.gone || !c.wary && !c.more { // nothing is unread, so that the answer goes ahead of the end
@@ -401,7 +473,12 @@
 	unix.Shutdown(c.fd, unix.SHUT_WR)
 	c.state = pollLingering
 	f.mu.Lock()
-	f.enter(c, &f.ended, lingering)
+	patience := lingering
+	if c.unsaid { // it reads when it has said all; of what has come the kernel has told already
+		c.more = true
+		patience = longLingering
+	}
+	f.enter(c, &f.ended, patience)
 	f.mu.Unlock()
 	if c.more { // of that the kernel has told already, and closed with bytes unread it would destroy the answer
 		c.drain()
@@ -427,16 +504,32 @@
 	again := c.timeout.tick != 0 // it was set anew meanwhile
 	f.mu.Unlock()
 	switch {
-	case again || c.state == pollClosed || c.state == pollOpen:
+	case again || c.state == pollClosed:
+	case c.state == pollOpen:
+		if c.up != nil {
+			c.uploadExpired()
+		}
+	case c.state == pollWaiting && c.head != nil && c.bodyLeft() > 0:
+		c.setTimeout(c.bodyLeft())
 	case c.state == pollWaiting && c.head != nil:
 		c.turnAway(&badRequest{http.StatusRequestTimeout, "the body does not come"})
 	case c.state == pollWaiting && c.began:
 		c.turnAway(&badRequest{http.StatusRequestTimeout, "the head does not come"})
 	default:
+		if c.state == pollWriting {
+			c.note("a client does not take its answer", nil)
+		}
 		c.close()
 	}
 }
 
+// note logs what cut an answer short, some of many. The caller holds mu.
+func (c *pollConn) note(what string, err error) {
+	c.front.cuts.Do(func() {
+		c.front.cfg.Log.Info(what, "peer", peerOf(c.fd), "unwritten", len(c.out), "passing", c.down != nil, "error", err)
+	})
+}
+
 // closeIfUnused closes the connection if no request is open on it, nor wholly on its way.
 func (c *pollConn) closeIfUnused() bool {
 	c.mu.Lock()
@@ -466,6 +559,14 @@
 	}
 	c.state = pollClosed
 	c.call = nil
+	if c.up != nil {
+		c.up.CloseWrite(errClosed)
+		c.up = nil
+	}
+	if c.down != nil {
+		c.down.CloseRead(errClosed)
+		c.down = nil
+	}
 	c.reset()
 	c.out = nil
 	f := c.front
@@ -485,7 +586,7 @@
 }
 
 // render makes an answer's bytes.
-func (f *PollFront) render(dst []byte, status int, a *core.Answer, last bool) []byte {
+func (f *PollFront) render(dst []byte, status int, a *core.Answer, last, inChunks bool) []byte {
 	dst = append(append(dst, "HTTP/1.1 "...), strconv.Itoa(status)...)
 	dst = append(append(append(dst, ' '), http.StatusText(status)...), "\r\nDate: "...)
 	dst = append(append(dst, *f.date.Load()...), "\r\n"...)
@@ -513,6 +614,15 @@
 	if last {
 		dst = append(dst, "Connection: close\r\n"...)
 	}
+	switch {
+	case inChunks:
+		return append(dst, "Transfer-Encoding: chunked\r\n\r\n"...)
+	case a.Stream != nil && a.Stream.Length() < 0:
+		return append(dst, "\r\n"...) // it ends with the connection
+	case a.Stream != nil:
+		dst = append(dst, "Content-Length: "...)
+		return append(strconv.AppendInt(dst, a.Stream.Length(), 10), "\r\n\r\n"...)
+	}
 	dst = append(dst, "Content-Length: "...)
 	dst = append(strconv.AppendInt(dst, int64(len(body)), 10), "\r\n\r\n"...)
 	return append(dst, body...)
--- a/internal/httpwire/httpwire.go
+++ b/internal/httpwire/httpwire.go
@@ -8,7 +8,8 @@
 )
 
 const (
-	MaxBody      = 64 << 10       // bytes of any message
+	MaxBody      = 64 << 10       // bytes of a body that is held whole
+	MaxStream    = 32 << 20       // ... of one that passes through
 	ExpiryHeader = "X-Expires-In" // how long the asking side waits
 )
 
--- /dev/null
+++ b/internal/upstream/http/stream.go
@@ -0,0 +1,238 @@
+package http
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"cedararch/balance"
+	"cedararch/internal/core"
+	"cedararch/internal/httpwire"
+	"cedararch/internal/pipe"
+	"cedararch/internal/socket"
+)
+
+// This file is about bodies that pass through: requests whose body is still coming, and answers that are longer than what
+// is held whole.
+
+const (
+	piece = 16 << 10 // bytes that are read or written at a time
+	// stall is how long a server may take nothing of a request, or give nothing of an answer, that passes through; and a client
+	// take nothing of one.
+	stall = 10 * time.Second
+	// heldBack is how long the first bytes of an answer of unknown length are kept: it may be short, and can be asked for
+	// again as long as the client has none of it.
+	heldBack = 100 * time.Millisecond
+	// uploadWait bounds the wait for the next piece of a request; the front ends those that come too slowly.
+	uploadWait = time.Minute
+)
+
+var pieces = sync.Pool{New: func() any { return new([piece]byte) }}
+
+// encodeHead writes the head of a request whose body follows; of unknown length it follows in chunks.
+func encodeHead(req *http.Request, length int64) []byte {
+	var out bytes.Buffer
+	fmt.Fprintf(&out, "%s %s HTTP/1.1\r\nHost: %s\r\n", req.Method, req.URL.Opaque, req.Host)
+	req.Header.Del("Content-Length")
+	req.Header.Del("Transfer-Encoding")
+	req.Header.Del("Expect")
+	if v := req.Header["User-Agent"]; len(v) == 1 && v[0] == "" {
+		req.Header.Del("User-Agent")
+	}
+	req.Header.Write(&out)
+	if length >= 0 {
+		fmt.Fprintf(&out, "Content-Length: %d\r\n\r\n", length)
+	} else {
+		out.WriteString("Transfer-Encoding: chunked\r\n\r\n")
+	}
+	return out.Bytes()
+}
+
+// upload writes a body as it comes. It reports whether all of it has gone out, and else how the attempt ended: no server
+// begins before the last byte.
+func (u *upstream) upload(a *attempt, c *conn) (outcome balance.Result, gone bool) {
+	s := a.Message.Stream
+	buf := pieces.Get().(*[piece]byte)
+	defer pieces.Put(buf)
+	const room = 10 // for the size of a chunk ahead of it, and 2 for the line end behind
+	for {
+		if c.state() != socket.Silent { // the server has something to say already, or is gone
+			return u.early(a, c), false
+		}
+		n, err := s.Read(buf[room:piece-2], uploadWait)
+		if err != nil && err != io.EOF {
+			return balance.Moot, false // the client's end, not the server's
+		}
+		out := buf[room : room+n]
+		if s.Length() < 0 {
+			if n > 0 {
+				head := strconv.AppendInt(nil, int64(n), 16)
+				head = append(head, '\r', '\n')
+				copy(buf[room-len(head):], head)
+				copy(buf[room+n:], "\r\n")
+				out = buf[room-len(head) : room+n+2]
+			}
+			if err == io.EOF {
+				out = append(out, "0\r\n\r\n"...)
+			}
+		}
+		if !a.extend(c, stall) {
+			return balance.Moot, false
+		}
+		if len(out) > 0 {
+			if _, werr := c.Write(out); werr != nil {
+				if a.ctx.Err() != nil {
+					return balance.Moot, false
+				}
+				return balance.ConnectFailed, false
+			}
+		}
+		if err == io.EOF {
+			return 0, a.extend(c, a.Message.Remaining)
+		}
+	}
+}
+
+// extend gives a connection a time from now, and reports whether the attempt still goes on.
+func (a *attempt) extend(c *conn, d time.Duration) bool {
+	c.SetDeadline(time.Now().Add(d))
+	if a.ctx.Err() != nil { // given up meanwhile, which had set another
+		c.SetDeadline(time.Unix(1, 0))
+		return false
+	}
+	return true
+}
+
+// early reads what a server says before it has the whole request: that it does not want it.
+func (u *upstream) early(a *attempt, c *conn) balance.Result {
+	if !a.extend(c, u.pool.connectTimeout) {
+		return balance.Moot
+	}
+	resp, err := c.in.head(http.MethodPost, httpwire.MaxStream)
+	switch {
+	case err != nil || resp.StatusCode == http.StatusOK:
+		return balance.ConnectFailed
+	case outcomeOf(resp) == balance.Full:
+		return balance.Full
+	}
+	return balance.ConnectFailed
+}
+
+// relay passes an answer on whose body is longer than what is held whole, or of unknown length. What turns out to be short
+// is answered like any other.
+func (u *upstream) relay(a *attempt, c *conn, resp *http.Response) (core.Result, bool) {
+	r := &relaying{a: a, u: u, conn: c, resp: resp, pipe: pipe.New(resp.ContentLength)}
+	if resp.ContentLength < 0 {
+		timer := time.AfterFunc(heldBack, func() { r.pass(false) })
+		defer timer.Stop()
+	} else {
+		r.pass(true)
+	}
+	c.lastBody = 0
+	buf := pieces.Get().(*[piece]byte)
+	defer pieces.Put(buf)
+	total := int64(0)
+	for {
+		if r.passed() && !a.extend(c, stall) {
+			return r.broken(os.ErrDeadlineExceeded), false
+		}
+		n, err := resp.Body.Read(buf[:])
+		if total += int64(n); total > httpwire.MaxStream {
+			return r.broken(errHuge), false
+		}
+		if n > 0 {
+			if gone := r.take(buf[:n]); gone != nil {
+				return r.broken(gone), false
+			}
+		}
+		if err == io.EOF {
+			if !r.passed() && r.hold() {
+				return u.answered(a, c, resp, r.held)
+			}
+			r.pipe.CloseWrite(nil)
+			return core.Result{}, !resp.Close && c.in.Buffered() == 0
+		}
+		if err != nil {
+			return r.broken(err), false
+		}
+	}
+}
+
+// relaying is an answer on its way.
+type relaying struct {
+	a    *attempt
+	u    *upstream
+	conn *conn
+	resp *http.Response
+	pipe *pipe.Pipe
+
+	mu   sync.Mutex
+	held []byte // as long as nothing has been passed on
+	gone bool   // the client gets it as it comes
+	kept bool   // it is answered as a whole, or not at all
+}
+
+func (r *relaying) passed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.gone
+}
+
+// hold keeps the answer from being passed on, unless it is already.
+func (r *relaying) hold() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.kept = !r.gone
+	return r.kept
+}
+
+// pass ends the attempt with an answer whose body follows, and with it what was held back; without any only if told so.
+func (r *relaying) pass(empty bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock() // after End: the one who reads on must not end the attempt before
+	if r.gone || r.kept || len(r.held) == 0 && !empty {
+		return
+	}
+	r.gone = true
+	r.a.extend(r.conn, stall)
+	if len(r.held) > 0 {
+		r.pipe.Put(r.held)
+		r.held = nil
+	}
+	report := reportOf(r.resp, r.u.fields)
+	answer := answerOf(r.resp)
+	answer.Stream = r.pipe
+	r.a.End(core.Result{Outcome: balance.OK, Report: report, Answer: answer})
+}
+
+// take takes in a piece. It fails when the client takes no more.
+func (r *relaying) take(b []byte) error {
+	r.mu.Lock()
+	if !r.gone {
+		r.held = append(r.held, b...)
+		full := len(r.held) > httpwire.MaxBody
+		r.mu.Unlock()
+		if full {
+			r.pass(true)
+		}
+		return nil
+	}
+	r.mu.Unlock()
+	return r.pipe.Write(b, stall)
+}
+
+// broken ends what does not come to its end: the attempt, or the body that the client is reading.
+func (r *relaying) broken(err error) core.Result {
+	if !r.hold() {
+		r.pipe.CloseWrite(errors.Join(errBroken, err))
+	}
+	return core.Result{Outcome: r.a.broken(err)}
+}
+
+var errBroken = errors.New("an answer that breaks off")
--- a/internal/upstream/http/upstream.go
+++ b/internal/upstream/http/upstream.go
@@ -155,23 +155,53 @@
 		}
 		return core.Result{Outcome: balance.ConnectFailed}, false
 	}
+	if a.Message.Stream != nil {
+		if outcome, gone := u.upload(a, c); !gone {
+			return core.Result{Outcome: outcome}, false
+		}
+	}
 	a.Written()
-	resp, body, err := c.in.next(methodOf(a.Message))
+	most := int64(httpwire.MaxBody)
+	if a.Message.Streams {
+		most = httpwire.MaxStream
+	}
+	resp, err := c.in.head(methodOf(a.Message), most)
 	if err != nil {
 		return core.Result{Outcome: a.broken(err)}, false
 	}
+	if a.Message.Streams && resp.StatusCode == http.StatusOK && resp.Body != http.NoBody &&
+		(resp.ContentLength < 0 || resp.ContentLength > httpwire.MaxBody) {
+		return u.relay(a, c, resp)
+	}
+	var body []byte
+	if resp.Body != http.NoBody {
+		if body, err = c.in.whole(resp); err != nil {
+			return core.Result{Outcome: a.broken(err)}, false
+		}
+	}
+	return u.answered(a, c, resp, body)
+}
+
+// answered makes a result of an answer that is there as a whole.
+func (u *upstream) answered(a *attempt, c *conn, resp *http.Response, body []byte) (r core.Result, reusable bool) {
 	r = core.Result{Outcome: outcomeOf(resp), Report: reportOf(resp, u.fields)}
 	if r.Outcome == balance.OK && u.pool.isCopy(c, body) {
 		return core.Result{Outcome: balance.Reset}, false // the answer to this request is yet to come, or never will
 	}
 	if r.Outcome == balance.OK {
-		resp.Header.Del(loadHeader)
-		httpwire.DropHop(resp.Header)
-		r.Answer = &core.Answer{Meta: resp.Header, ContentType: resp.Header.Get("Content-Type"), Body: body}
+		r.Answer = answerOf(resp)
+		r.Answer.Body = body
 	}
 	return r, !resp.Close && c.in.Buffered() == 0
 }
 
+// answerOf is an answer without its body.
+func answerOf(resp *http.Response) *core.Answer {
+	resp.Header.Del(loadHeader)
+	httpwire.DropHop(resp.Header)
+	return &core.Answer{Meta: resp.Header, ContentType: resp.Header.Get("Content-Type")}
+}
+
 func interrupted(a *attempt, err error) bool {
 	return a.ctx.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded)
 }
@@ -201,7 +231,7 @@
 
 // methodOf follows from what the request may do; a safe one that has something to say cannot say it with GET.
 func methodOf(m *core.Message) string {
-	if m.Safe && len(m.Body) == 0 {
+	if m.Safe && len(m.Body) == 0 && m.Stream == nil {
 		return http.MethodGet
 	}
 	return http.MethodPost
@@ -237,10 +267,17 @@
 		Header: headerOf(m),
 		Host:   cmp.Or(m.Authority, "app.svc"),
 	}
-	req.Header.Set(httpwire.ExpiryHeader, strconv.FormatInt(max(1, time.Until(cut).Microseconds()), 10)+"u")
+	left := time.Until(cut)
+	if m.Stream != nil {
+		left = m.Remaining // the server counts from the last byte too
+	}
+	req.Header.Set(httpwire.ExpiryHeader, strconv.FormatInt(max(1, left.Microseconds()), 10)+"u")
 	if req.Header.Get("User-Agent") == "" {
 		req.Header.Set("User-Agent", "") // else Write adds one of its own
 	}
+	if m.Stream != nil {
+		return encodeHead(&req, m.Stream.Length()), nil
+	}
 	if len(m.Body) > 0 {
 		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(m.Body)), int64(len(m.Body))
 	} else if req.Method != http.MethodGet {
--- a/internal/upstream/msgpackrpc/back.go
+++ b/internal/upstream/msgpackrpc/back.go
@@ -82,7 +82,7 @@
 func (b *Back) Begin(a *core.Attempt) {
 	t := &try{Attempt: a}
 	a.State = t
-	if !b.place(t) {
+	if a.Message.Stream != nil || !b.place(t) { // a frame is written as a whole
 		b.later(t, balance.Moot)
 	}
 }
