Two processes share one queue of new connections, and the descriptors that neither holds

Change: each tells what it holds in its file, and gets half of what nobody holds, all of it once the other takes no more. The new process gets the listening sockets of the old one over a Unix socket in their folder; without that it listens beside it. Ruled out: the end of the old listener's queue (a filter on the reuse of the port, which this kernel does not take, and the handed over socket alone did not change the number).

--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -106,6 +106,13 @@
 	f.server.SetKeepAlivesEnabled(!on)
 }
 
+// Open returns how many connections there are.
+func (f *Front) Open() int {
+	f.clients.mu.Lock()
+	defer f.clients.mu.Unlock()
+	return f.clients.open
+}
+
 // Resize changes how many connections may be open.
 func (f *Front) Resize(n int) {
 	f.clients.mu.Lock()
--- a/internal/front/http/poll_linux.go
+++ b/internal/front/http/poll_linux.go
@@ -390,6 +390,13 @@
 	}
 }
 
+// Open returns how many connections there are.
+func (f *PollFront) Open() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.open
+}
+
 // Resize changes how many connections may be open. Beyond it those that carry nothing go, one after another.
 func (f *PollFront) Resize(n int) { f.most.Store(int64(max(1, n))) }
 
@@ -403,7 +410,9 @@
 	case err := <-f.failed:
 		return fmt.Errorf("serve: %w", err)
 	}
-	f.drainBacklog()
+	if !f.heir.Load() { // who has the same socket: what waits there is the heir's
+		f.drainBacklog()
+	}
 	f.mu.Lock()
 	f.unlisten()
 	empty := make(chan struct{})
--- a/internal/front/msgpackrpc/front.go
+++ b/internal/front/msgpackrpc/front.go
@@ -177,6 +177,13 @@
 // HandOver says that another process serves at the same address by now: with End no further connection is taken.
 func (f *Front) HandOver() { f.heir.Store(true) }
 
+// Open returns how many connections there are.
+func (f *Front) Open() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.conns)
+}
+
 // Resize changes how many connections may be open; those beyond it that carry nothing go when others come.
 func (f *Front) Resize(n int) {
 	f.mu.Lock()
--- a/internal/sidecar/hand.go
+++ b/internal/sidecar/hand.go
@@ -52,8 +52,10 @@
 	reloads  reloads
 	log      *slog.Logger
 
-	serves atomic.Bool
-	seen   [2]int64 // version of what was decided last, of the goroutine that attends
+	serves  atomic.Bool
+	leaving atomic.Bool
+	shared  int      // processes that share the limits, of the goroutine that attends
+	seen    [2]int64 // version of what was decided last, of the goroutine that attends
 
 	mu  sync.Mutex
 	out succession.Out // where there is no place
@@ -167,7 +169,7 @@
 func (h *hand) attend(ctx context.Context, before succession.Others) {
 	tick := time.NewTicker(attendEvery)
 	defer tick.Stop()
-	h.share(processes(before))
+	h.share(before)
 	for {
 		select {
 		case <-tick.C:
@@ -185,23 +187,49 @@
 		now := h.place.Look()
 		if processes(now) != processes(before) {
 			h.log.Info("processes of this sidecar", "older", now.Older, "younger", now.Younger)
-			h.share(processes(now))
+		}
+		if processes(now) == 2 || processes(before) == 2 {
+			h.share(now)
 		}
 		before = now
 	}
 }
 
-// share holds this process to its part of the limits.
-func (h *hand) share(processes int) {
-	h.cfg.Limits.Apply(processes)
-	budget := h.cfg.sockets(processes)
+// share holds this process to its part of the limits: of the connections that nobody holds yet half of those there are,
+// and all of them where the other process takes no more.
+func (h *hand) share(others succession.Others) {
+	n := processes(others)
+	if n != h.shared {
+		h.shared = n
+		h.cfg.Limits.Apply(n)
+	}
+	budget := h.cfg.sockets(n)
+	if n > 1 {
+		use := succession.Use{Clients: h.fronts[0].Open(), Servers: h.back.Open(), Leaving: h.leaving.Load()}
+		h.place.Tell(use)
+		part := func(all, mine, theirs int) int {
+			free := max(0, all-mine-theirs)
+			switch {
+			case use.Leaving:
+				free = 0
+			case !others.Use.Leaving:
+				free /= 2
+			}
+			return max(mine+free, leastShare)
+		}
+		budget.clients = part(budget.clients, use.Clients, others.Use.Clients)
+		budget.servers = part(budget.servers, use.Servers, others.Use.Servers)
+	}
 	h.fronts[0].Resize(budget.clients)
 	if len(h.fronts) > 1 {
-		h.fronts[1].Resize(budget.rpcClients)
+		h.fronts[1].Resize(budget.rpcClients / n)
 	}
 	h.back.Resize(budget.servers)
 }
 
+// leastShare is how many connections of a kind a process may hold whatever the others do.
+const leastShare = 8
+
 // waitReady returns when this process can take over, or ctx ends.
 func (h *hand) waitReady(ctx context.Context) {
 	tick := time.NewTicker(5 * time.Millisecond)
@@ -235,6 +263,8 @@
 		return
 	}
 	h.log.Info("another process has taken over")
+	h.leaving.Store(true)
+	h.place.Tell(succession.Use{Clients: h.fronts[0].Open(), Servers: h.back.Open(), Leaving: true})
 	for _, f := range h.fronts {
 		f.HandOver()
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -39,7 +39,7 @@
 // Run serves until ctx ends, and then until all that was taken is answered. With each signal of reloads it reads
 // the configuration's file again.
 func Run(ctx context.Context, cfg *Config, reloads <-chan os.Signal, log *slog.Logger) error {
-	on := listeners{later: cfg.openFronts}
+	on := listeners{later: cfg.openFronts, log: log}
 	if cfg.Admin != "" {
 		var err error
 		if on.admin, err = net.Listen("tcp", cfg.Admin); err != nil {
@@ -61,29 +61,57 @@
 	return serve(ctx, cfg, on, reloads, log)
 }
 
-// openFronts opens what clients and pages are served on. Where operators have an address, a later process may serve beside
-// this one.
+// openFronts opens what clients and pages are served on: the sockets of the process before this one, where there is one and
+// they are the same. Where operators have an address, a later process may serve beside this one.
 func (c *Config) openFronts(on *listeners) error {
+	var inherited map[string]net.Listener
+	if on.place != nil && on.place.Look().Older {
+		var err error
+		if inherited, err = on.place.Inherit(); err != nil {
+			on.log.Warn("new connections may be lost when the process before this one ends", "error", err)
+		}
+	}
+	defer func() {
+		for _, ln := range inherited { // what has changed its address
+			ln.Close()
+		}
+	}()
 	for _, l := range []struct {
 		addr string
 		ln   *net.Listener
 		what string
 	}{
-		{c.Listen, &on.http, "listen"}, {c.Options.MsgpackRPC.Listen, &on.rpc, "listen for MessagePack-RPC"},
-		{c.Options.Operators.Listen, &on.operators, "listen for operators"},
+		{c.Listen, &on.http, "http"}, {c.Options.MsgpackRPC.Listen, &on.rpc, "MessagePack-RPC"},
+		{c.Options.Operators.Listen, &on.operators, "operators"},
 	} {
 		if l.addr == "" {
 			continue
 		}
+		if ln := inherited[l.what]; ln != nil && ln.Addr().String() == l.addr {
+			delete(inherited, l.what)
+			*l.ln = ln
+			continue
+		}
 		ln, err := socket.Listen(l.addr, c.Admin != "")
 		if err != nil {
-			return fmt.Errorf("%s: %w", l.what, err)
+			return fmt.Errorf("listen for %s: %w", l.what, err)
 		}
 		*l.ln = ln
 	}
 	return nil
 }
 
+// named are the listeners that a later process can have.
+func (on *listeners) named() map[string]net.Listener {
+	all := map[string]net.Listener{}
+	for name, ln := range map[string]net.Listener{"http": on.http, "MessagePack-RPC": on.rpc, "operators": on.operators} {
+		if ln != nil {
+			all[name] = ln
+		}
+	}
+	return all
+}
+
 // listeners are the sockets that a sidecar serves on.
 type listeners struct {
 	http net.Listener
@@ -92,6 +120,7 @@
 	operators net.Listener // nil: no pages
 	admin     net.Listener // nil: no calls
 	place     *succession.Place
+	log       *slog.Logger
 	later     func(*listeners) error // opens the first three once this process can serve; nil: they are open
 }
 
@@ -110,6 +139,7 @@
 	// Pause sends clients away, or takes them in again, and Resize changes how many connections they may have.
 	Pause(on bool)
 	Resize(connections int)
+	Open() int // connections
 	// HandOver says, before End, that another process serves at the address.
 	HandOver()
 	// End answers all that was taken, within a time.
@@ -119,13 +149,13 @@
 // sockets says how many connections each part may hold.
 type sockets struct{ servers, clients, rpcServers, rpcClients int }
 
-// sockets divides the descriptors, of which so many processes of the sidecar have a part each.
+// sockets divides the descriptors that all processes of the sidecar have together, of which each needs some for itself.
 func (c *Config) sockets(processes int) sockets {
 	spare := spareSockets
 	if c.Admin != "" {
 		spare += operators.MostCallers
 	}
-	all := max(leastSockets-spareSockets, c.Limits.Sockets/processes-spare)
+	all := max(leastSockets-spareSockets, c.Limits.Sockets-processes*spare)
 	n := sockets{servers: all / 2}
 	n.clients = all - n.servers
 	if c.Options.MsgpackRPC.Listen != "" {
@@ -260,6 +290,11 @@
 		}
 	}
 	log.Info("listening", "address", ln.http.Addr().String())
+	if ln.place != nil {
+		if err := ln.place.Offer(ln.named()); err != nil {
+			log.Warn("a later process cannot have the sockets of this one", "error", err)
+		}
+	}
 	serveOn := []net.Listener{ln.http}
 	if ln.rpc != nil {
 		log.Info("listening for MessagePack-RPC", "rpc_address", ln.rpc.Addr().String())
--- /dev/null
+++ b/internal/succession/listeners.go
@@ -0,0 +1,138 @@
+package succession
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// handWithin bounds how long a process waits for what another listens on.
+	handWithin = 300 * time.Millisecond
+	// mostHanded bounds the listeners, and their names.
+	mostHanded      = 8
+	longestHandover = 256
+)
+
+// Offer gives every later process that asks for it what this one listens on, by name. Both then take connections off the
+// same queue, so that none is lost when either closes. It ends with Leave.
+func (p *Place) Offer(listeners map[string]net.Listener) error {
+	if len(listeners) > mostHanded {
+		return fmt.Errorf("succession: %d listeners: want %d at most", len(listeners), mostHanded)
+	}
+	path := p.socket(p.number)
+	os.Remove(path)
+	ln, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+	if err != nil {
+		return fmt.Errorf("succession: %w", err)
+	}
+	p.offer = ln
+	go func() {
+		for {
+			c, err := ln.AcceptUnix()
+			if err != nil {
+				return
+			}
+			hand(c, listeners)
+			c.Close()
+		}
+	}()
+	return nil
+}
+
+func (p *Place) socket(number int) string { return filepath.Join(p.dir, "s-"+strconv.Itoa(number)) }
+
+// hand writes the names of listeners, each on a line, and with them their descriptors.
+func hand(c *net.UnixConn, listeners map[string]net.Listener) {
+	var names []string
+	var fds []int
+	for name, ln := range listeners {
+		l, ok := ln.(*net.TCPListener)
+		if !ok {
+			continue
+		}
+		f, err := l.File()
+		if err != nil {
+			continue
+		}
+		defer f.Close()
+		names, fds = append(names, name), append(fds, int(f.Fd()))
+	}
+	c.SetDeadline(time.Now().Add(handWithin))
+	c.WriteMsgUnix([]byte(strings.Join(names, "\n")+"\n"), unix.UnixRights(fds...), nil)
+}
+
+// Inherit returns what the process before this one listens on, by name. Without such a process it is an error.
+func (p *Place) Inherit() (map[string]net.Listener, error) {
+	others, err := p.others()
+	if err != nil {
+		return nil, fmt.Errorf("succession: %w", err)
+	}
+	before := 0
+	for _, o := range others {
+		if o.lives && o.number < p.number {
+			before = max(before, o.number)
+		}
+	}
+	if before == 0 {
+		return nil, errors.New("succession: no process came before this one")
+	}
+	conn, err := net.DialTimeout("unix", p.socket(before), handWithin)
+	if err != nil {
+		return nil, fmt.Errorf("succession: %w", err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(handWithin))
+	text, rights := make([]byte, longestHandover), make([]byte, unix.CmsgSpace(4*mostHanded))
+	n, rn, _, _, err := conn.(*net.UnixConn).ReadMsgUnix(text, rights)
+	if err != nil {
+		return nil, fmt.Errorf("succession: %w", err)
+	}
+	fds, err := descriptors(rights[:rn])
+	if err != nil {
+		return nil, fmt.Errorf("succession: %w", err)
+	}
+	names := strings.Fields(string(text[:n]))
+	all := map[string]net.Listener{}
+	for i, fd := range fds {
+		f := os.NewFile(uintptr(fd), "listener")
+		ln, err := net.FileListener(f)
+		f.Close()
+		if err != nil || i >= len(names) {
+			for _, got := range all {
+				got.Close()
+			}
+			for _, rest := range fds[i+1:] {
+				unix.Close(rest)
+			}
+			return nil, errors.Join(errors.New("succession: what was handed over is no listener"), err)
+		}
+		all[names[i]] = ln
+	}
+	return all, nil
+}
+
+// descriptors are those that came with a message.
+func descriptors(rights []byte) ([]int, error) {
+	messages, err := unix.ParseSocketControlMessage(rights)
+	if err != nil {
+		return nil, err
+	}
+	var fds []int
+	for i := range messages {
+		got, err := unix.ParseUnixRights(&messages[i])
+		if err != nil {
+			return nil, err
+		}
+		fds = slices.Concat(fds, got)
+	}
+	return fds, nil
+}
--- a/internal/succession/succession.go
+++ b/internal/succession/succession.go
@@ -4,7 +4,7 @@
 // again.
 //
 // Each process holds a file n-N with a lock of the kernel's, which ends with the process however that ends; N grows. Its
-// name ends in .ready once it serves. out.json is replaced as a whole, by rename, under the lock of the file named lock.
+// name ends in .ready once it serves. Who asks at the Unix socket s-N is given what the process listens on. out.json is replaced as a whole, by rename, under the lock of the file named lock.
 // Begin with Join.
 package succession
 
@@ -13,6 +13,7 @@
 	"errors"
 	"fmt"
 	"io/fs"
+	"net"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -38,7 +39,8 @@
 	dir    string
 	number int
 	own    *os.File
-	name   string // of own
+	name   string            // of own
+	offer  *net.UnixListener // nil: none
 }
 
 // Join takes the next place in a folder, which is made if it is not there. Files of processes that have ended go.
@@ -74,6 +76,10 @@
 
 // Leave gives the place up.
 func (p *Place) Leave() {
+	if p.offer != nil {
+		p.offer.Close()
+		p.offer = nil
+	}
 	if p.own != nil {
 		os.Remove(p.name)
 		p.own.Close()
@@ -98,6 +104,35 @@
 	Older   bool // one that came before
 	Younger bool // one that came after
 	Heir    bool // a younger one that serves
+	Use     Use  // of all of them together, as last told
+}
+
+// Use is what a process holds of what all of them have together.
+type Use struct {
+	Clients, Servers int  // connections
+	Leaving          bool // it takes no more
+}
+
+// Tell tells the other processes what this one holds.
+func (p *Place) Tell(u Use) {
+	leaving := 0
+	if u.Leaving {
+		leaving = 1
+	}
+	p.own.WriteAt(fmt.Appendf(nil, "%8d %8d %d\n", u.Clients, u.Servers, leaving), 0)
+}
+
+// use is what the process of a file has told; nothing where it has not.
+func (p *Place) use(name string) (u Use) {
+	text, err := os.ReadFile(filepath.Join(p.dir, name))
+	leaving := 0
+	if err == nil {
+		if n, _ := fmt.Sscan(string(text), &u.Clients, &u.Servers, &leaving); n < 3 {
+			return Use{}
+		}
+	}
+	u.Leaving = leaving == 1
+	return u
 }
 
 // Look tells who else lives. What can't be read counts as nobody.
@@ -112,6 +147,9 @@
 			o.Older = o.Older || x.number < p.number
 			o.Younger = o.Younger || x.number > p.number
 			o.Heir = o.Heir || x.number > p.number && x.ready
+			u := p.use(x.name)
+			o.Use.Clients, o.Use.Servers = o.Use.Clients+max(0, u.Clients), o.Use.Servers+max(0, u.Servers)
+			o.Use.Leaving = u.Leaving
 		}
 	}
 	return o
--- a/internal/upstream/http/upstream.go
+++ b/internal/upstream/http/upstream.go
@@ -93,6 +93,13 @@
 // Evict closes the connection that has been idle for longest, and reports whether there was one.
 func (b *Back) Evict() bool { return b.up.pool.evict() }
 
+// Open returns how many connections there are.
+func (b *Back) Open() int {
+	b.up.pool.mu.Lock()
+	defer b.up.pool.mu.Unlock()
+	return b.up.pool.open
+}
+
 // Resize changes how many connections may be open; idle ones beyond it go at once.
 func (b *Back) Resize(n int) { b.up.pool.resize(max(1, n)) }
 
