Tests of operators' calls, upgrades, drains and long bodies; two mends they led to

Cause: the race detector saw a buffer given back before it was written (an answer that breaks off), and the test of upgrades a connection that was accepted in the moment of the end and closed unserved. Change: the piece is written first; the end waits until nothing more is accepted. The console reads on after an overlong line, or its answer would be destroyed.

--- a/balance/trouble_test.go
+++ b/balance/trouble_test.go
@@ -1030,3 +1030,60 @@
 		t.Errorf("after %d resets: %v", maxCuts+1, acts)
 	}
 }
+
+// The body of an upload takes as long as its client likes: until its last byte is out neither the server nor the load is to
+// blame for the time, and from then on its time counts.
+func TestUploadsCountFromTheirLastByte(t *testing.T) {
+	g := newRig(t, baseConfig(), fleet(2)...)
+	g.next++
+	id := g.next
+	acts := g.do(Request{ID: id, Class: safeClass, Remaining: 1500, Upload: true})
+	at, ok := sentTo(acts)
+	if !ok || has(acts, SetTimer) {
+		t.Fatalf("an upload: %v", acts)
+	}
+	g.now += 60000
+	if s := g.b.byID[at]; s.errs > 0 || g.b.openLoad() != 0 {
+		t.Errorf("after a minute the server has %d errors and %v load", s.errs, g.b.openLoad())
+	}
+	if acts := g.do(Sent{Request: id}); !has(acts, SetTimer) || g.b.openLoad() <= 0 {
+		t.Errorf("when it is out: %v, load %v", acts, g.b.openLoad())
+	}
+	g.do(Sent{Request: id}) // a second time counts nothing twice
+	g.now += 1499
+	if acts := g.do(Timer{Token: uint64(id)}); has(acts, Fail) || has(acts, Refuse) {
+		t.Errorf("given up before its time: %v", acts)
+	}
+	g.now++
+	if acts := g.do(Timer{Token: uint64(id)}); !has(acts, Refuse) {
+		t.Errorf("at its deadline: %v", acts)
+	}
+	g.answer(id, 0, Cancelled, 1500)
+	if load := g.b.openLoad() + g.b.lost; load > 1e-9 || load < -1e-9 {
+		t.Errorf("load %v is left over", load)
+	}
+}
+
+// What has gone with an attempt cannot be sent again, by any class.
+func TestSpentBodiesAreNotSentAgain(t *testing.T) {
+	for class, want := range map[int]ActionKind{safeClass: Refuse, unsafeClass: Refuse, cellClass: Refuse} {
+		g := newRig(t, baseConfig(), fleet(4)...)
+		g.next++
+		id := g.next
+		at, _ := sentTo(g.do(Request{ID: id, Class: class, Remaining: 500, Upload: true}))
+		acts := g.do(Outcome{Request: id, Server: at, Result: ConnectFailed, Spent: true})
+		if _, again := sentTo(acts); again || !has(acts, want) {
+			t.Errorf("class %d: %v", class, acts)
+		}
+		if load := g.b.openLoad(); load != 0 {
+			t.Errorf("class %d: load %v is left over", class, load)
+		}
+	}
+	g := newRig(t, baseConfig(), fleet(4)...)
+	g.next++
+	at, _ := sentTo(g.do(Request{ID: g.next, Class: unsafeClass, Remaining: 500, Upload: true}))
+	g.do(Sent{Request: g.next})
+	if acts := g.do(Outcome{Request: g.next, Server: at, Result: Reset, Spent: true}); !has(acts, Fail) {
+		t.Errorf("one that may have run: %v", acts)
+	}
+}
--- a/internal/front/http/poll_linux.go
+++ b/internal/front/http/poll_linux.go
@@ -29,6 +29,7 @@
 	exchange *core.Loop
 	start    time.Time
 	failed   chan error
+	accepted chan struct{} // closed when no connection is taken any more
 	state
 	most    atomic.Int64 // connections
 	strange rate.Sometimes
@@ -106,7 +107,7 @@
 		return nil, fmt.Errorf("poll: %w", err)
 	}
 	f := &PollFront{
-		cfg: cfg, exchange: exchange, start: time.Now(), failed: make(chan error, 1), epoll: os.NewFile(uintptr(fd), "epoll"),
+		cfg: cfg, exchange: exchange, start: time.Now(), failed: make(chan error, 1), accepted: make(chan struct{}), epoll: os.NewFile(uintptr(fd), "epoll"),
 		scratch: make([]byte, readAtOnce), events: make([]unix.EpollEvent, 256),
 		strange: rate.Sometimes{First: 3, Interval: time.Second}, cuts: rate.Sometimes{First: 5, Interval: time.Second},
 	}
@@ -137,6 +138,7 @@
 	f.ln, f.listening = ln, listening
 	f.mu.Unlock()
 	f.tasks.Go(func() {
+		defer close(f.accepted)
 		if err := f.accept(listening); err != nil && !errors.Is(err, net.ErrClosed) {
 			f.failed <- err
 		}
@@ -415,6 +417,12 @@
 	}
 	f.mu.Lock()
 	f.unlisten()
+	f.mu.Unlock()
+	select { // one that was just accepted is yet to come in
+	case <-f.accepted:
+	case <-limit.Done():
+	}
+	f.mu.Lock()
 	empty := make(chan struct{})
 	if f.open == 0 {
 		close(empty)
--- a/internal/front/http/stream_linux.go
+++ b/internal/front/http/stream_linux.go
@@ -206,10 +206,10 @@
 		c.down = nil
 		c.setTimeout(streamTimeout)
 	case err != nil: // cut off where the client can tell
-		outBuffers.Put(buf[:0])
 		if n > 0 {
 			unix.Write(c.fd, out)
 		}
+		outBuffers.Put(buf[:0])
 		c.note("an answer breaks off", err)
 		c.abort()
 		return false
--- a/internal/operators/console.go
+++ b/internal/operators/console.go
@@ -189,6 +189,10 @@
 	c.SetDeadline(time.Now().Add(callPatience))
 	if err != nil { // half a call, or more than one may have: nothing is done for it
 		io.WriteString(c, "-ERR a line that does not end\n")
+		if half, ok := c.(interface{ CloseWrite() error }); ok { // closed with bytes unread, the answer would be destroyed
+			half.CloseWrite()
+			io.CopyN(io.Discard, c, longestCall*longestCall)
+		}
 		return
 	}
 	word, arg, _ := strings.Cut(strings.TrimSpace(line), " ")
--- /dev/null
+++ b/internal/operators/console_test.go
@@ -0,0 +1,139 @@
+package operators
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"cedararch/internal/testbed"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// sidecar notes what it is asked for.
+type sidecar struct {
+	mu    sync.Mutex
+	asked []string
+	ready bool
+}
+
+func (s *sidecar) note(what string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asked = append(s.asked, what)
+}
+
+func (s *sidecar) Ready() bool { return s.ready }
+func (s *sidecar) Figures(context.Context) ([]string, error) {
+	return []string{"sidecar.current=1"}, nil
+}
+func (s *sidecar) Suspend(_ context.Context, id string, out bool) error {
+	if id == "none" {
+		return errors.New("never\nlisted")
+	}
+	s.note(map[bool]string{true: "out ", false: "in "}[out] + id)
+	return nil
+}
+func (s *sidecar) Pause(on bool) { s.note(map[bool]string{true: "pause", false: "resume"}[on]) }
+
+func startConsole(t *testing.T, s *sidecar) string {
+	ln := testbed.Listen(t)
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- NewConsole(SidecarCalls(s), slog.New(slog.DiscardHandler)).Serve(ctx, ln) }()
+	t.Cleanup(func() {
+		stop()
+		if err := testbed.Next(t, done); err != nil {
+			t.Error(err)
+		}
+	})
+	return ln.Addr().String()
+}
+
+func dial(t *testing.T, addr string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(testbed.Patience))
+	return c
+}
+
+func ask(t *testing.T, addr, line string) string {
+	t.Helper()
+	c := dial(t, addr)
+	io.WriteString(c, line)
+	got, err := io.ReadAll(c)
+	if err != nil {
+		t.Fatalf("%q: %v", line, err)
+	}
+	return string(got)
+}
+
+func TestCalls(t *testing.T) {
+	s := &sidecar{}
+	addr := startConsole(t, s)
+	for _, c := range []struct{ line, want string }{
+		{"STATUS\n", "-ERR not ready\n"},
+		{"METRICS\r\n", "+OK\nsidecar.current=1\n.\n"},
+		{"SUSPEND s-1\n", "+OK\n"},
+		{"restore s-1\n", "+OK\n"},
+		{"SUSPEND none\n", "-ERR never listed\n"}, // on one line, whatever the reason holds
+		{"SUSPEND\n", "-ERR want the id of one server\n"},
+		{"SUSPEND s-1 s-2\n", "-ERR want the id of one server\n"},
+		{"PAUSE now\n", "-ERR this call takes nothing more\n"},
+		{"PAUSE\n", "+OK\n"},
+		{"RESUME\n", "+OK\n"},
+		{"REBOOT\n", "-ERR no such call\n"},
+		{"\n", "-ERR no such call\n"},
+		{strings.Repeat("x", 2*longestCall) + "\n", "-ERR a line that does not end\n"},
+	} {
+		if got := ask(t, addr, c.line); got != c.want {
+			t.Errorf("%.20q: answered %q, want %q", c.line, got, c.want)
+		}
+	}
+	if got := strings.Join(s.asked, ","); got != "out s-1,in s-1,pause,resume" {
+		t.Errorf("done: %s", got)
+	}
+}
+
+// Half a call does nothing, also when its caller leaves.
+func TestHalfACall(t *testing.T) {
+	s := &sidecar{}
+	addr := startConsole(t, s)
+	c := dial(t, addr)
+	io.WriteString(c, "SUSPEND s-1")
+	c.(*net.TCPConn).CloseWrite()
+	if got, _ := io.ReadAll(c); string(got) != "-ERR a line that does not end\n" {
+		t.Errorf("answered %q", got)
+	}
+	if len(s.asked) > 0 {
+		t.Errorf("done: %v", s.asked)
+	}
+}
+
+// Callers that only sit there take nobody's place.
+func TestSilentCallersMakeRoom(t *testing.T) {
+	s := &sidecar{ready: true}
+	addr := startConsole(t, s)
+	for range 3 * mostCallers {
+		dial(t, addr)
+	}
+	start := time.Now()
+	if got := ask(t, addr, "STATUS\n"); got != "+OK\n" {
+		t.Errorf("answered %q", got)
+	}
+	if took := time.Since(start); took > answerWithin {
+		t.Errorf("after %v", took)
+	}
+}
--- /dev/null
+++ b/internal/pipe/pipe_test.go
@@ -0,0 +1,132 @@
+package pipe
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Whatever is put in comes out once, in order, and no more waits than the limit and one piece.
+func TestNothingIsLostOrPilesUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := New(-1)
+		var in, out []byte
+		next := byte(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "put") && p.Room() > 0 {
+				piece := make([]byte, rapid.IntRange(0, 20000).Draw(t, "piece"))
+				for i := range piece {
+					next++
+					piece[i] = next
+				}
+				if err := p.Put(piece); err != nil {
+					t.Fatal(err)
+				}
+				in = append(in, piece...)
+			} else {
+				var err error
+				if out, err = p.Append(out, rapid.IntRange(1, 20000).Draw(t, "most")); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if waits := len(in) - len(out); waits > Limit+20000 || Limit-waits != p.Room() {
+				t.Fatalf("%d bytes wait, room for %d", waits, p.Room())
+			}
+		}
+		p.CloseWrite(nil)
+		var err error
+		for err == nil {
+			out, err = p.Append(out, 5000)
+		}
+		if err != io.EOF || !bytes.Equal(in, out) {
+			t.Fatalf("%d bytes in, %d out, %v", len(in), len(out), err)
+		}
+	})
+}
+
+func TestSidesWaitForEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := New(3 * Limit)
+		var got []byte
+		done := make(chan error)
+		go func() {
+			buf := make([]byte, 1000)
+			for {
+				n, err := p.Read(buf, time.Minute)
+				got = append(got, buf[:n]...)
+				if err != nil {
+					done <- err
+					return
+				}
+				time.Sleep(time.Millisecond)
+			}
+		}()
+		want := bytes.Repeat([]byte("0123456789"), 9000)
+		for rest := want; len(rest) > 0; {
+			n := min(len(rest), 7000)
+			if err := p.Write(rest[:n], time.Minute); err != nil {
+				t.Fatal(err)
+			}
+			rest = rest[n:]
+		}
+		p.CloseWrite(nil)
+		if err := <-done; err != io.EOF || !bytes.Equal(got, want) {
+			t.Errorf("%d of %d bytes, %v", len(got), len(want), err)
+		}
+	})
+}
+
+// Neither side waits for ever for the other, nor goes on when that has given up.
+func TestGivingUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := New(-1)
+		if _, err := p.Read(make([]byte, 1), time.Second); err != ErrStalled {
+			t.Errorf("nothing comes: %v", err)
+		}
+		p.Put(make([]byte, Limit))
+		if err := p.Write([]byte{1}, time.Second); err != ErrStalled {
+			t.Errorf("nothing is taken: %v", err)
+		}
+		left := errors.New("left")
+		ends := make(chan bool, 2)
+		p.OnEnd(func(whole bool) { ends <- whole })
+		go func() {
+			time.Sleep(time.Second)
+			p.CloseRead(left)
+			p.CloseRead(nil)
+		}()
+		if err := p.Write([]byte{1}, time.Minute); err != left {
+			t.Errorf("when the reader has left: %v", err)
+		}
+		p.CloseWrite(nil)
+		if whole := <-ends; whole || len(ends) > 0 {
+			t.Errorf("ended as whole: %v, then %d times more", whole, len(ends))
+		}
+	})
+}
+
+// A body ends well only when its last byte has been taken out.
+func TestEnds(t *testing.T) {
+	for name, c := range map[string]struct {
+		end   error
+		whole bool
+	}{"whole": {nil, true}, "broken off": {io.ErrUnexpectedEOF, false}} {
+		p := New(2)
+		var got []bool
+		p.OnEnd(func(whole bool) { got = append(got, whole) })
+		p.Put([]byte("ab"))
+		p.CloseWrite(c.end)
+		if c.whole && len(got) > 0 {
+			t.Errorf("%s: ended before it was taken out", name)
+		}
+		p.Append(nil, 10)
+		if len(got) != 1 || got[0] != c.whole {
+			t.Errorf("%s: ended as %v", name, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/sidecar/hand_test.go
@@ -0,0 +1,308 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cedararch/internal/roster"
+	"cedararch/internal/succession"
+	"cedararch/internal/testbed"
+)
+
+// process is a sidecar as Run starts it, with calls for operators and a folder that others may share.
+type process struct {
+	t     *testing.T
+	addr  string
+	admin string
+	end   context.CancelFunc
+	ended chan error
+}
+
+// startProcess starts one that listens at addr; empty: at an address of its own.
+func startProcess(t *testing.T, cfg *Config, dir, addr string, discovery *testbed.Roster) *process {
+	t.Helper()
+	cfg.Discovery = discovery.Addr
+	cfg.Admin = "127.0.0.1:0"
+	if addr == "" {
+		ln := testbed.Listen(t)
+		addr = ln.Addr().String()
+		ln.Close()
+	}
+	cfg.Listen = addr
+	admin := testbed.Listen(t)
+	place, err := succession.Join(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := slog.New(slog.DiscardHandler)
+	on := listeners{admin: admin, place: place, later: cfg.openFronts, log: log}
+	if !place.Look().Older {
+		if err := on.later(&on); err != nil {
+			t.Fatal(err)
+		}
+		on.later = nil
+	}
+	ctx, end := context.WithCancel(context.Background())
+	p := &process{t: t, addr: addr, admin: admin.Addr().String(), end: end, ended: make(chan error, 1)}
+	go func() {
+		err := serve(ctx, cfg, on, nil, log)
+		place.Leave()
+		p.ended <- err
+	}()
+	t.Cleanup(func() {
+		end()
+		select {
+		case err := <-p.ended:
+			if err != nil {
+				t.Errorf("ended with %v", err)
+			}
+		case <-time.After(testbed.Patience):
+			t.Error("does not end")
+		}
+	})
+	return p
+}
+
+func (p *process) call(line string) string {
+	p.t.Helper()
+	c, err := net.Dial("tcp", p.admin)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(testbed.Patience))
+	io.WriteString(c, line+"\n")
+	got, err := io.ReadAll(c)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	return strings.TrimSuffix(string(got), "\n")
+}
+
+func (p *process) figure(name string) int {
+	p.t.Helper()
+	for _, line := range strings.Split(p.call("METRICS"), "\n") {
+		if v, ok := strings.CutPrefix(line, "sidecar."+name+"="); ok {
+			n, err := strconv.Atoi(v)
+			if err != nil {
+				p.t.Fatal(err)
+			}
+			return n
+		}
+	}
+	p.t.Fatalf("no figure %s", name)
+	return 0
+}
+
+// get makes a request on a client of its own.
+func (p *process) get(client *http.Client) string {
+	p.t.Helper()
+	n := node{t: p.t, addr: p.addr, client: client}
+	resp, body := n.do(n.request("read"))
+	if resp.StatusCode != 200 {
+		return resp.Status
+	}
+	return body
+}
+
+func newClient(t *testing.T) *http.Client {
+	c := &http.Client{Transport: &http.Transport{}, Timeout: testbed.Patience}
+	t.Cleanup(c.CloseIdleConnections)
+	return c
+}
+
+func twoServers(t *testing.T) (*Config, roster.List) {
+	one, two := testbed.NewScript(t, testbed.Say(200, "one")), testbed.NewScript(t, testbed.Say(200, "two"))
+	list := roster.List{Revision: 42, Complete: true, Members: []roster.Member{ready("s-1", one.Addr), ready("s-2", two.Addr)}}
+	return testConfig(t, list.Members...), list
+}
+
+// A server that is out by hand gets nothing, whatever the list says and whichever process serves, until it is put back.
+func TestServersOutByHand(t *testing.T) {
+	cfg, list := twoServers(t)
+	dir := filepath.Join(t.TempDir(), "shared")
+	discovery := testbed.NewRoster(t)
+	p, client := startProcess(t, cfg, dir, "", discovery), newClient(t)
+	only := func(p *process, what, want string) {
+		t.Helper()
+		for range 6 {
+			if got := p.get(client); got != want {
+				t.Fatalf("%s: served by %q", what, got)
+			}
+		}
+	}
+	if got := p.call("SUSPEND s-9"); !strings.HasPrefix(got, "-ERR ") {
+		t.Errorf("one that was never listed: %q", got)
+	}
+	for range 2 {
+		if got := p.call("SUSPEND s-1"); got != "+OK" {
+			t.Fatalf("answered %q", got)
+		}
+	}
+	only(p, "out", "two")
+	if size, avoided := p.figure("cluster_size"), p.figure("cluster_unhealthy"); size != 2 || avoided != 1 {
+		t.Errorf("%d servers, %d avoided", size, avoided)
+	}
+	testbed.Next(t, discovery.Calls)
+	gone := list.Members[0]
+	gone.Phase = "gone"
+	discovery.Lists <- roster.List{Revision: 43, Members: []roster.Member{gone}}
+	testbed.Next(t, discovery.Calls)
+	discovery.Lists <- roster.List{Revision: 44, Members: list.Members[:1]}
+	testbed.Next(t, discovery.Calls)
+	only(p, "listed again", "two")
+
+	next, _ := twoServers(t)
+	next.Known = cfg.Known
+	q := startProcess(t, next, dir, p.addr, discovery)
+	testbed.Next(t, discovery.Calls) // it wants a whole list first
+	list.Revision = 45
+	discovery.Lists <- list
+	testbed.Until(t, "the second process serves", func() bool { return q.call("STATUS") == "+OK" })
+	p.end()
+	p.ended <- testbed.Next(t, p.ended) // for the clean-up
+	client.CloseIdleConnections()
+	only(q, "after an upgrade", "two")
+	if got := q.call("RESTORE s-1"); got != "+OK" {
+		t.Fatalf("answered %q", got)
+	}
+	testbed.Until(t, "it serves again", func() bool { return q.get(client) == "one" })
+}
+
+// While one process follows the other no request runs into a closed door, on kept connections or new ones.
+func TestUpgradeLosesNothing(t *testing.T) {
+	cfg, list := twoServers(t)
+	dir := t.TempDir()
+	discovery := testbed.NewRoster(t)
+	p := startProcess(t, cfg, dir, "", discovery)
+	stop, addr := make(chan bool), p.addr
+	var clients sync.WaitGroup
+	failed := make(chan error, 100)
+	for i := range 4 {
+		clients.Go(func() {
+			client := newClient(t)
+			client.Transport.(*http.Transport).DisableKeepAlives = i%2 == 0
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				n := node{t: t, addr: addr}
+				resp, err := client.Do(n.request("read"))
+				if err == nil {
+					_, err = io.ReadAll(resp.Body)
+					resp.Body.Close()
+					if resp.StatusCode != 200 {
+						err = fmt.Errorf("answered %s", resp.Status)
+					}
+				}
+				if err != nil {
+					failed <- err
+					return
+				}
+			}
+		})
+	}
+	for i := range 3 {
+		next, _ := twoServers(t)
+		next.Known = cfg.Known
+		q := startProcess(t, next, dir, addr, discovery)
+		list.Revision += int64(i) + 1
+		discovery.Lists <- list // to whichever asks: the first has all of it
+		testbed.Until(t, "the next process serves", func() bool { return q.call("STATUS") == "+OK" })
+		p.end()
+		p.ended <- testbed.Next(t, p.ended)
+		p = q
+	}
+	close(stop)
+	clients.Wait()
+	close(failed)
+	for err := range failed {
+		t.Error(err)
+	}
+}
+
+// Told to send clients away, the sidecar says so, serves what comes, keeps no connection, and takes clients again.
+func TestDrainByHand(t *testing.T) {
+	bothFronts(t, func(t *testing.T, config func(...*testbed.Script) *Config) {
+		s := testbed.NewScript(t, testbed.Say(200, "one"))
+		p := startProcess(t, config(s), t.TempDir(), "", testbed.NewRoster(t))
+		client := newClient(t)
+		up := func() int {
+			resp, err := client.Get("http://" + p.addr + "/up")
+			if err != nil {
+				t.Fatal(err)
+			}
+			resp.Body.Close()
+			return resp.StatusCode
+		}
+		if up() != 200 || p.get(client) != "one" {
+			t.Fatal("does not serve")
+		}
+		idle, err := net.Dial("tcp", p.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer idle.Close()
+		io.WriteString(idle, "GET /up HTTP/1.1\r\nHost: a\r\n\r\n")
+		in := bufio.NewReader(idle)
+		if resp, err := http.ReadResponse(in, nil); err != nil || resp.Close {
+			t.Fatalf("%v, %v", resp, err)
+		} else {
+			io.ReadAll(resp.Body)
+		}
+		if got := p.call("PAUSE"); got != "+OK" {
+			t.Fatalf("answered %q", got)
+		}
+		if got := up(); got != 503 {
+			t.Errorf("/up: %d", got)
+		}
+		n := node{t: t, addr: p.addr, client: client}
+		if resp, body := n.do(n.request("read")); body != "one" || !resp.Close {
+			t.Errorf("a request: %q, closing: %v", body, resp.Close)
+		}
+		idle.SetReadDeadline(time.Now().Add(testbed.Patience))
+		if _, err := in.ReadByte(); err != io.EOF {
+			t.Errorf("the idle connection: %v", err)
+		}
+		if got := p.call("RESUME"); got != "+OK" || up() != 200 {
+			t.Errorf("after RESUME: %q, /up %d", got, up())
+		}
+	})
+}
+
+// The figures agree with what clients saw, to the request.
+func TestFigures(t *testing.T) {
+	s := testbed.NewScript(t, testbed.Say(200, "one"), testbed.Say(500, ""), testbed.Say(503, "", "X-Never-Ran: 1"))
+	p := startProcess(t, testConfig(t, ready("s-1", s.Addr)), t.TempDir(), "", testbed.NewRoster(t))
+	n := node{t: t, addr: p.addr, client: newClient(t)}
+	for _, want := range []int{200, 502, 503} {
+		req := n.request("pay")
+		req.Header.Set("X-Expires-In", "300m")
+		if resp, _ := n.do(req); resp.StatusCode != want {
+			t.Fatalf("answered %d, want %d", resp.StatusCode, want)
+		}
+	}
+	for name, want := range map[string]int{
+		"answered.pay": 1, "errored.pay": 1, "deferred.pay": 1, "answered.read": 0, "current": 0, "conf_loaded": 0,
+	} {
+		if got := p.figure(name); got != want {
+			t.Errorf("%s is %d, want %d", name, got, want)
+		}
+	}
+	if got, _, _ := s.Seen(); p.figure("sends") != len(got) {
+		t.Errorf("%d sends, the server has seen %d", p.figure("sends"), len(got))
+	}
+}
--- /dev/null
+++ b/internal/succession/succession_test.go
@@ -0,0 +1,134 @@
+package succession
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"cedararch/internal/testbed"
+)
+
+func join(t *testing.T, dir string) *Place {
+	t.Helper()
+	p, err := Join(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Leave)
+	return p
+}
+
+func TestWhoLives(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "shared")
+	one := join(t, dir)
+	if got := one.Look(); got != (Others{}) {
+		t.Errorf("alone: %+v", got)
+	}
+	two := join(t, dir)
+	if got := one.Look(); !got.Younger || got.Heir || got.Older {
+		t.Errorf("before the second serves: %+v", got)
+	}
+	if err := two.Announce(); err != nil {
+		t.Fatal(err)
+	}
+	two.Tell(Use{Clients: 7, Servers: 5, Leaving: true})
+	if got := one.Look(); !got.Heir || got.Use != (Use{7, 5, true}) {
+		t.Errorf("when it serves: %+v", got)
+	}
+	if got := two.Look(); !got.Older || got.Younger || got.Heir {
+		t.Errorf("the second sees %+v", got)
+	}
+	// A process that dies leaves its file; the kernel takes its lock.
+	two.own.Close()
+	two.own = nil
+	if got := one.Look(); got != (Others{}) {
+		t.Errorf("after its death: %+v", got)
+	}
+	if three := join(t, dir); three.number <= two.number {
+		t.Errorf("the third is number %d, after %d", three.number, two.number)
+	}
+}
+
+// What operators decide holds for the others, and for those that come later; what cannot be done changes nothing.
+func TestOut(t *testing.T) {
+	dir := t.TempDir()
+	one, two := join(t, dir), join(t, dir)
+	before := one.Version()
+	at := time.Now().Truncate(time.Second)
+	if _, err := two.Change(func(o Out) error { o["s-1"] = at; return nil }); err != nil {
+		t.Fatal(err)
+	}
+	if one.Version() == before {
+		t.Error("the first is not told")
+	}
+	refusal := errors.New("no")
+	if _, err := one.Change(func(o Out) error { o["s-2"] = at; return refusal }); !errors.Is(err, refusal) {
+		t.Errorf("refused with %v", err)
+	}
+	if _, err := one.Change(func(o Out) error {
+		for i := range MostOut + 1 {
+			o[string(rune('a'+i))] = at
+		}
+		return nil
+	}); err == nil {
+		t.Error("no bound")
+	}
+	one.Leave()
+	two.Leave()
+	if got, err := join(t, dir).Out(); err != nil || len(got) != 1 || !got["s-1"].Equal(at) {
+		t.Errorf("afterwards: %v, %v", got, err)
+	}
+}
+
+func TestUnreadableOut(t *testing.T) {
+	dir := t.TempDir()
+	p := join(t, dir)
+	for name, text := range map[string]string{"cut": `{"s-1":"2026-`, "long": string(make([]byte, maxOut+1))} {
+		if err := os.WriteFile(filepath.Join(dir, outName), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := p.Change(func(Out) error { return nil }); err == nil {
+			t.Errorf("%s: taken for an empty one", name)
+		}
+	}
+}
+
+// A connection that came before the old process closes is the new one's.
+func TestHandedOverSocketsLoseNothing(t *testing.T) {
+	dir := t.TempDir()
+	one := join(t, dir)
+	ln := testbed.Listen(t)
+	if err := one.Offer(map[string]net.Listener{"http": ln}); err != nil {
+		t.Fatal(err)
+	}
+	two := join(t, dir)
+	got, err := two.Inherit()
+	if err != nil || got["http"] == nil {
+		t.Fatalf("%v, %v", got, err)
+	}
+	defer got["http"].Close()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	io.WriteString(c, "hello")
+	ln.Close()
+	one.Leave()
+	taken, err := got["http"].Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	text := make([]byte, 5)
+	if _, err := io.ReadFull(taken, text); err != nil || string(text) != "hello" {
+		t.Errorf("%q, %v", text, err)
+	}
+	if _, err := join(t, dir).Inherit(); err == nil {
+		t.Error("sockets of a process that offers none")
+	}
+}
