Handed over sockets stay non-blocking: an older process could hang in accept at its end

Cause: net's File lets a descriptor block, and that is the socket's, which all processes share. Under load the older process stood in accept4 for a connection that the younger had taken, and did not end (TestUpgradeLosesNothing, two at once). Change: the descriptor is duplicated by itself. Result: the test passes 8 times beside itself with -race.

--- a/internal/succession/listeners.go
+++ b/internal/succession/listeners.go
@@ -59,12 +59,18 @@
 		if !ok {
 			continue
 		}
-		f, err := l.File()
+		// Not by File: that lets the socket block, of which all processes have one, and with it who accepts here.
+		raw, err := l.SyscallConn()
 		if err != nil {
 			continue
 		}
-		defer f.Close()
-		names, fds = append(names, name), append(fds, int(f.Fd()))
+		fd := -1
+		raw.Control(func(own uintptr) { fd, err = unix.FcntlInt(own, unix.F_DUPFD_CLOEXEC, 0) })
+		if err != nil || fd < 0 {
+			continue
+		}
+		defer unix.Close(fd)
+		names, fds = append(names, name), append(fds, fd)
 	}
 	c.SetDeadline(time.Now().Add(handWithin))
 	c.WriteMsgUnix([]byte(strings.Join(names, "\n")+"\n"), unix.UnixRights(fds...), nil)
