--- a/internal/front/http/framing.go
+++ b/internal/front/http/framing.go
@@ -7,12 +7,13 @@
 	"strings"
 	"sync/atomic"
 	"time"
+
+	"cedararch/internal/httpwire"
 )
 
 var (
 	errTwoLengths = errors.New("a request with both Content-Length and Transfer-Encoding")
 	errBadLength  = errors.New("a request whose Content-Length is repeated or no number")
-	errFolded     = errors.New("a request with a folded header line")
 )
 
 // headLine is what is kept of a line of a head: enough for the names and figures that framing goes by.
@@ -95,7 +96,7 @@
 		return nil
 	}
 	if line[0] == ' ' || line[0] == '\t' {
-		return errFolded
+		return httpwire.ErrFolded
 	}
 	name, value, _ := strings.Cut(line, ":")
 	switch strings.ToLower(strings.TrimSpace(name)) {
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -5,8 +5,7 @@
 // front.go has what both fronts share, Config.fill and the wording of answers, and is the front on the standard
 // library's server, over connections that clients.go budgets and framing.go tells apart into requests. poll_linux.go is
 // the one on the kernel's readiness, pollconn_linux.go one of its connections, stream_linux.go the bodies that pass through
-// it, state.go says whether clients are wanted, head.go reads what comes on it and wheel.go
-// keeps the time-outs. Begin with Front or PollFront.
+// it, state.go says whether clients are wanted and head.go reads what comes on it. Begin with Front or PollFront.
 package http
 
 import (
--- a/internal/front/http/head.go
+++ b/internal/front/http/head.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"net/http"
-	"net/textproto"
 	"net/url"
 	"strconv"
 	"strings"
@@ -27,15 +26,12 @@
 
 // What is wrong with a head, besides framing's errors.
 var (
-	errLineEnd   = errors.New("a line that does not end with CR and LF")
 	errLongHead  = &badRequest{http.StatusRequestHeaderFieldsTooLarge, "head too long"}
 	errNoRequest = errors.New("no request line")
 	errVersion   = &badRequest{http.StatusHTTPVersionNotSupported, "neither HTTP/1.1 nor HTTP/1.0"}
-	errField     = errors.New("a header line that is none")
 	errHost      = errors.New("not exactly one Host, or one that is none")
 	errCoding    = &badRequest{http.StatusNotImplemented, "a Transfer-Encoding other than chunked"}
 	errExpects   = &badRequest{http.StatusExpectationFailed, "an expectation other than 100-continue"}
-	errChunk     = errors.New("a chunk that is none")
 )
 
 // headScan finds the end of a head in bytes that come piece by piece.
@@ -54,7 +50,7 @@
 		}
 		i += s.at
 		if i == 0 || b[i-1] != '\r' {
-			return 0, errLineEnd
+			return 0, httpwire.ErrLineEnd
 		}
 		s.at = i + 1
 		if i-1 == s.line && s.line > 0 {
@@ -77,40 +73,16 @@
 	if err := h.requestLine(line); err != nil {
 		return nil, err
 	}
-	n := strings.Count(rest, "\n")
-	h.header = make(http.Header, n)
-	values := make([]string, 0, n)
-	hosts := 0
-	for rest != "" {
-		line, rest, _ = strings.Cut(rest, "\r\n")
-		if line == "" {
-			return nil, errField
-		}
-		if line[0] == ' ' || line[0] == '\t' {
-			return nil, errFolded
-		}
-		name, value, ok := strings.Cut(line, ":")
-		if !ok || !httpguts.ValidHeaderFieldName(name) {
-			return nil, errField
-		}
-		value = strings.Trim(value, " \t")
-		if !httpguts.ValidHeaderFieldValue(value) || strings.IndexByte(value, '\r') >= 0 {
-			return nil, errField
-		}
-		name = textproto.CanonicalMIMEHeaderKey(name)
-		if name == "Host" {
-			h.host = value
-			hosts++
-			continue
-		}
-		if old := h.header[name]; old != nil {
-			h.header[name] = append(old, value)
-			continue
-		}
-		values = append(values, value)
-		h.header[name] = values[len(values)-1 : len(values) : len(values)]
+	var err error
+	if h.header, err = httpwire.ReadFields(rest); err != nil {
+		return nil, err
+	}
+	hosts := h.header["Host"]
+	if len(hosts) > 0 {
+		h.host = hosts[0]
+		delete(h.header, "Host")
 	}
-	if hosts > 1 || hosts == 0 && !h.last || !httpguts.ValidHostHeader(h.host) {
+	if len(hosts) > 1 || len(hosts) == 0 && !h.last || !httpguts.ValidHostHeader(h.host) {
 		return nil, errHost
 	}
 	return h, h.framing()
@@ -182,77 +154,3 @@
 	}
 	return nil
 }
-
-// mostChunkLine bounds a line of a chunked body that holds no data: a size, with extensions, or a trailer.
-const mostChunkLine = 1 << 10
-
-// chunks reads a chunked body that comes piece by piece. Extensions and trailers are dropped.
-type chunks struct {
-	body     []byte // what has not been taken away
-	total    int64
-	left     int // of the present chunk, with its line end
-	trailers int // bytes of them so far
-	ending   bool
-}
-
-// next takes in b and returns how much of it belongs to the body, and whether its end was there. What is not taken is to
-// come again with more behind it.
-func (c *chunks) next(b []byte) (taken int, done bool, err error) {
-	for {
-		if c.left > 2 {
-			n := min(c.left-2, len(b)-taken)
-			c.body = append(c.body, b[taken:taken+n]...)
-			taken += n
-			c.left -= n
-		}
-		if c.left > 2 {
-			return taken, false, nil
-		}
-		if c.left == 2 {
-			if len(b)-taken < 2 {
-				return taken, false, nil
-			}
-			if b[taken] != '\r' || b[taken+1] != '\n' {
-				return taken, false, errChunk
-			}
-			taken, c.left = taken+2, 0
-		}
-		i := bytes.IndexByte(b[taken:], '\n')
-		if i > mostChunkLine || i < 0 && len(b)-taken > mostChunkLine {
-			return taken, false, errChunk
-		}
-		if i < 0 {
-			return taken, false, nil
-		}
-		line, ok := bytes.CutSuffix(b[taken:taken+i], []byte{'\r'})
-		if !ok {
-			return taken, false, errLineEnd
-		}
-		taken += i + 1
-		if c.ending {
-			if c.trailers += len(line); c.trailers > maxHeader {
-				return taken, false, errLongHead
-			}
-			if len(line) == 0 {
-				return taken, true, nil
-			}
-			if name, _, ok := bytes.Cut(line, []byte{':'}); !ok || !httpguts.ValidHeaderFieldName(string(name)) {
-				return taken, false, errField
-			}
-			continue
-		}
-		size, _, _ := bytes.Cut(line, []byte{';'})
-		n, err := strconv.ParseUint(string(bytes.TrimRight(size, " \t")), 16, 31)
-		if err != nil || len(size) == 0 || size[0] == '+' || size[0] == '_' {
-			return taken, false, errChunk
-		}
-		if c.total+int64(n) > httpwire.MaxStream {
-			return taken, false, errLongBody
-		}
-		c.total += int64(n)
-		c.left, c.ending = int(n)+2, n == 0
-		if c.ending {
-			c.left = 0
-		}
-	}
-}
--- a/internal/front/http/head_test.go
+++ b/internal/front/http/head_test.go
@@ -33,18 +33,18 @@
 	}
 	rest = b[end:]
 	if h.chunked {
-		var c chunks
+		var c httpwire.Chunks
 		var have []byte
 		for {
 			n := min(step, len(rest))
 			have, rest = append(have, rest[:n]...), rest[n:]
-			taken, done, err := c.next(have)
+			taken, done, err := c.Next(have)
 			if err != nil {
 				return nil, nil, nil, err
 			}
 			have = have[taken:]
 			if done {
-				return h, c.body, append(have, rest...), nil
+				return h, c.Body, append(have, rest...), nil
 			}
 			if n == 0 {
 				return nil, nil, nil, io.ErrUnexpectedEOF
@@ -72,13 +72,13 @@
 		"body":               {post + "Content-Length: 2\r\n\r\nab", nil},
 		"chunks":             {post + "Transfer-Encoding: chunked\r\n\r\n2;x=y\r\nab\r\n0\r\nX: y\r\n\r\n", nil},
 		"old":                {"GET / HTTP/1.0\r\n\r\n", nil},
-		"bare LF":            {"GET / HTTP/1.1\nHost: a\n\n", errLineEnd},
-		"bare LF later":      {"GET / HTTP/1.1\r\nHost: a\nX: y\r\n\r\n", errLineEnd},
-		"bare CR":            {"GET / HTTP/1.1\r\nHost: a\r\nX: a\rb\r\n\r\n", errField},
-		"folded":             {"GET / HTTP/1.1\r\nHost: a\r\nX: a\r\n b\r\n\r\n", errFolded},
-		"space before colon": {"GET / HTTP/1.1\r\nHost: a\r\nX : a\r\n\r\n", errField},
-		"no colon":           {"GET / HTTP/1.1\r\nHost: a\r\nX\r\n\r\n", errField},
-		"control in a value": {"GET / HTTP/1.1\r\nHost: a\r\nX: a\x00\r\n\r\n", errField},
+		"bare LF":            {"GET / HTTP/1.1\nHost: a\n\n", httpwire.ErrLineEnd},
+		"bare LF later":      {"GET / HTTP/1.1\r\nHost: a\nX: y\r\n\r\n", httpwire.ErrLineEnd},
+		"bare CR":            {"GET / HTTP/1.1\r\nHost: a\r\nX: a\rb\r\n\r\n", httpwire.ErrField},
+		"folded":             {"GET / HTTP/1.1\r\nHost: a\r\nX: a\r\n b\r\n\r\n", httpwire.ErrFolded},
+		"space before colon": {"GET / HTTP/1.1\r\nHost: a\r\nX : a\r\n\r\n", httpwire.ErrField},
+		"no colon":           {"GET / HTTP/1.1\r\nHost: a\r\nX\r\n\r\n", httpwire.ErrField},
+		"control in a value": {"GET / HTTP/1.1\r\nHost: a\r\nX: a\x00\r\n\r\n", httpwire.ErrField},
 		"no host":            {"GET / HTTP/1.1\r\n\r\n", errHost},
 		"two hosts":          {"GET / HTTP/1.1\r\nHost: a\r\nHost: a\r\n\r\n", errHost},
 		"two spaces":         {"GET  / HTTP/1.1\r\nHost: a\r\n\r\n", errNoRequest},
@@ -93,10 +93,10 @@
 		"long body":          {post + "Content-Length: 65537\r\n\r\n", errLongBody},
 		"another coding":     {post + "Transfer-Encoding: gzip, chunked\r\n\r\n", errCoding},
 		"another wish":       {post + "Expect: more\r\n\r\n", errExpects},
-		"no chunk":           {post + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", errChunk},
-		"chunk too short":    {post + "Transfer-Encoding: chunked\r\n\r\n1\r\nab\r\n0\r\n\r\n", errChunk},
-		"chunks beyond":      {post + "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n2000000\r\n", errLongBody},
-		"chunk LF":           {post + "Transfer-Encoding: chunked\r\n\r\n1\na\r\n0\r\n\r\n", errLineEnd},
+		"no chunk":           {post + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", httpwire.ErrChunk},
+		"chunk too short":    {post + "Transfer-Encoding: chunked\r\n\r\n1\r\nab\r\n0\r\n\r\n", httpwire.ErrChunk},
+		"chunks beyond":      {post + "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n2000000\r\n", httpwire.ErrLongBody},
+		"chunk LF":           {post + "Transfer-Encoding: chunked\r\n\r\n1\na\r\n0\r\n\r\n", httpwire.ErrLineEnd},
 		"head without end":   {"GET / HTTP/1.1\r\n" + strings.Repeat("X: y\r\n", 10000), errLongHead},
 	} {
 		for _, step := range []int{1, 7, 1 << 20} {
--- a/internal/front/http/poll_linux.go
+++ b/internal/front/http/poll_linux.go
@@ -15,7 +15,9 @@
 	"golang.org/x/time/rate"
 
 	"cedararch/internal/core"
+	"cedararch/internal/poller"
 	"cedararch/internal/socket"
+	"cedararch/internal/wheel"
 )
 
 // PollFront is the front on the kernel's readiness: a connection without a request has no goroutine, no timer of its own
@@ -34,23 +36,18 @@
 	most    atomic.Int64 // connections
 	strange rate.Sometimes
 	cuts    rate.Sometimes // bounds what is logged of answers cut short
-	epoll   *os.File
+	poller  *poller.Poller
 	tasks   sync.WaitGroup
-
-	// The poller's own.
-	scratch []byte
-	events  []unix.EpollEvent
 	date    atomic.Pointer[string] // of answers
 
+	scratch []byte // the poller's own
+
 	mu        sync.Mutex
 	ln        net.Listener
 	listening *os.File // another descriptor of it
 	closed    bool
-	slots     []*pollConn // by slot; nil where free
-	free      []int32
-	gens      []int32 // by slot: how often it was given away
 	open      int
-	wheel     wheel
+	wheel     *wheel.Wheel[*pollConn]
 	silent    queue // connections that never asked, the oldest first
 	idle      queue // between two requests, the longest idle first
 	ended     queue // that wait for their client to read the last answer
@@ -97,18 +94,13 @@
 
 // NewPoll returns a front that hands requests to an exchange.
 func NewPoll(cfg Config, exchange *core.Loop) (*PollFront, error) {
-	fd, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
+	p, err := poller.New()
 	if err != nil {
-		return nil, fmt.Errorf("poll: %w", err)
-	}
-	// Non-blocking, the runtime waits for it as for any file: no thread is held in epoll_wait.
-	if err := unix.SetNonblock(fd, true); err != nil {
-		unix.Close(fd)
-		return nil, fmt.Errorf("poll: %w", err)
+		return nil, err
 	}
 	f := &PollFront{
-		cfg: cfg, exchange: exchange, start: time.Now(), failed: make(chan error, 1), accepted: make(chan struct{}), epoll: os.NewFile(uintptr(fd), "epoll"),
-		scratch: make([]byte, readAtOnce), events: make([]unix.EpollEvent, 256),
+		cfg: cfg, exchange: exchange, start: time.Now(), failed: make(chan error, 1), accepted: make(chan struct{}),
+		poller: p, scratch: make([]byte, readAtOnce), wheel: wheel.New[*pollConn](wheelTick, wheelSlots),
 		strange: rate.Sometimes{First: 3, Interval: time.Second}, cuts: rate.Sometimes{First: 5, Interval: time.Second},
 	}
 	f.setDate(time.Now())
@@ -116,6 +108,11 @@
 	return f, nil
 }
 
+const (
+	wheelTick  = 50 * time.Millisecond
+	wheelSlots = 128
+)
+
 // readAtOnce is the one buffer into which connections are read; what is left of a request that is not whole is kept by its
 // connection.
 const readAtOnce = 64 << 10
@@ -143,7 +140,7 @@
 			f.failed <- err
 		}
 	})
-	f.tasks.Go(f.poll)
+	f.tasks.Go(func() { f.poller.Run(func() {}, nil) })
 	done := make(chan struct{})
 	f.tasks.Go(func() { f.tick(done) })
 	f.tasks.Go(func() {
@@ -218,52 +215,23 @@
 		return
 	}
 	c := &pollConn{front: f, fd: fd}
-	c.timeout.owner = c
+	c.timeout.Owner = c
 	f.mu.Lock()
 	if f.closed {
 		f.mu.Unlock()
 		unix.Close(fd)
 		return
 	}
-	if n := len(f.free); n > 0 {
-		c.slot, f.free = f.free[n-1], f.free[:n-1]
-	} else {
-		c.slot = int32(len(f.slots))
-		f.slots, f.gens = append(f.slots, nil), append(f.gens, 0)
-	}
-	f.slots[c.slot] = c
-	f.gens[c.slot]++
-	gen := f.gens[c.slot]
 	f.open++
 	f.enter(c, &f.silent, headTimeout)
 	f.mu.Unlock()
-	err := f.control(func(epoll int) error {
-		return unix.EpollCtl(epoll, unix.EPOLL_CTL_ADD, fd, pollEvent(c.slot, gen))
-	})
-	if err != nil {
-		c.mu.Lock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state != pollClosed && f.poller.Add(fd, c, &c.place) != nil {
 		c.close()
-		c.mu.Unlock()
 	}
 }
 
-// pollEvent asks for all that happens on the connection of a slot.
-func pollEvent(slot, gen int32) *unix.EpollEvent {
-	return &unix.EpollEvent{Events: unix.EPOLLIN | unix.EPOLLOUT | unix.EPOLLRDHUP | unix.EPOLLET, Fd: slot, Pad: gen}
-}
-
-func (f *PollFront) control(do func(epoll int) error) error {
-	raw, err := f.epoll.SyscallConn()
-	if err != nil {
-		return err
-	}
-	var failed error
-	if err := raw.Control(func(fd uintptr) { failed = do(int(fd)) }); err != nil {
-		return err
-	}
-	return failed
-}
-
 // enter puts a connection into a queue and sets its time-out; 0 sets none. The caller holds mu.
 func (f *PollFront) enter(c *pollConn, q *queue, timeout time.Duration) {
 	c.leave()
@@ -272,9 +240,9 @@
 		c.since = f.now()
 	}
 	if timeout > 0 {
-		f.wheel.set(&c.timeout, f.now()+timeout)
+		f.wheel.Set(&c.timeout, f.now()+timeout)
 	} else {
-		f.wheel.clear(&c.timeout)
+		f.wheel.Clear(&c.timeout)
 	}
 }
 
@@ -312,36 +280,6 @@
 	return false
 }
 
-// poll reads what has come on all connections until the front is closed.
-func (f *PollFront) poll() {
-	raw, err := f.epoll.SyscallConn()
-	if err != nil {
-		return
-	}
-	for {
-		n := 0
-		err := raw.Read(func(fd uintptr) bool {
-			var err error
-			n, err = unix.EpollWait(int(fd), f.events, 0)
-			return n > 0 || err != nil && err != unix.EINTR
-		})
-		if err != nil || n < 0 {
-			return // closed
-		}
-		for _, e := range f.events[:n] {
-			f.mu.Lock()
-			var c *pollConn
-			if int(e.Fd) < len(f.slots) && f.gens[e.Fd] == e.Pad {
-				c = f.slots[e.Fd] // else the event is of a connection that has ended, whose place another has by now
-			}
-			f.mu.Unlock()
-			if c != nil {
-				c.ready(e.Events)
-			}
-		}
-	}
-}
-
 // tick plays the time-outs.
 func (f *PollFront) tick(done <-chan struct{}) {
 	ticker := time.NewTicker(wheelTick)
@@ -355,7 +293,7 @@
 			return
 		}
 		f.mu.Lock()
-		due = f.wheel.advance(f.now(), due[:0])
+		due = f.wheel.Advance(f.now(), due[:0])
 		f.mu.Unlock()
 		for _, c := range due {
 			c.expired()
@@ -489,16 +427,14 @@
 	}
 	f.closed = true
 	f.unlisten()
-	all := append([]*pollConn(nil), f.slots...)
 	f.mu.Unlock()
-	for _, c := range all {
-		if c != nil {
-			c.mu.Lock()
-			c.close()
-			c.mu.Unlock()
-		}
+	for _, h := range f.poller.All() {
+		c := h.(*pollConn)
+		c.mu.Lock()
+		c.close()
+		c.mu.Unlock()
 	}
-	f.epoll.Close()
+	f.poller.Close()
 }
 
 // Wait returns when all that Serve started has ended, after the exchange has.
--- a/internal/front/http/poll_linux_test.go
+++ b/internal/front/http/poll_linux_test.go
@@ -174,7 +174,7 @@
 		return s.idle.n == 1
 	})
 	s.mu.Lock()
-	old, gen := s.idle.first, s.gens[s.idle.first.slot]
+	old := s.idle.first
 	s.mu.Unlock()
 	old.closeIfUnused()
 	second := s.dial()
@@ -184,13 +184,13 @@
 		return s.open == 1
 	})
 	s.mu.Lock()
-	now := s.slots[old.slot]
-	reused := now != nil && now.fd == old.fd && s.gens[old.slot] != gen
+	now := s.silent.first
+	reused := now != nil && now.fd == old.fd
 	s.mu.Unlock()
 	if !reused {
 		t.Skip("the kernel gave another descriptor")
 	}
-	old.ready(unix.EPOLLIN | unix.EPOLLHUP) // as if it came late
+	old.Ready(unix.EPOLLIN | unix.EPOLLHUP) // as if it came late
 	io.WriteString(second, ask(2))
 	s.want(second, bufio.NewReader(second), 200, "ok")
 }
--- a/internal/front/http/pollconn_linux.go
+++ b/internal/front/http/pollconn_linux.go
@@ -15,6 +15,8 @@
 	"cedararch/internal/core"
 	"cedararch/internal/httpwire"
 	"cedararch/internal/pipe"
+	"cedararch/internal/poller"
+	"cedararch/internal/wheel"
 	"cedararch/report"
 )
 
@@ -39,7 +41,7 @@
 // pollConn is one connection of the application. Its lock guards what it reads and writes.
 type pollConn struct {
 	front *PollFront
-	slot  int32
+	place poller.Place
 
 	mu      sync.Mutex
 	fd      int
@@ -54,7 +56,7 @@
 	scan    headScan
 	head    *head
 	headEnd int
-	chunks  *chunks
+	chunks  *httpwire.Chunks
 	call    *pollCall
 	out     []byte // of an answer, what is not written
 
@@ -72,7 +74,7 @@
 	queue      *queue
 	prev, next *pollConn
 	since      time.Duration // when it joined the queue
-	timeout    timeout
+	timeout    wheel.Timer[*pollConn]
 }
 
 // pollCall is a core.Call with the way back to its connection.
@@ -84,9 +86,9 @@
 // Answer implements core.Client.
 func (c *pollCall) Answer(_ *core.Call, a *core.Answer) { c.conn.answer(c, a) }
 
-// ready handles what the kernel says of the connection, on the poller's goroutine. What is for the exchange is handed over
+// Ready handles what the kernel says of the connection, on the poller's goroutine. What is for the exchange is handed over
 // when no lock is held: the exchange may be waiting for that lock.
-func (c *pollConn) ready(events uint32) {
+func (c *pollConn) Ready(events uint32) {
 	c.mu.Lock()
 	if c.state == pollWriting && events&(unix.EPOLLOUT|unix.EPOLLERR|unix.EPOLLHUP) != 0 {
 		c.flush()
@@ -237,7 +239,7 @@
 			return errLongBody
 		}
 		if c.head.chunked {
-			c.chunks = &chunks{}
+			c.chunks = &httpwire.Chunks{}
 		}
 		c.bodyFrom, c.bodyGot = c.front.now(), int64(len(c.buf)-end)
 		if c.head.expects && len(c.buf) == end && (c.head.chunked || c.head.length > 0) {
@@ -248,13 +250,13 @@
 		return nil
 	}
 	if c.chunks != nil && !c.isWhole() {
-		taken, done, err := c.chunks.next(c.buf[c.headEnd:])
+		taken, done, err := c.chunks.Next(c.buf[c.headEnd:])
 		if err != nil {
 			return err
 		}
 		c.buf = append(c.buf[:c.headEnd], c.buf[c.headEnd+taken:]...)
 		if done {
-			c.head.length = int64(len(c.chunks.body))
+			c.head.length = int64(len(c.chunks.Body))
 		}
 	}
 	if c.isWhole() && c.behind() > 0 {
@@ -282,7 +284,7 @@
 	}
 	body := c.buf[c.headEnd:]
 	if c.chunks != nil {
-		body = c.chunks.body
+		body = c.chunks.Body
 	}
 	return c.accept(body, nil)
 }
@@ -345,8 +347,13 @@
 func (c *pollConn) turnAway(err error) {
 	status := http.StatusBadRequest
 	var bad *badRequest
-	if errors.As(err, &bad) {
+	switch {
+	case errors.As(err, &bad):
 		status = bad.status
+	case errors.Is(err, httpwire.ErrLongBody):
+		status = http.StatusRequestEntityTooLarge
+	case errors.Is(err, httpwire.ErrTrailers):
+		status = http.StatusRequestHeaderFieldsTooLarge
 	}
 	c.last, c.wary = true, true
 	c.plain(status, err.Error()+"\n")
@@ -501,7 +508,7 @@
 	defer c.mu.Unlock()
 	f := c.front
 	f.mu.Lock()
-	again := c.timeout.tick != 0 // it was set anew meanwhile
+	again := c.timeout.Set() // it was set anew meanwhile
 	f.mu.Unlock()
 	switch {
 	case again || c.state == pollClosed:
@@ -572,16 +579,14 @@
 	f := c.front
 	f.mu.Lock()
 	c.leave()
-	f.wheel.clear(&c.timeout)
-	f.slots[c.slot] = nil
-	f.gens[c.slot]++
-	f.free = append(f.free, c.slot)
+	f.wheel.Clear(&c.timeout)
 	f.open--
 	if f.open == 0 && f.empty != nil {
 		close(f.empty)
 		f.empty = nil
 	}
 	f.mu.Unlock()
+	f.poller.Forget(c.place)
 	unix.Close(c.fd)
 }
 
--- a/internal/front/http/stream_linux.go
+++ b/internal/front/http/stream_linux.go
@@ -27,7 +27,7 @@
 func (c *pollConn) setTimeout(d time.Duration) {
 	f := c.front
 	f.mu.Lock()
-	f.wheel.set(&c.timeout, f.now()+d)
+	f.wheel.Set(&c.timeout, f.now()+d)
 	f.mu.Unlock()
 }
 
@@ -40,7 +40,7 @@
 // isLong reports whether the request that is coming is too long to be held whole.
 func (c *pollConn) isLong() bool {
 	return c.head != nil && (c.head.length > httpwire.MaxBody && c.chunks == nil ||
-		c.chunks != nil && c.head.length < 0 && len(c.chunks.body) > httpwire.MaxBody)
+		c.chunks != nil && c.head.length < 0 && len(c.chunks.Body) > httpwire.MaxBody)
 }
 
 // begin hands a long request over, whose body follows. The caller holds mu.
@@ -55,8 +55,8 @@
 	c.last, c.wary = h.last, false
 	if c.chunks != nil {
 		c.upLeft = -1
-		p.Put(c.chunks.body)
-		c.chunks.body = nil
+		p.Put(c.chunks.Body)
+		c.chunks.Body = nil
 		c.buf = append([]byte(nil), rest...) // what the chunks have not taken yet
 		c.headEnd = 0
 	} else {
@@ -130,11 +130,11 @@
 		return c.upLeft == 0, nil
 	}
 	c.buf = append(c.buf, b...)
-	taken, done, err := c.chunks.next(c.buf)
+	taken, done, err := c.chunks.Next(c.buf)
 	c.buf = c.buf[:copy(c.buf, c.buf[taken:])]
-	if len(c.chunks.body) > 0 {
-		c.up.Put(c.chunks.body)
-		c.chunks.body = c.chunks.body[:0]
+	if len(c.chunks.Body) > 0 {
+		c.up.Put(c.chunks.Body)
+		c.chunks.Body = c.chunks.Body[:0]
 	}
 	return done, err
 }
@@ -150,13 +150,7 @@
 
 // again has the kernel tell once more what there is on the connection. The caller holds mu.
 func (c *pollConn) again() {
-	f := c.front
-	f.mu.Lock()
-	gen := f.gens[c.slot]
-	f.mu.Unlock()
-	f.control(func(epoll int) error {
-		return unix.EpollCtl(epoll, unix.EPOLL_CTL_MOD, c.fd, pollEvent(c.slot, gen))
-	})
+	c.front.poller.Rearm(c.fd, c.place)
 }
 
 // uploadExpired handles the time-out of a body that is coming. The caller holds mu.
@@ -217,7 +211,7 @@
 		outBuffers.Put(buf[:0])
 		f := c.front
 		f.mu.Lock()
-		f.wheel.clear(&c.timeout) // it is the server's turn
+		f.wheel.Clear(&c.timeout) // it is the server's turn
 		f.mu.Unlock()
 		return false
 	}
--- /dev/null
+++ b/internal/httpwire/fields.go
@@ -0,0 +1,50 @@
+package httpwire
+
+import (
+	"errors"
+	"net/http"
+	"net/textproto"
+	"strings"
+
+	"golang.org/x/net/http/httpguts"
+)
+
+// What is wrong with header lines.
+var (
+	ErrLineEnd = errors.New("a line that does not end with CR and LF")
+	ErrField   = errors.New("a header line that is none")
+	ErrFolded  = errors.New("a folded header line")
+)
+
+// ReadFields takes header lines apart, each of which ends with CR and LF, with none of the tolerance that RFC 9112 allows.
+// The fields share the text's memory.
+func ReadFields(text string) (http.Header, error) {
+	n := strings.Count(text, "\n")
+	header, values := make(http.Header, n), make([]string, 0, n)
+	for text != "" {
+		line, rest, ended := strings.Cut(text, "\r\n")
+		if !ended || line == "" {
+			return nil, ErrField
+		}
+		text = rest
+		if line[0] == ' ' || line[0] == '\t' {
+			return nil, ErrFolded
+		}
+		name, value, ok := strings.Cut(line, ":")
+		if !ok || !httpguts.ValidHeaderFieldName(name) {
+			return nil, ErrField
+		}
+		value = strings.Trim(value, " \t")
+		if !httpguts.ValidHeaderFieldValue(value) || strings.IndexByte(value, '\r') >= 0 {
+			return nil, ErrField
+		}
+		name = textproto.CanonicalMIMEHeaderKey(name)
+		if old := header[name]; old != nil {
+			header[name] = append(old, value)
+			continue
+		}
+		values = append(values, value)
+		header[name] = values[len(values)-1 : len(values) : len(values)]
+	}
+	return header, nil
+}
--- a/internal/httpwire/httpwire.go
+++ b/internal/httpwire/httpwire.go
@@ -13,7 +13,7 @@
 	ExpiryHeader = "X-Expires-In" // how long the asking side waits
 )
 
-// hopHeaders concern one connection only and are not passed on (RFC 9110, 7.6.1).
+// hopHeaders, as net/http spells them, concern one connection only and are not passed on (RFC 9110, 7.6.1).
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
 	"Transfer-Encoding", "Upgrade",
@@ -27,6 +27,6 @@
 		}
 	}
 	for _, name := range hopHeaders {
-		h.Del(name)
+		delete(h, name)
 	}
 }
--- /dev/null
+++ b/internal/poller/poller_linux.go
@@ -0,0 +1,180 @@
+// Package poller waits for what the kernel has to say of many bare descriptors, on one goroutine and without holding a
+// thread. It owns which descriptor belongs to whom, and that nobody hears of one that is not his any more. It reads and
+// writes nothing.
+//
+// Begin with Poller.
+package poller
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// What the kernel may say of a descriptor; a handler is told once of each change.
+const (
+	Readable = unix.EPOLLIN | unix.EPOLLRDHUP | unix.EPOLLHUP | unix.EPOLLERR
+	Writable = unix.EPOLLOUT | unix.EPOLLHUP | unix.EPOLLERR
+	// Ended says that the other side has ended its sending, or the connection has failed: a read behind what is there tells.
+	Ended = unix.EPOLLRDHUP | unix.EPOLLHUP | unix.EPOLLERR
+)
+
+// Handler is told what the kernel says of its descriptor, on the poller's goroutine.
+type Handler interface{ Ready(events uint32) }
+
+// Place is a descriptor's place with a poller. The zero value is none.
+type Place struct{ slot, gen int32 }
+
+// Poller waits for events, edge-triggered. Its methods may be called from any goroutine.
+type Poller struct {
+	file   *os.File
+	raw    syscall.RawConn
+	events []unix.EpollEvent
+
+	mu    sync.Mutex
+	slots []Handler // nil where free
+	gens  []int32   // by slot: how often it was given away; 0: never
+	free  []int32
+}
+
+// atOnce is how many events are taken at a time.
+const atOnce = 256
+
+// New returns a poller; Close frees it.
+func New() (*Poller, error) {
+	fd, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
+	if err != nil {
+		return nil, fmt.Errorf("poll: %w", err)
+	}
+	// Non-blocking, the runtime waits for it as for any file: no thread is held in epoll_wait.
+	if err := unix.SetNonblock(fd, true); err != nil {
+		unix.Close(fd)
+		return nil, fmt.Errorf("poll: %w", err)
+	}
+	p := &Poller{file: os.NewFile(uintptr(fd), "epoll"), events: make([]unix.EpollEvent, atOnce)}
+	if p.raw, err = p.file.SyscallConn(); err != nil {
+		p.file.Close()
+		return nil, fmt.Errorf("poll: %w", err)
+	}
+	return p, nil
+}
+
+// Add tells the handler of all that happens on a descriptor from now on, and of what has happened already. place is set
+// before the first event can come.
+func (p *Poller) Add(fd int, h Handler, place *Place) error {
+	p.mu.Lock()
+	if n := len(p.free); n > 0 {
+		place.slot, p.free = p.free[n-1], p.free[:n-1]
+	} else {
+		place.slot = int32(len(p.slots))
+		p.slots, p.gens = append(p.slots, nil), append(p.gens, 0)
+	}
+	p.slots[place.slot] = h
+	p.gens[place.slot]++
+	place.gen = p.gens[place.slot]
+	p.mu.Unlock()
+	event := unix.EpollEvent{
+		Events: unix.EPOLLIN | unix.EPOLLOUT | unix.EPOLLRDHUP | unix.EPOLLET, Fd: place.slot, Pad: place.gen,
+	}
+	err := p.control(func(epoll int) error { return unix.EpollCtl(epoll, unix.EPOLL_CTL_ADD, fd, &event) })
+	if err != nil {
+		p.Forget(*place)
+		return fmt.Errorf("poll: %w", err)
+	}
+	return nil
+}
+
+// Rearm has the kernel tell again of what is there, of which it has told before.
+func (p *Poller) Rearm(fd int, place Place) error {
+	event := unix.EpollEvent{
+		Events: unix.EPOLLIN | unix.EPOLLOUT | unix.EPOLLRDHUP | unix.EPOLLET, Fd: place.slot, Pad: place.gen,
+	}
+	return p.control(func(epoll int) error { return unix.EpollCtl(epoll, unix.EPOLL_CTL_MOD, fd, &event) })
+}
+
+// Forget gives a place back. Its owner closes the descriptor, or calls Release before where it stays open.
+func (p *Poller) Forget(place Place) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if place.gen == 0 || p.gens[place.slot] != place.gen || p.slots[place.slot] == nil {
+		return
+	}
+	p.slots[place.slot] = nil
+	p.gens[place.slot]++ // an event that comes late finds another count
+	p.free = append(p.free, place.slot)
+}
+
+// Release ends the kernel's telling of a descriptor that stays open.
+func (p *Poller) Release(fd int) error {
+	return p.control(func(epoll int) error { return unix.EpollCtl(epoll, unix.EPOLL_CTL_DEL, fd, nil) })
+}
+
+func (p *Poller) control(do func(epoll int) error) error {
+	var failed error
+	if err := p.raw.Control(func(fd uintptr) { failed = do(int(fd)) }); err != nil {
+		return err
+	}
+	return failed
+}
+
+// Alarm sets when Run calls its alarm next, in place of what was set; the zero time: not.
+func (p *Poller) Alarm(at time.Time) { p.file.SetReadDeadline(at) }
+
+// Run tells handlers of events until Close. After the time of Alarm it calls alarm, which has to set another. After each
+// round, whose events the kernel had when the round began, it calls done, where that is not nil.
+func (p *Poller) Run(alarm func(), done func(began time.Time)) {
+	for {
+		n := 0
+		var began time.Time
+		err := p.raw.Read(func(fd uintptr) bool {
+			var err error
+			if done != nil {
+				began = time.Now()
+			}
+			n, err = unix.EpollWait(int(fd), p.events, 0)
+			return n > 0 || err != nil && err != unix.EINTR
+		})
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			alarm()
+			continue
+		}
+		if err != nil || n < 0 {
+			return // closed
+		}
+		for _, e := range p.events[:n] {
+			p.mu.Lock()
+			var h Handler
+			if int(e.Fd) < len(p.slots) && p.gens[e.Fd] == e.Pad {
+				h = p.slots[e.Fd] // else the event is of one that is gone, whose place another may have by now
+			}
+			p.mu.Unlock()
+			if h != nil {
+				h.Ready(e.Events)
+			}
+		}
+		if done != nil && n < len(p.events) {
+			done(began)
+		}
+	}
+}
+
+// All returns the handlers there are.
+func (p *Poller) All() []Handler {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var all []Handler
+	for _, h := range p.slots {
+		if h != nil {
+			all = append(all, h)
+		}
+	}
+	return all
+}
+
+// Close ends Run.
+func (p *Poller) Close() { p.file.Close() }
--- /dev/null
+++ b/internal/poller/poller_linux_test.go
@@ -0,0 +1,100 @@
+package poller
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"golang.org/x/sys/unix"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// heard keeps what a handler is told.
+type heard struct{ events chan uint32 }
+
+func (h *heard) Ready(events uint32) { h.events <- events }
+
+func pair(t *testing.T) (here, there int) {
+	t.Helper()
+	fds, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_NONBLOCK, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { unix.Close(fds[0]); unix.Close(fds[1]) })
+	return fds[0], fds[1]
+}
+
+func start(t *testing.T, alarm func(p *Poller), done func(time.Time)) *Poller {
+	t.Helper()
+	p, err := New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var run sync.WaitGroup
+	run.Go(func() { p.Run(func() { alarm(p) }, done) })
+	t.Cleanup(func() { p.Close(); run.Wait() })
+	return p
+}
+
+// An event whose place was given back is nobody's: not even of who has the place by then.
+func TestNobodyHearsOfWhatIsNotHis(t *testing.T) {
+	p := start(t, func(*Poller) {}, nil)
+	here, there := pair(t)
+	first, second := &heard{make(chan uint32, 10)}, &heard{make(chan uint32, 10)}
+	var place, next Place
+	if err := p.Add(here, first, &place); err != nil {
+		t.Fatal(err)
+	}
+	<-first.events // there is room to write
+	p.Forget(place)
+	other, _ := pair(t)
+	if err := p.Add(other, second, &next); err != nil {
+		t.Fatal(err)
+	}
+	<-second.events
+	if next.slot != place.slot || next.gen == place.gen {
+		t.Fatalf("the place %v came after %v", next, place)
+	}
+	unix.Write(there, []byte("x")) // the kernel still tells, under the old count
+	p.Rearm(other, next)           // of which it tells after
+	if e := <-second.events; e&unix.EPOLLIN != 0 {
+		t.Errorf("the second hears %x of the first's descriptor", e)
+	}
+	if len(first.events) != 0 {
+		t.Error("the first hears of what it gave back")
+	}
+	p.Forget(place) // once more, which must not take the second's
+	if len(p.All()) != 1 {
+		t.Errorf("%d handlers", len(p.All()))
+	}
+}
+
+// The alarm comes at its time and goes on only where it is set anew; events come meanwhile.
+func TestAlarm(t *testing.T) {
+	rang := make(chan time.Time, 10)
+	begun := time.Now()
+	p := start(t, func(p *Poller) {
+		p.Alarm(time.Time{})
+		rang <- time.Now()
+	}, nil)
+	p.Alarm(begun.Add(30 * time.Millisecond))
+	if at := <-rang; at.Sub(begun) < 30*time.Millisecond {
+		t.Errorf("after %v", at.Sub(begun))
+	}
+	here, there := pair(t)
+	h := &heard{make(chan uint32, 10)}
+	var place Place
+	if err := p.Add(here, h, &place); err != nil {
+		t.Fatal(err)
+	}
+	<-h.events
+	unix.Write(there, []byte("x"))
+	if e := <-h.events; e&Readable == 0 {
+		t.Errorf("events %x", e)
+	}
+	if len(rang) != 0 {
+		t.Error("it rang again")
+	}
+}
--- /dev/null
+++ b/internal/poller/poller_other.go
@@ -0,0 +1,4 @@
+//go:build !linux
+
+// Package poller is there on Linux only.
+package poller
--- a/internal/sidecar/hand.go
+++ b/internal/sidecar/hand.go
@@ -14,7 +14,6 @@
 
 	"cedararch/internal/core"
 	"cedararch/internal/succession"
-	httpback "cedararch/internal/upstream/http"
 	"cedararch/report"
 )
 
@@ -46,7 +45,7 @@
 	cfg      *Config
 	exchange *core.Loop
 	fronts   []front
-	back     *httpback.Back
+	back     httpBack
 	place    *succession.Place // nil: decisions end with this process
 	counts   *report.Counts
 	reloads  reloads
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -192,13 +192,13 @@
 	}
 	budget := cfg.sockets(processes(others))
 	counts := report.New(len(cfg.Balance.Classes))
-	back := httpback.New(inner, httpback.Config{
+	back := newHTTPBack(inner, cfg, httpback.Config{
 		ConnectTimeout: cmp.Or(millis(cfg.Balance.ConnectTimeout), time.Second), Idle: idle,
 		Rest: cfg.restTime, Sockets: budget.servers, Fields: cfg.fields, Reports: cfg.Balance.Reports != balance.ReportNone,
 		NoteLate: func(e *core.Endpoint) {
 			log.Warn("a server sends more than its answers, and late", "server", e.Name())
 		},
-	})
+	}, log)
 	var rpcBack *rpcback.Back // nil without such servers
 	defer func() {            // after the exchange has ended
 		back.Close()
@@ -311,6 +311,30 @@
 	return serveFronts(ctx, fronts, serveOn, hand, min(millis(cfg.catalog.Longest()), longestEnd)+lastSpare)
 }
 
+// httpBack makes attempts at servers over HTTP, and keeps connections to them.
+type httpBack interface {
+	core.Back
+	Run(context.Context)
+	Evict() bool
+	Open() int
+	Resize(connections int)
+	Close()
+}
+
+// newHTTPBack returns the back on the kernel's readiness, or where there is none, or the options say so, the one that has a
+// goroutine for each attempt.
+func newHTTPBack(ctx context.Context, cfg *Config, c httpback.Config, log *slog.Logger) httpBack {
+	if cfg.Options.HTTP.Standard {
+		return httpback.New(ctx, c)
+	}
+	b, err := httpback.NewPoll(ctx, c)
+	if err != nil {
+		log.Warn("attempts have a goroutine each", "why", err)
+		return httpback.New(ctx, c)
+	}
+	return b
+}
+
 // newHTTPFront returns the front on the kernel's readiness, or where there is none, or the options say so, the one on the
 // standard library's server.
 func newHTTPFront(cfg *Config, c httpfront.Config, exchange *core.Loop, tasks *sync.WaitGroup, log *slog.Logger) front {
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -29,18 +29,22 @@
 		return Closed
 	}
 	state := Closed
-	raw.Control(func(fd uintptr) { // which fails on a closed one
-		var b [1]byte
-		switch n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT); {
-		case err == syscall.EAGAIN:
-			state = Silent
-		case err == nil && n > 0:
-			state = Waiting
-		}
-	})
+	raw.Control(func(fd uintptr) { state = PeekAt(int(fd)) }) // which fails on a closed one
 	return state
 }
 
+// PeekAt is Peek for a bare descriptor, which nobody may close meanwhile.
+func PeekAt(fd int) State {
+	var b [1]byte
+	switch n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT); {
+	case err == syscall.EAGAIN:
+		return Silent
+	case err == nil && n > 0:
+		return Waiting
+	}
+	return Closed
+}
+
 // Exhausted reports whether err says that this machine has no socket to spare.
 func Exhausted(err error) bool {
 	for _, e := range []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL} {
--- a/internal/upstream/http/answer.go
+++ b/internal/upstream/http/answer.go
@@ -77,7 +77,7 @@
 		if resp.ContentLength > most {
 			return nil, fmt.Errorf("%w: it announces %d bytes", errHuge, resp.ContentLength)
 		}
-		if endless(resp) {
+		if headOf(resp).endless() {
 			if resp.StatusCode == http.StatusOK {
 				return nil, errUnframed
 			}
@@ -102,16 +102,9 @@
 	return body, nil
 }
 
-// endless reports whether a body goes on until the connection ends although the server did not say that it would
-// end it: nobody may wait for that.
-func endless(resp *http.Response) bool {
-	closes := !resp.ProtoAtLeast(1, 1) || strings.EqualFold(resp.Header.Get("Connection"), "close")
-	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && !closes
-}
-
 // reportOf returns the load report of an answer. One that cannot be read is dropped, the answer is not.
-func reportOf(resp *http.Response, fields []string) []float32 {
-	for _, text := range resp.Header.Values(loadHeader) {
+func reportOf(h http.Header, fields []string) []float32 {
+	for _, text := range h[loadHeader] {
 		if report := parseReport(text, fields); report != nil {
 			return report
 		}
--- a/internal/upstream/http/answer_test.go
+++ b/internal/upstream/http/answer_test.go
@@ -35,7 +35,9 @@
 
 // An answer that cannot be used fails at once. Waiting for the rest of it, which never comes or never ends, costs the
 // request its time, and keeping it costs memory.
-func TestSpoiltAnswers(t *testing.T) {
+func TestSpoiltAnswers(t *testing.T) { onEach(t, testSpoiltAnswers) }
+
+func testSpoiltAnswers(t *testing.T, newUpstream func(int) *subject) {
 	for name, c := range map[string]struct {
 		answer testbed.Step
 		want   balance.Result
@@ -55,14 +57,13 @@
 		"away, no length":     {stay("HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\n\r\n"), balance.Full},
 	} {
 		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			s, u := testbed.NewScript(t, c.answer), newUpstream(t, 1024)
+			s, u := testbed.NewScript(t, c.answer), newUpstream(1024)
 			start := time.Now()
 			u.want(t, newAttempt(at(s.Addr), 2*testbed.Patience), c.want)
 			if took := time.Since(start); took > testbed.Patience {
 				t.Errorf("failed only after %v", took)
 			}
-			if u.pool.open != 0 {
+			if u.kept() != 0 {
 				t.Error("the connection is kept")
 			}
 		})
@@ -70,7 +71,9 @@
 }
 
 // What is good is served, and a connection on which more came than belongs to it is not used again.
-func TestGoodAnswers(t *testing.T) {
+func TestGoodAnswers(t *testing.T) { onEach(t, testGoodAnswers) }
+
+func testGoodAnswers(t *testing.T, newUpstream func(int) *subject) {
 	const answer = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n"
 	for name, c := range map[string]struct {
 		text string
@@ -84,13 +87,13 @@
 		"report unusable": {answer + loadHeader + ": TEXT busy=-1, rate=3\r\n\r\nserved", 1},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s, u := testbed.NewScript(t, stay(c.text)), newUpstream(t, 1024)
+			s, u := testbed.NewScript(t, stay(c.text)), newUpstream(1024)
 			r := u.want(t, newAttempt(at(s.Addr), testbed.Patience), balance.OK)
 			if r.Answer == nil || string(r.Answer.Body) != "served" || r.Report != nil {
 				t.Errorf("got %+v", r)
 			}
-			if u.pool.open != c.kept {
-				t.Errorf("%d connections kept, want %d", u.pool.open, c.kept)
+			if u.kept() != c.kept {
+				t.Errorf("%d connections kept, want %d", u.kept(), c.kept)
 			}
 		})
 	}
@@ -98,19 +101,26 @@
 
 // A report that cannot be read does not hide one that can.
 func TestSecondReport(t *testing.T) {
-	resp := &http.Response{Header: http.Header{loadHeader: {"TEXT ?", "TEXT busy=0.5, rate=3"}}}
-	if got := reportOf(resp, []string{"busy", "rate"}); len(got) != 2 || got[0] != 0.5 {
+	h := http.Header{loadHeader: {"TEXT ?", "TEXT busy=0.5, rate=3"}}
+	if got := reportOf(h, []string{"busy", "rate"}); len(got) != 2 || got[0] != 0.5 {
 		t.Errorf("got %v", got)
 	}
 }
 
+func newRestingUpstream(t *testing.T) *upstream {
+	p := newPool(testbed.Patience, testbed.Patience, time.Hour, 1024)
+	t.Cleanup(p.closeAll)
+	return &upstream{pool: p}
+}
+
 // A second copy of an answer may come in a packet of its own, after the connection was found silent. Written to at
 // once, the next request would be answered with it.
 func TestConnectionsRest(t *testing.T) {
-	s, u := testbed.NewScript(t, testbed.Say(200, "")), newUpstream(t, 1024)
-	u.pool.restTime = time.Hour
+	s, u := testbed.NewScript(t, testbed.Say(200, "")), newRestingUpstream(t)
 	e := at(s.Addr)
-	u.want(t, newAttempt(e, testbed.Patience), balance.OK)
+	if r := u.try(newAttempt(e, testbed.Patience).attempt); r.Outcome != balance.OK {
+		t.Fatalf("outcome %v", r.Outcome)
+	}
 	if c := u.pool.takeIdle(e); c != nil {
 		t.Error("taken at once")
 	}
--- /dev/null
+++ b/internal/upstream/http/poll_linux_test.go
@@ -0,0 +1,236 @@
+package http
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"cedararch/balance"
+	"cedararch/internal/httpwire"
+	"cedararch/internal/testbed"
+)
+
+func newPolled(t *testing.T, rest time.Duration) *subject {
+	t.Helper()
+	b, err := NewPoll(t.Context(), Config{ConnectTimeout: testbed.Patience, Idle: testbed.Patience, Rest: rest, Sockets: 64})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.Close)
+	return &subject{b.up, b}
+}
+
+// dribble says a text in single bytes, each in a packet of its own.
+func dribble(text string) testbed.Step {
+	return func(c net.Conn) bool {
+		for i := range len(text) {
+			if _, err := io.WriteString(c, text[i:i+1]); err != nil {
+				return false
+			}
+			if i%16 == 0 {
+				time.Sleep(100 * time.Microsecond)
+			}
+		}
+		return true
+	}
+}
+
+// An answer is the same in whatever pieces it comes, and its connection goes on.
+func TestAnswersInPieces(t *testing.T) {
+	for name, text := range map[string]string{
+		"length":  "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nserved",
+		"chunks":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nse\r\n4;x=y\r\nrved\r\n0\r\nT: u\r\n\r\n",
+		"bare LF": "HTTP/1.1 200 OK\nContent-Length: 6\n\nserved",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, u := testbed.NewScript(t, dribble(text), dribble(text)), newPolled(t, 0)
+			for range 2 {
+				r := u.want(t, newAttempt(at(s.Addr), testbed.Patience), balance.OK)
+				if r.Answer == nil || string(r.Answer.Body) != "served" {
+					t.Fatalf("got %+v", r.Answer)
+				}
+			}
+		})
+	}
+}
+
+// A request whose last byte has not gone out never ran, even where its time is up.
+func TestUnreadRequestNeverRan(t *testing.T) {
+	u := newPolled(t, 0)
+	e, conns := silentServer(t, "s-1")
+	a := newAttempt(e, 150*time.Millisecond)
+	a.Message.Body = make([]byte, 32<<20) // more than the kernel holds
+	u.want(t, a, balance.Moot)
+	testbed.Next(t, conns)
+	testbed.Until(t, "its connection is gone", func() bool { return u.kept() == 0 })
+}
+
+// What comes on a connection long after its answer is held against the server; what is there when its rest is over is not.
+func TestPolledLateExtra(t *testing.T) {
+	for name, rest := range map[string]time.Duration{"late": 0, "right behind": time.Hour} {
+		t.Run(name, func(t *testing.T) {
+			u := newPolled(t, rest)
+			e, conns := silentServer(t, "s-1")
+			a := newAttempt(e, testbed.Patience)
+			u.poll.Begin(a.Attempt)
+			c := testbed.Next(t, conns)
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			if r := testbed.Next(t, a.done); r.Outcome != balance.OK {
+				t.Fatalf("outcome %v", r.Outcome)
+			}
+			// Another round of the poller's, so that it has heard of all that was there.
+			other := testbed.NewScript(t, testbed.Say(200, ""))
+			u.want(t, newAttempt(at(other.Addr), testbed.Patience), balance.OK)
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			testbed.Until(t, "the connection ends", func() bool {
+				u.pool.mu.Lock()
+				defer u.pool.mu.Unlock()
+				return len(u.pool.idle[e]) == 0
+			})
+			u.pool.mu.Lock()
+			_, caught := u.pool.lateOnes[e]
+			u.pool.mu.Unlock()
+			if caught != (rest == 0) {
+				t.Errorf("caught: %v", caught)
+			}
+		})
+	}
+}
+
+// An answer that is long, or may be, goes on to the client as it comes, on a goroutine; then its connection is polled again.
+func TestLongAnswersPass(t *testing.T) {
+	long := strings.Repeat("0123456789abcdef", 20<<10)
+	slow := func(c net.Conn) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n")
+		time.Sleep(2 * heldBack)
+		_, err := io.WriteString(c, "3\r\ndef\r\n0\r\n\r\n")
+		return err == nil
+	}
+	s := testbed.NewScript(t, testbed.Say(200, long), slow, testbed.Say(200, "short"))
+	u := newPolled(t, 0)
+	e := at(s.Addr)
+	for _, want := range []string{long, "abcdef"} {
+		a := newAttempt(e, testbed.Patience)
+		a.Message.Streams = true
+		r := u.want(t, a, balance.OK)
+		if r.Answer == nil || r.Answer.Stream == nil {
+			t.Fatalf("no stream in %+v", r.Answer)
+		}
+		var got []byte
+		buf := make([]byte, 10_000)
+		for {
+			n, err := r.Answer.Stream.Read(buf, testbed.Patience)
+			got = append(got, buf[:n]...)
+			if err == io.EOF {
+				break
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+		if string(got) != want {
+			t.Errorf("%d bytes, want %d", len(got), len(want))
+		}
+		testbed.Until(t, "the connection is idle", func() bool {
+			u.pool.mu.Lock()
+			defer u.pool.mu.Unlock()
+			return len(u.pool.idle[e]) == 1
+		})
+	}
+	r := u.want(t, newAttempt(e, testbed.Patience), balance.OK)
+	if _, _, conns := s.Seen(); conns != 1 || r.Answer == nil || string(r.Answer.Body) != "short" {
+		t.Errorf("%d connections, last answer %+v", conns, r.Answer)
+	}
+}
+
+// Attempts end at their time, not before it and hardly behind, and none is left.
+func TestAttemptsEndInTime(t *testing.T) {
+	u := newPolled(t, 0)
+	e, _ := silentServer(t, "s-1")
+	var all []*tried
+	begun := time.Now()
+	for i := range 50 {
+		a := newAttempt(e, time.Duration(20+i)*time.Millisecond)
+		all = append(all, a)
+		u.poll.Begin(a.Attempt)
+	}
+	for i, a := range all {
+		r := testbed.Next(t, a.done)
+		if took := time.Since(begun); r.Outcome != balance.TimedOut || took < time.Duration(20+i)*time.Millisecond {
+			t.Errorf("attempt %d: %v after %v", i, r.Outcome, took)
+		}
+	}
+	if n := u.kept(); n != 0 {
+		t.Errorf("%d connections left", n)
+	}
+}
+
+// Whatever ours takes in whatever pieces, the standard library takes with the same status, fields and body; and what is plain
+// is taken by both.
+func FuzzAnswerAgainstLibrary(f *testing.F) {
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nserved",
+		"HTTP/1.1 200\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
+		"HTTP/1.1 103 E\r\nA: b\r\n\r\nHTTP/1.1 503 Full\nX-Never-Ran: 1\nContent-Length: 1\n\nx",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n0\r\nT: u\r\n\r\n",
+		"HTTP/1.0 200 OK\r\n\r\nuntil the end", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nuntil the end",
+		"HTTP/1.1 204 None\r\nContent-Length: 5\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\na",
+		"HTTP/1.1 200 OK\r\nA: b\r\n c\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 500 Oops\r\n\r\nmore",
+	} {
+		f.Add([]byte(text), uint8(3))
+	}
+	f.Fuzz(func(t *testing.T, text []byte, step uint8) {
+		var in incoming
+		whole, err := false, error(nil)
+		n := 0
+		for !whole && err == nil && n < len(text) {
+			n = min(len(text), n+int(step)+1)
+			whole, err = in.next(text[:n], false)
+		}
+		if !whole && err == nil {
+			whole, err = in.next(text[:n], true)
+		}
+		if err != nil || !whole {
+			return
+		}
+		body, _ := in.body(text[:n])
+		resp, theirs, err := newAnswerReader(bytes.NewReader(text)).next(http.MethodPost)
+		if err != nil {
+			if len(body) > httpwire.MaxBody {
+				return // theirs bounds it, ours is bounded by who reads
+			}
+			t.Fatalf("theirs: %v, ours took %+v", err, in.head)
+		}
+		h := headOf(resp)
+		if in.head.status != h.status || !bytes.Equal(body, theirs) || in.head.last != h.last {
+			t.Fatalf("ours %+v with %q, theirs %+v with %q", in.head, body, h, theirs)
+		}
+		delete(in.head.header, "Connection") // which the library keeps or drops, and is not passed on
+		delete(resp.Header, "Connection")
+		if got, want := fmt.Sprint(in.head.header), fmt.Sprint(resp.Header); got != want {
+			t.Fatalf("ours %s, theirs %s", got, want)
+		}
+	})
+}
+
+// What goes out is read by the standard library as what it says.
+func TestRequestAsItIsRead(t *testing.T) {
+	a := newAttempt(at("127.0.0.1:1"), testbed.Patience)
+	a.Message.Class, a.Message.Safe = "gold", false
+	a.Message.Meta = http.Header{"X-Qos": {"silver"}, "Accept": {"a", "b"}, "Expect": {"100-continue"}, "Content-Length": {"99"}}
+	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(appendRequest(nil, a.Message, time.Second))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, _ := io.ReadAll(r.Body)
+	want := http.Header{"X-Qos": {"gold"}, "Accept": {"a", "b"}, "Content-Length": {"7"}, "X-Expires-In": {"1000000u"}}
+	if r.Method != "POST" || r.RequestURI != "/api" || r.Host != "app.svc" || string(body) != "order 7" || fmt.Sprint(r.Header) != fmt.Sprint(want) {
+		t.Errorf("%s %s %s %v %q", r.Method, r.RequestURI, r.Host, r.Header, body)
+	}
+}
--- a/internal/upstream/http/pool.go
+++ b/internal/upstream/http/pool.go
@@ -29,8 +29,9 @@
 
 // conn is a connection to an endpoint; it carries one request at a time.
 type conn struct {
-	net.Conn
-	in       answerReader
+	net.Conn // nil while it is polled
+	polled   polled
+	in       answerReader // of what is not polled
 	endpoint *core.Endpoint
 	addr     string
 	idleFrom time.Time
@@ -40,6 +41,23 @@
 	lastBody uint64 // hash of the answer before; 0 if there was none, or it was empty
 }
 
+// polled is a connection that waits for the kernel's readiness, as long as no goroutine has it.
+type polled interface {
+	// peek is asked of a connection that is idle, by whoever took it out of the pool or holds the pool's lock.
+	peek() socket.State
+	Close() error
+	// detach gives it to a goroutine.
+	detach() (net.Conn, error)
+}
+
+// Close ends the connection.
+func (c *conn) Close() error {
+	if c.polled != nil {
+		return c.polled.Close()
+	}
+	return c.Conn.Close()
+}
+
 // pool keeps the connections to endpoints, within a number of sockets.
 type pool struct {
 	connectTimeout time.Duration
@@ -60,6 +78,11 @@
 	lateOnes  map[*core.Endpoint]time.Time // servers that were caught, and until when no connection to them is used again
 	noteLate  func(*core.Endpoint)
 	seed      maphash.Seed
+
+	// Where the kernel's readiness is waited for: adopt makes a goroutine's connection one that is polled, and heard is a
+	// time before which everything that came on idle connections has been heard of. Nil elsewhere.
+	adopt func(*conn) bool
+	heard func() time.Time
 }
 
 // resting is a connection as it was given back.
@@ -85,15 +108,18 @@
 		}
 		// The server may have closed it, or died, while it was idle. A request written to it would end as a
 		// reset, which may have run; a new connection tells for sure.
-		state := c.state()
-		if c.addr == e.Addr() && state == socket.Silent {
+		if c = p.check(c, e); c == nil {
+			continue
+		}
+		if c.polled == nil {
+			return c, nil
+		}
+		var err error
+		if c.Conn, err = c.polled.detach(); err == nil {
+			c.polled, c.in = nil, newAnswerReader(c.Conn)
 			return c, nil
 		}
-		p.mu.Lock()
-		noted := p.judge(c, state)
-		p.mu.Unlock()
 		p.drop(c)
-		p.note(noted)
 	}
 	if !p.reserve() {
 		return nil, errNoSocket
@@ -110,6 +136,47 @@
 	return c, nil
 }
 
+// check returns an idle connection that was taken if it still stands and is silent; else it ends it.
+func (p *pool) check(c *conn, e *core.Endpoint) *conn {
+	state := c.state()
+	if c.addr == e.Addr() && state == socket.Silent {
+		return c
+	}
+	p.end(c, state)
+	return nil
+}
+
+// end drops a connection that is nobody's any more, of which state was found.
+func (p *pool) end(c *conn, state socket.State) {
+	p.mu.Lock()
+	noted := p.judge(c, state)
+	p.mu.Unlock()
+	p.drop(c)
+	p.note(noted)
+}
+
+// stir looks at a connection on which something has come, if it is idle in the pool: it ends unless that was part of the
+// answer before.
+func (p *pool) stir(c *conn) {
+	p.mu.Lock()
+	idle := p.idle[c.endpoint]
+	i := slices.Index(idle, c)
+	if i < 0 { // who has taken it looks at it, too
+		p.mu.Unlock()
+		return
+	}
+	state := c.state()
+	if state == socket.Silent {
+		p.mu.Unlock()
+		return
+	}
+	p.setIdle(c.endpoint, slices.Delete(idle, i, i+1))
+	noted := p.judge(c, state)
+	p.mu.Unlock()
+	p.drop(c)
+	p.note(noted)
+}
+
 func (p *pool) dial(ctx context.Context, e *core.Endpoint, cut time.Time) (*conn, error) {
 	dialer := net.Dialer{Timeout: p.connectTimeout, Deadline: cut, KeepAlive: -1}
 	addr := e.Addr()
@@ -156,22 +223,31 @@
 
 // put gives a connection back for further use.
 func (p *pool) put(c *conn) {
-	c.SetDeadline(time.Time{})
+	if c.polled == nil {
+		c.SetDeadline(time.Time{})
+		if p.adopt != nil && !p.adopt(c) {
+			p.drop(c)
+			return
+		}
+	}
 	p.mu.Lock()
 	c.idleFrom, c.looked = time.Now(), false
 	c.uses++
 	keep := !c.endpoint.Closed() && c.idleFrom.After(p.lateOnes[c.endpoint])
 	if keep {
 		p.idle[c.endpoint] = append(p.idle[c.endpoint], c)
-		p.resting = append(p.resting, resting{c, c.uses})
+		if p.heard == nil {
+			p.resting = append(p.resting, resting{c, c.uses})
+		}
 	}
 	p.mu.Unlock()
-	select {
-	case p.rested <- struct{}{}:
-	default:
-	}
 	if !keep {
 		p.drop(c)
+	} else if p.heard == nil {
+		select {
+		case p.rested <- struct{}{}:
+		default:
+		}
 	}
 }
 
@@ -264,6 +340,9 @@
 
 // judge takes in what was found on an idle connection, and returns its endpoint if that is news. The caller holds mu.
 func (p *pool) judge(c *conn, state socket.State) *core.Endpoint {
+	if state == socket.Waiting && p.heard != nil && p.heard().Sub(c.idleFrom) >= p.restTime {
+		c.looked = true // silent until then, or it would have been ended
+	}
 	if state != socket.Waiting || !c.looked {
 		return nil // what came right behind the answer could do no harm: nothing is sent until the rest is over
 	}
@@ -395,6 +474,9 @@
 
 // state tells whether an idle connection is open and silent, as it has to be.
 func (c *conn) state() socket.State {
+	if c.polled != nil {
+		return c.polled.peek()
+	}
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return socket.Closed
--- /dev/null
+++ b/internal/upstream/http/scan.go
@@ -0,0 +1,201 @@
+package http
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"cedararch/internal/httpwire"
+)
+
+// answerHead is the head of an answer, taken apart.
+type answerHead struct {
+	status  int
+	header  http.Header
+	length  int64 // of the body; -1: chunks, or the connection's end, tell
+	chunked bool
+	last    bool // the server closes after it
+	old     bool // it is of HTTP/1.0, where the connection's end may be the answer's
+}
+
+// headOf is what the standard library has read.
+func headOf(resp *http.Response) *answerHead {
+	return &answerHead{
+		status: resp.StatusCode, header: resp.Header, length: resp.ContentLength, chunked: len(resp.TransferEncoding) > 0,
+		last: resp.Close, old: !resp.ProtoAtLeast(1, 1),
+	}
+}
+
+// parseAnswerHead takes a whole head apart, which ends with its empty line. What is not plain goes to the standard library,
+// so that exactly what it takes is taken.
+func parseAnswerHead(b []byte) (*answerHead, error) {
+	if h := plainHead(b); h != nil {
+		return h, nil
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(b)), nil)
+	if err != nil {
+		return nil, err
+	}
+	resp.Body.Close()
+	return headOf(resp), nil
+}
+
+// plainHead takes apart a head of HTTP/1.1 whose lines end in CR LF, with one length or chunked, and nothing unusual; else
+// it returns nil.
+func plainHead(b []byte) *answerHead {
+	const version = "HTTP/1.1 "
+	if len(b) < len(version)+len("200\r\n\r\n") || string(b[:len(version)]) != version || !bytes.HasSuffix(b, []byte("\r\n\r\n")) {
+		return nil
+	}
+	line, fields, _ := strings.Cut(string(b[len(version):len(b)-2]), "\r\n")
+	if len(line) < 3 || len(line) > 3 && line[3] != ' ' || strings.ContainsAny(line, "\r\n") {
+		return nil
+	}
+	status, err := strconv.ParseUint(line[:3], 10, 16)
+	if err != nil || status < 200 || status == http.StatusNoContent || status == http.StatusNotModified {
+		return nil
+	}
+	h := &answerHead{status: int(status), length: -1}
+	if h.header, err = httpwire.ReadFields(fields); err != nil {
+		return nil
+	}
+	lengths, codings := h.header["Content-Length"], h.header["Transfer-Encoding"]
+	switch {
+	case len(lengths) == 1 && codings == nil:
+		n, err := strconv.ParseUint(lengths[0], 10, 62)
+		if err != nil {
+			return nil
+		}
+		h.length = int64(n)
+	case len(codings) == 1 && lengths == nil && strings.EqualFold(codings[0], "chunked"):
+		h.chunked = true
+		delete(h.header, "Transfer-Encoding")
+	default:
+		return nil
+	}
+	if connection := h.header["Connection"]; len(connection) > 1 {
+		return nil
+	} else if len(connection) == 1 {
+		if strings.EqualFold(connection[0], "close") {
+			h.last = true
+		} else if !strings.EqualFold(connection[0], "keep-alive") {
+			return nil
+		}
+	}
+	if h.header["Trailer"] != nil || h.header["Pragma"] != nil {
+		return nil
+	}
+	return h
+}
+
+// endless reports whether a body goes on until the connection ends although the server did not say that it would end it:
+// nobody may wait for that.
+func (h *answerHead) endless() bool {
+	return h.length < 0 && !h.chunked && !h.old && !strings.EqualFold(h.header.Get("Connection"), "close")
+}
+
+// incoming is an answer that comes piece by piece. Its bytes are kept by who reads them, from the first on.
+type incoming struct {
+	head   *answerHead // nil until it is whole
+	from   int         // where the present head begins, and later what has not been taken of the body
+	seen   int         // how far the present head has been looked through
+	chunks httpwire.Chunks
+	short  bool // only its head counts: the body has no end that could be waited for
+}
+
+// next goes on over b, all that has come, and reports whether the answer is whole. eof says that nothing will follow.
+func (in *incoming) next(b []byte, eof bool) (whole bool, err error) {
+	for in.head == nil {
+		end, err := in.findHead(b)
+		if err != nil {
+			return false, err
+		}
+		if end == 0 {
+			if eof {
+				return false, errCutShort
+			}
+			return false, nil
+		}
+		h, err := parseAnswerHead(b[in.from:end])
+		if err != nil {
+			return false, err
+		}
+		in.from, in.seen = end, end
+		if h.status < 200 { // an interim answer: the real one follows
+			continue
+		}
+		in.head = h
+		if h.endless() {
+			if h.status == http.StatusOK {
+				return false, errUnframed
+			}
+			in.short, h.last = true, true // its head tells all that is asked of it
+		}
+	}
+	switch h := in.head; {
+	case in.short:
+		return true, nil
+	case h.length >= 0:
+		whole = int64(len(b)-in.from) >= h.length
+	case h.chunked:
+		taken, done, err := in.chunks.Next(b[in.from:])
+		in.from += taken
+		if err != nil {
+			return false, err
+		}
+		whole = done
+	default:
+		whole = eof
+	}
+	if eof && !whole {
+		return false, errCutShort
+	}
+	return whole, nil
+}
+
+var errCutShort = errors.New("an answer that breaks off")
+
+// findHead returns where the present head ends; 0 where it does not yet. Lines may end with a bare LF, as the standard
+// library has it.
+func (in *incoming) findHead(b []byte) (end int, err error) {
+	for {
+		i := bytes.IndexByte(b[in.seen:], '\n')
+		if i < 0 {
+			in.seen = len(b)
+			break
+		}
+		i += in.seen
+		switch after := b[i+1:]; {
+		case len(after) > 0 && after[0] == '\n':
+			end = i + 2
+		case len(after) > 1 && after[0] == '\r' && after[1] == '\n':
+			end = i + 3
+		case len(after) == 0 || len(after) == 1 && after[0] == '\r':
+			in.seen = i // once more with what follows
+		default:
+			in.seen = i + 1
+			continue
+		}
+		break
+	}
+	if len(b) > maxAnswerHead && (end == 0 || end > maxAnswerHead) {
+		return 0, errHuge
+	}
+	return end, nil
+}
+
+// body is the body of a whole answer, and rest how many bytes came behind it.
+func (in *incoming) body(b []byte) (body []byte, rest int) {
+	switch h := in.head; {
+	case in.short:
+		return nil, 0
+	case h.chunked:
+		return in.chunks.Body, len(b) - in.from
+	case h.length >= 0:
+		return b[in.from : in.from+int(h.length)], len(b) - in.from - int(h.length)
+	}
+	return b[in.from:], 0
+}
--- /dev/null
+++ b/internal/upstream/http/sock_linux.go
@@ -0,0 +1,366 @@
+package http
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"cedararch/balance"
+	"cedararch/internal/core"
+	"cedararch/internal/httpwire"
+	"cedararch/internal/poller"
+	"cedararch/internal/socket"
+	"cedararch/internal/wheel"
+)
+
+// sockState is what a connection is doing.
+type sockState uint8
+
+const (
+	sockIdle       sockState = iota // in the pool, or on its way there
+	sockConnecting                  // the request waits for the connection
+	sockWriting                     // ... for room
+	sockWaiting                     // for the answer
+	sockGone                        // closed, or a goroutine's
+)
+
+// sock is a connection to a server that is polled. Its lock guards what follows it.
+type sock struct {
+	back  *PollBack
+	conn  *conn
+	place poller.Place
+
+	mu    sync.Mutex
+	fd    int
+	state sockState
+	try   *try   // nil while it is idle
+	out   []byte // of the request, what is not written
+	in    []byte // of the answer, what has come in pieces
+	ans   incoming
+
+	timeout wheel.Timer[*sock] // guarded by back.mu
+}
+
+// peek implements polled.
+func (s *sock) peek() socket.State { return socket.PeekAt(s.fd) }
+
+// begin writes a request to a connection that was idle.
+func (s *sock) begin(t *try) {
+	s.mu.Lock()
+	if s.state != sockIdle { // closed at the end of all
+		s.mu.Unlock()
+		s.back.settle(t, balance.Moot)
+		return
+	}
+	s.try, t.sock = t, s
+	e := s.send()
+	s.mu.Unlock()
+	if e != nil {
+		s.back.running.Go(e.do)
+	}
+}
+
+// send writes the try's request. The caller holds mu.
+func (s *sock) send() *ending {
+	request, err := s.try.encode(s.back)
+	if err != nil {
+		return s.failed(balance.Moot)
+	}
+	s.state, s.out = sockWriting, request
+	s.back.setTimeout(s, time.Until(s.try.cut))
+	return s.write()
+}
+
+// ending is how a try ended, which is told when no lock is held.
+type ending struct {
+	sock     *sock
+	try      *try
+	result   core.Result
+	reusable bool
+}
+
+// end takes the try off the connection. The caller holds mu.
+func (s *sock) end(r core.Result, reusable bool) *ending {
+	e := &ending{s, s.try, r, reusable}
+	s.back.clearTimeout(s)
+	s.try, s.out, s.ans = nil, nil, incoming{}
+	if s.state != sockGone {
+		s.state = sockIdle
+	}
+	if s.in != nil {
+		if cap(s.in) <= mostKept {
+			inBuffers.Put(s.in[:0])
+		}
+		s.in = nil
+	}
+	return e
+}
+
+// inBuffers hold answers that come in more than one piece.
+var inBuffers = sync.Pool{New: func() any { return make([]byte, 0, 4<<10) }}
+
+const mostKept = 128 << 10
+
+// do tells of it; it may wait for the exchange.
+func (e *ending) do() {
+	if e == nil {
+		return
+	}
+	e.sock.back.up.pool.giveBack(e.sock.conn, e.reusable)
+	if e.try.attempt == nil && e.result.Outcome == balance.Moot {
+		e.result.Outcome = balance.ConnectFailed
+	}
+	e.try.end(e.result)
+}
+
+func (s *sock) failed(outcome balance.Result) *ending {
+	return s.end(core.Result{Outcome: outcome}, false)
+}
+
+// write writes what is left of the request. The caller holds mu, and the state is sockWriting.
+func (s *sock) write() *ending {
+	for len(s.out) > 0 {
+		n, err := unix.Write(s.fd, s.out)
+		switch {
+		case err == unix.EINTR:
+		case err == unix.EAGAIN:
+			return nil
+		case err != nil: // its last byte never went out: no server begins before that
+			return s.failed(balance.ConnectFailed)
+		default:
+			s.out = s.out[n:]
+		}
+	}
+	s.out, s.state = nil, sockWaiting
+	if s.try.attempt != nil {
+		s.try.attempt.Written()
+	}
+	return nil
+}
+
+// Ready implements poller.Handler.
+func (s *sock) Ready(events uint32) {
+	var e *ending
+	s.mu.Lock()
+	if s.state == sockConnecting && events&poller.Writable != 0 {
+		e = s.connected()
+	}
+	if e == nil && s.state == sockWriting && events&poller.Writable != 0 {
+		e = s.write()
+	}
+	if e == nil && (s.state == sockWriting || s.state == sockWaiting) && events&poller.Readable != 0 {
+		e = s.read(events&poller.Ended != 0)
+	}
+	idle := s.state == sockIdle && e == nil
+	s.mu.Unlock()
+	e.do()
+	if idle && events&poller.Readable != 0 {
+		s.back.up.pool.stir(s.conn)
+	}
+}
+
+// connected goes on when the connection has come up, or has not. The caller holds mu.
+func (s *sock) connected() *ending {
+	switch code, err := unix.GetsockoptInt(s.fd, unix.SOL_SOCKET, unix.SO_ERROR); {
+	case err != nil || code != 0:
+		if code != 0 && socket.Exhausted(unix.Errno(code)) {
+			return s.failed(balance.Moot)
+		}
+		return s.failed(balance.ConnectFailed)
+	}
+	// It can outlast the news that the server drains, or the request itself. Nothing was sent yet.
+	if s.try.over() {
+		return s.end(core.Result{Outcome: balance.Moot}, true)
+	}
+	return s.send()
+}
+
+// read takes in what has come. ended says that the connection's end may be behind it. The caller holds mu.
+func (s *sock) read(ended bool) *ending {
+	scratch := s.back.scratch
+	for {
+		n, err := unix.Read(s.fd, scratch)
+		switch {
+		case err == unix.EINTR:
+			continue
+		case err == unix.EAGAIN:
+			return nil
+		case err != nil, n == 0:
+			return s.take(nil, true, err)
+		}
+		if e := s.take(scratch[:n], false, nil); e != nil {
+			return e
+		}
+		if s.state == sockGone || n < len(scratch) && !ended {
+			return nil // a short read has emptied it, and the kernel tells of what comes next
+		}
+	}
+}
+
+// take takes in bytes of the answer, or its end. The caller holds mu.
+func (s *sock) take(b []byte, eof bool, err error) *ending {
+	if s.state == sockWriting { // it answers before it has the request: no server begins before that
+		return s.failed(balance.ConnectFailed)
+	}
+	if err != nil { // what broke off has no end that could be one
+		return s.failed(balance.Reset)
+	}
+	if s.in != nil {
+		s.in = append(s.in, b...)
+		b = s.in
+	}
+	before := s.ans.head
+	whole, err := s.ans.next(b, eof)
+	if err != nil {
+		return s.failed(balance.Reset)
+	}
+	if h := s.ans.head; h != nil {
+		got := len(b) - s.ans.from
+		if h.chunked {
+			got = len(s.ans.chunks.Body)
+		}
+		long := h.length > httpwire.MaxBody || h.length < 0 && got > httpwire.MaxBody ||
+			!whole && len(b) > maxAnswerHead+maxFraming*httpwire.MaxBody
+		switch {
+		case long && s.passes(h):
+			s.handOver(b, 0)
+			return nil
+		case long:
+			return s.failed(balance.Reset)
+		case before == nil && !whole && h.length < 0 && s.passes(h):
+			s.back.setTimeout(s, min(heldBack, time.Until(s.try.cut)))
+		}
+	}
+	if !whole {
+		if s.in == nil {
+			s.in = append(inBuffers.Get().([]byte)[:0], b...)
+		}
+		return nil
+	}
+	h := s.ans.head
+	body, rest := s.ans.body(b)
+	if !h.chunked && len(body) > 0 {
+		body = bytes.Clone(body)
+	}
+	if s.try.attempt == nil {
+		return s.end(s.back.up.probed(h, body), !h.last && rest == 0)
+	}
+	r, reusable := s.back.up.answered(nil, s.conn, h, body, rest)
+	return s.end(r, reusable && !eof)
+}
+
+// passes reports whether an answer may be passed on while it comes: it is a good one that is long, or may be.
+func (s *sock) passes(h *answerHead) bool {
+	return s.try.attempt != nil && s.try.attempt.Message.Streams && h.status == http.StatusOK && !s.ans.short &&
+		(h.length < 0 || h.length > httpwire.MaxBody)
+}
+
+// handOver gives the connection to a goroutine, which reads the answer once more from its first byte. The caller holds mu.
+func (s *sock) handOver(b []byte, heldFor time.Duration) {
+	t, c, back := s.try, s.conn, s.back
+	a := &attempt{Attempt: t.attempt, heldFor: heldFor}
+	a.ctx, a.cancel = context.WithCancel(back.ctx)
+	t.taken.Store(a)
+	got := bytes.Clone(b)
+	file, _ := s.release()
+	s.end(core.Result{}, false)
+	c.Conn, c.polled = file, nil
+	c.in = newAnswerReader(io.MultiReader(bytes.NewReader(got), file))
+	back.running.Go(func() {
+		defer a.cancel()
+		c.SetDeadline(a.Cut)
+		stop := context.AfterFunc(a.ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+		r, reusable := back.up.receive(a, c)
+		back.up.pool.giveBack(c, stop() && reusable)
+		a.End(r)
+	})
+}
+
+// release takes the descriptor from the poller. The caller holds mu.
+func (s *sock) release() (net.Conn, error) {
+	err := s.back.poller.Release(s.fd)
+	s.back.poller.Forget(s.place)
+	s.state = sockGone
+	return fileConn{os.NewFile(uintptr(s.fd), "server")}, err
+}
+
+// detach implements polled.
+func (s *sock) detach() (net.Conn, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.state != sockIdle {
+		return nil, net.ErrClosed
+	}
+	return s.release()
+}
+
+// fileConn is a socket that Go's own poller waits for.
+type fileConn struct{ *os.File }
+
+func (fileConn) LocalAddr() net.Addr  { return nil }
+func (fileConn) RemoteAddr() net.Addr { return nil }
+
+// giveUp ends a try that the exchange has given up, on the exchange's goroutine.
+func (s *sock) giveUp(t *try) {
+	s.mu.Lock()
+	if s.try != t {
+		s.mu.Unlock()
+		if a := t.taken.Load(); a != nil {
+			a.cancel()
+		}
+		return
+	}
+	outcome := balance.Moot
+	if s.state == sockWaiting {
+		outcome = balance.Cancelled
+	}
+	e := s.failed(outcome)
+	s.mu.Unlock()
+	s.back.running.Go(e.do)
+}
+
+// expired handles the time-out.
+func (s *sock) expired() {
+	s.mu.Lock()
+	s.back.mu.Lock()
+	again := s.timeout.Set() // it was set anew meanwhile
+	s.back.mu.Unlock()
+	var e *ending
+	if t := s.try; t != nil && !again {
+		late := !time.Now().Before(t.cut)
+		switch {
+		case s.state == sockConnecting && late, s.state == sockWriting:
+			e = s.failed(balance.Moot)
+		case s.state == sockConnecting:
+			e = s.failed(balance.ConnectFailed)
+		case late:
+			e = s.failed(balance.TimedOut)
+		case len(s.ans.chunks.Body) > 0 || len(s.in) > s.ans.from && s.ans.head != nil && !s.ans.head.chunked:
+			s.handOver(s.in, heldBack) // its end was not announced, and has not come soon
+		default: // not a byte of it has come
+			s.back.setTimeout(s, time.Until(t.cut))
+		}
+	}
+	s.mu.Unlock()
+	e.do()
+}
+
+// Close implements polled.
+func (s *sock) Close() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.state == sockGone {
+		return nil
+	}
+	s.state, s.try = sockGone, nil
+	s.back.clearTimeout(s)
+	s.back.poller.Forget(s.place)
+	return unix.Close(s.fd)
+}
--- a/internal/upstream/http/stream.go
+++ b/internal/upstream/http/stream.go
@@ -118,7 +118,7 @@
 	switch {
 	case err != nil || resp.StatusCode == http.StatusOK:
 		return balance.ConnectFailed
-	case outcomeOf(resp) == balance.Full:
+	case headOf(resp).outcome() == balance.Full:
 		return balance.Full
 	}
 	return balance.ConnectFailed
@@ -127,9 +127,9 @@
 // relay passes an answer on whose body is longer than what is held whole, or of unknown length. What turns out to be short
 // is answered like any other.
 func (u *upstream) relay(a *attempt, c *conn, resp *http.Response) (core.Result, bool) {
-	r := &relaying{a: a, u: u, conn: c, resp: resp, pipe: pipe.New(resp.ContentLength)}
+	r := &relaying{a: a, u: u, conn: c, head: headOf(resp), pipe: pipe.New(resp.ContentLength)}
 	if resp.ContentLength < 0 {
-		timer := time.AfterFunc(heldBack, func() { r.pass(false) })
+		timer := time.AfterFunc(heldBack-a.heldFor, func() { r.pass(false) })
 		defer timer.Stop()
 	} else {
 		r.pass(true)
@@ -153,7 +153,7 @@
 		}
 		if err == io.EOF {
 			if !r.passed() && r.hold() {
-				return u.answered(a, c, resp, r.held)
+				return u.answered(a, c, r.head, r.held, c.in.Buffered())
 			}
 			r.pipe.CloseWrite(nil)
 			return core.Result{}, !resp.Close && c.in.Buffered() == 0
@@ -169,7 +169,7 @@
 	a    *attempt
 	u    *upstream
 	conn *conn
-	resp *http.Response
+	head *answerHead
 	pipe *pipe.Pipe
 
 	mu   sync.Mutex
@@ -205,8 +205,8 @@
 		r.pipe.Put(r.held)
 		r.held = nil
 	}
-	report := reportOf(r.resp, r.u.fields)
-	answer := answerOf(r.resp)
+	report := reportOf(r.head.header, r.u.fields)
+	answer := r.head.answer()
 	answer.Stream = r.pipe
 	r.a.End(core.Result{Outcome: balance.OK, Report: report, Answer: answer})
 }
@@ -216,7 +216,7 @@
 	r.mu.Lock()
 	if !r.gone {
 		r.held = append(r.held, b...)
-		full := len(r.held) > httpwire.MaxBody
+		full := len(r.held) > httpwire.MaxBody || r.a.heldFor >= heldBack // no timer is to come
 		r.mu.Unlock()
 		if full {
 			r.pass(true)
--- a/internal/upstream/http/upstream.go
+++ b/internal/upstream/http/upstream.go
@@ -46,6 +46,8 @@
 	*core.Attempt
 	ctx    context.Context
 	cancel context.CancelFunc
+	// heldFor is for how long the beginning of its answer was held back before a goroutine took it over.
+	heldFor time.Duration
 }
 
 // Back makes attempts over HTTP/1.1.
@@ -168,6 +170,11 @@
 		}
 	}
 	a.Written()
+	return u.receive(a, c)
+}
+
+// receive reads the answer to a request that was written whole.
+func (u *upstream) receive(a *attempt, c *conn) (r core.Result, reusable bool) {
 	most := int64(httpwire.MaxBody)
 	if a.Message.Streams {
 		most = httpwire.MaxStream
@@ -186,27 +193,27 @@
 			return core.Result{Outcome: a.broken(err)}, false
 		}
 	}
-	return u.answered(a, c, resp, body)
+	return u.answered(a, c, headOf(resp), body, c.in.Buffered())
 }
 
-// answered makes a result of an answer that is there as a whole.
-func (u *upstream) answered(a *attempt, c *conn, resp *http.Response, body []byte) (r core.Result, reusable bool) {
-	r = core.Result{Outcome: outcomeOf(resp), Report: reportOf(resp, u.fields)}
-	if r.Outcome == balance.OK && u.pool.isCopy(c, body) {
-		return core.Result{Outcome: balance.Reset}, false // the answer to this request is yet to come, or never will
-	}
+// answered makes a result of an answer that is there as a whole, with rest bytes behind it.
+func (u *upstream) answered(a *attempt, c *conn, h *answerHead, body []byte, rest int) (r core.Result, reusable bool) {
+	r = core.Result{Outcome: h.outcome(), Report: reportOf(h.header, u.fields)}
 	if r.Outcome == balance.OK {
-		r.Answer = answerOf(resp)
+		if u.pool.isCopy(c, body) {
+			return core.Result{Outcome: balance.Reset}, false // the answer to this request is yet to come, or never will
+		}
+		r.Answer = h.answer()
 		r.Answer.Body = body
 	}
-	return r, !resp.Close && c.in.Buffered() == 0
+	return r, !h.last && rest == 0
 }
 
-// answerOf is an answer without its body.
-func answerOf(resp *http.Response) *core.Answer {
-	resp.Header.Del(loadHeader)
-	httpwire.DropHop(resp.Header)
-	return &core.Answer{Meta: resp.Header, ContentType: resp.Header.Get("Content-Type")}
+// answer is an answer without its body. The head's fields are its own from now on.
+func (h *answerHead) answer() *core.Answer {
+	delete(h.header, loadHeader)
+	httpwire.DropHop(h.header)
+	return &core.Answer{Meta: h.header, ContentType: h.header.Get("Content-Type")}
 }
 
 func interrupted(a *attempt, err error) bool {
@@ -224,12 +231,13 @@
 	return balance.Reset
 }
 
-func outcomeOf(resp *http.Response) balance.Result {
-	switch resp.StatusCode {
+// outcome is what an answer proves.
+func (h *answerHead) outcome() balance.Result {
+	switch h.status {
 	case http.StatusOK:
 		return balance.OK
 	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
-		if resp.Header.Get(neverRan) == "1" {
+		if h.header.Get(neverRan) == "1" {
 			return balance.Full
 		}
 	}
@@ -268,6 +276,9 @@
 
 // encode writes the message as it goes to a server, which is told the time that remains until cut.
 func encode(m *core.Message, cut time.Time) ([]byte, error) {
+	if m.Meta != nil && m.Stream == nil { // it came over HTTP, and was checked
+		return appendRequest(make([]byte, 0, 512+len(m.Body)), m, time.Until(cut)), nil
+	}
 	req := http.Request{
 		Method: methodOf(m),
 		URL:    &url.URL{Opaque: cmp.Or(m.Target, "/api/"+m.Method)}, // goes on as the client wrote it
@@ -297,6 +308,38 @@
 	return out.Bytes(), nil
 }
 
+// appendRequest appends a request whose fields are those that came, as they came.
+func appendRequest(dst []byte, m *core.Message, left time.Duration) []byte {
+	method := methodOf(m)
+	dst = append(append(dst, method...), ' ')
+	dst = append(append(dst, m.Target...), " HTTP/1.1\r\nHost: "...)
+	dst = append(dst, cmp.Or(m.Authority, "app.svc")...)
+	class := m.Class
+	for name, values := range m.Meta {
+		switch name {
+		case "Host", "Content-Length", "Transfer-Encoding", "Trailer", "Expect", httpwire.ExpiryHeader:
+			continue
+		case "X-Qos":
+			if class != "" { // a contract may have changed it
+				continue
+			}
+		}
+		for _, v := range values {
+			dst = append(append(append(append(dst, "\r\n"...), name...), ": "...), v...)
+		}
+	}
+	if class != "" {
+		dst = append(append(dst, "\r\nX-Qos: "...), class...)
+	}
+	dst = append(dst, "\r\n"+httpwire.ExpiryHeader+": "...)
+	dst = append(strconv.AppendInt(dst, max(1, left.Microseconds()), 10), 'u')
+	if len(m.Body) > 0 || method != http.MethodGet {
+		dst = append(dst, "\r\nContent-Length: "...)
+		dst = strconv.AppendInt(dst, int64(len(m.Body)), 10)
+	}
+	return append(append(dst, "\r\n\r\n"...), m.Body...)
+}
+
 // ask probes an endpoint.
 func (u *upstream) ask(ctx context.Context, e *core.Endpoint) core.Result {
 	cut := time.Now().Add(u.pool.connectTimeout + probePatience)
@@ -313,7 +356,7 @@
 	c.SetDeadline(cut)
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	defer func() { reusable = stop() && reusable }()
-	if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", u.probe, c.addr); err != nil {
+	if _, err := c.Write(u.question(c.addr)); err != nil {
 		return core.Result{Outcome: balance.ConnectFailed}, false
 	}
 	resp, body, err := c.in.next(http.MethodGet)
@@ -323,12 +366,22 @@
 	if err != nil {
 		return core.Result{Outcome: balance.Reset}, false
 	}
-	r = core.Result{Outcome: balance.Failed, Report: reportOf(resp, u.fields)}
+	return u.probed(headOf(resp), body), !resp.Close && c.in.Buffered() == 0
+}
+
+// question is a probe's request.
+func (u *upstream) question(addr string) []byte {
+	return fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", u.probe, addr)
+}
+
+// probed is what an answer to a probe says.
+func (u *upstream) probed(h *answerHead, body []byte) core.Result {
+	r := core.Result{Outcome: balance.Failed, Report: reportOf(h.header, u.fields)}
 	if r.Report == nil {
 		r.Report = parseReport(string(body), u.fields)
 	}
-	if resp.StatusCode == http.StatusOK {
+	if h.status == http.StatusOK {
 		r.Outcome = balance.OK
 	}
-	return r, !resp.Close && c.in.Buffered() == 0
+	return r
 }
--- a/internal/upstream/http/upstream_test.go
+++ b/internal/upstream/http/upstream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -14,20 +15,81 @@
 	"cedararch/internal/testbed"
 )
 
-func newUpstream(t *testing.T, sockets int) *upstream {
+// subject is a back under test: attempts on goroutines, or on the kernel's readiness.
+type subject struct {
+	*upstream
+	poll *PollBack // nil: on goroutines
+}
+
+// onEach runs a test on both kinds of backs.
+func onEach(t *testing.T, test func(t *testing.T, newUpstream func(sockets int) *subject)) {
+	cfg := Config{ConnectTimeout: testbed.Patience, Idle: testbed.Patience, Fields: []string{"busy", "rate"}, Reports: true}
+	t.Run("goroutines", func(t *testing.T) {
+		test(t, func(sockets int) *subject {
+			cfg.Sockets = sockets
+			b := New(t.Context(), cfg)
+			t.Cleanup(b.Close)
+			return &subject{b.up, nil}
+		})
+	})
+	t.Run("readiness", func(t *testing.T) {
+		test(t, func(sockets int) *subject {
+			cfg.Sockets = sockets
+			b, err := NewPoll(t.Context(), cfg)
+			if errors.Is(err, errors.ErrUnsupported) {
+				t.Skip(err)
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(b.Close)
+			return &subject{b.up, b}
+		})
+	})
+}
+
+// do makes an attempt.
+func (s *subject) do(t *testing.T, a *tried) core.Result {
 	t.Helper()
-	p := newPool(testbed.Patience, testbed.Patience, 0, sockets)
-	t.Cleanup(p.closeAll)
-	return &upstream{pool: p, fields: []string{"busy", "rate"}, probe: "/metrics/load"}
+	if s.poll == nil {
+		return s.try(a.attempt)
+	}
+	s.poll.Begin(a.Attempt)
+	defer context.AfterFunc(a.ctx, func() { s.poll.Cancel(a.Attempt) })()
+	return testbed.Next(t, a.done)
+}
+
+func (s *subject) ask(t *testing.T, e *core.Endpoint) core.Result {
+	t.Helper()
+	if s.poll == nil {
+		return s.upstream.ask(context.Background(), e)
+	}
+	done := make(chan core.Result, 1)
+	s.poll.Probe(e, func(r core.Result) { done <- r })
+	return testbed.Next(t, done)
+}
+
+// kept is how many connections there are.
+func (s *subject) kept() int {
+	s.pool.mu.Lock()
+	defer s.pool.mu.Unlock()
+	return s.pool.open
 }
 
 func at(addr string) *core.Endpoint {
 	return core.NewEndpoint(addr, addr)
 }
 
-func newAttempt(e *core.Endpoint, within time.Duration) *attempt {
+// tried is an attempt whose end comes on done.
+type tried struct {
+	*attempt
+	done chan core.Result
+}
+
+func newAttempt(e *core.Endpoint, within time.Duration) *tried {
 	m := &core.Message{Target: "/api", Authority: "app.svc", Meta: http.Header{}, Body: []byte("order 7")}
-	a := &attempt{Attempt: core.NewAttempt(e, m, time.Now().Add(within), func(core.Result) {})}
+	a := &tried{&attempt{}, make(chan core.Result, 1)}
+	a.Attempt = core.NewAttempt(e, m, time.Now().Add(within), func(r core.Result) { a.done <- r })
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	return a
 }
@@ -37,9 +99,9 @@
 	return r
 }
 
-func (u *upstream) want(t *testing.T, a *attempt, want balance.Result) core.Result {
+func (s *subject) want(t *testing.T, a *tried, want balance.Result) core.Result {
 	t.Helper()
-	r := u.try(a)
+	r := s.do(t, a)
 	a.cancel()
 	if r.Outcome != want {
 		t.Errorf("outcome %d, want %d", r.Outcome, want)
@@ -49,19 +111,23 @@
 
 // A connection may be there only after the news that the server drains, or after the request's final answer.
 // Nothing may be sent then, and the attempt never ran.
-func TestLooksAgainBeforeTheFirstByte(t *testing.T) {
-	for name, late := range map[string]func(*attempt){
-		"draining": func(a *attempt) { a.Endpoint.Close() },
-		"answered": func(a *attempt) { a.SetAnswered() },
-		"given up": func(a *attempt) { a.cancel() },
-		"too late": func(a *attempt) { a.Cut = time.Now() },
+func TestLooksAgainBeforeTheFirstByte(t *testing.T) { onEach(t, testLooksAgainBeforeTheFirstByte) }
+
+func testLooksAgainBeforeTheFirstByte(t *testing.T, newUpstream func(int) *subject) {
+	for name, late := range map[string]func(*tried){
+		"draining": func(a *tried) { a.Endpoint.Close() },
+		"answered": func(a *tried) { a.SetAnswered() },
+		"given up": func(a *tried) { a.cancel() },
+		"too late": func(a *tried) { a.Cut = time.Now() },
 	} {
 		t.Run(name, func(t *testing.T) {
-			s, u := testbed.NewScript(t, testbed.Say(200, "")), newUpstream(t, 1024)
+			s, u := testbed.NewScript(t, testbed.Say(200, "")), newUpstream(1024)
 			e := at(s.Addr)
 			u.want(t, newAttempt(e, testbed.Patience), balance.OK)
 			a := newAttempt(e, testbed.Patience)
-			late(a)
+			if late(a); a.ctx.Err() != nil && u.poll != nil {
+				t.Skip("what is given up is never begun")
+			}
 			u.want(t, a, balance.Moot)
 			if got := len(requestsOf(s)); got != 1 {
 				t.Errorf("the server saw %d requests", got)
@@ -71,29 +137,38 @@
 }
 
 // A request written to a connection that the server has closed would end as a reset, which may have run.
-func TestLeavesDeadConnections(t *testing.T) {
+func TestLeavesDeadConnections(t *testing.T) { onEach(t, testLeavesDeadConnections) }
+
+func testLeavesDeadConnections(t *testing.T, newUpstream func(int) *subject) {
 	ending := testbed.NewScript(t, func(c net.Conn) bool { testbed.Say(200, "")(c); return false })
-	u, e := newUpstream(t, 1024), at(ending.Addr)
+	u, e := newUpstream(1024), at(ending.Addr)
 	u.want(t, newAttempt(e, testbed.Patience), balance.OK)
-	c := u.pool.idle[e][0]
-	testbed.Until(t, "the server closes", func() bool { return c.state() != socket.Silent })
+	testbed.Until(t, "the server closes", func() bool {
+		u.pool.mu.Lock()
+		defer u.pool.mu.Unlock()
+		return len(u.pool.idle[e]) == 0 || u.pool.idle[e][0].state() != socket.Silent
+	})
 	u.want(t, newAttempt(e, testbed.Patience), balance.OK)
 	if _, _, conns := ending.Seen(); conns != 2 {
 		t.Errorf("%d connections, want a second one", conns)
 	}
-	if u.pool.open != len(u.pool.idle[e]) {
-		t.Errorf("%d connections counted, %d idle", u.pool.open, len(u.pool.idle[e]))
-	}
+	testbed.Until(t, "what has ended is not counted", func() bool { return u.kept() <= 1 })
 }
 
-func TestRefusedConnectionNeverRan(t *testing.T) {
+func TestRefusedConnectionNeverRan(t *testing.T) { onEach(t, testRefusedConnectionNeverRan) }
+
+func testRefusedConnectionNeverRan(t *testing.T, newUpstream func(int) *subject) {
 	ln := testbed.Listen(t)
 	ln.Close()
-	newUpstream(t, 1024).want(t, newAttempt(at(ln.Addr().String()), testbed.Patience), balance.ConnectFailed)
+	newUpstream(1024).want(t, newAttempt(at(ln.Addr().String()), testbed.Patience), balance.ConnectFailed)
 }
 
 // Giving an attempt up ends its connection: it must neither occupy a socket nor carry another request.
 func TestGivenUpAttemptsFreeTheirConnection(t *testing.T) {
+	onEach(t, testGivenUpAttemptsFreeTheirConnection)
+}
+
+func testGivenUpAttemptsFreeTheirConnection(t *testing.T, newUpstream func(int) *subject) {
 	ended := make(chan bool, 2)
 	hang := func(c net.Conn) bool {
 		var b [1]byte
@@ -101,7 +176,7 @@
 		ended <- err != nil
 		return false
 	}
-	s, u := testbed.NewScript(t, hang), newUpstream(t, 1024)
+	s, u := testbed.NewScript(t, hang), newUpstream(1024)
 	e := at(s.Addr)
 	u.want(t, newAttempt(e, 2*time.Second), balance.TimedOut)
 	testbed.Next(t, ended)
@@ -114,19 +189,21 @@
 	}()
 	u.want(t, a, balance.Cancelled)
 	testbed.Next(t, ended)
-	if u.pool.open != 0 || len(u.pool.idle) != 0 {
-		t.Errorf("%d connections open, %d endpoints with idle ones", u.pool.open, len(u.pool.idle))
+	if u.kept() != 0 {
+		t.Errorf("%d connections open", u.kept())
 	}
 }
 
 // The pool gives up idle connections before it refuses one, and a lack of sockets is no fault of the server.
-func TestSocketBudget(t *testing.T) {
+func TestSocketBudget(t *testing.T) { onEach(t, testSocketBudget) }
+
+func testSocketBudget(t *testing.T, newUpstream func(int) *subject) {
 	first, second := testbed.NewScript(t, testbed.Say(200, "")), testbed.NewScript(t, testbed.Say(200, ""))
-	u := newUpstream(t, 1) // one connection
+	u := newUpstream(1) // one connection
 	u.want(t, newAttempt(at(first.Addr), testbed.Patience), balance.OK)
 	u.want(t, newAttempt(at(second.Addr), testbed.Patience), balance.OK)
-	if u.pool.open != 1 {
-		t.Errorf("%d connections open, want 1", u.pool.open)
+	if n := u.kept(); n != 1 {
+		t.Errorf("%d connections open, want 1", n)
 	}
 	c, err := u.pool.get(context.Background(), at(first.Addr), time.Now().Add(testbed.Patience))
 	if err != nil {
@@ -137,12 +214,14 @@
 }
 
 // Where the server's answer goes on beyond its end, the connection must not be used again.
-func TestLeavesConnectionsOutOfStep(t *testing.T) {
+func TestLeavesConnectionsOutOfStep(t *testing.T) { onEach(t, testLeavesConnectionsOutOfStep) }
+
+func testLeavesConnectionsOutOfStep(t *testing.T, newUpstream func(int) *subject) {
 	s := testbed.NewScript(t, func(c net.Conn) bool {
 		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray")
 		return err == nil
 	})
-	u, e := newUpstream(t, 1024), at(s.Addr)
+	u, e := newUpstream(1024), at(s.Addr)
 	for range 2 {
 		if r := u.want(t, newAttempt(e, testbed.Patience), balance.OK); r.Answer != nil && len(r.Answer.Body) != 0 {
 			t.Errorf("got the body %q", r.Answer.Body)
@@ -150,14 +229,16 @@
 	}
 }
 
-func TestProbe(t *testing.T) {
+func TestProbe(t *testing.T) { onEach(t, testProbe) }
+
+func testProbe(t *testing.T, newUpstream func(int) *subject) {
 	s := testbed.NewScript(t, testbed.Say(200, "TEXT util=0.5, qps=12"), testbed.Say(503, ""))
-	u := newUpstream(t, 1024)
-	r := u.ask(context.Background(), at(s.Addr))
+	u := newUpstream(1024)
+	r := u.ask(t, at(s.Addr))
 	if r.Outcome != balance.OK || len(r.Report) != 2 || r.Report[0] != 0.5 || r.Report[1] != 12 {
 		t.Errorf("probed: %+v", r)
 	}
-	if r := u.ask(context.Background(), at(s.Addr)); r.Outcome != balance.Failed {
+	if r := u.ask(t, at(s.Addr)); r.Outcome != balance.Failed {
 		t.Errorf("probed a server that is not well: %+v", r)
 	}
 	if got := requestsOf(s)[0]; got.URL.Path != "/metrics/load" {
