--- a/cmd/firplank-lab/main.go
+++ b/cmd/firplank-lab/main.go
@@ -24,6 +24,7 @@
 	"cedararch/lab/peer"
 	"cedararch/lab/run"
 	"cedararch/lab/scenario"
+	"cedararch/lab/shed"
 )
 
 // commands is the command line.
@@ -32,6 +33,7 @@
 	List    listCommand       `cmd:"" help:"List the built-in scenarios and the kinds of faults."`
 	Compare compareCommand    `cmd:"" help:"Play a scenario through firplank and through other proxies, and compare the worth served."`
 	Through throughputCommand `cmd:"" name:"throughput" help:"Measure requests a second of processor over HTTP and MessagePack-RPC, and through the standard library's reverse proxy."`
+	Shed    shedCommand       `cmd:"" help:"Reckon the most that a scenario lets anyone serve, and play ways of shedding against models of its servers, in virtual time."`
 	Load    loadCommand       `cmd:"" help:"Hold connections to an HTTP address on loopback and send requests on some of them, open loop."`
 	Stand   standCommand      `cmd:"" help:"Start a scenario's servers and roster for sidecars and clients of your own."`
 	Clients clientsCommand    `cmd:"" help:"Play a scenario's clients against sidecars that run already."`
@@ -252,7 +254,7 @@
 	Idle     int      `help:"Idle connections, for the memory of each." default:"1000"`
 	Binary   string   `help:"The sidecar's program; without it this program serves as one." type:"path"`
 	Before   string   `help:"Another build of it, to compare with over HTTP." type:"path"`
-	Only     []string `help:"Of http, rpc, before and proxy."`
+	Only     []string `help:"Of http, rpc, before, proxy and fasthttp."`
 	Bench    string   `help:"Write each round to a file in the form of Go's benchmarks, for benchstat." placeholder:"FILE" type:"path"`
 }
 
@@ -269,7 +271,11 @@
 	if c.Before != "" {
 		subjects = append(subjects, run.Subject{Name: "before", Program: run.Program{Args: []string{c.Before, "serve"}}})
 	}
-	subjects = append(subjects, run.Subject{Name: "proxy", Program: proxy})
+	fast, err := child(peer.Fast)
+	if err != nil {
+		return err
+	}
+	subjects = append(subjects, run.Subject{Name: "proxy", Program: proxy}, run.Subject{Name: "fasthttp", Program: fast})
 	if len(c.Only) > 0 {
 		subjects = slices.DeleteFunc(subjects, func(s run.Subject) bool { return !slices.Contains(c.Only, s.Name) })
 	}
@@ -287,6 +293,49 @@
 	return run.ThroughputTable(out, all)
 }
 
+type shedCommand struct {
+	played
+	Seeds   int  `help:"How many seeds to play, from the scenario's on." default:"1"`
+	Retries *int `help:"Tries after the first one in place of the scenario's."`
+}
+
+func (c *shedCommand) Run(out io.Writer) error {
+	s, err := c.open()
+	if err != nil {
+		return err
+	}
+	if c.Retries != nil {
+		s.Clients.Retries = *c.Retries
+		if err := s.Check(); err != nil {
+			return err
+		}
+	}
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "seed\tway\tworth\tof the most by class\tof the most\tin aim\tlate\trefused\ttries\tback after s\tnew ones after s\t")
+	for first := s.Seed; s.Seed < first+uint64(max(1, c.Seeds)); s.Seed++ {
+		plan, err := s.Draw()
+		if err != nil {
+			return err
+		}
+		all, err := shed.Compare(s, plan)
+		if err != nil {
+			return err
+		}
+		for _, o := range all {
+			fmt.Fprintf(t, "%d\t%s\t%.3f\t%.3f\t%.3f\t%d\t%d\t%d\t%d\t%s\t%s\t\n", s.Seed, o.Way, o.Share, o.OfMost, o.OfOmniscient, o.InAim, o.Late,
+				o.Refused, o.Tries, orNever(o.Recovered), orNever(o.NewServed))
+		}
+	}
+	return t.Flush()
+}
+
+func orNever(d time.Duration) string {
+	if d < 0 {
+		return "never"
+	}
+	return fmt.Sprintf("%.1f", d.Seconds())
+}
+
 type loadCommand struct {
 	Addr        string   `arg:"" help:"Address of 127.0.0.0/8, with a port."`
 	Connections int      `help:"Connections held." default:"1000"`
--- a/internal/front/http/clients.go
+++ b/internal/front/http/clients.go
@@ -28,6 +28,7 @@
 // stay and say nothing take every descriptor, and nobody is served any more.
 type clients struct {
 	most     int
+	waiting  float64             // see Config.Waiting
 	stranger func(peer net.Addr) // told of who speaks something else; nil: nobody is
 
 	mu     sync.Mutex
@@ -81,7 +82,7 @@
 func (cs *clients) crowded() bool {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
-	return cs.silent.Len()+cs.idle.Len() >= cs.most/keptShare
+	return cs.silent.Len()+cs.idle.Len() >= waiting(cs.most, cs.waiting)
 }
 
 // evict closes the connection that is missed least, and reports whether there was one.
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -61,6 +61,7 @@
 	Connections int           // of clients, at most
 	LastCalls   time.Duration // how long new connections are taken after the signal to end
 	Idle        time.Duration // how long a connection may stand between two requests; 0: 5 s
+	Waiting     float64       // part of Connections that may wait for a request before answers end theirs; 0: a quarter
 	Evict       func() bool   // closes a connection of somebody else's where descriptors are short
 	// Method names what a path is to servers that go by names. With it bodies in MessagePack are taken also with safe
 	// requests, by POST; nil: neither.
@@ -70,6 +71,9 @@
 	Log    *slog.Logger
 }
 
+// waiting is how many of so many connections may wait for a request: a part of them, or where that is 0 the usual one.
+func waiting(most int, part float64) int { return int(float64(most) * cmp.Or(part, 1./keptShare)) }
+
 func (cfg *Config) idle() time.Duration { return cmp.Or(cfg.Idle, keepAlive) }
 
 // Front is the side that the application talks to, on the standard library's server. It runs wherever Go does; where the
@@ -85,7 +89,7 @@
 
 // New returns a front that hands requests to an exchange.
 func New(cfg Config, exchange *core.Loop) *Front {
-	f := &Front{cfg: cfg, exchange: exchange, clients: &clients{most: cfg.Connections}, failed: make(chan error, 1)}
+	f := &Front{cfg: cfg, exchange: exchange, clients: &clients{most: cfg.Connections, waiting: cfg.Waiting}, failed: make(chan error, 1)}
 	notes := rate.Sometimes{First: 3, Interval: time.Second}
 	f.clients.stranger = func(peer net.Addr) {
 		notes.Do(func() {
--- a/internal/front/http/poll_linux.go
+++ b/internal/front/http/poll_linux.go
@@ -250,7 +250,7 @@
 func (f *PollFront) crowded() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.silent.n+f.idle.n >= int(f.most.Load())/keptShare
+	return f.silent.n+f.idle.n >= waiting(int(f.most.Load()), f.cfg.Waiting)
 }
 
 // evict closes the connection that is missed least, and reports whether there was one: the one silent for longest, but one
--- a/internal/front/http/pollconn_linux.go
+++ b/internal/front/http/pollconn_linux.go
@@ -96,7 +96,7 @@
 	}
 	var arrive, leave *pollCall
 	if events&(unix.EPOLLIN|unix.EPOLLRDHUP|unix.EPOLLHUP|unix.EPOLLERR) != 0 {
-		arrive, leave = c.read()
+		arrive, leave = c.read(events&poller.Ended != 0)
 	}
 	c.mu.Unlock()
 	if arrive != nil {
@@ -107,8 +107,8 @@
 	}
 }
 
-// read reads all there is. The caller holds mu.
-func (c *pollConn) read() (arrive, leave *pollCall) {
+// read reads all there is. ended says that the client's end may be behind it. The caller holds mu.
+func (c *pollConn) read(ended bool) (arrive, leave *pollCall) {
 	for {
 		switch {
 		case c.state == pollClosed:
@@ -144,6 +144,9 @@
 		if c.state == pollWaiting && c.isLong() {
 			arrive = c.begin()
 		}
+		if c.state == pollWaiting && n < len(c.front.scratch) && !ended {
+			return c.whole(), nil // a short read has emptied it, and the kernel tells of what comes next
+		}
 	}
 }
 
--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -29,6 +29,8 @@
 type HTTP struct {
 	Standard bool    `toml:"standard"` // on the standard library's server, as where the kernel has no other way
 	Idle     float64 `toml:"idle_s"`   // how long a connection may stand between two requests; 0: 5
+	// Waiting is the part of the clients' connections that may wait for a request before answers end theirs; 0: a quarter.
+	Waiting float64 `toml:"waiting_share"`
 }
 
 // Broker is about contracts between teams; see internal/broker and contract.
@@ -148,6 +150,9 @@
 	if v := f.HTTP.Idle; !(v >= 0 && v <= mostIdle) {
 		return nil, fmt.Errorf("options: %s: http.idle_s is %v: want 0 to %d", name, v, mostIdle)
 	}
+	if v := f.HTTP.Waiting; !(v >= 0 && v <= 1) {
+		return nil, fmt.Errorf("options: %s: http.waiting_share is %v: want 0 to 1", name, v)
+	}
 	if b := &f.Broker; !(b.Capacity >= 0) || !(b.Part >= 0 && b.Part <= 1) {
 		return nil, fmt.Errorf("options: %s: broker: capacity_per_s is %v and part %v: want 0 or more, and 0 to 1", name, b.Capacity, b.Part)
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -248,7 +248,7 @@
 	}, exchange)
 	httpCfg := httpfront.Config{
 		Catalog: cfg.catalog, Door: keeper, Connections: budget.clients, LastCalls: cfg.lastCalls, Evict: evict,
-		Idle:   millis(cfg.Options.HTTP.Idle * 1000),
+		Idle: millis(cfg.Options.HTTP.Idle * 1000), Waiting: cfg.Options.HTTP.Waiting,
 		Claims: gate != nil, Counts: counts, Log: log,
 	}
 	if cfg.methods != nil {
--- /dev/null
+++ b/lab/peer/fast.go
@@ -0,0 +1,61 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Fast is the name of the proxy on fasthttp, which goes round: a peer for what a request costs, not for what is decided.
+const Fast = "fasthttp"
+
+// serveFast serves as the proxy does, on fasthttp.
+func (p *proxy) serveFast(ctx context.Context, ln net.Listener) error {
+	client := &fasthttp.Client{
+		MaxConnsPerHost: 10_000, ReadTimeout: 5 * time.Second, WriteTimeout: 5 * time.Second, NoDefaultUserAgentHeader: true,
+		DisablePathNormalizing: true, RetryIf: func(*fasthttp.Request) bool { return false },
+	}
+	server := &fasthttp.Server{
+		NoDefaultServerHeader: true, CloseOnShutdown: true,
+		Handler: func(r *fasthttp.RequestCtx) {
+			if string(r.Path()) == "/up" {
+				r.SetBodyString("ready\n")
+				return
+			}
+			b := p.choose()
+			if b == nil {
+				r.Error("no server", fasthttp.StatusBadGateway)
+				return
+			}
+			host := string(r.Request.Host())
+			r.Request.URI().SetScheme("http")
+			r.Request.URI().SetHost(b.addr)
+			r.Request.UseHostHeader = true
+			r.Request.Header.SetHost(host)
+			r.Request.Header.Del("Connection")
+			if err := client.DoTimeout(&r.Request, &r.Response, left(string(r.Request.Header.Peek("X-Expires-In")))); err != nil {
+				r.Response.Reset()
+				r.SetStatusCode(fasthttp.StatusBadGateway)
+				return
+			}
+			r.Response.Header.Del("Connection")
+		},
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(ln) }()
+	select {
+	case err := <-failed:
+		return fmt.Errorf("peer: %w", err)
+	case <-ctx.Done():
+	}
+	limit, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	if err := server.ShutdownWithContext(limit); err != nil && limit.Err() == nil {
+		return fmt.Errorf("peer: %w", err)
+	}
+	client.CloseIdleConnections()
+	return nil
+}
--- a/lab/peer/peer.go
+++ b/lab/peer/peer.go
@@ -76,6 +76,9 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	tasks.Go(func() { p.follow(ctx, cfg.Discovery) })
+	if policy == Fast {
+		return p.serveFast(ctx, ln)
+	}
 	server := &http.Server{Handler: p.handler()}
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(ln) }()
--- a/lab/run/config.go
+++ b/lab/run/config.go
@@ -81,6 +81,9 @@
 	if s.Clients.RPC() || s.RPCServers() {
 		all["msgpack_rpc"] = rpcTable(s, listen)
 	}
+	if s.Clients.Held > 0 {
+		all["http"] = object{"idle_s": 3600, "waiting_share": 1}
+	}
 	if s.Contracts() {
 		all["broker"] = object{"contracts": contracts, "capacity_per_s": s.Broker.Capacity}
 	}
--- a/lab/run/run.go
+++ b/lab/run/run.go
@@ -145,7 +145,7 @@
 			return err
 		}
 		n := &process{number: i, program: program, config: path, cores: s.Limits.Cores, rpc: s.Clients.RPC()}
-		if s.Clients.RPC() || s.RPCServers() || s.Contracts() {
+		if s.Clients.RPC() || s.RPCServers() || s.Contracts() || s.Clients.Held > 0 {
 			n.options = func(listen string) ([]byte, error) { return nodeOptions(s, listen, st.contracts()) }
 		}
 		st.nodes = append(st.nodes, n)
@@ -218,7 +218,6 @@
 
 func (st *stage) play(ctx context.Context, plan *scenario.Plan, opts Options) (*Report, error) {
 	s := st.s
-	offset := st.clock()
 	addrs := make([]string, len(st.nodes))
 	var rpcAddrs []string
 	for i, n := range st.nodes {
@@ -227,14 +226,20 @@
 			rpcAddrs = append(rpcAddrs, n.rpcAddress())
 		}
 	}
+	held, err := standin.Hold(ctx, addrs, s.Clients.Held)
+	if err != nil {
+		return nil, err
+	}
+	defer held.Close()
 	// The plan's times count from here; all else goes by the one clock.
+	offset := st.clock()
 	shifted := &scenario.Plan{Arrivals: slices.Clone(plan.Arrivals)}
 	for i := range shifted.Arrivals {
 		shifted.Arrivals[i].At += offset
 	}
 	st.seen.begin(offset)
 	st.callers = standin.NewCallers(standin.CallersConfig{
-		Scenario: s, Plan: shifted, Addrs: addrs, RPCAddrs: rpcAddrs, Clock: st.clock, Observer: st.seen,
+		Scenario: s, Plan: shifted, Addrs: addrs, RPCAddrs: rpcAddrs, Clock: st.clock, Observer: st.seen, Held: held,
 		MostOpen: max(16, s.Limits.Sockets/3), Linger: answerSlack*time.Millisecond + st.slack,
 	})
 	faultsCtx, endFaults := context.WithCancel(ctx)
--- a/lab/scenario/plan.go
+++ b/lab/scenario/plan.go
@@ -1,9 +1,11 @@
 package scenario
 
 import (
+	"cmp"
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -31,6 +33,7 @@
 	Sidecar int
 	Key     string // the idempotency key of a keyed class
 	Object  string
+	Held    int // the held connection that it goes out on, from 1; 0: any other
 	Quirk   Quirk
 	GoesAt  time.Duration // after its sending, when Quirk is HangsUp
 }
@@ -61,6 +64,7 @@
 	for at := time.Duration(0); ; {
 		at += time.Duration(r.ExpFloat64() / most * float64(time.Second))
 		if at >= s.Length() {
+			s.drawRushes(p)
 			return p, nil
 		}
 		if keep := s.Rate * s.surge(at) / most; r.Float64() >= keep {
@@ -70,6 +74,27 @@
 	}
 }
 
+// drawRushes adds what held connections send.
+func (s *Scenario) drawRushes(p *Plan) {
+	for i := range s.Faults {
+		f := &s.Faults[i]
+		if f.Kind != "rush" {
+			continue
+		}
+		r := model.Rand(s.Seed, "rush", strconv.Itoa(i))
+		n := s.Clients.Held * s.Sidecars
+		for place, conn := range r.Perm(n) {
+			a := s.drawOne(r, len(p.Arrivals), f.At()+f.For()*time.Duration(place)/time.Duration(n))
+			a.Sidecar, a.Held, a.Quirk = conn%s.Sidecars, conn/s.Sidecars+1, Usual
+			p.Arrivals = append(p.Arrivals, a)
+		}
+	}
+	slices.SortStableFunc(p.Arrivals, func(a, b Arrival) int { return cmp.Compare(a.At, b.At) })
+	for i := range p.Arrivals {
+		p.Arrivals[i].Number = i
+	}
+}
+
 func (s *Scenario) drawOne(r *rand.Rand, number int, at time.Duration) Arrival {
 	a := Arrival{Number: number, At: at, Sidecar: r.IntN(s.Sidecars)}
 	a.Class = pick(r, len(s.Classes), func(i int) float64 { return s.Classes[i].Share })
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -91,6 +91,7 @@
 	HangUp     float64 `toml:"hang_up"`   // share that goes away early
 	HalfClose  float64 `toml:"half_close"`
 	SlowReader float64 `toml:"slow_reader"`
+	Held       int     `toml:"held"` // connections to each sidecar that say nothing but in a rush; its options let them stay
 }
 
 // Roster is how sidecars learn of the servers.
@@ -201,6 +202,7 @@
 	"roster_garble":  {TheRoster, "for_s", "it answers with what is no list"},
 	"surge":          {Callers, "size for_s", "arrivals are multiplied by size, or with target tenant:NAME those of one tenant"},
 	"recontract":     {Sidecars, "size", "the budget of tenant:NAME is multiplied by size, and all sidecars get SIGHUP"},
+	"rush":           {Callers, "for_s", "every held connection sends one request, at even times over for_s"},
 	"flood":          {Callers, "size for_s", "size connections are kept open that say nothing or send what is no request"},
 }
 
@@ -428,6 +430,7 @@
 	mostServers  = 256
 	mostRate     = 20000
 	mostLength   = 600
+	mostHeld     = 15000 // of one sidecar
 )
 
 // Check fills in what was left out and reports every fault of the rest.
@@ -452,6 +455,8 @@
 	} {
 		bad(v >= 0 && v <= 1, "clients.%s is %v: want 0 to 1", name, v)
 	}
+	bad(s.Clients.Held >= 0 && s.Clients.Held <= mostHeld && s.Clients.Held*s.Sidecars <= mostHeld,
+		"clients.held is %d: want 0 to %d, over all sidecars", s.Clients.Held, mostHeld)
 	n := s.Servers()
 	bad(n > 0 && n <= mostServers, "fleet has %d servers: want 1 to %d", n, mostServers)
 	bad(known(s.Clients.Protocol), "clients.protocol is %q: want %s or %s", s.Clients.Protocol, HTTP, MsgpackRPC)
--- a/lab/standin/client.go
+++ b/lab/standin/client.go
@@ -42,7 +42,8 @@
 	RPCAddrs []string // ... for MessagePack-RPC, where the clients speak that
 	Clock    Clock
 	Observer Observer
-	MostOpen int // connections to one sidecar; tries beyond it wait for one
+	MostOpen int   // connections to one sidecar, beside those that are held; tries beyond it wait for one
+	Held     *Held // connections that some arrivals go out on; nil: none
 	// Linger is how long a client goes on reading after it has given a try up, so that a final answer that comes just in
 	// time is seen. What is served by then is of no use to it any more.
 	Linger time.Duration
@@ -167,14 +168,20 @@
 // on a new one.
 func (c *Callers) try(a *scenario.Arrival, number, sidecar int, give time.Duration) (scenario.Ending, time.Duration) {
 	p := c.pools[sidecar]
-	p.room <- struct{}{}
-	defer func() { <-p.room }()
+	held := c.cfg.Held.take(a, number, sidecar)
+	if held == nil {
+		p.room <- struct{}{}
+		defer func() { <-p.room }()
+	}
 	trace := a.Trace(c.cfg.Scenario.Seed, number)
 	if c.cfg.Scenario.Clients.RPC() {
 		return c.tryRPC(a, number, sidecar, trace, give)
 	}
 	for {
-		conn, err := p.get(c.cfg.Observer, c.cfg.Clock)
+		conn, err := held, error(nil)
+		if held = nil; conn == nil {
+			conn, err = p.get(c.cfg.Observer, c.cfg.Clock)
+		}
 		if err != nil {
 			return scenario.Lost, 0 // it never reached the sidecar
 		}
--- /dev/null
+++ b/lab/standin/held.go
@@ -0,0 +1,79 @@
+package standin
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"cedararch/lab/scenario"
+)
+
+// Held are connections that clients keep open all day and hardly use, as counter terminals do.
+type Held struct {
+	mu    sync.Mutex
+	conns [][]*callerConn // by sidecar; nil where it is in use, or gone
+}
+
+// Hold opens so many connections to each sidecar, and asks on each once whether it is up, so that it is known to speak HTTP.
+func Hold(ctx context.Context, addrs []string, each int) (*Held, error) {
+	h := &Held{conns: make([][]*callerConn, len(addrs))}
+	for sidecar, addr := range addrs {
+		for i := range each {
+			c, err := hold(ctx, addr)
+			if err != nil {
+				h.Close()
+				return nil, fmt.Errorf("held connection %d to sidecar %d: %w", i, sidecar, err)
+			}
+			h.conns[sidecar] = append(h.conns[sidecar], c)
+		}
+	}
+	return h, nil
+}
+
+func hold(ctx context.Context, addr string) (*callerConn, error) {
+	nc, err := (&net.Dialer{Timeout: 2 * time.Second}).DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	c := &callerConn{Conn: nc, in: bufio.NewReaderSize(nc, 512), used: true}
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	if _, err = io.WriteString(c, "GET /up HTTP/1.1\r\nHost: lab.svc\r\n\r\n"); err == nil {
+		_, err = readAnswer(c.in)
+	}
+	if err != nil {
+		c.Close()
+		return nil, err
+	}
+	c.SetDeadline(time.Time{})
+	return c, nil
+}
+
+// take gives the connection of a first try that goes out on one.
+func (h *Held) take(a *scenario.Arrival, try, sidecar int) *callerConn {
+	if h == nil || a.Held == 0 || try > 0 {
+		return nil
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	c := h.conns[sidecar][a.Held-1]
+	h.conns[sidecar][a.Held-1] = nil
+	return c
+}
+
+// Close closes those that were not taken; the others are with the clients' own.
+func (h *Held) Close() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, conns := range h.conns {
+		for i, c := range conns {
+			if c != nil {
+				c.Close()
+				conns[i] = nil
+			}
+		}
+	}
+}
