--- a/internal/front/http/poll_linux_test.go
+++ b/internal/front/http/poll_linux_test.go
@@ -18,8 +18,10 @@
 
 	"cedararch/balance"
 	"cedararch/internal/core"
+	"cedararch/internal/door"
 	"cedararch/internal/roster"
 	"cedararch/internal/testbed"
+	"cedararch/overload"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -127,6 +129,34 @@
 	s.want(c, in, 405, "this class wants GET")
 }
 
+// A door that is shut turns a request away as soon as its class is known, although that comes only in the second segment; the
+// connection goes on, and what was turned away is not held.
+func TestDoorKnowsClassesInPieces(t *testing.T) {
+	s := startPoll(t, 10, serveText("ok"))
+	s.cfg.Door = door.NewKeeper(0, []overload.Class{{Worth: 1, Aim: time.Second}})
+	for ok := true; ok; { // until it is full
+		ok, _ = s.cfg.Door.Admit(0)
+	}
+	c := s.dial()
+	in := bufio.NewReader(c)
+	for i := range 3 {
+		text := ask(i)
+		at := strings.Index(text, "X-Qos: re")
+		io.WriteString(c, text[:at+9])
+		testbed.Until(t, "the first piece is there", func() bool {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return s.partly.n == 1
+		})
+		io.WriteString(c, text[at+9:])
+		if resp, err := http.ReadResponse(in, nil); err != nil || resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" {
+			t.Fatalf("%v, %v", resp, err)
+		} else {
+			io.Copy(io.Discard, resp.Body)
+		}
+	}
+}
+
 // A second request in the segment of the first is neither served nor taken for something else.
 func TestPipelinedIsTurnedAway(t *testing.T) {
 	s := startPoll(t, 10, serveText("ok"))
--- a/lab/run/run_test.go
+++ b/lab/run/run_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -305,8 +306,32 @@
 	}
 }
 
+// Connections that were held in silence all ask at once: each has its answer, on the connection that it was held for.
+func TestHeldConnectionsRush(t *testing.T) {
+	program := as(t, "sidecar")
+	program.Options = "testdata/door.toml"
+	r := play(t, program, `
+rate = 20
+length_s = 6
+sidecars = 2
+[limits]
+sockets = 1600
+[clients]
+held = 300
+retries = 0
+[[fault]]
+at_s = 3 # later than silent connections are let go by other options
+for_s = 1
+kind = "rush"
+`)
+	good(t, r)
+	if r.Total.Asked < 600 || r.Total.InAim+r.Total.Late < 100 || r.Total.Lost > 0 {
+		t.Errorf("%+v", r.Total)
+	}
+}
+
 func TestPeersServe(t *testing.T) {
-	for _, policy := range peer.Policies {
+	for _, policy := range append(slices.Clone(peer.Policies), peer.Fast) {
 		t.Run(policy, func(t *testing.T) {
 			t.Parallel()
 			r := play(t, as(t, "peer:"+policy), "rate = 40\nlength_s = 2\nsidecars = 1\n")
--- a/overload/limit.go
+++ b/overload/limit.go
@@ -44,7 +44,7 @@
 	// scatter is by how many standard deviations of a Poisson number a class may want more places than on the mean.
 	scatter = 3.0
 	// kept is the share of its requests that a class keeps which has no room: it is still somebody's.
-	kept = 0.02
+	kept = 0.01
 	// baseGain is the step by which the time of an answer where nothing waits is learned.
 	baseGain = 0.02
 )
