--- a/overload/limit.go
+++ b/overload/limit.go
@@ -232,7 +232,7 @@
 	l.tickedAt = now
 	l.peak = max(float64(l.open), l.peak*math.Exp(-span/2))
 	if !l.pressed {
-		l.usual += (float64(l.open) - l.usual) * min(1, span/usualLife.Seconds())
+		l.usual += (float64(l.open) - l.usual) * min(1, max(span/usualLife.Seconds(), span/max(now.Seconds(), span)))
 	}
 	if !l.tight {
 		l.limit = max(l.least(), min(l.limit, max(firstLimit, spare*l.peak+leastLimit)))
--- a/overload/limit_test.go
+++ b/overload/limit_test.go
@@ -18,6 +18,7 @@
 type servers struct {
 	l      *Limit
 	places int
+	slow   float64 // all answers take so much longer; 0: not
 	ends   []ending
 	in     [3]int
 	asked  [3]int
@@ -48,7 +49,7 @@
 					continue
 				}
 				s.in[class]++
-				slower := max(1, float64(s.l.Open())/float64(s.places))
+				slower := max(1, s.slow, float64(s.l.Open())/float64(s.places))
 				took := time.Duration(float64(taking[class]) * slower)
 				s.ends = append(s.ends, ending{at + took, took, class})
 			}
@@ -105,6 +106,18 @@
 	}
 }
 
+// A sidecar that is young knows what usually comes from its first seconds: the limit stays above that where servers turn slow
+// then. Learned over half a minute from nothing, it was the least there is, and most of what came was refused.
+func TestYoungSidecarKeepsTheUsual(t *testing.T) {
+	s := &servers{l: NewLimit(threeClasses), places: 120}
+	s.play(0, 3*time.Second, [3]float64{45, 108, 27}) // 19 open on the mean
+	s.slow = 4
+	s.play(3*time.Second, 5*time.Second, [3]float64{45, 108, 27})
+	if s.l.Most() < 25 {
+		t.Errorf("the limit is %.0f", s.l.Most())
+	}
+}
+
 // Servers that turn away what was let in count as slow, however quickly they do it.
 func TestNoPlaceCountsAsSlow(t *testing.T) {
 	l := NewLimit(threeClasses)
