An answer whose first bytes come late passes on with them in place of being held to its time

An answer of unknown length whose head came and whose body did not begin within 100 ms was held until it ended, grew beyond 64 KiB or its attempt's time was up; the goroutines' relay has the same gap. That it was this one answer was not shown. Change: once 100 ms are over the first bytes pass on.

--- a/internal/upstream/http/poll_linux_test.go
+++ b/internal/upstream/http/poll_linux_test.go
@@ -112,11 +112,26 @@
 		_, err := io.WriteString(c, "3\r\ndef\r\n0\r\n\r\n")
 		return err == nil
 	}
-	s := testbed.NewScript(t, testbed.Say(200, long), slow, testbed.Say(200, "short"))
+	late := func(c net.Conn) bool { // nothing at all for a while, and then for longer than the attempt may take
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		time.Sleep(2 * heldBack)
+		for _, text := range []string{"3\r\nabc\r\n", "3\r\ndef\r\n", "0\r\n\r\n"} {
+			if _, err := io.WriteString(c, text); err != nil {
+				return false
+			}
+			time.Sleep(4 * heldBack)
+		}
+		return true
+	}
+	s := testbed.NewScript(t, testbed.Say(200, long), slow, late, testbed.Say(200, "short"))
 	u := newPolled(t, 0)
 	e := at(s.Addr)
-	for _, want := range []string{long, "abcdef"} {
-		a := newAttempt(e, testbed.Patience)
+	for i, want := range []string{long, "abcdef", "abcdef"} {
+		within := testbed.Patience
+		if i == 2 {
+			within = 5 * heldBack
+		}
+		a := newAttempt(e, within)
 		a.Message.Streams = true
 		r := u.want(t, a, balance.OK)
 		if r.Answer == nil || r.Answer.Stream == nil {
--- a/internal/upstream/http/sock_linux.go
+++ b/internal/upstream/http/sock_linux.go
@@ -44,6 +44,8 @@
 	out   []byte // of the request, what is not written
 	in    []byte // of the answer, what has come in pieces
 	ans   incoming
+	// headAt is when the head was whole of an answer that may pass through.
+	headAt time.Time
 
 	timeout wheel.Timer[*sock] // guarded by back.mu
 }
@@ -234,8 +236,13 @@
 			return nil
 		case long:
 			return s.failed(balance.Reset)
-		case before == nil && !whole && h.length < 0 && s.passes(h):
+		case whole || h.length >= 0 || !s.passes(h):
+		case before == nil:
+			s.headAt = time.Now()
 			s.back.setTimeout(s, min(heldBack, time.Until(s.try.cut)))
+		case got > 0 && time.Since(s.headAt) >= heldBack: // its first bytes came late: held, it would be cut off at its time
+			s.handOver(b, heldBack)
+			return nil
 		}
 	}
 	if !whole {
