--- a/lab/load/run_linux.go
+++ b/lab/load/run_linux.go
@@ -293,8 +293,10 @@
 	}
 }
 
-// what a request comes to, where it has no status.
-const lost = 0
+const (
+	lost       = 0       // what a request comes to that has no status
+	mostAnswer = 1 << 20 // bytes of an answer, beyond which it is none
+)
 
 // end ends the open request with a status. The caller holds mu.
 func (c *conn) end(status int) {
@@ -360,6 +362,10 @@
 		}
 		c.got = append(c.got, c.load.scratch[:n]...)
 		status, last, whole := answer(c.got)
+		if !whole && len(c.got) > mostAnswer {
+			c.ended()
+			return
+		}
 		if !whole {
 			continue
 		}
