--- a/lab/shed/play.go
+++ b/lab/shed/play.go
@@ -59,11 +59,11 @@
 	Refused      int
 	Tries        int
 	// Recovered is how long after the end of the last surge a second begins in which 0.9 of the worth is served that is usually
-	// asked for, and NewServed one in which 0.9 is served of what is asked for the first time in it; negative: none does.
+	// asked for, and NewServed one in which 0.9 is served of what is asked for the first time in it; negative: none does. Without a surge they tell nothing.
 	Recovered, NewServed time.Duration
 }
 
-// tryEvent is something at a time.
+// event is something at a time.
 type event struct {
 	at      time.Duration
 	order   int // of events at one time
@@ -92,7 +92,6 @@
 type job struct {
 	arrival, try int
 	began        time.Duration
-	wait         time.Duration
 }
 
 // day is a plan that is being played.
@@ -188,7 +187,7 @@
 		return
 	}
 	d.held[best]++
-	d.jobs[j.ID] = job{arrival, try, now, wait}
+	d.jobs[j.ID] = job{arrival, try, now}
 	d.wake(best)
 }
 
