--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -55,6 +55,7 @@
 	restTime   time.Duration           // how long a connection to a server rests between two requests
 	lastCalls  time.Duration           // how long new connections are taken after the signal to end
 	longestEnd time.Duration           // of a deadline that is still waited for after it: a platform kills whoever stays longer
+	lastWords  time.Duration           // how long before the end all answers are given, for them to be written and read
 }
 
 // Limits bound what the sidecar may use of its machine.
@@ -128,7 +129,7 @@
 		Limits:    file.Limits,
 		Known:     file.Known,
 		restTime:  restTime,
-		lastCalls: lastCalls, longestEnd: longestEnd,
+		lastCalls: lastCalls, longestEnd: longestEnd, lastWords: lastWords,
 	}
 	if err := cfg.check(); err != nil {
 		return nil, err
--- a/internal/sidecar/ending_test.go
+++ b/internal/sidecar/ending_test.go
@@ -101,13 +101,21 @@
 		started, release := make(chan bool, 8), make(chan bool)
 		defer close(release)
 		s := testbed.NewScript(t, hold(started, release))
-		n := startNode(t, soon(config(s)))
+		cfg := config(s)
+		cfg.longestEnd, cfg.lastWords = testbed.Patience, testbed.Patience
+		n := startNode(t, cfg)
 		held, _ := n.write(n.request("pay"), 0)
 		testbed.Next(t, started)
-		late, rest := n.write(n.request("pay"), 3)
+		expecting := n.request("pay")
+		expecting.Header.Set("Expect", "100-continue")
+		late, body := n.write(expecting, len("order 7"))
+		const goOn = "HTTP/1.1 100 Continue\r\n\r\n" // so that the front has the head
+		if _, err := io.ReadFull(late, make([]byte, len(goOn))); err != nil {
+			t.Fatal(err)
+		}
 		n.end()
 		read(t, held)
-		late.Write(rest.Bytes())
+		late.Write(body.Bytes())
 		if resp := read(t, late); resp.StatusCode != 503 {
 			t.Errorf("answered %d", resp.StatusCode)
 		}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -35,7 +35,7 @@
 	lastCalls  = 500 * time.Millisecond // Config.lastCalls
 	longestEnd = 3 * time.Second        // Config.longestEnd
 	lastSpare  = 650 * time.Millisecond // beyond the longest deadline, by when all must have ended
-	lastWords  = 200 * time.Millisecond // ... of which every answer is given ahead, for it to be written and read
+	lastWords  = 200 * time.Millisecond // Config.lastWords
 )
 
 // Run serves until ctx ends, and then until all that was taken is answered. With each signal of reloads it reads
@@ -377,7 +377,7 @@
 		})
 	}
 	<-over.Done()
-	hand.exchange.End(time.Now().Add(within - lastWords))
+	hand.exchange.End(time.Now().Add(within - hand.cfg.lastWords))
 	watching.Wait()
 	hand.handOver()
 	var ends sync.WaitGroup
