--- /dev/null
+++ b/cmd/firplank/deploy_test.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"debug/elf"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+func goTool(t *testing.T, args ...string) string {
+	t.Helper()
+	cmd := exec.Command("go", args...)
+	cmd.Env = append(os.Environ(), "CGO_ENABLED=1")
+	out, err := cmd.CombinedOutput()
+	if err != nil {
+		t.Fatalf("go %s: %v\n%s", strings.Join(args, " "), err, out)
+	}
+	return string(out)
+}
+
+// The fleet's days load a library into the sidecar: what the deploy file builds is linked dynamically against the C library,
+// and what it runs is one process.
+func TestDeploymentLinksDynamically(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/balancer.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var deploy struct{ Build, Run string }
+	if err := toml.Unmarshal(text, &deploy); err != nil {
+		t.Fatal(err)
+	}
+	const link = "-ldflags=-linkmode=external"
+	if !strings.Contains(deploy.Build, "CGO_ENABLED=1 go build "+link) {
+		t.Errorf("build is %q", deploy.Build)
+	}
+	if !strings.HasPrefix(deploy.Run, "exec ") || strings.ContainsAny(deploy.Run, "&|;") {
+		t.Errorf("run is %q: want one process", deploy.Run)
+	}
+	program := filepath.Join(t.TempDir(), "firplank")
+	goTool(t, "build", link, "-o", program, ".")
+	f, err := elf.Open(program)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	libraries, err := f.ImportedLibraries()
+	if err != nil || !slices.ContainsFunc(libraries, func(l string) bool { return strings.HasPrefix(l, "libc.so") }) {
+		t.Errorf("needs %q (%v): the C library is missing", libraries, err)
+	}
+	if f.Section(".interp") == nil {
+		t.Error("no dynamic loader is named")
+	}
+}
+
+// banned are calls that the fleet's days refuse: they start processes, or copy between descriptors inside the kernel, as
+// io.Copy does by itself where both ends are sockets or files. The exceptions drop what they read.
+var banned = map[string][]string{
+	"os": {"StartProcess"}, "syscall": {"ForkExec", "StartProcess", "Exec", "Splice", "Sendfile"},
+	"unix": {"Splice", "Sendfile", "Exec"}, "io": {"Copy", "CopyBuffer", "CopyN"},
+}
+
+// No package of the program can start another, and none of its own copies from socket to socket.
+func TestNothingThatTheFleetRefuses(t *testing.T) {
+	for _, pkg := range strings.Fields(goTool(t, "list", "-deps", ".")) {
+		if slices.Contains([]string{"os/exec", "plugin", "net/http/cgi", "net/http/fcgi"}, pkg) {
+			t.Errorf("the program imports %s", pkg)
+		}
+	}
+	for _, file := range strings.Fields(goTool(t, "list", "-deps", "-f", `{{if .Module}}{{if .Module.Main}}{{$d := .Dir}}{{range .GoFiles}}{{$d}}/{{.}} {{end}}{{end}}{{end}}`, ".")) {
+		fset := token.NewFileSet()
+		parsed, err := parser.ParseFile(fset, file, nil, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ast.Inspect(parsed, func(n ast.Node) bool {
+			call, ok := n.(*ast.CallExpr)
+			if !ok {
+				return true
+			}
+			name, of := selected(call.Fun)
+			if slices.Contains(banned[of], name) {
+				if to, from := selected(call.Args[0]); of != "io" || from != "io" || to != "Discard" {
+					t.Errorf("%s: %s.%s", fset.Position(call.Pos()), of, name)
+				}
+			}
+			return true
+		})
+	}
+}
+
+// selected takes a name and its package out of an expression; empty where it is something else.
+func selected(e ast.Expr) (name, of string) {
+	if s, ok := e.(*ast.SelectorExpr); ok {
+		if x, ok := s.X.(*ast.Ident); ok {
+			return s.Sel.Name, x.Name
+		}
+	}
+	return "", ""
+}
--- a/lab/run/run_test.go
+++ b/lab/run/run_test.go
@@ -341,3 +341,22 @@
 		})
 	}
 }
+
+// Days in the shape of the fleet's: many sidecars with little traffic each, of which all are restarted while servers are
+// replaced, or which all keep on while most servers change.
+func TestFleetDays(t *testing.T) {
+	for _, name := range []string{"fleet-roll", "fleet-join", "long-deadlines"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, err := scenario.Open(name)
+			if err != nil {
+				t.Fatal(err)
+			}
+			r, err := Play(t.Context(), s, Options{Program: as(t, "sidecar"), Extra: extra})
+			if err != nil {
+				t.Fatal(err)
+			}
+			good(t, r)
+		})
+	}
+}
