Monitoring: what reporting costs requests, measured side by side; a kill and hostile names

Need: the issue asks for ratios off, on and with a stalled receiver in one run. Change: firplank-lab reporting, in which workers ask four sidecars in turn; tests of a sidecar that is killed in mid-interval, of names of all kinds, of a receiver that is not there; what connects is waited for before Run returns (a leak check found it).

--- a/cmd/firplank-lab/main.go
+++ b/cmd/firplank-lab/main.go
@@ -33,6 +33,7 @@
 	List    listCommand       `cmd:"" help:"List the built-in scenarios and the kinds of faults."`
 	Compare compareCommand    `cmd:"" help:"Play a scenario through firplank and through other proxies, and compare the worth served."`
 	Through throughputCommand `cmd:"" name:"throughput" help:"Measure requests a second of processor over HTTP and MessagePack-RPC, and through the standard library's reverse proxy."`
+	Report  reportingCommand  `cmd:"" name:"reporting" help:"Measure what reports to monitoring cost requests: off, on, and with a receiver that never reads."`
 	Shed    shedCommand       `cmd:"" help:"Reckon the most that a scenario lets anyone serve, and play ways of shedding against models of its servers, in virtual time."`
 	Load    loadCommand       `cmd:"" help:"Hold connections to an HTTP address on loopback and send requests on some of them, open loop."`
 	Stand   standCommand      `cmd:"" help:"Start a scenario's servers and roster for sidecars and clients of your own."`
@@ -294,6 +295,24 @@
 	return run.ThroughputTable(out, all)
 }
 
+type reportingCommand struct {
+	Workers int     `help:"That ask one request after the other." default:"4"`
+	Seconds float64 `help:"How long is measured." default:"20"`
+	Binary  string  `help:"The sidecar's program; without it this program serves as one." type:"path"`
+}
+
+func (c *reportingCommand) Run(ctx context.Context, out io.Writer) error {
+	program, err := (&played{Binary: c.Binary}).program()
+	if err != nil {
+		return err
+	}
+	all, err := run.Reporting(ctx, run.ReportingOptions{Program: program, Workers: max(1, c.Workers), Seconds: c.Seconds})
+	if err != nil {
+		return err
+	}
+	return run.ReportingTable(out, all)
+}
+
 type shedCommand struct {
 	played
 	Seeds   int  `help:"How many seeds to play, from the scenario's on." default:"1"`
--- a/internal/reporting/reporting.go
+++ b/internal/reporting/reporting.go
@@ -86,8 +86,8 @@
 // Run reports until Last has been called and has come to its end, or ctx ends.
 func (r *Reporter) Run(ctx context.Context) {
 	ctx, stop := context.WithCancel(ctx)
-	defer r.tasks.Wait()
 	defer close(r.done)
+	defer r.tasks.Wait() // which give up with ctx
 	defer stop()
 	r.ctx = ctx
 	defer func() {
@@ -200,6 +200,7 @@
 // dial connects to a sink's receiver on a goroutine of its own, as names may have to be looked up.
 func (r *Reporter) dial(s *sink) {
 	ctx, cancel := context.WithTimeout(r.ctx, connectTimeout)
+	ended := r.ctx
 	r.tasks.Go(func() {
 		defer cancel()
 		conn, err := (&net.Dialer{}).DialContext(ctx, s.Network, s.Address)
@@ -208,7 +209,7 @@
 		}
 		select {
 		case r.dialed <- dialed{s, conn, err}:
-		case <-r.done:
+		case <-ended.Done():
 			if conn != nil {
 				conn.Close()
 			}
--- /dev/null
+++ b/internal/reporting/reporting_test.go
@@ -0,0 +1,114 @@
+package reporting
+
+import (
+	"context"
+	"log/slog"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"cedararch/internal/options"
+	"cedararch/internal/testbed"
+	"cedararch/lab/receiver"
+	"cedararch/report"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// life is one process of a sidecar.
+type life struct {
+	*report.Counts
+	*Reporter
+	kill  context.CancelFunc
+	ended chan bool
+}
+
+func begin(o *options.File) *life {
+	counts := report.New(report.Shape{Classes: []report.Class{{Name: "permit.lookup v2", Worth: 1}}, Tenants: []string{"a"}})
+	ctx, kill := context.WithCancel(context.Background())
+	l := &life{Counts: counts, kill: kill, ended: make(chan bool), Reporter: New(Config{
+		Counts: counts, Receivers: Receivers(o, "n1", time.Now()), Started: time.Now(), Log: slog.New(slog.DiscardHandler),
+	})}
+	go func() {
+		l.Run(ctx)
+		close(l.ended)
+	}()
+	return l
+}
+
+func (l *life) serve(n int) {
+	for range n {
+		l.Asked(0, 0, false)
+		l.Ended(0, 0, report.Served, time.Millisecond)
+	}
+}
+
+// A sidecar is killed in the middle of an interval and starts again: no series shows more than was served, what was told before
+// stays, and only what no interval had told is missing.
+func TestKilledInMidInterval(t *testing.T) {
+	carbon, err := receiver.NewCarbon(true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer carbon.Stop()
+	socket, err := receiver.NewSocket(filepath.Join(t.TempDir(), "collectd"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.Stop()
+	o, err := options.Parse("o.toml", []byte("[graphite]\ninterval_s = 1\nprefix = \"f\"\nprotocol = \"pickle\"\naddress = \""+carbon.Addr()+
+		"\"\n[collectd]\ninterval_s = 1\nhost = \"h\"\nunix_socket = \""+socket.Addr()+"\"\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	const path, id = "f.requests.permit%2Elookup%20v2.served.", "h/firplank-permit%2Elookup%20v2/firplank_requests"
+	first := begin(o)
+	first.serve(100)
+	testbed.Until(t, "the first is told of", func() bool { return carbon.Last(path+"total") == 100 && socket.Last(id, 1) == 100 })
+	first.serve(5) // of which nobody hears
+	first.kill()
+	<-first.ended
+	second := begin(o)
+	defer func() {
+		second.kill()
+		<-second.ended
+	}()
+	second.serve(30)
+	testbed.Until(t, "the second is told of", func() bool { return carbon.Last(path+"total") == 30 && socket.Last(id, 1) == 30 })
+	second.serve(7)
+	second.Last(10 * time.Second)
+	testbed.Until(t, "its last interval is told of", func() bool { return carbon.Last(path+"total") == 37 && socket.Last(id, 1) == 37 })
+	if got := carbon.Sum(path + "count"); got != 137 && got != 142 {
+		t.Errorf("the intervals come to %v", got)
+	}
+	if got := socket.Derived(id, 1); got > 142-30 {
+		t.Errorf("a spike: collectd sees a growth of %v", got)
+	}
+	if _, other := carbon.Overwritten(); other > 0 || socket.Old() > 0 {
+		t.Errorf("%d points replaced, %d values too old", other, socket.Old())
+	}
+}
+
+// Receivers that are not there cost nothing but tries, and at the end the log says what is lost.
+func TestNobodyThere(t *testing.T) {
+	o, err := options.Parse("o.toml", []byte("[graphite]\ninterval_s = 3600\naddress = \"127.0.0.1:1\"\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := &testbed.Log{}
+	r := New(Config{
+		Counts: report.New(report.Shape{}), Receivers: Receivers(o, "n1", time.Now()), Log: slog.New(slog.NewTextHandler(log, nil)),
+	})
+	ended := make(chan bool)
+	go func() {
+		r.Run(context.Background())
+		close(ended)
+	}()
+	r.Last(50 * time.Millisecond)
+	<-ended
+	if !log.Has("a receiver cannot be reached") || !log.Has("intervals are lost with the process") {
+		t.Error("the log does not say so")
+	}
+}
--- a/internal/sidecar/monitoring_test.go
+++ b/internal/sidecar/monitoring_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"os"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -55,6 +56,19 @@
 	return cfg
 }
 
+// outage is how long receivers are away: FIRPLANK_OUTAGE, or some intervals.
+func outage(t *testing.T) time.Duration {
+	text := os.Getenv("FIRPLANK_OUTAGE")
+	if text == "" {
+		return 2500 * time.Millisecond
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
 const graphiteTo = "[graphite]\ninterval_s = 1\nprefix = \"f\"\naddress = %q\nprotocol = %q\n"
 
 // While receivers stop and come back, and a third of the packets to collectd's network plugin gets lost, load goes on. In the
@@ -113,7 +127,7 @@
 			if name == "plaintext" {
 				r.socket.Stop()
 			}
-			time.Sleep(2500 * time.Millisecond)
+			time.Sleep(outage(t))
 			carbon.ResetAfter(700) // once more, in the middle of a line
 			if err := carbon.Start(); err != nil {
 				t.Error(err)
--- /dev/null
+++ b/lab/run/reporting.go
@@ -0,0 +1,234 @@
+package run
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/pelletier/go-toml/v2"
+
+	"cedararch/internal/options"
+	"cedararch/lab/receiver"
+	"cedararch/lab/scenario"
+	"cedararch/lab/standin"
+)
+
+// ReportingOptions say how the cost of reporting is measured.
+type ReportingOptions struct {
+	Program Program
+	Workers int     // that ask one request after the other
+	Seconds float64 // of the measurement
+}
+
+// ReportingCost is what requests took through a sidecar with one way of reporting.
+type ReportingCost struct {
+	Name     string        `json:"name"`
+	Requests int64         `json:"requests"`
+	P50      time.Duration `json:"p50_ns"`
+	P99      time.Duration `json:"p99_ns"`
+	CPU      float64       `json:"cpu_part"` // of one core
+	Told     int64         `json:"told"`     // requests that the receivers were told of; -1: there is none that reads
+}
+
+// side is one sidecar of the measurement.
+type side struct {
+	name    string
+	options object
+	process *process
+	took    *hdrhistogram.Histogram
+	told    func() int64
+}
+
+// Reporting measures what reporting costs requests: sidecars without it, with receivers that read and with one that takes
+// connections and never reads stand beside each other, and every worker asks them in turn, in a new order each time, so that
+// whatever else the machine does meets all of them.
+func Reporting(ctx context.Context, o ReportingOptions) ([]ReportingCost, error) {
+	sc, err := scenario.Parse("reporting.toml", fmt.Appendf(nil, throughputScenario, scenario.HTTP, scenario.HTTP))
+	if err != nil {
+		return nil, err
+	}
+	dir, err := os.MkdirTemp("", "firplank-lab-")
+	if err != nil {
+		return nil, fmt.Errorf("reporting: %w", err)
+	}
+	defer os.RemoveAll(dir)
+	carbon, err := receiver.NewCarbon(false)
+	if err != nil {
+		return nil, fmt.Errorf("reporting: %w", err)
+	}
+	defer carbon.Stop()
+	stalled, err := receiver.NewCarbon(false)
+	if err != nil {
+		return nil, fmt.Errorf("reporting: %w", err)
+	}
+	defer stalled.Stop()
+	stalled.Stall(true)
+	socket, err := receiver.NewSocket(filepath.Join(dir, "collectd"))
+	if err != nil {
+		return nil, fmt.Errorf("reporting: %w", err)
+	}
+	defer socket.Stop()
+	collectd := object{"unix_socket": socket.Addr(), "interval_s": 1, "host": "lab"}
+	sides := []*side{
+		{name: "off", told: func() int64 { return -1 }},
+		{name: "on", options: object{
+			"graphite": object{"address": carbon.Addr(), "prefix": "on", "interval_s": 1}, "collectd": collectd,
+		}, told: func() int64 { return int64(carbon.Sum("on.requests.lookup.served.count")) }},
+		{name: "stalled", options: object{
+			"graphite": object{"address": stalled.Addr(), "prefix": "stalled", "interval_s": 1},
+		}, told: func() int64 { return -1 }},
+		{name: "off again", told: func() int64 { return -1 }},
+	}
+	roster, end, err := echoFleet(sc, false, len(sides))
+	if err != nil {
+		return nil, err
+	}
+	defer end()
+	for i, s := range sides {
+		if err := s.start(ctx, dir, sc, roster, i, o.Program); err != nil {
+			return nil, fmt.Errorf("reporting: %s: %w", s.name, err)
+		}
+		defer s.process.close()
+	}
+	if err := ask(ctx, sides, o.Workers, o.Seconds/4); err != nil { // to warm up
+		return nil, err
+	}
+	cpu, begun := make([]time.Duration, len(sides)), time.Now()
+	for i, s := range sides {
+		s.took.Reset()
+		cpu[i] = processTime(s.process.cmd.Process.Pid)
+	}
+	if err := ask(ctx, sides, o.Workers, o.Seconds); err != nil {
+		return nil, err
+	}
+	var all []ReportingCost
+	for i, s := range sides {
+		used := processTime(s.process.cmd.Process.Pid) - cpu[i]
+		all = append(all, ReportingCost{
+			Name: s.name, Requests: s.took.TotalCount(), CPU: used.Seconds() / time.Since(begun).Seconds(),
+			P50: time.Duration(s.took.ValueAtQuantile(50)), P99: time.Duration(s.took.ValueAtQuantile(99)),
+		})
+	}
+	time.Sleep(1500 * time.Millisecond) // the interval in which the last requests were
+	for i, s := range sides {
+		all[i].Told = s.told()
+	}
+	return all, nil
+}
+
+func (s *side) start(ctx context.Context, dir string, sc *scenario.Scenario, roster *standin.Roster, number int, program Program) error {
+	path, err := writeConfig(dir, sc, number, "127.0.0.1:0", roster.Addr(number), roster.Current(number))
+	if err != nil {
+		return err
+	}
+	s.took = hdrhistogram.New(1000, int64(time.Minute), 3)
+	s.process = &process{number: number, program: program, config: path}
+	s.process.program.Env = append(slices.Clone(program.Env), "GOMAXPROCS=1")
+	if s.options != nil {
+		text, err := toml.Marshal(s.options)
+		if err != nil {
+			return err
+		}
+		if _, err := options.Parse("reporting.toml", text); err != nil {
+			return err
+		}
+		s.process.options = func(string) ([]byte, error) { return text, nil }
+	}
+	if err := s.process.start(ctx); err != nil {
+		return err
+	}
+	return s.process.awaitReady(ctx)
+}
+
+// ask has workers ask all sides in turn for a time.
+func ask(ctx context.Context, sides []*side, workers int, seconds float64) error {
+	until := time.Now().Add(time.Duration(seconds * float64(time.Second)))
+	var asking sync.WaitGroup
+	var mu sync.Mutex
+	var failed error
+	var number atomic.Int64
+	for w := range workers {
+		asking.Go(func() {
+			err := func() error {
+				order := rand.New(rand.NewPCG(7, uint64(w)))
+				lines := make([]*kept, len(sides))
+				for i, s := range sides {
+					c, err := net.Dial("tcp", s.process.address())
+					if err != nil {
+						return err
+					}
+					defer c.Close()
+					lines[i] = &kept{c, bufio.NewReader(c)}
+				}
+				for time.Now().Before(until) && ctx.Err() == nil {
+					for _, i := range order.Perm(len(sides)) {
+						began := time.Now()
+						if err := lines[i].get(number.Add(1)); err != nil {
+							return fmt.Errorf("%s: %w", sides[i].name, err)
+						}
+						took := time.Since(began)
+						mu.Lock()
+						sides[i].took.RecordValue(int64(took))
+						mu.Unlock()
+					}
+				}
+				return nil
+			}()
+			if err != nil {
+				mu.Lock()
+				failed = err
+				mu.Unlock()
+			}
+		})
+	}
+	asking.Wait()
+	return failed
+}
+
+// kept is a kept connection, on which one request at a time is asked.
+type kept struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+func (l *kept) get(number int64) error {
+	l.SetDeadline(time.Now().Add(10 * time.Second))
+	if _, err := io.WriteString(l, "GET /api HTTP/1.1\r\nHost: a\r\nX-Trace-Id: r"+strconv.FormatInt(time.Now().UnixNano(), 36)+
+		strconv.FormatInt(number, 36)+"\r\nX-Qos: lookup\r\nX-Customer: north\r\n\r\n"); err != nil {
+		return err
+	}
+	resp, err := http.ReadResponse(l.in, nil)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("answered %s", resp.Status)
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err
+}
+
+// ReportingTable writes what was measured, with the ratios to the first.
+func ReportingTable(out io.Writer, all []ReportingCost) error {
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "reporting\trequests\tp50 us\tratio\tp99 us\tratio\tpart of a core\ttold of\t")
+	for _, c := range all {
+		fmt.Fprintf(t, "%s\t%d\t%.1f\t%.3f\t%.1f\t%.3f\t%.4f\t%d\t\n", c.Name, c.Requests, float64(c.P50)/1000, float64(c.P50)/float64(all[0].P50),
+			float64(c.P99)/1000, float64(c.P99)/float64(all[0].P99), c.CPU, c.Told)
+	}
+	return t.Flush()
+}
--- a/lab/run/throughput.go
+++ b/lab/run/throughput.go
@@ -117,6 +117,32 @@
 	return out, nil
 }
 
+// echoFleet starts servers that answer at once, and their roster.
+func echoFleet(sc *scenario.Scenario, rpc bool, sidecars int) (_ *standin.Roster, end func(), err error) {
+	roster, err := standin.NewRoster(standin.RosterConfig{MostWait: time.Second, Clock: standin.StartClock(), Notary: judge.New(judge.Config{})}, sidecars)
+	if err != nil {
+		return nil, nil, err
+	}
+	var servers []*echoServer
+	end = func() {
+		for _, e := range servers {
+			e.close()
+		}
+		roster.Close()
+	}
+	for i := range sc.Servers() {
+		e, err := newEchoServer(rpc)
+		if err != nil {
+			end()
+			return nil, nil, err
+		}
+		servers = append(servers, e)
+		addr := e.ln.Addr().String()
+		roster.SetNow(standin.Entry{ID: fmt.Sprint("s-", i), Addr: func(int) string { return addr }, Zone: zone, Kind: "echo", Size: 1}, "ready")
+	}
+	return roster, end, nil
+}
+
 func measure(ctx context.Context, s *Subject, inFlight int, o ThroughputOptions) (*Measured, error) {
 	protocol := scenario.HTTP
 	if s.RPC {
@@ -131,20 +157,11 @@
 		return nil, fmt.Errorf("throughput: %w", err)
 	}
 	defer os.RemoveAll(dir)
-	roster, err := standin.NewRoster(standin.RosterConfig{MostWait: time.Second, Clock: standin.StartClock(), Notary: judge.New(judge.Config{})}, 1)
+	roster, end, err := echoFleet(sc, s.RPC, 1)
 	if err != nil {
 		return nil, err
 	}
-	defer roster.Close()
-	for i := range sc.Servers() {
-		e, err := newEchoServer(s.RPC)
-		if err != nil {
-			return nil, err
-		}
-		defer e.close()
-		addr := e.ln.Addr().String()
-		roster.SetNow(standin.Entry{ID: fmt.Sprint("s-", i), Addr: func(int) string { return addr }, Zone: zone, Kind: "echo", Size: 1}, "ready")
-	}
+	defer end()
 	path, err := writeConfig(dir, sc, 0, "127.0.0.1:0", roster.Addr(0), roster.Current(0))
 	if err != nil {
 		return nil, err
--- a/report/graphite/graphite_test.go
+++ b/report/graphite/graphite_test.go
@@ -5,6 +5,7 @@
 	"encoding/hex"
 	"fmt"
 	"math"
+	"net"
 	"os/exec"
 	"strings"
 	"testing"
@@ -124,3 +125,41 @@
 		t.Errorf("%s, %v", out, err)
 	}
 }
+
+// Names of any kind arrive as series of their own, which the receiver takes.
+func TestHostileNames(t *testing.T) {
+	carbon, err := receiver.NewCarbon(false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer carbon.Stop()
+	names := []string{
+		"permit.lookup v2", "permit%2Elookup v2", "permit_lookup_v2", `a"b'`, "a\nb", "a\tb;c=d", "", "%", "ü", "~", "*{x}[y]?",
+		strings.Repeat("x.", 150), strings.Repeat("x.", 150) + ".", strings.Repeat("y", 300),
+	}
+	enc := New(Plaintext, "f", false)
+	c, err := net.Dial("tcp", carbon.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range names {
+		c.Write(enc.Append(nil, reading(n, 1, 1, 1, at)))
+	}
+	c.Close()
+	for end := time.Now().Add(10 * time.Second); len(carbon.Paths()) < 3*len(names) && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	}
+	paths := carbon.Paths()
+	if same, other := carbon.Overwritten(); len(paths) != 3*len(names) || same+other > 0 || len(carbon.Malformed()) > 0 {
+		t.Errorf("%d series of %d names, %v", len(paths), len(names), carbon.Malformed())
+	}
+	for _, p := range paths {
+		for _, part := range strings.Split(p, ".") {
+			if len(part) > 200 {
+				t.Errorf("%d bytes: %s", len(part), part)
+			}
+		}
+		if strings.Count(p, ".") != 3 && strings.Count(p, ".") != 4 {
+			t.Errorf("levels of %s", p)
+		}
+	}
+}
