--- a/lab/run/run_test.go
+++ b/lab/run/run_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -343,20 +344,27 @@
 }
 
 // Days in the shape of the fleet's: many sidecars with little traffic each, of which all are restarted while servers are
-// replaced, or which all keep on while most servers change.
+// replaced, or which all keep on while most servers change. They wait more than they work, so that all are played at once.
 func TestFleetDays(t *testing.T) {
-	for _, name := range []string{"fleet-roll", "fleet-join", "long-deadlines"} {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
+	t.Parallel()
+	names := []string{"fleet-roll", "fleet-join", "long-deadlines"}
+	reports, errs := make([]*Report, len(names)), make([]error, len(names))
+	program := as(t, "sidecar")
+	var playing sync.WaitGroup
+	for i, name := range names {
+		playing.Go(func() {
 			s, err := scenario.Open(name)
-			if err != nil {
-				t.Fatal(err)
-			}
-			r, err := Play(t.Context(), s, Options{Program: as(t, "sidecar"), Extra: extra})
-			if err != nil {
-				t.Fatal(err)
+			if err == nil {
+				reports[i], err = Play(t.Context(), s, Options{Program: program, Extra: extra})
 			}
-			good(t, r)
+			errs[i] = err
 		})
 	}
+	playing.Wait()
+	for i, r := range reports {
+		if errs[i] != nil {
+			t.Fatal(names[i], errs[i])
+		}
+		good(t, r)
+	}
 }
