--- a/internal/poller/poller_linux.go
+++ b/internal/poller/poller_linux.go
@@ -64,6 +64,53 @@
 	return p, nil
 }
 
+// ErrUntold says that the runtime is not told when a set of descriptors has something to say.
+var ErrUntold = errors.New("epoll sets are not waited for by others here")
+
+const (
+	checkWait   = 10 * time.Millisecond // for what is there already
+	checkRounds = 2                     // a process that had no processor meanwhile sees it at the second look
+)
+
+// Check finds out whether a Poller works here. Run waits for the whole set through the runtime's own, an epoll set in another; a
+// system that carries epoll but not that never says a word to a handler, and everything would stand still without an error.
+func Check() error {
+	p, err := New()
+	if err != nil {
+		return err
+	}
+	defer p.Close()
+	fd, err := unix.Eventfd(1, unix.EFD_CLOEXEC|unix.EFD_NONBLOCK) // readable from the first
+	if err != nil {
+		return fmt.Errorf("poll: %w", err)
+	}
+	defer unix.Close(fd)
+	if err := p.Add(fd, nil, new(Place)); err != nil {
+		return err
+	}
+	return p.told()
+}
+
+// told waits until the runtime says that there is something, and never looks for itself.
+func (p *Poller) told() error {
+	for range checkRounds {
+		p.file.SetReadDeadline(time.Now().Add(checkWait))
+		waited := false
+		err := p.raw.Read(func(uintptr) bool {
+			before := waited
+			waited = true
+			return before
+		})
+		if err == nil {
+			return nil
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return fmt.Errorf("poll: %w", err)
+		}
+	}
+	return ErrUntold
+}
+
 // Add tells the handler of all that happens on a descriptor from now on, and of what has happened already. place is set
 // before the first event can come.
 func (p *Poller) Add(fd int, h Handler, place *Place) error {
--- a/internal/poller/poller_linux_test.go
+++ b/internal/poller/poller_linux_test.go
@@ -1,6 +1,7 @@
 package poller
 
 import (
+	"errors"
 	"sync"
 	"testing"
 	"time"
@@ -38,6 +39,21 @@
 	return p
 }
 
+// Where the set's readiness reaches the runtime, Check says so; where nothing comes of it, it says that, and does not wait.
+func TestCheckFindsOutWhetherTheRuntimeIsTold(t *testing.T) {
+	if err := Check(); err != nil {
+		t.Errorf("on this kernel: %v", err)
+	}
+	mute, err := New() // nothing in it is ever ready, as where the runtime is told of none
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer mute.Close()
+	if err := mute.told(); !errors.Is(err, ErrUntold) {
+		t.Errorf("of a set that says nothing: %v", err)
+	}
+}
+
 // An event whose place was given back is nobody's: not even of who has the place by then.
 func TestNobodyHearsOfWhatIsNotHis(t *testing.T) {
 	p := start(t, func(*Poller) {}, nil)
--- a/internal/poller/poller_other.go
+++ b/internal/poller/poller_other.go
@@ -2,3 +2,8 @@
 
 // Package poller is there on Linux only.
 package poller
+
+import "errors"
+
+// Check fails.
+func Check() error { return errors.ErrUnsupported }
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -21,6 +21,7 @@
 	"cedararch/internal/core"
 	rpcfront "cedararch/internal/front/msgpackrpc"
 	"cedararch/internal/options"
+	"cedararch/internal/poller"
 	"cedararch/internal/roster"
 	"cedararch/settings"
 )
@@ -52,6 +53,7 @@
 	fields    []string // the figures of a load report, in the module's order
 
 	reread     func() (*Config, error) // reads the file again, which then goes before the environment
+	readiness  func() error            // whether the kernel's readiness can be had: poller.Check
 	restTime   time.Duration           // how long a connection to a server rests between two requests
 	lastCalls  time.Duration           // how long new connections are taken after the signal to end
 	longestEnd time.Duration           // of a deadline that is still waited for after it: a platform kills whoever stays longer
@@ -128,6 +130,7 @@
 		Admin:     cmp.Or(getenv("NODE_ADMIN_ADDR"), file.Admin),
 		Limits:    file.Limits,
 		Known:     file.Known,
+		readiness: poller.Check,
 		restTime:  restTime,
 		lastCalls: lastCalls, longestEnd: longestEnd, lastWords: lastWords,
 	}
--- a/internal/sidecar/serve_test.go
+++ b/internal/sidecar/serve_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -52,6 +53,21 @@
 	}
 }
 
+// Where the runtime is not told of an epoll set within another, nothing would ever be served through one: goroutines serve.
+func TestServesWhereReadinessIsNotToBeHad(t *testing.T) {
+	s := testbed.NewScript(t, testbed.Say(200, "plate 7"))
+	cfg := testConfig(t, ready("s-1", s.Addr))
+	asked := 0
+	cfg.readiness = func() error { asked++; return errors.New("untold") }
+	n := startNode(t, cfg)
+	if resp, body := n.do(n.request("pay")); resp.StatusCode != 200 || body != "plate 7" {
+		t.Errorf("%d %q", resp.StatusCode, body)
+	}
+	if asked != 1 {
+		t.Errorf("asked %d times", asked)
+	}
+}
+
 // The outcome decides whether an unsafe request may be tried again.
 func TestOutcomes(t *testing.T) {
 	never := "X-Never-Ran: 1"
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -194,8 +194,15 @@
 		others = ln.place.Look()
 	}
 	budget := cfg.sockets(processes(others))
+	polled := !cfg.Options.HTTP.Standard
+	if polled {
+		if err := cfg.readiness(); err != nil {
+			log.Warn("a goroutine for each connection and attempt", "why", err)
+			polled = false
+		}
+	}
 	started, counts := time.Now(), report.New(cfg.Shape())
-	back := newHTTPBack(inner, cfg, httpback.Config{
+	back := newHTTPBack(inner, polled, httpback.Config{
 		ConnectTimeout: cmp.Or(millis(cfg.Balance.ConnectTimeout), time.Second), Idle: idle,
 		Rest: cfg.restTime, Sockets: budget.servers, Fields: cfg.fields, Reports: cfg.Balance.Reports != balance.ReportNone,
 		NoteLate: func(e *core.Endpoint) {
@@ -256,7 +263,7 @@
 		cfg.methods.Claims = gate != nil
 		httpCfg.Method = cfg.methods.ByPath
 	}
-	fronts := []front{newHTTPFront(cfg, httpCfg, exchange, &tasks, log)}
+	fronts := []front{newHTTPFront(polled, httpCfg, exchange, &tasks, log)}
 	if ln.rpc != nil || ln.later != nil && cfg.Options.MsgpackRPC.Listen != "" {
 		fronts = append(fronts, newRPCFront(cfg, budget.rpcClients, keeper, evict, exchange, log))
 	}
@@ -333,10 +340,10 @@
 	Close()
 }
 
-// newHTTPBack returns the back on the kernel's readiness, or where there is none, or the options say so, the one that has a
+// newHTTPBack returns the back on the kernel's readiness, or where that is not wanted or not to be had, the one that has a
 // goroutine for each attempt.
-func newHTTPBack(ctx context.Context, cfg *Config, c httpback.Config, log *slog.Logger) httpBack {
-	if cfg.Options.HTTP.Standard {
+func newHTTPBack(ctx context.Context, polled bool, c httpback.Config, log *slog.Logger) httpBack {
+	if !polled {
 		return httpback.New(ctx, c)
 	}
 	b, err := httpback.NewPoll(ctx, c)
@@ -347,10 +354,10 @@
 	return b
 }
 
-// newHTTPFront returns the front on the kernel's readiness, or where there is none, or the options say so, the one on the
+// newHTTPFront returns the front on the kernel's readiness, or where that is not wanted or not to be had, the one on the
 // standard library's server.
-func newHTTPFront(cfg *Config, c httpfront.Config, exchange *core.Loop, tasks *sync.WaitGroup, log *slog.Logger) front {
-	if cfg.Options.HTTP.Standard {
+func newHTTPFront(polled bool, c httpfront.Config, exchange *core.Loop, tasks *sync.WaitGroup, log *slog.Logger) front {
+	if !polled {
 		return httpfront.New(c, exchange)
 	}
 	f, err := httpfront.NewPoll(c, exchange)
