--- a/balance/api.go
+++ b/balance/api.go
@@ -288,4 +288,5 @@
 	Peer    int
 	Data    []byte
 	Text    string
+	Why     Why // of Refuse and Fail
 }
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -62,7 +62,7 @@
 		b.probeFor(r)
 		b.step(r)
 	} else {
-		b.answer(r)
+		b.answer(r, Shed)
 	}
 	return nil
 }
@@ -210,15 +210,19 @@
 		return
 	}
 	b.markOverdue(r)
-	if b.now >= r.deadline || r.live == 0 && b.hopeless(r) {
-		b.answer(r)
+	if b.now >= r.deadline {
+		b.answer(r, Late)
+		return
+	}
+	if r.live == 0 && b.hopeless(r) {
+		b.answer(r, r.spentOrAged())
 		return
 	}
 	if r.live == 0 && !b.held(r) {
 		if s := b.pick(r, len(r.tries) > 0); s != nil && !b.crowded(r, s) {
 			b.send(r, s)
 		} else if s != nil {
-			b.answer(r)
+			b.answer(r, Crowded)
 			return
 		}
 	}
@@ -255,8 +259,8 @@
 }
 
 // answer ends a request unserved: refused where harmless, to come back soon but not at once; else failed.
-func (b *Balancer) answer(r *request) {
-	end := Action{Kind: Fail, Request: r.ID}
+func (b *Balancer) answer(r *request, why Why) {
+	end := Action{Kind: Fail, Request: r.ID, Why: why}
 	if b.refusable(r) {
 		end.Kind, end.At = Refuse, min(holdOff*r.class.Aim, b.cfg.MaxRetryAfter)
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -165,6 +165,14 @@
 	return false
 }
 
+// spentOrAged tells why a request is hopeless, for records.
+func (r *request) spentOrAged() Why {
+	if len(r.tries) > 0 {
+		return Spent
+	}
+	return Aged
+}
+
 // cuts counts the tries whose connections were reset.
 func (r *request) cuts() int {
 	n := 0
--- a/cmd/firplank-lab/main.go
+++ b/cmd/firplank-lab/main.go
@@ -20,6 +20,7 @@
 	"github.com/alecthomas/kong"
 
 	"cedararch/internal/sidecar"
+	"cedararch/lab/count"
 	"cedararch/lab/load"
 	"cedararch/lab/peer"
 	"cedararch/lab/run"
@@ -35,6 +36,7 @@
 	Through throughputCommand `cmd:"" name:"throughput" help:"Measure requests a second of processor over HTTP and MessagePack-RPC, and through the standard library's reverse proxy."`
 	Report  reportingCommand  `cmd:"" name:"reporting" help:"Measure what reports to monitoring cost requests: off, on, and with a receiver that never reads."`
 	Shed    shedCommand       `cmd:"" help:"Reckon the most that a scenario lets anyone serve, and play ways of shedding against models of its servers, in virtual time."`
+	Count   countCommand      `cmd:"" help:"Add up, over a whole fleet, what sidecars record in their logs at debug level."`
 	Load    loadCommand       `cmd:"" help:"Hold connections to an HTTP address on loopback and send requests on some of them, open loop."`
 	Stand   standCommand      `cmd:"" help:"Start a scenario's servers and roster for sidecars and clients of your own."`
 	Clients clientsCommand    `cmd:"" help:"Play a scenario's clients against sidecars that run already."`
@@ -356,6 +358,22 @@
 	return fmt.Sprintf("%.1f", d.Seconds())
 }
 
+type countCommand struct {
+	Folder string        `arg:"" help:"Where the logs are, one a sidecar, in files that end in .log." type:"existingdir"`
+	Every  time.Duration `help:"Length of a step." default:"1s"`
+}
+
+func (c *countCommand) Run(out io.Writer) error {
+	if c.Every < time.Millisecond {
+		return errors.New("a step is at least 1ms")
+	}
+	fleet, err := count.Folder(os.DirFS(c.Folder), c.Every)
+	if err != nil {
+		return err
+	}
+	return fleet.Write(out)
+}
+
 type loadCommand struct {
 	Addr        string   `arg:"" help:"Address of 127.0.0.0/8, with a port."`
 	Connections int      `help:"Connections held." default:"1000"`
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -86,6 +86,8 @@
 	listings  int                 // lists that discovery has given
 	endsAt    float64             // by then all has its answer; +Inf: no end is known
 
+	record *record // nil: nobody reads it
+
 	ctx context.Context
 }
 
@@ -108,7 +110,7 @@
 func New(ctx context.Context, cfg Config) *Loop {
 	start := time.Now()
 	return &Loop{
-		bal: balance.New(cfg.Balance), cfg: cfg, log: cfg.Log, inbox: make(chan any, 1024),
+		bal: balance.New(cfg.Balance), cfg: cfg, log: cfg.Log, record: newRecord(&cfg), inbox: make(chan any, 1024),
 		started: start, epoch: float64(start.UnixMicro()) / 1000,
 		requests: map[balance.RequestID]*request{}, byCall: map[*Call]*request{}, byName: map[string]*request{},
 		out: map[string]float64{}, seen: map[string]struct{}{}, endpoints: map[string]*Endpoint{}, byID: map[balance.ServerID]*Endpoint{}, ctx: ctx,
@@ -169,6 +171,7 @@
 		l.settle()
 		l.fire()
 		l.settle()
+		l.record.write(l)
 		if len(l.timers) > 0 {
 			timer.Reset(time.Until(l.time(l.timers[0].at)))
 		} else {
@@ -243,6 +246,7 @@
 		ev.do(l.elapsed())
 	case listed:
 		l.listings++
+		l.record.listed(len(ev.list.Members))
 		kind := balance.ListDelta
 		if ev.list.Complete {
 			kind = balance.ListFull
@@ -250,6 +254,7 @@
 		l.take(ev.list, kind)
 	case listFailed:
 		l.log.Info("list of servers", "error", ev.err)
+		l.record.listFailed()
 		if l.cfg.Balance.Subscribe { // else the module did not ask, and discovery calls again by itself
 			l.tell(balance.ServerList{Kind: balance.ListFailed})
 		}
@@ -282,8 +287,10 @@
 		case balance.Send:
 			l.send(a)
 		case balance.Refuse:
+			l.record.gaveUp(a)
 			l.finish(l.requests[a.Request], l.refusal(a.At))
 		case balance.Fail:
+			l.record.gaveUp(a)
 			l.finish(l.requests[a.Request], failed(ByServers, "failed"))
 		case balance.Cancel:
 			if r := l.requests[a.Request]; r != nil && a.Attempt < len(r.attempts) {
@@ -330,6 +337,7 @@
 	l.lastID++
 	r := &request{id: l.lastID, call: c, class: c.Ask.Class, tenant: c.Ask.Tenant}
 	l.cfg.Counts.Asked(r.class, r.tenant, c.Ask.Repeat)
+	l.record.asked()
 	if c.Name != "" {
 		if l.byName[c.Name] != nil {
 			// Servers and clients know a request by its id: under one of an open request it would get that one's
@@ -509,6 +517,7 @@
 	}
 	r.attempts = append(r.attempts, at)
 	r.live++
+	l.record.sent(e, l.now)
 	if e != nil {
 		e.inFlight++
 	}
@@ -532,6 +541,7 @@
 	r := l.requests[at.request]
 	r.live--
 	l.cfg.Counts.Attempted(outcomes[at.result.Outcome], at.number > 0)
+	l.record.ended(at)
 	if at.Endpoint != nil {
 		at.Endpoint.inFlight--
 	}
--- /dev/null
+++ b/internal/core/record_test.go
@@ -0,0 +1,47 @@
+package core
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+
+	"cedararch/balance"
+	"cedararch/internal/roster"
+)
+
+// At debug level a line tells what was counted since the last one, by which decision requests ended and what cold servers were sent; else there is
+// no record at all.
+func TestRecordCountsBetweenItsLines(t *testing.T) {
+	var text bytes.Buffer
+	cfg := Config{Balance: balance.Config{ColdTime: 1000, Fields: []balance.Field{balance.FieldRate, balance.FieldUtil}}}
+	cfg.Log = slog.New(slog.NewTextHandler(&text, nil))
+	if newRecord(&cfg) != nil {
+		t.Fatal("a record that nobody reads")
+	}
+	cfg.Log = slog.New(slog.NewTextHandler(&text, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	l := New(t.Context(), cfg)
+	r, cold := l.record, &Endpoint{member: roster.Member{UpSince: 900}}
+	r.asked()
+	r.gaveUp(&balance.Action{Why: balance.Shed})
+	r.sent(cold, 1000)
+	r.sent(&Endpoint{}, 5000)
+	r.ended(&Attempt{Endpoint: cold, sent: 1000, took: 10, result: Result{Outcome: balance.Full, Report: []float32{7, 0.25}}})
+	r.listed(60)
+	r.listFailed()
+	l.now = 1000
+	r.write(l)
+	r.write(l) // not due again
+	for _, want := range []string{"asked=1 ", "shed=1 ", "to_cold=1 ", "to_warm=1 ", "full=1 ", "util_cold=0.25", "lines=60", "no_lists=1"} {
+		if !strings.Contains(text.String(), want) {
+			t.Errorf("no %s in %s", want, text.String())
+		}
+	}
+	if l.now += recordEvery; strings.Count(text.String(), "\n") != 1 {
+		t.Errorf("more than a line: %s", text.String())
+	}
+	text.Reset()
+	if r.write(l); !strings.Contains(text.String(), "asked=0 ") {
+		t.Errorf("counted twice: %s", text.String())
+	}
+}
--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net/netip"
 	"os"
 	"strings"
@@ -26,6 +27,12 @@
 	Reporting  Reporting  `toml:"reporting"`
 	Graphite   Graphite   `toml:"graphite"`
 	Collectd   Collectd   `toml:"collectd"`
+	Log        Log        `toml:"log"`
+}
+
+// Log is about what the log holds.
+type Log struct {
+	Level slog.Level `toml:"level"` // "debug": with a record twice a second of what the sidecar does; "info" without it
 }
 
 // HTTP is about the front for applications; see internal/front/http.
--- a/internal/sidecar/main.go
+++ b/internal/sidecar/main.go
@@ -26,7 +26,7 @@
 	cfg.Limits.Apply(1)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	return Run(ctx, cfg, reloads, slog.New(slog.NewTextHandler(log, nil)))
+	return Run(ctx, cfg, reloads, slog.New(slog.NewTextHandler(log, &slog.HandlerOptions{Level: cfg.Options.Log.Level})))
 }
 
 // LoadAll reads and checks all that a sidecar is told, without starting anything.
