--- a/balance/balance.go
+++ b/balance/balance.go
@@ -50,7 +50,9 @@
 	reuse      = 4000  // weight added to a server with an open connection, times the price of a new one
 	scarce     = 50    // ... and times the part of recent attempts that got no connection: tables are full
 	holdOff    = 0.1   // part of the aim for which a refused client is asked to stay away
-	askPause   = 500   // ms before a failed list call is made again; doubles each time
+	askPause   = 500   // ms before a failed list call is made again, at most; doubles each time
+	askEach    = 50    // ... but so much for each sidecar: all fail together, and ask one discovery
+	askPart    = 0.7   // of the limit for asking that the pause may take; the call itself waits, too
 )
 
 func (b *Balancer) onRequest(ev Request) error {
@@ -606,12 +608,13 @@
 	s.coldSince, s.tokens, s.tokensAt, s.phased = since, b.random(), b.now, false
 }
 
-// askAgain calls after a growing, jittered pause, but within the limit for sidecars not subscribed.
+// askAgain calls after a growing pause, which spreads the calls of a whole fleet: each that waits in vain
+// costs discovery as much as one that is answered. Within the limit for sidecars not subscribed.
 func (b *Balancer) askAgain() {
-	pause := askPause * float64(int(1)<<min(b.asks, 4))
+	pause := max(askPause, askEach*float64(b.cfg.Peers)) * float64(int(1)<<min(b.asks, 4))
 	if b.cfg.AskWithin > 0 {
-		pause = min(pause, b.cfg.AskWithin/3)
+		pause = min(pause, askPart*b.cfg.AskWithin)
 	}
 	b.asks++
-	b.emit(Action{Kind: SetTimer, Token: listTimer, At: pause * (0.5 + b.random()/2)})
+	b.emit(Action{Kind: SetTimer, Token: listTimer, At: pause * (0.1 + 0.9*b.random())})
 }
