Answers of discovery that break off are made good before their news count as told

Ruled out: slow answers, lists applied late (no list with the drain had come), servers that come back under the same name. At fault: a reset watch waited for the module's pause (follower.go, spoilt); an answer that stopped was waited for until the watch's own end; all sidecars' watches ended within a second of each other, and all asked in the instant of their start (balance.Start), so that the calls that mattered were turned away with the rest.

Change: a silent watch is made again within 0.6 s of being given up; a call that was reset or broken off is made again at once, three times at most; half a second without a byte within an answer ends it; holds spread by 50 ms for each sidecar, from 3 to 7 s at most, and 8 s after a failure; with 20 sidecars or more the first call comes up to 2 s after the start.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -52,6 +52,8 @@
 	holdOff    = 0.1   // part of the aim for which a refused client is asked to stay away
 	askPause   = 500   // ms before a failed list call is made again, at most; doubles each time
 	askEach    = 50    // ... but so much for each sidecar: all fail together, and ask one discovery
+	fewPeers   = 20    // sidecars that may all ask at once
+	firstAsk   = 2000  // ms after its start by when a sidecar of more has asked
 	askPart    = 0.7   // of the limit for asking that the pause may take; the call itself waits, too
 )
 
@@ -608,6 +610,17 @@
 	s.coldSince, s.tokens, s.tokensAt, s.phased = since, b.random(), b.now, false
 }
 
+// askFirst calls for the list at the start, but not in the same instant as a fleet that starts with it: each
+// has the list that it last had.
+func (b *Balancer) askFirst() {
+	if b.cfg.Peers < fewPeers {
+		b.emit(Action{Kind: Watch})
+		return
+	}
+	spread := min(askEach/2*float64(b.cfg.Peers), firstAsk)
+	b.emit(Action{Kind: SetTimer, Token: listTimer, At: spread * b.random()})
+}
+
 // askAgain calls after a growing pause, which spreads the calls of a whole fleet: each that waits in vain
 // costs discovery as much as one that is answered. Within the limit for sidecars not subscribed.
 func (b *Balancer) askAgain() {
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -242,10 +242,15 @@
 	for _, sidecars := range []int{80, 300, 1000} {
 		cfg := baseConfig()
 		cfg.Subscribe, cfg.Peers = true, sidecars
+		first := make([]int, 5)  // by half second, when all start at once
 		calls := make([]int, 20) // by half second
 		for n := range sidecars {
 			cfg.Seed, cfg.Number = uint64(n+1), n
 			g := newRig(t, cfg, fleet(3)...)
+			if g.acts[0].Token != listTimer || g.acts[0].At > 2000 {
+				t.Fatalf("at the start: %+v", g.acts[0])
+			}
+			first[int(g.acts[0].At/500)]++
 			g.now += 5000
 			at := 0.0
 			for range 2 { // the second call fails, too, after the two seconds that it may wait
@@ -258,6 +263,9 @@
 			}
 		}
 		most := float64(sidecars) / min(4+float64(sidecars-80)/50, 7) // an even part of each half second, times two
+		if float64(slices.Max(first)) > 0.4*float64(sidecars) {
+			t.Errorf("%d sidecars that start together call %v times in half seconds", sidecars, first)
+		}
 		if most = max(most, 20); float64(slices.Max(calls)) > most {
 			t.Errorf("%d sidecars call %v times in half seconds, at most %.0f wanted", sidecars, calls, most)
 		}
--- a/balance/state.go
+++ b/balance/state.go
@@ -258,7 +258,7 @@
 func (b *Balancer) Start(now float64) []Action {
 	b.now, b.started, b.out = now, now, b.out[:0]
 	if b.cfg.Subscribe {
-		b.emit(Action{Kind: Watch})
+		b.askFirst()
 	}
 	return b.out
 }
--- a/internal/roster/follower.go
+++ b/internal/roster/follower.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"sync"
@@ -21,14 +22,23 @@
 )
 
 const (
-	// watchHold is how long discovery may hold a watch. One that has gone silent, on a connection that stays open,
-	// is noticed only after that, and no drain or new server is heard of until then.
-	watchHold   = 4 * time.Second
-	watchSpread = time.Second // by so much less at random: sidecars that start together must not ask together for ever
-	// How long a watch may take beyond that. The platform takes what there was to tell as told two seconds after the hold, also
-	// where nothing came, so that a silent one has to be given up before.
+	// A watch is held for leastHold and a random part of a spread that grows with the fleet, from leastSpread to mostSpread:
+	// sidecars whose watches begin together must not all call again together, or discovery, which takes the work of all calls in turn,
+	// answers none in time. One that has gone silent, on a connection that stays open, is noticed only after that.
+	leastHold   = 3 * time.Second
+	spreadEach  = 50 * time.Millisecond // for each sidecar
+	leastSpread = time.Second
+	mostSpread  = 4 * time.Second
+	// What there was to tell counts as told two seconds after the hold of the last call, also where nothing came or the call failed.
+	// A silent watch is given up, and made again, before that. A call after a failed one asks for a longer hold, as the next one
+	// may have to wait longer.
 	watchSpare  = 1200 * time.Millisecond
-	callTimeout = 5 * time.Second // ... and how long a call for the whole list may take
+	silentPause = 600 * time.Millisecond
+	longHold    = 8 * time.Second
+	mostSilence = 500 * time.Millisecond // within an answer
+	dueWithin   = 6 * time.Second        // the news of an answer that can't be read count as told by then
+	mostHurried = 3                      // calls in that time: a discovery that comes back has those of all sidecars
+	callTimeout = 5 * time.Second        // ... and how long a call for the whole list may take
 	maxList     = 4 << 20
 	leastGap    = 100 * time.Millisecond // between calls that bring nothing new; a watch ends after 200
 	pushPause   = 100 * time.Millisecond // before a failed call that nobody asks for is made again; doubles each time
@@ -87,6 +97,8 @@
 	Addr   string
 	Pushed bool  // the address is an agent that has the list sent to it
 	Known  *List // as last listed
+
+	Sidecars int // that ask the same discovery; 0: not known
 }
 
 // Follower follows the list of servers.
@@ -95,8 +107,10 @@
 	pushed   bool          // the address is an agent that has the list sent to it
 	asked    chan struct{} // the module wants a watch
 	events   Events
-	revision int64 // of the list held
-	held     bool  // a list is held, of this revision; it may be 0
+	revision int64         // of the list held
+	held     bool          // a list is held, of this revision; it may be 0
+	failing  bool          // the last call failed
+	spread   time.Duration // of holds
 
 	mu   sync.Mutex
 	addr string
@@ -109,6 +123,7 @@
 		addr:     cfg.Addr,
 		client:   &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1, MaxIdleConns: 1}},
 		held:     cfg.Known.Complete,
+		spread:   max(leastSpread, min(mostSpread, time.Duration(cfg.Sidecars)*spreadEach)),
 		revision: cfg.Known.Revision,
 		pushed:   cfg.Pushed,
 		asked:    make(chan struct{}, 1),
@@ -192,10 +207,11 @@
 	for {
 		start := time.Now()
 		l, err := d.call(ctx, addr)
-		if err != nil && ctx.Err() == nil && spoilt(err) {
-			// What it was to tell has been told for all that discovery knows, and may be a drain.
-			l, err = d.call(ctx, addr)
+		if err != nil && ctx.Err() == nil && !d.failing {
+			d.failing = true
+			l, err = d.hurry(ctx, addr, err)
 		}
+		d.failing = err != nil
 		if ctx.Err() != nil {
 			return went
 		}
@@ -217,7 +233,10 @@
 	if !d.held {
 		return d.get(ctx, addr, nil, callTimeout)
 	}
-	hold := watchHold - rand.N(watchSpread)
+	hold := leastHold + rand.N(d.spread)
+	if d.failing {
+		hold = longHold
+	}
 	l, err := d.get(ctx, addr, url.Values{
 		"from":    {strconv.FormatInt(d.revision, 10)},
 		"hold_ms": {strconv.FormatInt(hold.Milliseconds(), 10)},
@@ -232,6 +251,40 @@
 func (d *Follower) get(ctx context.Context, addr string, query url.Values, timeout time.Duration) (*List, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	// From the first byte of the answer on, each next one has to come soon: what stops short of its end has been told.
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	silence := time.AfterFunc(timeout, func() { stop(errStopped) })
+	defer silence.Stop()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotFirstResponseByte: func() { silence.Reset(mostSilence) },
+	})
+	l, err := d.fetch(ctx, addr, query, func() { silence.Reset(mostSilence) })
+	if err != nil && context.Cause(ctx) == errStopped {
+		err = fmt.Errorf("discovery: %w", errStopped)
+	}
+	return l, err
+}
+
+// errStopped is an answer that was begun and does not go on.
+var errStopped = errors.New("the answer has stopped short of its end")
+
+// heardReader calls on with each piece that is read.
+type heardReader struct {
+	from io.Reader
+	on   func()
+}
+
+func (h heardReader) Read(b []byte) (int, error) {
+	n, err := h.from.Read(b)
+	if n > 0 {
+		h.on()
+	}
+	return n, err
+}
+
+// fetch makes a call and reads its answer, of which it says when something comes.
+func (d *Follower) fetch(ctx context.Context, addr string, query url.Values, came func()) (*List, error) {
 	target := url.URL{Scheme: "http", Host: addr, Path: "/discovery/hosts", RawQuery: query.Encode()}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
 	if err != nil {
@@ -242,7 +295,7 @@
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxList))
+	body, err := io.ReadAll(io.LimitReader(heardReader{resp.Body, came}, maxList))
 	if err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
@@ -259,13 +312,36 @@
 	return l, nil
 }
 
+// hurry calls again after a call that has failed so that what it was to tell counts as told soon, and may be a drain:
+// a watch that fell silent, or an answer that can't be read. (Not for the whole list: that would be a call more, before the watch.) Of the latter there are few at a time, and they ask until their news
+// are due; after the former, which may befall a whole fleet, one call has to do.
+func (d *Follower) hurry(ctx context.Context, addr string, failed error) (l *List, err error) {
+	due := time.Now().Add(dueWithin)
+	switch {
+	case errors.Is(failed, context.DeadlineExceeded):
+		sleep(ctx, rand.N(silentPause))
+		due = time.Now()
+	case !spoilt(failed):
+		return nil, failed
+	}
+	for range mostHurried {
+		if l, err = d.call(ctx, addr); err == nil || ctx.Err() != nil || !time.Now().Before(due) {
+			break
+		}
+		sleep(ctx, rand.N(leastGap))
+	}
+	return l, err
+}
+
 // errStatus is an answer of discovery that holds no list.
 var errStatus = errors.New("discovery")
 
-// spoilt reports whether discovery has answered with what can't be read as a whole, in place of failing the call.
+// spoilt reports whether discovery has begun to answer, or has been cut off from it, in place of failing the call. A connection that
+// is reset in a watch may have carried news that never came.
 func spoilt(err error) bool {
-	var network *net.OpError // could not connect, or a reset
-	return !errors.Is(err, errStatus) && !errors.Is(err, context.DeadlineExceeded) && !errors.As(err, &network)
+	var network *net.OpError
+	down := errors.As(err, &network) && network.Op == "dial"
+	return !down && !errors.Is(err, errStatus) && !errors.Is(err, context.DeadlineExceeded)
 }
 
 // pause is the wait before the next call that nobody asks for, longer after each failure and never as long as others'.
--- a/internal/roster/follower_test.go
+++ b/internal/roster/follower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -140,12 +141,15 @@
 	}{
 		"within the status line": {testbed.BreakOff("HTTP/1"), true},
 		"within the list":        {testbed.BreakOff("HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n" + whole[:60]), true},
+		"reset":                  {testbed.Cut(), true},
+		"stopped in the line":    {testbed.Stop("HTTP/1"), true},
+		"stopped in the list":    {testbed.Stop("HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n" + whole[:60]), true},
 		"no JSON":                {testbed.Say(200, "gibberish"), true},
 		"a member without id":    {testbed.Say(200, `{"revision":42,"complete":true,"members":[{"phase":"ready"}]}`), true},
 		"busy":                   {testbed.Say(503, ""), false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s := testbed.NewScript(t, c.first, testbed.Say(200, whole))
+			s := testbed.NewScript(t, c.first, testbed.Say(503, ""), testbed.Say(200, whole)) // discovery is busy, too
 			f := start(t, Config{Addr: s.Addr, Known: held(41)})
 			ev := testbed.Next[any](t, f)
 			if l, ok := ev.(*List); ok != c.spoiled || ok && (l.Revision != 42 || len(l.Members) != 1) {
@@ -160,14 +164,25 @@
 func TestSilentDiscoveryIsNoticed(t *testing.T) {
 	t.Parallel()
 	r := testbed.NewRoster(t)
-	events := start(t, Config{Addr: r.Addr, Known: held(41)})
-	testbed.Next(t, r.Calls)
-	start := time.Now()
-	if ev, ok := testbed.Next[any](t, events).(error); !ok {
-		t.Errorf("heard %#v", ev)
+	start(t, Config{Addr: r.Addr, Known: held(41)})
+	first := testbed.Next(t, r.Calls)
+	began := time.Now()
+	again := testbed.Next(t, r.Calls)
+	hold, err := strconv.Atoi(strings.TrimPrefix(first, "from=41&hold_ms="))
+	if took := time.Since(began); err != nil || took > time.Duration(hold)*time.Millisecond+1950*time.Millisecond {
+		t.Errorf("%s: noticed after %v", first, took)
+	}
+	if again != "from=41&hold_ms="+strconv.FormatInt(longHold.Milliseconds(), 10) {
+		t.Errorf("then called %s", again)
 	}
-	if took := time.Since(start); took > watchHold+1900*time.Millisecond {
-		t.Errorf("noticed after %v", took)
+}
+
+// Watches of a large fleet that begin together end apart.
+func TestHoldsSpreadWithTheFleet(t *testing.T) {
+	for sidecars, want := range map[int]time.Duration{0: leastSpread, 3: leastSpread, 60: 3 * time.Second, 5000: mostSpread} {
+		if f := New(Config{Known: held(1), Sidecars: sidecars}, nil); f.spread != want {
+			t.Errorf("%d sidecars: %v", sidecars, f.spread)
+		}
 	}
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -252,7 +252,7 @@
 		known = &roster.List{}
 	}
 	follower = roster.New(roster.Config{
-		Addr: cfg.Discovery, Pushed: !cfg.Balance.Subscribe, Known: known,
+		Addr: cfg.Discovery, Pushed: !cfg.Balance.Subscribe, Known: known, Sidecars: cfg.Balance.Peers,
 	}, exchange)
 	httpCfg := httpfront.Config{
 		Catalog: cfg.catalog, Door: keeper, Connections: budget.clients, LastCalls: cfg.lastCalls, Evict: evict,
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -167,6 +167,23 @@
 	}
 }
 
+// Stop writes part of an answer and then nothing, until the other side ends the connection.
+func Stop(part string) Step {
+	return func(c net.Conn) bool {
+		io.WriteString(c, part)
+		io.Copy(io.Discard, c)
+		return false
+	}
+}
+
+// Cut resets the connection.
+func Cut() Step {
+	return func(c net.Conn) bool {
+		c.(*net.TCPConn).SetLinger(0)
+		return false
+	}
+}
+
 // Log is a log that can be read while it is written.
 type Log struct {
 	mu   sync.Mutex
