Pauses between list calls are spread for many sidecars only; a crowded discovery in virtual time

At fault: the draw from 0.1 to 1 in askAgain, which has few sidecars ask a discovery that is down more often.

The test of the module plays 80 sidecars against a discovery that shares its work among waiting calls: with the pauses as they were 25 of 80 have the list within 15 s after all watches have ended.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -51,10 +51,12 @@
 	scarce     = 50    // ... and times the part of recent attempts that got no connection: tables are full
 	holdOff    = 0.1   // part of the aim for which a refused client is asked to stay away
 	askPause   = 500   // ms before a failed list call is made again, at most; doubles each time
-	askEach    = 50    // ... but so much for each sidecar: all fail together, and ask one discovery
+	askEach    = 50    // ... and so much more for each sidecar beyond few: all fail together
+	askLeast   = 0.33  // of the limit for asking that the pause takes at most, where there are few sidecars
+	askMost    = 0.7   // ... and where there are many; the call itself waits, too
 	fewPeers   = 20    // sidecars that may all ask at once
-	firstAsk   = 2000  // ms after its start by when a sidecar of more has asked
-	askPart    = 0.7   // of the limit for asking that the pause may take; the call itself waits, too
+	manyPeers  = 100   // ... times these parts are those between
+	firstAsk   = 2000  // ms after the start by when a sidecar of many has asked
 )
 
 func (b *Balancer) onRequest(ev Request) error {
@@ -622,12 +624,17 @@
 }
 
 // askAgain calls after a growing pause, which spreads the calls of a whole fleet: each that waits in vain
-// costs discovery as much as one that is answered. Within the limit for sidecars not subscribed.
+// costs discovery as much as one that is answered. Few need no spread, and are better off when they wait.
+// Within the limit for sidecars not subscribed.
 func (b *Balancer) askAgain() {
-	pause := max(askPause, askEach*float64(b.cfg.Peers)) * float64(int(1)<<min(b.asks, 4))
+	peers := float64(b.cfg.Peers)
+	pause, least := (askPause+askEach*max(0, peers-fewPeers))*float64(int(1)<<min(b.asks, 4)), 0.5
+	if peers >= fewPeers {
+		least = 0.1
+	}
 	if b.cfg.AskWithin > 0 {
-		pause = min(pause, askPart*b.cfg.AskWithin)
+		pause = min(pause, bound(peers/manyPeers, askLeast, askMost)*b.cfg.AskWithin)
 	}
 	b.asks++
-	b.emit(Action{Kind: SetTimer, Token: listTimer, At: pause * (0.1 + 0.9*b.random())})
+	b.emit(Action{Kind: SetTimer, Token: listTimer, At: pause * (least + (1-least)*b.random())})
 }
