A connection that carries a request is no open one for sidecars with little traffic

Checked: the price of handshakes makes an open connection weigh 481 times one to be opened (reuse 4000 x 0.12); 8 % of the gaps between two sends to a server are longer than a connection's idle time, so that idle ends are not what opens most connections. At fault: favour, which took any server sent to within the idle time as one with an open connection, also while it was in use.

Change: the module keeps the most attempts out at a server of late, less those whose connection ended, as its connections; a server weighs as connected while fewer are out than that. Only where a sidecar has fewer attempts out than there are servers.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -394,7 +394,7 @@
 	if s.Zone == b.cfg.Zone {
 		f += (zoneFavour * b.cfg.Prices.CrossZone) * (zoneFavour * b.cfg.Prices.CrossZone)
 	}
-	if b.cold(s) || s.errs == 0 && s.usedAt <= b.now && b.now < s.usedAt+b.cfg.ConnIdle {
+	if b.cold(s) || s.errs == 0 && b.keeps(s) {
 		f *= 1 + reuse*b.cfg.Prices.Handshake + scarce*b.unconnected
 	}
 	return f
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -85,3 +85,41 @@
 		})
 	}
 }
+
+// A connection that carries a request is not free for the next one. Weighed as open it drew request after request to servers that hung, each on a new
+// connection, while servers with a free one stood by.
+func TestABusyConnectionIsNoOpenOne(t *testing.T) {
+	cfg := baseConfig()
+	cfg.ConnIdle, cfg.Prices.Handshake, cfg.Streams = 10000, 0.1, 1
+	g := newRig(t, cfg, fleet(20)...)
+	sequence(g, 2) // opens connections to two servers, or one
+	open := map[ServerID]bool{}
+	for _, s := range g.b.servers {
+		open[s.ID] = g.b.keeps(s)
+	}
+	busy := ServerID(0)
+	for range 4 {
+		id, acts := g.ask(safeClass)
+		s, ok := sentTo(acts)
+		if !ok || s == busy {
+			t.Fatalf("request %d went to server %d, whose connection is busy: %+v", id, s, acts)
+		}
+		if g.b.keeps(g.b.byID[s]) {
+			t.Errorf("the connection to server %d is held to be free", s)
+		}
+		if busy = s; open[s] {
+			g.answer(id, 0, OK, 10)
+			busy = 0
+			if !g.b.keeps(g.b.byID[s]) {
+				t.Errorf("the connection to server %d is not held to be free after its answer", s)
+			}
+		}
+		g.now++
+	}
+	id, acts := g.ask(safeClass)
+	s, _ := sentTo(acts)
+	g.answer(id, 0, TimedOut, 100) // which ends the connection
+	if g.b.keeps(g.b.byID[s]) {
+		t.Errorf("the connection to server %d is held to be open after a time-out", s)
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -31,6 +31,7 @@
 	asks    int           // failed list calls in a row
 	endsAt  float64       // by then all has to be answered; +Inf: no end is known
 
+	live    int // attempts
 	reqs    map[RequestID]*request
 	holding []*request // that wait for probes
 	classes []classStats
@@ -65,6 +66,7 @@
 	inFlight int     // own attempts
 	load     float64 // ... each as one over its aim
 
+	conns     int     // connections that are likely to be open: the most attempts of late
 	usedAt    float64 // when the last attempt was sent; +Inf: no connection is open
 	errs      int     // consecutive errors
 	lastErr   float64
@@ -501,6 +503,13 @@
 	b.lost += n / r.class.Aim
 }
 
+// keeps reports whether a connection to the server is likely to be open, and free where a sidecar has fewer requests out than there
+// are servers. With more, busy connections are the rule, and tell of the servers' sizes.
+func (b *Balancer) keeps(s *server) bool {
+	open := s.usedAt <= b.now && b.now < s.usedAt+b.cfg.ConnIdle
+	return open && (b.cfg.Streams != 1 || b.live >= len(b.servers) || s.inFlight < s.conns)
+}
+
 // settle ends an attempt and returns it with its request.
 func (b *Balancer) settle(ev Outcome) (*request, *attempt, error) {
 	r := b.reqs[ev.Request]
@@ -511,6 +520,10 @@
 	a.live, a.clean = false, ev.Result.NeverRan()
 	a.cut = ev.Result == Reset
 	a.s.inFlight--
+	b.live--
+	if ev.Result != OK && ev.Result != Failed && ev.Result != Full && a.s.conns > 0 { // its connection is gone
+		a.s.conns--
+	}
 	if a.overdue {
 		b.lose(r, a, -1)
 	}
@@ -548,7 +561,12 @@
 		held = b.holds(s)
 	}
 	s.tokens--
+	if s.inFlight == 0 && b.now >= s.usedAt+b.cfg.ConnIdle {
+		s.conns = 0
+	}
 	s.inFlight++
+	b.live++
+	s.conns = max(s.conns, s.inFlight)
 	s.usedAt = b.now
 	s.sentSince++
 	if !r.Upload {
