--- a/internal/roster/follower.go
+++ b/internal/roster/follower.go
@@ -38,7 +38,7 @@
 	mostSilence = 500 * time.Millisecond // within an answer
 	dueWithin   = 6 * time.Second        // the news of an answer that can't be read count as told by then
 	mostHurried = 3                      // calls in that time: a discovery that comes back has those of all sidecars
-	callTimeout = 5 * time.Second        // ... and how long a call for the whole list may take
+	callTimeout = 5 * time.Second        // of a call for the whole list
 	maxList     = 4 << 20
 	leastGap    = 100 * time.Millisecond // between calls that bring nothing new; a watch ends after 200
 	pushPause   = 100 * time.Millisecond // before a failed call that nobody asks for is made again; doubles each time
@@ -254,7 +254,7 @@
 	// From the first byte of the answer on, each next one has to come soon: what stops short of its end has been told.
 	ctx, stop := context.WithCancelCause(ctx)
 	defer stop(nil)
-	silence := time.AfterFunc(timeout, func() { stop(errStopped) })
+	silence := time.AfterFunc(2*timeout, func() { stop(errStopped) }) // a call without any answer ends by its time-out before
 	defer silence.Stop()
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotFirstResponseByte: func() { silence.Reset(mostSilence) },
@@ -313,8 +313,7 @@
 }
 
 // hurry calls again after a call that has failed so that what it was to tell counts as told soon, and may be a drain:
-// a watch that fell silent, or an answer that can't be read. (Not for the whole list: that would be a call more, before the watch.) Of the latter there are few at a time, and they ask until their news
-// are due; after the former, which may befall a whole fleet, one call has to do.
+// a watch that fell silent, or an answer that can't be read. Of the latter there are few at a time, and they ask until their news are due; after the former, which may befall a whole fleet, one call has to do. Not for the whole list: that would be a call more, before the watch.
 func (d *Follower) hurry(ctx context.Context, addr string, failed error) (l *List, err error) {
 	due := time.Now().Add(dueWithin)
 	switch {
