The list is followed by one decision that never lets it be used past what counts as told

When to call again was decided in the follower and in the module, by chance and in goroutines that no test could put in order. Seen in logs of every call: 36 to 51 watches fall silent together and are given up 0.8 s before their news count as told; their next calls meet the release and 5 to 17 of them are turned away after 2 s, past that time. Ruled out: lists applied late, revisions that went back.

From the first debt's time on nothing is sent by the list (internal/core/fence.go), for 5 s at most; a process that stood still takes in unread news first.

--- /dev/null
+++ b/internal/core/fence_test.go
@@ -0,0 +1,98 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"cedararch/balance"
+	"cedararch/internal/roster"
+)
+
+// served is a loop with two servers that are ready and one that drains, and what was sent to them.
+func served(t *testing.T) (*Loop, *back) {
+	b := &back{}
+	l := newLoop(t, b)
+	l.take(&roster.List{Complete: true, Members: []roster.Member{
+		{ID: "s-1", HostPort: "h:1", Phase: "ready", Size: 1}, {ID: "s-2", HostPort: "h:2", Phase: "ready", Size: 1},
+		{ID: "s-3", HostPort: "h:3", Phase: "draining", Size: 1},
+	}}, balance.ListFull)
+	return l, b
+}
+
+func (l *Loop) arrives(got *caller) {
+	l.begin(&Call{Received: l.time(l.now), Ask: balance.Request{Remaining: 20000}, Client: got})
+}
+
+// A list that may lack what counts as told is not sent by, from the moment that the time has come, whoever notices it; nor before a
+// newer one is there.
+func TestNothingIsSentByAListThatIsOutOfDate(t *testing.T) {
+	l, b := served(t)
+	got := &caller{}
+	l.now += 1000
+	l.handle(valid{l.time(l.now + 1000), l.time(l.now + 6000)})
+	l.fence()
+	if l.arrives(got); len(b.begun) != 1 {
+		t.Fatalf("a valid list: %d sent", len(b.begun))
+	}
+	l.now += 1000
+	l.fence()
+	if l.arrives(got); len(b.begun) != 1 || len(*got) != 0 {
+		t.Fatalf("out of date: %d sent, %d answered", len(b.begun), len(*got))
+	}
+	l.take(&roster.List{Members: []roster.Member{{ID: "s-2", HostPort: "h:2", Phase: "draining", Size: 1}}}, balance.ListDelta)
+	if l.endpoints["s-1"].Closed() != true {
+		t.Error("an old entry was opened by a new list before that was said to be valid")
+	}
+	l.handle(valid{})
+	l.fence()
+	if l.endpoints["s-1"].Closed() || !l.endpoints["s-2"].Closed() || !l.endpoints["s-3"].Closed() {
+		t.Error("after the new list the wrong servers are open")
+	}
+	if l.arrives(got); len(b.begun) != 2 || b.begun[1].Endpoint.Name() != "s-1" {
+		t.Errorf("with the new list: %d sent", len(b.begun))
+	}
+}
+
+// A discovery that answers nobody for long must not end the service.
+func TestAnOldListLapsesIntoUse(t *testing.T) {
+	l, b := served(t)
+	l.handle(valid{l.time(l.now - 1), l.time(l.now + 5000)})
+	l.fence()
+	if at := l.fenceAt(); at < l.now+4999 || at > l.now+5001 {
+		t.Errorf("looks again at %v", at-l.now)
+	}
+	l.now += 5001
+	l.fence()
+	if l.arrives(&caller{}); len(b.begun) != 1 {
+		t.Errorf("%d sent", len(b.begun))
+	}
+}
+
+// A process that stood still finds requests and news at once when it goes on: the news come first.
+func TestNewsThatAreUnreadComeBeforeRequests(t *testing.T) {
+	l, b := served(t)
+	unread := true
+	l.cfg.Behind = func() bool { return unread }
+	l.awake = l.clock(time.Now()) - 2*longPause
+	l.wake()
+	if l.arrives(&caller{}); len(b.begun) != 0 {
+		t.Fatalf("%d sent before the news", len(b.begun))
+	}
+	l.inbox <- listed{&roster.List{Members: []roster.Member{{ID: "s-1", HostPort: "h:1", Phase: "draining", Size: 1}}}}
+	unread = false
+	l.catchUp()
+	l.fence()
+	if l.arrives(&caller{}); len(b.begun) != 1 || b.begun[0].Endpoint.Name() != "s-2" {
+		t.Errorf("%d sent after the news", len(b.begun))
+	}
+	unread, l.awake = true, l.clock(time.Now())
+	if l.wake(); l.fenced {
+		t.Error("it looked though it ran all the time")
+	}
+	l.awake -= 2 * longPause
+	l.wake()
+	l.behindAt -= 2 * mostWait
+	if l.catchUp(); l.behind {
+		t.Error("an answer that trickles is waited for without end")
+	}
+}
--- a/internal/core/hand.go
+++ b/internal/core/hand.go
@@ -77,7 +77,7 @@
 		if _, is := next[name]; is == was {
 			continue
 		}
-		e.closed.Store(e.member.Phase != "ready" || !was)
+		e.closed.Store(e.member.Phase != "ready" || !was || l.fenced)
 		if !was {
 			l.shut(e)
 		}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -33,13 +33,13 @@
 	Known   *roster.List // the servers as last listed; it may be old
 	// Back returns who makes attempts at a server of a kind of the roster's.
 	Back func(flavor string) Back
-	// Watch asks for news of the roster; it must not wait.
-	Watch func()
-	Door  *door.Keeper // nil: none
-	Gate  Gate         // nil: all may come in
+	Door *door.Keeper // nil: none
+	Gate Gate         // nil: all may come in
 	// Counts counts requests and attempts; nil: nobody does.
 	Counts *report.Counts
 	Log    *slog.Logger
+	// Behind reports whether news of the roster have come to this process that the exchange was not told of; nil: never.
+	Behind func() bool
 	// Fresh says that what is known of the roster does not do to be ready: it has to be heard of again.
 	Fresh bool
 }
@@ -54,6 +54,7 @@
 	}
 	listed     struct{ list *roster.List }
 	listFailed struct{ err error }
+	valid      struct{ until, lapsed time.Time } // zero: for ever
 	inspection struct{ do func(now time.Duration) }
 	sent       struct{ attempt *Attempt } // its body was a stream, and has gone out
 	endBy      struct{ at time.Time }
@@ -85,6 +86,11 @@
 	seen      map[string]struct{} // servers that were ever listed, by name
 	listings  int                 // lists that discovery has given
 	endsAt    float64             // by then all has its answer; +Inf: no end is known
+	valid     valid               // until when the list is
+	fenced    bool                // it is not, or news of it are unread: nothing is sent to any server
+	behind    bool                // news of it are unread
+	behindAt  float64             // ... since
+	awake     float64             // when the loop last was known to run
 
 	record *record // nil: nobody reads it
 
@@ -109,6 +115,7 @@
 // New returns an exchange that works until ctx ends, once Run is called.
 func New(ctx context.Context, cfg Config) *Loop {
 	start := time.Now()
+	cfg.Balance.Subscribe = false // the roster is followed without the module
 	return &Loop{
 		bal: balance.New(cfg.Balance), cfg: cfg, log: cfg.Log, record: newRecord(&cfg), inbox: make(chan any, 1024),
 		started: start, epoch: float64(start.UnixMicro()) / 1000,
@@ -128,6 +135,10 @@
 func (l *Loop) Listed(list *roster.List) { l.post(listed{list}) }
 func (l *Loop) ListFailed(err error)     { l.post(listFailed{err}) }
 
+// Valid says until when the list is all that counts as told. From then on nothing is sent to its servers, also where this process
+// was late to see the time come, until it is valid again or until lapsed.
+func (l *Loop) Valid(until, lapsed time.Time) { l.post(valid{until, lapsed}) }
+
 // End says that every call, also one that comes yet, is to have its answer at that time: what has none by then is failed, or
 // refused where nothing can have run.
 func (l *Loop) End(by time.Time) { l.post(endBy{by}) }
@@ -165,25 +176,28 @@
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	l.now = l.clock(time.Now())
+	l.awake = l.now
 	l.do(l.bal.Start(l.now))
 	l.take(l.cfg.Known, balance.ListCached)
 	for {
+		l.catchUp()
+		l.fence()
 		l.settle()
 		l.fire()
 		l.settle()
 		l.record.write(l)
+		next := math.Inf(1)
 		if len(l.timers) > 0 {
-			timer.Reset(time.Until(l.time(l.timers[0].at)))
-		} else {
-			timer.Reset(time.Hour)
+			next = l.timers[0].at
 		}
+		timer.Reset(time.Until(l.time(min(next, l.fenceAt(), l.now+3600*1000))))
 		select {
 		case ev := <-l.inbox:
-			l.now = l.clock(time.Now())
+			l.wake()
 			l.handle(ev)
 			l.drain()
 		case <-timer.C:
-			l.now = l.clock(time.Now())
+			l.wake()
 		case <-l.ctx.Done():
 			return
 		}
@@ -194,6 +208,7 @@
 	for n := len(l.inbox); n > 0; n-- {
 		l.settle()
 		l.handle(<-l.inbox)
+		l.fence()
 	}
 }
 
@@ -255,9 +270,8 @@
 	case listFailed:
 		l.log.Info("list of servers", "error", ev.err)
 		l.record.listFailed()
-		if l.cfg.Balance.Subscribe { // else the module did not ask, and discovery calls again by itself
-			l.tell(balance.ServerList{Kind: balance.ListFailed})
-		}
+	case valid:
+		l.valid = ev
 	}
 }
 
@@ -305,11 +319,9 @@
 			if e := l.byID[a.Server]; e != nil {
 				e.back.CloseIdle(e)
 			}
-		case balance.Watch:
-			l.cfg.Watch()
 		case balance.Log:
 			l.log.Info(a.Text)
-		default: // Post and Fetch: the module never asks for them
+		default: // Post, Watch and Fetch: the module never asks for them here
 			l.log.Warn("action not carried out", "kind", a.Kind)
 		}
 	}
@@ -584,7 +596,7 @@
 		seen[m.ID] = true
 		e := l.endpoint(m)
 		list.Servers = append(list.Servers, l.entry(e))
-		if e.Closed() {
+		if e.Closed() && !l.fenced {
 			l.shut(e)
 		}
 		if m.Phase == "gone" {
@@ -616,7 +628,7 @@
 	e.addr.Store(&addr)
 	e.member = *m
 	_, out := l.out[m.ID]
-	e.closed.Store(m.Phase != "ready" || out)
+	e.closed.Store(m.Phase != "ready" || out || l.fenced)
 	return e
 }
 
--- /dev/null
+++ b/internal/roster/unread.go
@@ -0,0 +1,27 @@
+package roster
+
+import (
+	"net"
+	"syscall"
+)
+
+// unread reports whether something waits to be read from a connection, its end included. Where the system does not tell, nothing does.
+func unread(conn net.Conn) bool {
+	c, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var waits bool
+	if err := raw.Control(func(fd uintptr) {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		waits = err == nil
+	}); err != nil {
+		return false
+	}
+	return waits
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -230,7 +230,6 @@
 		}
 		evict = func() bool { return back.Evict() || rpcBack.Evict() }
 	}
-	var follower *roster.Follower
 	gate := cfg.newGate()
 	coreCfg := core.Config{
 		Balance: cfg.Balance, Zones: cfg.zones, Kinds: cfg.kinds, Known: &cfg.Known, Door: keeper, Log: log,
@@ -241,18 +240,20 @@
 			}
 			return back
 		},
-		Watch: func() { follower.Watch() },
 	}
 	if gate != nil {
 		coreCfg.Gate = gate
 	}
+	var follower *roster.Follower
+	coreCfg.Behind = func() bool { return follower.Behind() }
 	exchange := core.New(inner, coreCfg)
 	known := &cfg.Known
 	if others.Older { // what is newer is asked for, not waited for
 		known = &roster.List{}
 	}
 	follower = roster.New(roster.Config{
-		Addr: cfg.Discovery, Pushed: !cfg.Balance.Subscribe, Known: known, Sidecars: cfg.Balance.Peers,
+		Addr: cfg.Discovery, Pushed: !cfg.Balance.Subscribe, Known: known,
+		Number: cfg.Balance.Number, Sidecars: cfg.Balance.Peers, AskWithin: millis(cfg.Balance.AskWithin),
 	}, exchange)
 	httpCfg := httpfront.Config{
 		Catalog: cfg.catalog, Door: keeper, Connections: budget.clients, LastCalls: cfg.lastCalls, Evict: evict,
--- a/lab/judge/judge.go
+++ b/lab/judge/judge.go
@@ -53,6 +53,7 @@
 	Slack      time.Duration // an answer so long after the deadline still counts
 	DrainGrace time.Duration
 	ToldAfter  time.Duration // a change counts as told so long after the roster had it, even if it did not arrive; 0: never
+	AskWithin  time.Duration // where sidecars ask: the limit for asking, and Telling judges; 0: ToldAfter does
 	After      time.Duration // work that arrives so long after the answer was on its way already
 	Blind      bool          // nothing is known of what servers saw
 }
@@ -119,6 +120,7 @@
 	tries    map[string]*try
 	tolds    map[told][]span // when a sidecar knew that it must not send there
 	changes  []change
+	tellings map[int]*Telling // by sidecar
 	outages  []outage
 	findings map[Rule][]Finding
 	counts   map[Rule]int
@@ -138,7 +140,7 @@
 // New returns a judge that has seen nothing.
 func New(cfg Config) *Judge {
 	return &Judge{
-		cfg: cfg, tries: map[string]*try{}, tolds: map[told][]span{},
+		cfg: cfg, tries: map[string]*try{}, tolds: map[told][]span{}, tellings: map[int]*Telling{},
 		findings: map[Rule][]Finding{}, counts: map[Rule]int{},
 	}
 }
@@ -201,6 +203,14 @@
 			return
 		}
 	}
+	if j.cfg.AskWithin > 0 {
+		if change := j.closedBy(server); change >= 0 {
+			if due := j.telling(sidecar).ToldAt(change); first > due+j.cfg.DrainGrace && due != forever {
+				j.find(Drain, first, "%s: sent by sidecar %d to %s, which counts as told to be closed for %v", trace, sidecar, server, first-due)
+			}
+		}
+		return
+	}
 	if since, closed := j.closedSince(server); closed && j.cfg.ToldAfter > 0 && first > since+j.cfg.ToldAfter+j.cfg.DrainGrace {
 		j.find(Drain, first, "%s: sent by sidecar %d to %s, which the roster had as closed for %v", trace, sidecar, server, first-since)
 	}
@@ -221,6 +231,73 @@
 	return at, closed
 }
 
+// closedBy returns the change with which the roster closed a server; -1: it is open.
+func (j *Judge) closedBy(server string) int {
+	by := -1
+	for i, c := range j.changes {
+		if c.server != server {
+			continue
+		}
+		if c.ready {
+			by = -1
+		} else if by < 0 {
+			by = i
+		}
+	}
+	return by
+}
+
+// telling returns what counts as told to a sidecar.
+func (j *Judge) telling(sidecar int) *Telling {
+	t := j.tellings[sidecar]
+	if t == nil {
+		t = j.newTelling(0)
+		j.tellings[sidecar] = t
+	}
+	return t
+}
+
+func (j *Judge) newTelling(since time.Duration) *Telling {
+	t := &Telling{AskWithin: j.cfg.AskWithin, Since: since}
+	for _, c := range j.changes {
+		t.Changed(max(c.at, since))
+	}
+	return t
+}
+
+// Call says that a call has reached the roster, and returns its number; ends is told of its end.
+func (j *Judge) Call(sidecar int, at, hold time.Duration, waits bool) (ends func(CallEnd, time.Duration)) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	t := j.telling(sidecar)
+	call := t.Called(at, hold, waits)
+	return func(how CallEnd, at time.Duration) {
+		j.mu.Lock()
+		defer j.mu.Unlock()
+		switch how {
+		case CallWritten:
+			t.Wrote(call, at)
+		case CallBroken:
+			t.Broke(call, at)
+		case CallTurnedAway:
+			t.Failed(call, at)
+		case CallLeft:
+			t.Left(call, at)
+		}
+	}
+}
+
+// CallEnd is how a call to the roster ended.
+type CallEnd int
+
+// The ends.
+const (
+	CallWritten CallEnd = iota
+	CallBroken
+	CallTurnedAway
+	CallLeft
+)
+
 // Ran says that a server has begun the work of a request, which it did not know from its key.
 func (j *Judge) Ran(trace, server string, cell int, at time.Duration) {
 	j.mu.Lock()
@@ -244,6 +321,9 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.changes = append(j.changes, change{server, ready, at})
+	for _, t := range j.tellings {
+		t.Changed(at)
+	}
 }
 
 // Told says that the roster has written a server's state to a sidecar.
@@ -268,6 +348,13 @@
 	j.outages = append(j.outages, outage{sidecar, from, forever})
 }
 
+// Started says that a sidecar starts anew: it holds the list of its configuration, and has asked nothing yet.
+func (j *Judge) Started(sidecar int, at time.Duration) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.tellings[sidecar] = j.newTelling(at)
+}
+
 // Up says that a sidecar runs again.
 func (j *Judge) Up(sidecar int, at time.Duration) {
 	j.mu.Lock()
--- a/lab/run/faults.go
+++ b/lab/run/faults.go
@@ -251,6 +251,12 @@
 		return do(func() { st.roster.SetDown(true) }), do(func() { st.roster.SetDown(false) })
 	case "roster_slow":
 		return do(func() { st.roster.SetSlow(scenario.MS(f.Size * 1000)) }), do(func() { st.roster.SetSlow(0) })
+	case "roster_break":
+		return do(func() { st.roster.SetBreak(f.Share) }), do(func() { st.roster.SetBreak(0) })
+	case "roster_mute":
+		return do(st.roster.Mute), nil
+	case "roster_busy":
+		return do(func() { st.roster.SetBusy(f.Share, scenario.MS(f.Size*1000)) }), do(func() { st.roster.SetBusy(0, 0) })
 	case "roster_garble":
 		return do(func() { st.roster.SetGarble(true) }), do(func() { st.roster.SetGarble(false) })
 	}
@@ -308,6 +314,7 @@
 func (st *stage) startAgain(n *process) {
 	ctx, cancel := context.WithTimeout(context.Background(), startPatience)
 	defer cancel()
+	st.judge.Started(n.number, st.clock())
 	err := n.start(ctx)
 	if err == nil {
 		err = n.awaitReady(ctx)
--- a/lab/run/run.go
+++ b/lab/run/run.go
@@ -108,6 +108,7 @@
 	st.judge = judge.New(judge.Config{
 		Classes: judgedClasses(s), Slack: answerSlack*time.Millisecond + st.slack,
 		DrainGrace: scenario.MS(s.Fleet.DrainGraceMS) + st.slack, ToldAfter: toldAfter, After: st.slack,
+		AskWithin: asked(s),
 	})
 	st.seen = newRecorder(st.judge, s.Length())
 	for range s.Fleet.Cells {
@@ -135,6 +136,14 @@
 	return nil
 }
 
+// asked is the limit for asking where sidecars ask the roster; 0 where it tells them.
+func asked(s *scenario.Scenario) time.Duration {
+	if s.Roster.Mode == "push" {
+		return 0
+	}
+	return askWithin * time.Millisecond
+}
+
 // contracts is the folder of the tenants' contracts.
 func (st *stage) contracts() string { return filepath.Join(st.dir, "contracts") }
 
--- a/lab/standin/standin.go
+++ b/lab/standin/standin.go
@@ -31,6 +31,7 @@
 type Notary interface {
 	Changed(server string, ready bool, at time.Duration)
 	Told(sidecar int, server string, ready bool, at time.Duration)
+	Call(sidecar int, at, hold time.Duration, waits bool) func(judge.CallEnd, time.Duration)
 }
 
 // Observer is told what clients saw; *judge.Judge is one.
--- a/lab/standin/standin_test.go
+++ b/lab/standin/standin_test.go
@@ -16,6 +16,7 @@
 
 	"go.uber.org/goleak"
 
+	"cedararch/lab/judge"
 	"cedararch/lab/model"
 )
 
@@ -49,6 +50,10 @@
 func (w *witness) Finished(string)                           {}
 func (w *witness) PushedOver(server string, _ time.Duration) { w.note(&w.fell, "%s", server) }
 func (w *witness) Changed(string, bool, time.Duration)       {}
+func (w *witness) Call(int, time.Duration, time.Duration, bool) func(judge.CallEnd, time.Duration) {
+	return func(judge.CallEnd, time.Duration) {}
+}
+
 func (w *witness) Told(sidecar int, server string, ready bool, _ time.Duration) {
 	w.note(&w.told, "%d %s %v", sidecar, server, ready)
 }
