Decisions of what sidecars tell one another: members, words, counts as intervals

This is the ground, decisions only; nothing in the program uses it yet.

Change: package fleet. Lives of a member are told apart by incarnations; words have versions that only their life writes; datagrams of 256 bytes by construction; partners in turn, new words passed on, differences found by digests. Counts are an interval: at least what was heard, at most what a member may have done since by the rate that it keeps to, where 'since' is this member's own clock at a beat that the other had before it published. Former lives fold into one sum that a late word cannot count in. 'firplank-lab explore fleet' plays members, links, crashes, clocks that go back and pauses; nine planted defects. Found by it and mended: a restart with an older clock never heard of its former life; a life older than two that are kept was refused by its own member.

--- a/cmd/firplank-lab/explore.go
+++ b/cmd/firplank-lab/explore.go
@@ -6,11 +6,14 @@
 	"fmt"
 	"io"
 
+	"cedararch/fleet"
 	"cedararch/lab/explore"
 	"cedararch/lab/explore/lists"
+	"cedararch/lab/explore/talk"
 )
 
 type exploreCommand struct {
+	Fleet  exploreFleetCommand  `cmd:"" help:"What sidecars tell one another, over links that lose, delay and cut and processes that crash and stand still: do their sums hold the truth, and agree in the end?"`
 	Roster exploreRosterCommand `cmd:"" help:"How a sidecar follows the list of servers, against a discovery that fails in every order: is a list used past what it lacks?"`
 }
 
@@ -25,32 +28,68 @@
 	Defects bool   `help:"Plant each known defect and search until it is found, in place of the program as it is."`
 }
 
-var errExplored = errors.New("an invariant can be broken, or a planted defect was not found")
+type exploreFleetCommand struct {
+	Depth   int    `help:"Choices in a row of which every order is played." default:"4"`
+	States  int    `help:"States that are told apart at most." default:"300000"`
+	Members int    `help:"Members of the fleet." default:"3"`
+	Faults  int    `help:"Faults in an order; ten times as many in deep ones." default:"1"`
+	Runs    int    `help:"Deep orders drawn at random besides." default:"5000"`
+	Deep    int    `help:"Choices in each of those." default:"80"`
+	Seed    uint64 `help:"Of the deep orders." default:"1"`
+	Defects bool   `help:"Plant each known defect and search until it is found, in place of the program as it is."`
+}
 
-func (c *exploreRosterCommand) Run(_ context.Context, out io.Writer) error {
-	deep := lists.Bounds{Changes: 3 * c.Changes, Faults: 4 * c.Faults}
+func (c *exploreFleetCommand) Run(_ context.Context, out io.Writer) error {
+	deep := talk.Bounds{Members: c.Members, Faults: 10 * c.Faults}
 	if c.Defects {
 		missed := 0
-		for i := range lists.Defects {
-			d := &lists.Defects[i]
-			r := explore.Random(lists.Start(deep, d), c.Seed, c.Runs, c.Deep)
-			found := "found"
-			if r.Breach == nil {
-				found, missed = "NOT FOUND", missed+1
-			}
-			fmt.Fprintf(out, "%-70s %s after %d steps, schedule of %d\n", d.Name, found, r.Steps, len(r.Schedule))
+		for d := fleet.NoDefect + 1; d < fleet.Defects; d++ {
+			missed += found(out, d.String(), explore.Random(talk.Start(deep, d), c.Seed, c.Runs, c.Deep))
 		}
-		if missed > 0 {
-			return errExplored
-		}
-		return nil
+		return missing(missed)
+	}
+	return searched(out, explore.Exhaust(talk.Start(talk.Bounds{Members: c.Members, Faults: c.Faults}, 0), explore.Limits{Depth: c.Depth, States: c.States}),
+		explore.Random(talk.Start(deep, 0), c.Seed, c.Runs, c.Deep))
+}
+
+// found tells whether a search has found a planted defect, and returns 1 if it has not.
+func found(out io.Writer, name string, r explore.Result) int {
+	if r.Breach == nil {
+		fmt.Fprintf(out, "%-70s NOT FOUND in %d steps\n", name, r.Steps)
+		return 1
+	}
+	fmt.Fprintf(out, "%-70s found after %d steps, schedule of %d: %v\n", name, r.Steps, len(r.Schedule), r.Breach)
+	return 0
+}
+
+func missing(n int) error {
+	if n > 0 {
+		return errExplored
 	}
-	every := explore.Exhaust(lists.Start(lists.Bounds{Changes: c.Changes, Faults: c.Faults}, nil), explore.Limits{Depth: c.Depth, States: c.States})
+	return nil
+}
+
+func searched(out io.Writer, every, random explore.Result) error {
 	fmt.Fprintln(out, "every order:", every)
-	random := explore.Random(lists.Start(deep, nil), c.Seed, c.Runs, c.Deep)
 	fmt.Fprintln(out, "deep orders:", random)
 	if every.Breach != nil || random.Breach != nil {
 		return errExplored
 	}
 	return nil
 }
+
+var errExplored = errors.New("an invariant can be broken, or a planted defect was not found")
+
+func (c *exploreRosterCommand) Run(_ context.Context, out io.Writer) error {
+	deep := lists.Bounds{Changes: 3 * c.Changes, Faults: 4 * c.Faults}
+	if c.Defects {
+		missed := 0
+		for i := range lists.Defects {
+			d := &lists.Defects[i]
+			missed += found(out, d.Name, explore.Random(lists.Start(deep, d), c.Seed, c.Runs, c.Deep))
+		}
+		return missing(missed)
+	}
+	return searched(out, explore.Exhaust(lists.Start(lists.Bounds{Changes: c.Changes, Faults: c.Faults}, nil), explore.Limits{Depth: c.Depth, States: c.States}),
+		explore.Random(lists.Start(deep, nil), c.Seed, c.Runs, c.Deep))
+}
--- /dev/null
+++ b/fleet/wire.go
@@ -0,0 +1,178 @@
+package fleet
+
+import (
+	"encoding/binary"
+	"errors"
+	"math"
+)
+
+// A datagram: "fl", version 1, a byte of flags (0); members, from and to, two bytes each; the sender's incarnation, eight; its sequence
+// number, four; a hash of the versions of its words, four; the version of the receiver's beat that it held when it published, four, and
+// two bytes of the incarnation that this is of, and two of what the receiver's former lives may have done beyond their words. Then parts, each a byte of kind: a word (member, topic, version as varints, the
+// incarnation, eight bytes, a byte of length and the value), or a digest (the first member as a varint, a count, and for each eight bytes: two of the
+// incarnation, four of the clock, two of a hash).
+const (
+	headerSize = 34
+	digestSize = 8
+	mostDigest = 12 // members
+
+	partWord   = 1
+	partDigest = 2
+
+	wordHead = 1 + 3 + 3 + 5 + 8 + 1 // at most
+)
+
+// largestValue is the longest value of a word: the past of a cell. Each fits a datagram with its header.
+const largestValue = 8 + 7*7 + mostLives*(8+5+7*7)
+
+// A word of any value fits a datagram.
+var _ [Largest - headerSize - wordHead - largestValue]struct{}
+
+type header struct {
+	members, from, to int
+	inc               Incarnation
+	seq, sum, ack     uint32
+	ackInc            uint16
+	beyond            uint16 // what the receiver's former lives may have taken beyond their words, in steps; unknownBeyond: nobody knows
+}
+
+func (h *header) append(b []byte) []byte {
+	b = append(b, 'f', 'l', 1, 0)
+	b = binary.BigEndian.AppendUint16(b, uint16(h.members))
+	b = binary.BigEndian.AppendUint16(b, uint16(h.from))
+	b = binary.BigEndian.AppendUint16(b, uint16(h.to))
+	b = binary.BigEndian.AppendUint64(b, uint64(h.inc))
+	b = binary.BigEndian.AppendUint32(b, h.seq)
+	b = binary.BigEndian.AppendUint32(b, h.sum)
+	b = binary.BigEndian.AppendUint32(b, h.ack)
+	b = binary.BigEndian.AppendUint16(b, h.ackInc)
+	return binary.BigEndian.AppendUint16(b, h.beyond)
+}
+
+// Steps of beyond: a request each at first, coarser by and by, rounded up.
+const unknownBeyond = 1<<16 - 1
+
+func stepOf(v uint64) uint16 {
+	step := 0
+	for step < unknownBeyond && beyondOf(uint16(step)) < v {
+		step += max(1, step/512)
+	}
+	return uint16(min(step, unknownBeyond))
+}
+
+// beyondOf is the most that a step stands for.
+func beyondOf(step uint16) uint64 {
+	if step < 512 {
+		return uint64(step)
+	}
+	return uint64(512 * math.Exp(float64(step-512)/2048))
+}
+
+var errUnreadable = errors.New("fleet: not a datagram of this protocol")
+
+// Parsed is a datagram taken apart. Values point into its bytes.
+type parsed struct {
+	header
+	words   []item
+	digests []digest
+}
+
+type digest struct {
+	member int
+	inc    uint16
+	clock  uint32
+	hash   uint16
+}
+
+// parse reads a datagram for a fleet of a size with so many topics a life. It is given whatever comes to a port.
+func parse(b []byte, members, topics int) (*parsed, error) {
+	if len(b) < headerSize || len(b) > Largest || b[0] != 'f' || b[1] != 'l' || b[2] != 1 {
+		return nil, errUnreadable
+	}
+	p := &parsed{header: header{
+		members: int(binary.BigEndian.Uint16(b[4:])), from: int(binary.BigEndian.Uint16(b[6:])), to: int(binary.BigEndian.Uint16(b[8:])),
+		inc: Incarnation(binary.BigEndian.Uint64(b[10:])), seq: binary.BigEndian.Uint32(b[18:]), sum: binary.BigEndian.Uint32(b[22:]),
+		ack: binary.BigEndian.Uint32(b[26:]), ackInc: binary.BigEndian.Uint16(b[30:]), beyond: binary.BigEndian.Uint16(b[32:]),
+	}}
+	if p.members != members || p.from >= members || p.to >= members || p.inc == 0 {
+		return nil, errUnreadable
+	}
+	for b = b[headerSize:]; len(b) > 0; {
+		kind := b[0]
+		b = b[1:]
+		switch kind {
+		case partWord:
+			var it item
+			for _, f := range []struct {
+				to   *int
+				most uint64
+			}{{&it.member, uint64(members - 1)}, {&it.topic, uint64(topics - 1)}} {
+				v, n := binary.Uvarint(b)
+				if n <= 0 || v > f.most {
+					return nil, errUnreadable
+				}
+				*f.to, b = int(v), b[n:]
+			}
+			v, n := binary.Uvarint(b)
+			if n <= 0 || v == 0 || v > math.MaxUint32 || len(b) < n+9 {
+				return nil, errUnreadable
+			}
+			it.version = uint32(v)
+			it.inc = Incarnation(binary.BigEndian.Uint64(b[n:]))
+			size := int(b[n+8])
+			if b = b[n+9:]; size > largestValue || size > len(b) || it.inc == 0 {
+				return nil, errUnreadable
+			}
+			it.value, b = b[:size], b[size:]
+			if !readable(&it, topics) {
+				return nil, errUnreadable
+			}
+			p.words = append(p.words, it)
+		case partDigest:
+			first, n := binary.Uvarint(b)
+			if n <= 0 || len(b) <= n || first >= uint64(members) {
+				return nil, errUnreadable
+			}
+			count := int(b[n])
+			if b = b[n+1:]; count > mostDigest || int(first)+count > members || len(b) < count*digestSize {
+				return nil, errUnreadable
+			}
+			for i := range count {
+				p.digests = append(p.digests, digest{
+					int(first) + i, binary.BigEndian.Uint16(b), binary.BigEndian.Uint32(b[2:]), binary.BigEndian.Uint16(b[6:]),
+				})
+				b = b[digestSize:]
+			}
+		default:
+			return nil, errUnreadable
+		}
+	}
+	return p, nil
+}
+
+// readable reports whether a value is one of its topic.
+func readable(it *item, topics int) (ok bool) {
+	switch {
+	case it.topic == 0:
+		_, ok = readBeat(it.value)
+	case it.topic <= (topics-1)/2:
+		_, ok = readCell(it.value)
+	default:
+		_, ok = readPast(it.value)
+	}
+	return ok
+}
+
+// appendWord adds a word if there is room for it.
+func appendWord(b []byte, it *item) ([]byte, bool) {
+	if len(b)+wordHead+len(it.value) > Largest {
+		return b, false
+	}
+	b = append(b, partWord)
+	b = binary.AppendUvarint(b, uint64(it.member))
+	b = binary.AppendUvarint(b, uint64(it.topic))
+	b = binary.AppendUvarint(b, uint64(it.version))
+	b = binary.BigEndian.AppendUint64(b, uint64(it.inc))
+	b = append(b, byte(len(it.value)))
+	return append(b, it.value...), true
+}
