Sidecars tell one another over datagrams what they count, off in run; links with faults in the laboratory

Ruled out on the way: sums 'at most' after all processes ended at once can't hold what nobody remembers; the laboratory reckons with it and the page says so.

--- /dev/null
+++ b/cmd/firplank/fleet.go
@@ -0,0 +1,109 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"cedararch/internal/peers"
+)
+
+// fleetCommand is about what sidecars tell one another.
+type fleetCommand struct {
+	Show fleetShow `cmd:"" help:"Show whom a sidecar hears, who hears whom by what it was told, and the fleet's sums as intervals."`
+}
+
+type fleetShow struct {
+	Address string `arg:"" help:"The sidecar's [operators] listen."`
+	JSON    bool   `help:"As JSON." name:"json"`
+}
+
+var errNoFleet = errors.New("the sidecar tells nobody anything: want [fleet] enabled = true in its options")
+
+func (c *fleetShow) Run(out io.Writer) error {
+	client := http.Client{Timeout: 5 * time.Second}
+	resp, err := client.Get("http://" + c.Address + "/fleet")
+	if err != nil {
+		return fmt.Errorf("fleet: %w", err)
+	}
+	defer resp.Body.Close()
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotFound:
+		return errNoFleet
+	default:
+		return fmt.Errorf("fleet: %s", resp.Status)
+	}
+	var s peers.Status
+	if err := json.NewDecoder(io.LimitReader(resp.Body, 64<<20)).Decode(&s); err != nil {
+		return fmt.Errorf("fleet: %w", err)
+	}
+	if c.JSON {
+		e := json.NewEncoder(out)
+		e.SetIndent("", " ")
+		return e.Encode(&s)
+	}
+	return showFleet(out, &s)
+}
+
+func showFleet(out io.Writer, s *peers.Status) error {
+	fmt.Fprintf(out, "member %d hears %.0f %% of %d", s.Number, 100*s.Heard, len(s.Members))
+	for _, f := range []struct {
+		on   bool
+		text string
+	}{{s.CutOff, "it hears nobody"}, {s.Stale, "it has stood still, and this is old"}} {
+		if f.on {
+			fmt.Fprintf(out, "; %s", f.text)
+		}
+	}
+	fmt.Fprintln(out)
+	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "member\tstanding\theard itself\tnew word\tknown until\ttaken\tlife\thears")
+	for i := range s.Members {
+		m := &s.Members[i]
+		note := ""
+		if m.Conflict {
+			note = " TWO PROCESSES"
+		}
+		fmt.Fprintf(t, "%d\t%s%s\t%s\t%s\t%s\t%d\t%s\t%s\n", m.Number, m.Standing, note, age(m.Direct), age(m.Fresh), age(m.AsOf), m.Taken, m.Life, row(m.Hears, len(s.Members)))
+	}
+	fmt.Fprintln(t, "\nclass\ttenant\ttaken\tretried\tserved\tno room\tover budget\trefused\tfailed")
+	for _, c := range s.Sums.Cells {
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n", c.Class, c.Tenant, c.Taken, c.Retried, c.Served, c.RefusedRoom, c.RefusedBudget, c.RefusedOther, c.Failed)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "each is at least that, and at most %d more (words up to %.1f s old)", s.Sums.Beyond, s.Sums.AgeS)
+	if s.Sums.Unbound > 0 {
+		fmt.Fprintf(out, "; of %d members nothing bounds what they did", s.Sums.Unbound)
+	}
+	fmt.Fprintln(out)
+	return nil
+}
+
+func age(s float64) string {
+	if s < 0 {
+		return "never"
+	}
+	return fmt.Sprintf("%.1f s", s)
+}
+
+// row shows whom a member hears, a column each.
+func row(hears []int, members int) string {
+	if len(hears) == 0 {
+		return "-"
+	}
+	b := []byte(strings.Repeat(".", members))
+	for _, i := range hears {
+		if i < members {
+			b[i] = 'x'
+		}
+	}
+	return string(b)
+}
--- a/cmd/firplank/main.go
+++ b/cmd/firplank/main.go
@@ -23,6 +23,7 @@
 	Check     checkCommand     `cmd:"" help:"Read and check the configuration, and start nothing."`
 	Call      callCommand      `cmd:"" help:"Make a request over HTTP or MessagePack-RPC and show the answer."`
 	Contracts contractsCommand `cmd:"" help:"Look at the contracts between teams."`
+	Fleet     fleetCommand     `cmd:"" help:"What sidecars tell one another."`
 	Metrics   metricsCommand   `cmd:"" help:"What monitoring is told."`
 	Version   versionCommand   `cmd:"" help:"Show the version."`
 	Help      helpCommand      `cmd:"" help:"Show this help."`
--- a/fleet/counts.go
+++ b/fleet/counts.go
@@ -273,11 +273,14 @@
 	}
 	b, _ := readBeat(m.word(0).value)
 	if rate := float64(max(b.most, m.most)); rate > 0 {
-		return m.extra + uint64(math.Ceil(rate*((n.now-m.asOf).Seconds()+burstSpan.Seconds())))
+		return m.extra + uint64(math.Ceil(rate*((n.now-m.asOf).Seconds()*drift+burstSpan.Seconds())))
 	}
 	return m.extra
 }
 
+// drift is how much faster another's clock may run than ours: twice 500 parts in a million.
+const drift = 1.001
+
 // burstSpan is how much of its rate a member may take at once.
 const burstSpan = 250 * time.Millisecond
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -96,7 +96,6 @@
 	out []Action
 
 	members []member
-	pace    Pace
 
 	counters  []Counters // as last told to us
 	base      []Counters // what an earlier life of this process had told of them: only where it was outbid
@@ -147,7 +146,7 @@
 	}
 	n := &Node{
 		cfg: cfg, rng: cfg.Seed, members: make([]member, cfg.Members), counters: make([]Counters, cfg.Cells), base: make([]Counters, cfg.Cells),
-		pace: NewPace(cfg.Most), published: -time.Hour,
+		published: -time.Hour,
 	}
 	for i := range n.members {
 		n.members[i].direct, n.members[i].fresh, n.members[i].asOf = -1, -1, -1
@@ -170,9 +169,6 @@
 	return n.out
 }
 
-// Pace is asked before each request that this member takes; see Pace.Take.
-func (n *Node) Pace() *Pace { return &n.pace }
-
 // Drops returns what was not taken so far.
 func (n *Node) Drops() Dropped { return n.drops }
 
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -86,12 +86,21 @@
 		return Gone
 	case !n.hears(i):
 		return CutLink
-	case n.now-m.acked > n.silence()+n.period():
+	case n.unheardBy(m):
 		return OneWay
 	}
 	return Here
 }
 
+// unheardBy reports whether a member that is heard says that it does not hear this one, or shows it by what it acknowledges.
+func (n *Node) unheardBy(m *member) bool {
+	b, ok := readBeat(m.word(0).value)
+	if at := n.cfg.Number; ok && at/64 < len(b.heard) {
+		return n.now > n.silence() && b.heard[at/64]>>(at%64)&1 == 0
+	}
+	return n.now-m.acked > n.silence()+n.period()
+}
+
 // Alone reports that nobody is heard: this member is cut off, or has just gone on after a pause and what it knows is old.
 func (n *Node) Alone() bool {
 	if n.cfg.Members == 1 {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -116,6 +116,14 @@
 	Release(now time.Duration, g contract.Grant, ran bool)
 }
 
+// Tally counts requests for the fleet.
+type Tally interface {
+	// Take counts a request, or says that it is beyond what this sidecar may take.
+	Take(now time.Duration, class, tenant int, retry bool) bool
+	// End counts what became of one that was taken, under a counter of package fleet. It may be called from any goroutine.
+	End(class, tenant, counter int)
+}
+
 // Back makes attempts at servers of one protocol. The exchange calls it from its own goroutine: no method may wait.
 type Back interface {
 	// Begin starts an attempt, which ends with one call of its End. Nothing may be sent once Over says so, nor after
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -13,6 +13,7 @@
 
 	"cedararch/balance"
 	"cedararch/contract"
+	"cedararch/fleet"
 	"cedararch/internal/door"
 	"cedararch/internal/roster"
 	"cedararch/overload"
@@ -40,6 +41,8 @@
 	Log    *slog.Logger
 	// Behind reports whether news of the roster have come to this process that the exchange was not told of; nil: never.
 	Behind func() bool
+	// Tally counts requests for the fleet, and says whether one may be taken; nil: all may.
+	Tally Tally
 	// Fresh says that what is known of the roster does not do to be ready: it has to be heard of again.
 	Fresh bool
 }
@@ -110,6 +113,7 @@
 	live     int
 	done     bool
 	coming   bool // its body is: its time does not count yet
+	told     bool // it was taken, by the Tally
 }
 
 // New returns an exchange that works until ctx ends, once Run is called.
@@ -350,6 +354,12 @@
 	r := &request{id: l.lastID, call: c, class: c.Ask.Class, tenant: c.Ask.Tenant}
 	l.cfg.Counts.Asked(r.class, r.tenant, c.Ask.Repeat)
 	l.record.asked()
+	if l.cfg.Tally != nil {
+		if r.told = l.cfg.Tally.Take(l.elapsed(), r.class, r.tenant, c.Ask.Repeat); !r.told {
+			l.finish(r, l.refusal(1000))
+			return
+		}
+	}
 	if c.Name != "" {
 		if l.byName[c.Name] != nil {
 			// Servers and clients know a request by its id: under one of an open request it would get that one's
@@ -455,6 +465,9 @@
 // count counts how a request ends; what streams has ended when it is through.
 func (l *Loop) count(r *request, a *Answer) {
 	counts, class, tenant, received := l.cfg.Counts, r.class, r.tenant, r.call.Received
+	if a != nil && r.told && a.Stream == nil {
+		l.cfg.Tally.End(class, tenant, tallied(a))
+	}
 	switch {
 	case a == nil:
 	case a.Stream == nil:
@@ -466,10 +479,28 @@
 				kind = report.Served
 			}
 			counts.Ended(class, tenant, kind, time.Since(received))
+			if r.told {
+				l.cfg.Tally.End(class, tenant, map[report.Kind]int{report.Served: fleet.Served, report.Failed: fleet.Failed}[kind])
+			}
 		})
 	}
 }
 
+// tallied is under what an answer counts in the fleet.
+func tallied(a *Answer) int {
+	switch {
+	case a.Kind == Served:
+		return fleet.Served
+	case a.Kind == Failed:
+		return fleet.Failed
+	case a.Reason == OverBudget:
+		return fleet.RefusedBudget
+	case a.Reason == ByServers:
+		return fleet.RefusedRoom
+	}
+	return fleet.RefusedOther
+}
+
 // endingOf is what an answer tells of whether the servers can carry more.
 func endingOf(a *Answer) overload.Ending {
 	switch {
--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -28,6 +28,7 @@
 	Graphite   Graphite   `toml:"graphite"`
 	Collectd   Collectd   `toml:"collectd"`
 	Log        Log        `toml:"log"`
+	Fleet      Fleet      `toml:"fleet"`
 }
 
 // Log is about what the log holds.
@@ -35,6 +36,15 @@
 	Level slog.Level `toml:"level"` // "debug": with a record twice a second of what the sidecar does; "info" without it
 }
 
+// Fleet is about what sidecars tell one another; see fleet and internal/peers. It needs settings that allow it, peers and peer_listen.
+type Fleet struct {
+	Enabled bool    `toml:"enabled"`
+	Most    float64 `toml:"most_per_s"` // requests that this sidecar takes at most, which the others reckon with; 0: 2000
+}
+
+// usualMost is above what a core serves.
+const usualMost = 2000
+
 // HTTP is about the front for applications; see internal/front/http.
 type HTTP struct {
 	Standard bool    `toml:"standard"` // on the standard library's server, as where the kernel has no other way
@@ -166,6 +176,11 @@
 	if b := &f.Broker; !(b.Capacity >= 0) || !(b.Part >= 0 && b.Part <= 1) {
 		return nil, fmt.Errorf("options: %s: broker: capacity_per_s is %v and part %v: want 0 or more, and 0 to 1", name, b.Capacity, b.Part)
 	}
+	if v := f.Fleet.Most; !(v >= 0 && v <= 1e6) {
+		return nil, fmt.Errorf("options: %s: fleet.most_per_s is %v: want 0 to 1000000", name, v)
+	} else if v == 0 {
+		f.Fleet.Most = usualMost
+	}
 	if err := f.fillMonitoring(); err != nil {
 		return nil, fmt.Errorf("options: %s: %w", name, err)
 	}
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -35,13 +35,15 @@
 
 // Config is what one sidecar is told at its start, checked.
 type Config struct {
-	Name      string
-	Listen    string
-	Discovery string
-	Admin     string // the operators' own address; empty: none
-	Limits    Limits
-	Known     roster.List // the servers as last listed; it may be old
-	Options   options.File
+	Name       string
+	Listen     string
+	Discovery  string
+	Admin      string   // the operators' own address; empty: none
+	PeerListen string   // where datagrams of other sidecars come in
+	Peers      []string // theirs, by number
+	Limits     Limits
+	Known      roster.List // the servers as last listed; it may be old
+	Options    options.File
 
 	Balance balance.Config
 	catalog *core.Catalog
@@ -111,28 +113,32 @@
 
 func parseConfig(text []byte, getenv func(string) string) (*Config, error) {
 	var file struct {
-		Name      string          `json:"name"`
-		Listen    string          `json:"listen"`
-		Discovery string          `json:"discovery"`
-		Admin     string          `json:"admin_addr"`
-		Seed      string          `json:"seed"`
-		Limits    Limits          `json:"limits"`
-		Known     roster.List     `json:"known"`
-		Settings  json.RawMessage `json:"settings"`
+		Name       string          `json:"name"`
+		Listen     string          `json:"listen"`
+		Discovery  string          `json:"discovery"`
+		Admin      string          `json:"admin_addr"`
+		PeerListen string          `json:"peer_listen"`
+		Peers      []string        `json:"peers"`
+		Seed       string          `json:"seed"`
+		Limits     Limits          `json:"limits"`
+		Known      roster.List     `json:"known"`
+		Settings   json.RawMessage `json:"settings"`
 	}
 	if err := json.Unmarshal(text, &file); err != nil {
 		return nil, placed(text, err)
 	}
 	cfg := &Config{
-		Name:      cmp.Or(getenv("NODE_NAME"), file.Name),
-		Listen:    cmp.Or(getenv("NODE_LISTEN"), file.Listen),
-		Discovery: cmp.Or(getenv("NODE_DISCOVERY"), file.Discovery),
-		Admin:     cmp.Or(getenv("NODE_ADMIN_ADDR"), file.Admin),
-		Limits:    file.Limits,
-		Known:     file.Known,
-		readiness: poller.Check,
-		restTime:  restTime,
-		lastCalls: lastCalls, longestEnd: longestEnd, lastWords: lastWords,
+		Name:       cmp.Or(getenv("NODE_NAME"), file.Name),
+		Listen:     cmp.Or(getenv("NODE_LISTEN"), file.Listen),
+		Discovery:  cmp.Or(getenv("NODE_DISCOVERY"), file.Discovery),
+		Admin:      cmp.Or(getenv("NODE_ADMIN_ADDR"), file.Admin),
+		PeerListen: file.PeerListen,
+		Peers:      file.Peers,
+		Limits:     file.Limits,
+		Known:      file.Known,
+		readiness:  poller.Check,
+		restTime:   restTime,
+		lastCalls:  lastCalls, longestEnd: longestEnd, lastWords: lastWords,
 	}
 	if err := cfg.check(); err != nil {
 		return nil, err
--- a/internal/sidecar/main.go
+++ b/internal/sidecar/main.go
@@ -40,9 +40,10 @@
 		return nil, err
 	}
 	cfg.Options = *opts
-	var errs [2]error
+	var errs [3]error
 	cfg.methods, errs[0] = rpcMethods(&opts.MsgpackRPC, cfg.catalog)
 	cfg.contracts, errs[1] = cfg.loadContracts()
+	errs[2] = cfg.checkFleet()
 	if err := errors.Join(errs[:]...); err != nil {
 		return nil, err
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -246,6 +246,13 @@
 	}
 	var follower *roster.Follower
 	coreCfg.Behind = func() bool { return follower.Behind() }
+	talk, err := cfg.openPeers(log)
+	if err != nil {
+		return err
+	}
+	if talk != nil {
+		coreCfg.Tally = talk.tally
+	}
 	exchange := core.New(inner, coreCfg)
 	known := &cfg.Known
 	if others.Older { // what is newer is asked for, not waited for
@@ -276,6 +283,9 @@
 	if reporter != nil {
 		tasks.Go(func() { reporter.Run(inner) })
 	}
+	if talk != nil {
+		tasks.Go(func() { talk.peers.Run(inner) })
+	}
 	tasks.Go(exchange.Run)
 	tasks.Go(func() { follower.Run(inner) })
 	if keeper != nil {
@@ -318,7 +328,7 @@
 	if ln.operators != nil {
 		log.Info("pages for operators", "operators_address", ln.operators.Addr().String())
 		tasks.Go(func() {
-			if err := operators.Serve(inner, ln.operators, pages(exchange, gate), log); err != nil {
+			if err := operators.Serve(inner, ln.operators, pages(exchange, gate, talk), log); err != nil {
 				log.Error("pages for operators", "error", err)
 			}
 		})
--- a/internal/sidecar/teams.go
+++ b/internal/sidecar/teams.go
@@ -60,8 +60,11 @@
 }
 
 // pages are what operators may look at.
-func pages(exchange *core.Loop, gate *broker.Gate) map[string]operators.Page {
+func pages(exchange *core.Loop, gate *broker.Gate, talk *talk) map[string]operators.Page {
 	all := map[string]operators.Page{}
+	if talk != nil {
+		all["/fleet"] = talk.peers.Status
+	}
 	if gate != nil {
 		all["/broker"] = func(ctx context.Context) (any, error) {
 			got := make(chan contract.Report, 1)
--- a/lab/explore/talk/talk.go
+++ b/lab/explore/talk/talk.go
@@ -36,6 +36,7 @@
 	still   bool
 	lives   int
 	wall    time.Duration // of its clock against the others'
+	pace    fleet.Pace
 }
 
 type world struct {
@@ -82,7 +83,7 @@
 		panic(err)
 	}
 	n.Plant(w.defect)
-	p.node, p.started, p.taken, p.still = n, w.now, 0, false
+	p.node, p.started, p.taken, p.still, p.pace = n, w.now, 0, false, fleet.NewPace(rate)
 }
 
 func (w *world) Broken() error { return w.breach }
@@ -168,6 +169,11 @@
 	w.check()
 }
 
+// at is a process's own time: their clocks differ by 500 parts in a million each way.
+func (w *world) at(i int) time.Duration {
+	return time.Duration(float64(w.now-w.procs[i].started) * (1 + 0.0005*float64(i%3-1)))
+}
+
 // round lets time pass and has all that run say something.
 func (w *world) round() {
 	w.now += step
@@ -181,7 +187,7 @@
 	if p.node == nil || p.still {
 		return
 	}
-	w.do(i, p.node.Handle(w.now-p.started, fleet.Tick{Counters: []fleet.Counters{{fleet.Taken: p.taken, fleet.Served: p.taken}}}))
+	w.do(i, p.node.Handle(w.at(i), fleet.Tick{Counters: []fleet.Counters{{fleet.Taken: p.taken, fleet.Served: p.taken}}}))
 }
 
 func (w *world) do(i int, actions []fleet.Action) {
@@ -202,7 +208,7 @@
 func (w *world) take(i int) {
 	p := &w.procs[i]
 	for range 7 {
-		if p.node.Pace().Take(w.now - p.started) {
+		if p.pace.Take(w.at(i)) {
 			p.taken++
 			w.truth[i]++
 		}
@@ -230,7 +236,7 @@
 	if p.node == nil || p.still || w.cut && (d.from == 0) != (d.to == 0) {
 		return
 	}
-	w.do(d.to, p.node.Handle(w.now-p.started, fleet.Datagram{From: d.from, Data: d.data}))
+	w.do(d.to, p.node.Handle(w.at(d.to), fleet.Datagram{From: d.from, Data: d.data}))
 }
 
 func (w *world) deliverAll() {
@@ -293,7 +299,7 @@
 		if least := s.Cells[0][fleet.Taken]; least > total {
 			w.fail("member %d says that at least %d were taken: it were %d", i, least, total)
 		}
-		if most := s.Most(0, fleet.Taken); s.Unbound == 0 && most < total && p.node.Stale(w.now-p.started) == false {
+		if most := s.Most(0, fleet.Taken); s.Unbound == 0 && most < total && !p.node.Stale(w.at(i)) {
 			w.fail("member %d says that at most %d were taken: it were %d", i, most, total)
 		}
 		for j, v := range p.node.View() {
--- /dev/null
+++ b/lab/relay/relay.go
@@ -0,0 +1,225 @@
+// Package relay stands between sidecars that send one another datagrams: each ordered pair has a socket of its own on loopback, so that a
+// sender's address is the one that its receiver knows it by, and each link can be cut, slowed, made to lose, double and reorder by itself, in one
+// direction. It knows nothing of what the datagrams say, and nothing of processes but their addresses.
+package relay
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// Link is how one direction between two sidecars is. The zero value carries all.
+type Link struct {
+	Cut           bool
+	Delay         time.Duration // each datagram up to twice that, so that they overtake one another
+	Loss, Doubled float64       // shares
+}
+
+// mostLate bounds the datagrams that are kept back at a time.
+const mostLate = 4096
+
+// Relay is the sockets between a number of sidecars.
+type Relay struct {
+	own   []netip.AddrPort
+	socks [][]*net.UDPConn // [i][j]: the address that i knows j by
+
+	mu    sync.Mutex
+	links [][]Link // [i][j]: from i to j
+	rng   *rand.Rand
+	late  int
+	done  bool
+
+	carried, lost int
+	tasks         sync.WaitGroup
+}
+
+// New opens the sockets between n sidecars, and keeps addresses for theirs until Free. Chance comes from the seed.
+func New(n int, seed uint64) (*Relay, error) {
+	r := &Relay{own: make([]netip.AddrPort, n), rng: rand.New(rand.NewPCG(seed, 0))}
+	var kept []*net.UDPConn
+	for i := range n {
+		c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			r.Close()
+			return nil, fmt.Errorf("relay: %w", err)
+		}
+		kept = append(kept, c)
+		r.own[i] = c.LocalAddr().(*net.UDPAddr).AddrPort()
+		r.links = append(r.links, make([]Link, n))
+		r.socks = append(r.socks, make([]*net.UDPConn, n))
+		for j := range n {
+			if i == j {
+				continue
+			}
+			if r.socks[i][j], err = net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)}); err != nil {
+				r.Close()
+				return nil, fmt.Errorf("relay: %w", err)
+			}
+		}
+	}
+	for _, c := range kept {
+		c.Close()
+	}
+	for i := range n {
+		for j := range n {
+			if i != j {
+				r.tasks.Go(func() { r.carry(i, j) })
+			}
+		}
+	}
+	return r, nil
+}
+
+// Own is where a sidecar listens, and Peers what it knows all by.
+func (r *Relay) Own(i int) string { return r.own[i].String() }
+
+// Peers returns the addresses that a sidecar knows all sidecars by.
+func (r *Relay) Peers(i int) (all []string) {
+	for j := range r.own {
+		if i == j {
+			all = append(all, r.Own(i))
+		} else {
+			all = append(all, r.socks[i][j].LocalAddr().String())
+		}
+	}
+	return all
+}
+
+// Change changes the links from some to others.
+func (r *Relay) Change(from, to []int, change func(*Link)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, i := range from {
+		for _, j := range to {
+			if i != j {
+				change(&r.links[i][j])
+			}
+		}
+	}
+}
+
+// Counts returns how many datagrams were carried, and how many lost.
+func (r *Relay) Counts() (carried, lost int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.carried, r.lost
+}
+
+// Flood sends datagrams that mean nothing to sidecars, so many a second to each, until ctx ends: from an address that none of them knows, and
+// from those of their peers.
+func (r *Relay) Flood(ctx context.Context, to []int, perSecond float64) error {
+	foreign, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		return fmt.Errorf("relay: %w", err)
+	}
+	defer foreign.Close()
+	const every = 10 * time.Millisecond
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	rng, b, due := rand.New(rand.NewPCG(1, 1)), make([]byte, 300), 0.0
+	for n := 0; ; {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return nil
+		}
+		for due += perSecond * every.Seconds(); due >= 1; due-- {
+			for k := range b {
+				b[k] = byte(rng.Uint32())
+			}
+			if n++; n%3 == 0 {
+				copy(b, "fl\x01")
+			}
+			size := 1 + rng.IntN(len(b))
+			for _, i := range to {
+				c := foreign
+				if j := rng.IntN(len(r.own)); n%2 == 0 && j != i {
+					c = r.socks[i][j]
+				}
+				c.WriteToUDPAddrPort(b[:size], r.own[i])
+			}
+		}
+	}
+}
+
+// carry passes on what i sends to j.
+func (r *Relay) carry(i, j int) {
+	b := make([]byte, 1<<16)
+	for {
+		n, from, err := r.socks[i][j].ReadFromUDPAddrPort(b)
+		if err != nil {
+			if r.closed() {
+				return
+			}
+			continue // of a datagram that found nobody
+		}
+		if from != r.own[i] {
+			continue
+		}
+		for _, delay := range r.fate(i, j) {
+			if delay == 0 {
+				r.socks[j][i].WriteToUDPAddrPort(b[:n], r.own[j])
+				continue
+			}
+			data := append([]byte(nil), b[:n]...)
+			r.tasks.Add(1)
+			time.AfterFunc(delay, func() {
+				defer r.tasks.Done()
+				r.socks[j][i].WriteToUDPAddrPort(data, r.own[j])
+				r.mu.Lock()
+				r.late--
+				r.mu.Unlock()
+			})
+		}
+	}
+}
+
+// fate returns how late each copy of a datagram comes; none where it is lost.
+func (r *Relay) fate(i, j int) (copies []time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	l := r.links[i][j]
+	if l.Cut || r.rng.Float64() < l.Loss || r.late >= mostLate {
+		r.lost++
+		return nil
+	}
+	r.carried++
+	for range 2 {
+		delay := time.Duration(0)
+		if l.Delay > 0 {
+			delay = 1 + time.Duration(r.rng.Int64N(int64(2*l.Delay)))
+			r.late++
+		}
+		copies = append(copies, delay)
+		if r.rng.Float64() >= l.Doubled {
+			break
+		}
+	}
+	return copies
+}
+
+func (r *Relay) closed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.done
+}
+
+// Close closes the sockets and waits for what is kept back.
+func (r *Relay) Close() {
+	r.mu.Lock()
+	r.done = true
+	r.mu.Unlock()
+	for _, row := range r.socks {
+		for _, c := range row {
+			if c != nil {
+				c.Close()
+			}
+		}
+	}
+	r.tasks.Wait()
+}
--- a/lab/run/alone.go
+++ b/lab/run/alone.go
@@ -20,7 +20,7 @@
 		return err
 	}
 	for i := range s.Sidecars {
-		path, err := writeConfig(dir, s, i, "127.0.0.1:0", st.roster.Addr(i), st.roster.Current(i))
+		path, err := writeConfig(dir, s, i, "127.0.0.1:0", st.roster.Addr(i), st.roster.Current(i), nil)
 		if err != nil {
 			return err
 		}
--- a/lab/run/config.go
+++ b/lab/run/config.go
@@ -9,6 +9,7 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"cedararch/lab/receiver"
+	"cedararch/lab/relay"
 	"cedararch/lab/scenario"
 	"cedararch/lab/standin"
 )
@@ -63,7 +64,7 @@
 		"limits": object{
 			"cancel": true, "conn_idle_ms": s.Fleet.IdleS * 1000, "connect_timeout_ms": 250, "max_attempts": 6,
 			"max_retry_after_ms": 2000, "open_cap": 20000, "parallel_tries": true, "probes": true, "retry_after": true,
-			"streams_per_conn": 1,
+			"streams_per_conn": 1, "may_tell": s.Talk.Enabled,
 		},
 		"report":     object{"fields": reportWords, "via": "piggyback"},
 		"result_mix": object{"whole": 0.55, "worst_window": 0.15, "worst_class": 0.05, "worst_tenant": 0.25},
@@ -91,6 +92,10 @@
 	if carbon != nil {
 		all["graphite"] = object{"address": carbon.Addr(), "protocol": "pickle", "prefix": toldPrefix + ".{name}", "interval_s": 1}
 	}
+	if s.Talk.Enabled {
+		all["fleet"] = object{"enabled": true, "most_per_s": s.Talk.Most}
+		all["operators"] = object{"listen": "127.0.0.1:0"}
+	}
 	if len(all) == 0 {
 		return nil, nil
 	}
@@ -159,13 +164,17 @@
 }
 
 // writeConfig writes the file that NODE_CONFIG names, as a whole.
-func writeConfig(dir string, s *scenario.Scenario, number int, listen, discovery string, known standin.List) (string, error) {
-	text, err := json.MarshalIndent(object{
+func writeConfig(dir string, s *scenario.Scenario, number int, listen, discovery string, known standin.List, links *relay.Relay) (string, error) {
+	file := object{
 		"name": fmt.Sprintf("n%d", number+1), "listen": listen, "discovery": discovery,
 		"seed":   fmt.Sprintf("%016x", s.Seed*1000+uint64(number)),
 		"limits": object{"cores": s.Limits.Cores, "memory_mb": s.Limits.MemoryMB, "sockets": s.Limits.Sockets},
 		"known":  known, "settings": settings(s, number),
-	}, "", " ")
+	}
+	if links != nil {
+		file["peer_listen"], file["peers"] = links.Own(number), links.Peers(number)
+	}
+	text, err := json.MarshalIndent(file, "", " ")
 	if err != nil {
 		return "", fmt.Errorf("configuration of sidecar %d: %w", number, err)
 	}
--- a/lab/run/faults.go
+++ b/lab/run/faults.go
@@ -92,6 +92,8 @@
 	switch f.Subject() {
 	case scenario.TheRoster:
 		return st.rosterDeeds(f)
+	case scenario.Links:
+		return st.linkDeeds(f)
 	case scenario.Sidecars:
 		var nodes []*process
 		return func(ctx context.Context) error {
@@ -270,12 +272,14 @@
 			return err
 		}
 		st.judge.Down(n.number, st.clock())
-		return n.awaitEnd()
+		err := n.awaitEnd()
+		st.noteAllDown()
+		return err
 	case "stop":
 		st.judge.Down(n.number, st.clock())
 		return n.pause(true)
 	case "hup":
-		if _, err := writeConfig(st.dir, st.s, n.number, n.address(), st.roster.Other(n.number), st.roster.Current(n.number)); err != nil {
+		if _, err := writeConfig(st.dir, st.s, n.number, n.address(), st.roster.Other(n.number), st.roster.Current(n.number), st.links); err != nil {
 			return err
 		}
 		return n.signal(syscall.SIGHUP)
--- a/lab/run/process.go
+++ b/lab/run/process.go
@@ -105,6 +105,13 @@
 	return string(bytes.ToValidUTF8(t.text, []byte("?")))
 }
 
+// isPaused reports whether a fault has stopped it.
+func (p *process) isPaused() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.paused
+}
+
 // start starts the process and waits until it listens; the first time at an address that the kernel chooses, later at
 // the same one.
 func (p *process) start(ctx context.Context) error {
--- a/lab/run/record.go
+++ b/lab/run/record.go
@@ -19,6 +19,7 @@
 	offset   time.Duration
 	sent     int
 	answered int
+	final    int              // of those, the ones that were no broken connection
 	servers  map[string][]int // attempts by bucket
 	attempts int
 	order    []string
@@ -64,6 +65,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.answered++
+	if a != judge.Broken {
+		r.final++
+	}
 }
 
 func (r *recorder) counts() (sent, answered int) {
@@ -71,3 +75,10 @@
 	defer r.mu.Unlock()
 	return r.sent, r.answered
 }
+
+// taken returns bounds of how many requests sidecars have taken: so many have their final answer, and so many were sent.
+func (r *recorder) taken() (least, most int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.final, r.sent
+}
--- a/lab/run/report.go
+++ b/lab/run/report.go
@@ -53,25 +53,29 @@
 
 // Report is what a run comes to.
 type Report struct {
-	Scenario    string           `json:"scenario"`
-	Program     string           `json:"program"`
-	Seed        uint64           `json:"seed"`
-	LengthS     float64          `json:"length_s"`
-	Rows        []Row            `json:"rows"`
-	Total       Row              `json:"total"`
-	Teams       []Team           `json:"teams,omitempty"`
-	Fairness    float64          `json:"fairness,omitempty"` // Jain's index of the teams' shares: 1 is the same for all
-	RefusalP99  float64          `json:"refusal_p99_ms"`     // how long a refused try took
-	Attempts    int              `json:"attempts"`           // that reached servers
-	Verdict     *judge.Verdict   `json:"verdict"`
-	Crashes     []string         `json:"crashes"`
-	Use         Use              `json:"use"`
-	RosterCalls int              `json:"roster_calls"`
-	Late        time.Duration    `json:"late_ns"` // by which the clients' own latest start missed its plan
-	Points      []Point          `json:"points"`
-	Servers     map[string][]int `json:"servers"` // attempts over time
-	Faults      []scenario.Fault `json:"faults"`
-	Told        []Told           `json:"told,omitempty"` // by class, where the sidecars reported
+	Scenario     string           `json:"scenario"`
+	Program      string           `json:"program"`
+	Seed         uint64           `json:"seed"`
+	LengthS      float64          `json:"length_s"`
+	Rows         []Row            `json:"rows"`
+	Total        Row              `json:"total"`
+	Teams        []Team           `json:"teams,omitempty"`
+	Fairness     float64          `json:"fairness,omitempty"` // Jain's index of the teams' shares: 1 is the same for all
+	RefusalP99   float64          `json:"refusal_p99_ms"`     // how long a refused try took
+	Attempts     int              `json:"attempts"`           // that reached servers
+	Verdict      *judge.Verdict   `json:"verdict"`
+	Crashes      []string         `json:"crashes"`
+	Use          Use              `json:"use"`
+	RosterCalls  int              `json:"roster_calls"`
+	Looks        int              `json:"looks,omitempty"`     // at what sidecars tell of the fleet
+	Agreed       time.Duration    `json:"agreed_ns,omitempty"` // after the day, until all told the same
+	Carried      int              `json:"datagrams,omitempty"` // between sidecars
+	LostOnTheWay int              `json:"datagrams_lost,omitempty"`
+	Late         time.Duration    `json:"late_ns"` // by which the clients' own latest start missed its plan
+	Points       []Point          `json:"points"`
+	Servers      map[string][]int `json:"servers"` // attempts over time
+	Faults       []scenario.Fault `json:"faults"`
+	Told         []Told           `json:"told,omitempty"` // by class, where the sidecars reported
 
 	order []string
 }
@@ -225,6 +229,10 @@
 		v.Tries, r.Attempts, r.RefusalP99, v.Excused)
 	fmt.Fprintf(w, "sidecars: %.2f s of processor, %.1f MB at most; roster: %d calls; clients at most %v behind their plan\n",
 		r.Use.CPU.Seconds(), float64(r.Use.MemoryKB)/1024, r.RosterCalls, r.Late.Round(time.Millisecond/10))
+	if r.Looks > 0 {
+		fmt.Fprintf(w, "fleet: %d looks at the sums that sidecars tell, all agreed %v after the day; %d datagrams, %d lost on the way\n",
+			r.Looks, r.Agreed.Round(time.Millisecond), r.Carried, r.LostOnTheWay)
+	}
 	for _, rule := range judge.Rules {
 		state := "kept"
 		if n := v.Counts[rule]; n > 0 {
--- a/lab/run/reporting.go
+++ b/lab/run/reporting.go
@@ -130,7 +130,7 @@
 }
 
 func (s *side) start(ctx context.Context, dir string, sc *scenario.Scenario, roster *standin.Roster, number int, program Program) error {
-	path, err := writeConfig(dir, sc, number, "127.0.0.1:0", roster.Addr(number), roster.Current(number))
+	path, err := writeConfig(dir, sc, number, "127.0.0.1:0", roster.Addr(number), roster.Current(number), nil)
 	if err != nil {
 		return err
 	}
--- a/lab/run/run.go
+++ b/lab/run/run.go
@@ -19,6 +19,7 @@
 	"cedararch/lab/judge"
 	"cedararch/lab/model"
 	"cedararch/lab/receiver"
+	"cedararch/lab/relay"
 	"cedararch/lab/scenario"
 	"cedararch/lab/standin"
 )
@@ -57,18 +58,23 @@
 
 // stage is all that a run has started.
 type stage struct {
-	s       *scenario.Scenario
-	clock   standin.Clock
-	judge   *judge.Judge
-	seen    *recorder
-	cells   []*standin.Cell
-	all     *standin.Cell // the memory of keys that every server shares
-	roster  *standin.Roster
-	carbon  *receiver.Carbon // nil: nobody is reported to
-	nodes   []*process
-	callers *standin.Callers
-	dir     string
-	slack   time.Duration // beyond the time limits of the rules
+	s      *scenario.Scenario
+	clock  standin.Clock
+	judge  *judge.Judge
+	seen   *recorder
+	cells  []*standin.Cell
+	all    *standin.Cell // the memory of keys that every server shares
+	roster *standin.Roster
+	carbon *receiver.Carbon // nil: nobody is reported to
+	nodes  []*process
+	links  *relay.Relay  // between sidecars; nil: they do not talk
+	agreed time.Duration // after which all told the same sums
+	looks  int           // at what sidecars tell
+
+	unremembered uint64 // requests of lives that ended together with all others
+	callers      *standin.Callers
+	dir          string
+	slack        time.Duration // beyond the time limits of the rules
 
 	mu      sync.Mutex
 	budgets map[string]float64 // by tenant: what its budget is multiplied by
@@ -157,13 +163,19 @@
 			return err
 		}
 	}
+	if s.Talk.Enabled {
+		var err error
+		if st.links, err = relay.New(s.Sidecars, s.Seed); err != nil {
+			return err
+		}
+	}
 	for i := range s.Sidecars {
-		path, err := writeConfig(st.dir, s, i, "127.0.0.1:0", st.roster.Addr(i), st.roster.Current(i))
+		path, err := writeConfig(st.dir, s, i, "127.0.0.1:0", st.roster.Addr(i), st.roster.Current(i), st.links)
 		if err != nil {
 			return err
 		}
 		n := &process{number: i, program: program, config: path, cores: s.Limits.Cores, rpc: s.Clients.RPC()}
-		if s.Clients.RPC() || s.RPCServers() || s.Contracts() || s.Clients.Held > 0 || st.carbon != nil {
+		if s.Clients.RPC() || s.RPCServers() || s.Contracts() || s.Clients.Held > 0 || st.carbon != nil || s.Talk.Enabled {
 			n.options = func(listen string) ([]byte, error) { return nodeOptions(s, listen, st.contracts(), st.carbon) }
 		}
 		st.nodes = append(st.nodes, n)
@@ -267,11 +279,17 @@
 	if opts.Progress != nil {
 		faults.Go(func() { st.progress(faultsCtx, offset, opts.Progress) })
 	}
+	if s.Talk.Enabled {
+		faults.Go(func() { st.watchSums(faultsCtx) })
+	}
 	tallies := st.callers.Run(ctx)
 	endFaults()
 	faults.Wait()
 	st.tasks.Wait()
 	time.Sleep(settle) // what is on its way to a server past its answer has to be seen
+	if s.Talk.Enabled {
+		st.agreeSums(ctx)
+	}
 	var crashes []string
 	for _, n := range st.nodes {
 		if !n.running() {
@@ -306,6 +324,10 @@
 		r.Told = told(s, st.carbon, time.Now().Add(offset-st.clock()))
 	}
 	r.Use, r.Crashes, r.RosterCalls, r.Late = use, crashes, st.roster.Calls(), st.callers.Late()
+	r.Looks, r.Agreed = st.looks, st.agreed
+	if st.links != nil {
+		r.Carried, r.LostOnTheWay = st.links.Counts()
+	}
 	for _, err := range st.faults {
 		r.Crashes = append(r.Crashes, err.Error())
 	}
@@ -350,5 +372,8 @@
 	if st.carbon != nil {
 		st.carbon.Stop()
 	}
+	if st.links != nil {
+		st.links.Close()
+	}
 	st.closeServers()
 }
--- a/lab/run/run_test.go
+++ b/lab/run/run_test.go
@@ -355,6 +355,35 @@
 	}
 }
 
+// What sidecars tell one another holds the truth through a cut through the fleet, and kills and restarts mid-work; the laboratory looks at it from
+// outside each second, and wants all to agree afterwards.
+func TestTalkHoldsTheTruth(t *testing.T) {
+	t.Parallel()
+	names := []string{"talk-split", "talk-restart"}
+	reports, errs := make([]*Report, len(names)), make([]error, len(names))
+	program := as(t, "sidecar")
+	var playing sync.WaitGroup
+	for i, name := range names {
+		playing.Go(func() {
+			s, err := scenario.Open(name)
+			if err == nil {
+				reports[i], err = Play(t.Context(), s, Options{Program: program, Extra: extra})
+			}
+			errs[i] = err
+		})
+	}
+	playing.Wait()
+	for i, r := range reports {
+		if errs[i] != nil {
+			t.Fatal(names[i], errs[i])
+		}
+		good(t, r)
+		if r.Looks < 40 || r.Carried == 0 {
+			t.Errorf("%s: %d looks, %d datagrams", names[i], r.Looks, r.Carried)
+		}
+	}
+}
+
 // Days in the shape of the fleet's: many sidecars with little traffic each, of which all are restarted while servers are
 // replaced, or which all keep on while most servers change; and one whose roster fails in every way during a release. They wait more than they work, so that all are played at once.
 func TestFleetDays(t *testing.T) {
--- /dev/null
+++ b/lab/run/talk.go
@@ -0,0 +1,214 @@
+package run
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"regexp"
+	"time"
+
+	"cedararch/internal/peers"
+	"cedararch/lab/relay"
+	"cedararch/lab/scenario"
+)
+
+const (
+	lookEvery = time.Second
+	lookWait  = 2 * time.Second
+)
+
+var operatorsAt = regexp.MustCompile(`operators_address=(\S+)\n`)
+
+// operators is where the process shows its pages; empty: not yet.
+func (p *process) operators() string {
+	if m := operatorsAt.FindStringSubmatch(p.log.String()); m != nil {
+		return m[1]
+	}
+	return ""
+}
+
+// linkDeeds changes links between sidecars.
+func (st *stage) linkDeeds(f *scenario.Fault) (begin, end func(context.Context) error) {
+	change := func(l *relay.Link, on bool) {
+		switch f.Kind {
+		case "link_cut":
+			l.Cut = on
+		case "link_slow":
+			if l.Delay = 0; on {
+				l.Delay = scenario.MS(f.Size * 1000)
+			}
+		case "link_loss":
+			if l.Loss, l.Doubled = 0, 0; on {
+				l.Loss, l.Doubled = f.Share, f.Share
+			}
+		}
+	}
+	if f.Kind == "link_garbage" {
+		return func(ctx context.Context) error {
+			to, err := scenario.Group(f.To, st.s.Sidecars)
+			if err != nil || st.links == nil {
+				return err
+			}
+			st.tasks.Go(func() {
+				ctx, cancel := context.WithTimeout(ctx, f.For())
+				defer cancel()
+				if err := st.links.Flood(ctx, to, f.Size); err != nil {
+					st.failed(err)
+				}
+			})
+			return nil
+		}, nil
+	}
+	do := func(on bool) func(context.Context) error {
+		return func(context.Context) error {
+			if st.links == nil {
+				return fmt.Errorf("%s: the sidecars do not talk: want [talk] enabled", f.Kind)
+			}
+			from, err := scenario.Group(f.From, st.s.Sidecars)
+			if err != nil {
+				return err
+			}
+			to, err := scenario.Group(f.To, st.s.Sidecars)
+			if err != nil {
+				return err
+			}
+			st.links.Change(from, to, func(l *relay.Link) { change(l, on) })
+			if !f.OneWay {
+				st.links.Change(to, from, func(l *relay.Link) { change(l, on) })
+			}
+			return nil
+		}
+	}
+	return do(true), do(false)
+}
+
+// status asks a sidecar what it makes of the fleet.
+func (st *stage) status(ctx context.Context, n *process) (*peers.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, lookWait)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.operators()+"/fleet", nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("fleet: %s", resp.Status)
+	}
+	s := &peers.Status{}
+	return s, json.NewDecoder(resp.Body).Decode(s)
+}
+
+func sums(s *peers.Status) (taken, ended uint64) {
+	for _, c := range s.Sums.Cells {
+		taken += c.Taken
+		ended += c.Served + c.RefusedRoom + c.RefusedBudget + c.RefusedOther + c.Failed
+	}
+	return taken, ended
+}
+
+// watchSums holds what sidecars tell of the fleet against what clients saw, until ctx ends: at least what they say has been sent by then, and
+// at most what they say is no less than what was answered before.
+func (st *stage) watchSums(ctx context.Context) {
+	tick := time.NewTicker(lookEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		for _, n := range st.nodes {
+			if !n.running() || n.isPaused() {
+				continue
+			}
+			before, _ := st.seen.taken()
+			s, err := st.status(ctx, n)
+			if err != nil {
+				continue // it was killed or stopped meanwhile, which others look at
+			}
+			_, after := st.seen.taken()
+			st.mu.Lock()
+			st.looks++
+			st.mu.Unlock()
+			taken, ended := sums(s)
+			if max(taken, ended) > uint64(after) {
+				st.failed(fmt.Errorf("sidecar %d tells of at least %d taken and %d ended, and %d were sent", n.number, taken, ended, after))
+			}
+			if s.Sums.Unbound == 0 && !s.Stale && taken+s.Sums.Beyond+st.lostCounts() < uint64(before) {
+				st.failed(fmt.Errorf("sidecar %d tells of at most %d taken, and %d were answered", n.number, taken+s.Sums.Beyond, before))
+			}
+		}
+	}
+}
+
+// agreeSums waits until all that run tell the same sums, which are what clients sent where no process was killed, and fails where that takes
+// longer than the scenario says.
+func (st *stage) agreeSums(ctx context.Context) {
+	least, sent := st.seen.taken()
+	killed, stopped := false, false
+	for i := range st.s.Faults {
+		k := st.s.Faults[i].Kind
+		killed, stopped = killed || k == "kill" || k == "term", stopped || k == "stop"
+	}
+	begin, why := time.Now(), ""
+	for time.Since(begin) < scenario.MS(st.s.Talk.Agree*1000) && ctx.Err() == nil {
+		var first *peers.Status
+		why = ""
+		for _, n := range st.nodes {
+			s, err := st.status(ctx, n)
+			if err != nil {
+				why = fmt.Sprintf("sidecar %d: %v", n.number, err)
+				break
+			}
+			if first == nil {
+				first = s
+			}
+			a, _ := sums(first)
+			b, ended := sums(s)
+			switch {
+			case fmt.Sprint(first.Sums.Cells) != fmt.Sprint(s.Sums.Cells):
+				why = fmt.Sprintf("sidecar %d tells %d and sidecar %d %d", first.Number, a, n.number, b)
+			case stopped && !killed && b < uint64(least): // what was sent to a process that stood still may never have been read
+				why = fmt.Sprintf("sidecar %d tells %d taken, and %d were answered", n.number, b, least)
+			case !killed && !stopped && (b != uint64(sent) || ended != uint64(sent)):
+				why = fmt.Sprintf("sidecar %d tells %d taken and %d ended, and %d were sent", n.number, b, ended, sent)
+			case b > uint64(sent):
+				why = fmt.Sprintf("sidecar %d tells %d taken, and %d were sent", n.number, b, sent)
+			}
+			if why != "" {
+				break
+			}
+		}
+		if why == "" {
+			st.agreed = time.Since(begin)
+			return
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	st.failed(fmt.Errorf("sums after %v: %s", time.Since(begin).Round(time.Millisecond), why))
+}
+
+// noteAllDown notes that no sidecar runs: what all had counted nobody remembers.
+func (st *stage) noteAllDown() {
+	for _, n := range st.nodes {
+		if n.running() {
+			return
+		}
+	}
+	_, most := st.seen.taken()
+	st.mu.Lock()
+	st.unremembered = uint64(most)
+	st.mu.Unlock()
+}
+
+// lostCounts is how many requests were sent before the last time at which no sidecar ran.
+func (st *stage) lostCounts() uint64 {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.unremembered
+}
--- a/lab/run/throughput.go
+++ b/lab/run/throughput.go
@@ -162,7 +162,7 @@
 		return nil, err
 	}
 	defer end()
-	path, err := writeConfig(dir, sc, 0, "127.0.0.1:0", roster.Addr(0), roster.Current(0))
+	path, err := writeConfig(dir, sc, 0, "127.0.0.1:0", roster.Addr(0), roster.Current(0), nil)
 	if err != nil {
 		return nil, err
 	}
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"slices"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 
@@ -36,6 +37,7 @@
 	Clients  Clients  `toml:"clients"`
 	Roster   Roster   `toml:"roster"`
 	Broker   Broker   `toml:"broker"`
+	Talk     Talk     `toml:"talk"`
 	Classes  []Class  `toml:"class"`
 	Tenants  []Tenant `toml:"tenant"`
 	Faults   []Fault  `toml:"fault"`
@@ -103,6 +105,14 @@
 	MostWaitMS float64 `toml:"most_wait_ms"` // a call that waits longer in turn fails
 }
 
+// Talk is what sidecars tell one another.
+type Talk struct {
+	Enabled bool    `toml:"enabled"`
+	Most    float64 `toml:"most_per_s"` // requests that each takes at most
+	// Agree is how long after the day all have to hold the same sums, and the true ones.
+	Agree float64 `toml:"agree_s"`
+}
+
 // Class is a class of requests.
 type Class struct {
 	Name       string  `toml:"name"`
@@ -162,6 +172,10 @@
 	Share   float64 `toml:"share"`
 	Form    string  `toml:"form"`
 	DelayMS float64 `toml:"delay_ms"`
+
+	From   string `toml:"from"` // of links: sidecars, as in "0-3", "0,2,5" or "all"
+	To     string `toml:"to"`
+	OneWay bool   `toml:"one_way"` // only from those to these
 }
 
 // Subject is what a kind of fault strikes.
@@ -173,6 +187,7 @@
 	Sidecars
 	TheRoster
 	Callers
+	Links
 )
 
 // Kinds lists what can go wrong: whom it strikes, and what the fault's figures mean.
@@ -196,6 +211,10 @@
 	"stop":           {Sidecars, "for_s", "SIGSTOP, and SIGCONT after for_s"},
 	"term":           {Sidecars, "", "SIGTERM; started again when it has ended"},
 	"hup":            {Sidecars, "", "SIGHUP"},
+	"link_cut":       {Links, "for_s", "datagrams between sidecars of from and to are lost, with one_way in that direction alone"},
+	"link_slow":      {Links, "size for_s", "they come up to 2 × size seconds late, and overtake one another"},
+	"link_loss":      {Links, "share for_s", "a share is lost, and as many come twice"},
+	"link_garbage":   {Links, "size for_s", "size datagrams a second that mean nothing reach each sidecar of to, some of them from its peers' addresses"},
 	"roster_down":    {TheRoster, "for_s", "calls are reset and watches end"},
 	"roster_slow":    {TheRoster, "size", "answers come size seconds later"},
 	"roster_restart": {TheRoster, "", "it comes back with a lower revision"},
@@ -524,6 +543,13 @@
 			return fmt.Errorf("%s: %s is missing or out of range", f.Kind, need)
 		}
 	}
+	if k.subject == Links {
+		for _, group := range []string{f.From, f.To} {
+			if _, err := Group(group, 1<<20); err != nil {
+				return fmt.Errorf("%s: %w", f.Kind, err)
+			}
+		}
+	}
 	if k.subject == Servers || k.subject == Sidecars || f.Kind == "surge" {
 		if _, err := parseTarget(f.Target); err != nil {
 			return fmt.Errorf("%s: %w", f.Kind, err)
@@ -531,3 +557,28 @@
 	}
 	return nil
 }
+
+// Group reads a group of sidecars, of which there are n: "all", numbers and ranges. Those beyond n are left out.
+func Group(text string, n int) (all []int, err error) {
+	if text == "all" {
+		for i := range min(n, 1<<12) {
+			all = append(all, i)
+		}
+		return all, nil
+	}
+	for _, part := range strings.Split(text, ",") {
+		first, last, isRange := strings.Cut(part, "-")
+		a, err := strconv.Atoi(first)
+		b := a
+		if err == nil && isRange {
+			b, err = strconv.Atoi(last)
+		}
+		if err != nil || a < 0 || b < a || b > 1<<12 {
+			return nil, fmt.Errorf("group %q: want all, or numbers and ranges as in 0-3,7", text)
+		}
+		for i := a; i <= b && i < n; i++ {
+			all = append(all, i)
+		}
+	}
+	return all, nil
+}
