A member that states no rate bounds nothing; tests of the datagrams' socket

Seen on reading the change over: a member whose beat tells a rate of 0 was reckoned to have done nothing since it was last heard (fleet/counts.go, unheard), so that a sum's upper end could lie below the truth; a bound of bytes a second counted replies that are never sent; a field was never read; internal/peers had no test of its own.

--- a/fleet/counts.go
+++ b/fleet/counts.go
@@ -246,7 +246,7 @@
 				s.Unbound++
 			}
 			s.Beyond += m.extra
-		case m.asOf < 0 || m.unbound:
+		case m.asOf < 0 || m.unbound || n.rate(m) == 0:
 			s.Unbound++
 		default:
 			s.Beyond += n.unheard(m)
@@ -271,13 +271,18 @@
 	if m.asOf < 0 {
 		return m.extra
 	}
-	b, _ := readBeat(m.word(0).value)
-	if rate := float64(max(b.most, m.most)); rate > 0 {
+	if rate := float64(n.rate(m)); rate > 0 {
 		return m.extra + uint64(math.Ceil(rate*((n.now-m.asOf).Seconds()*drift+burstSpan.Seconds())))
 	}
 	return m.extra
 }
 
+// rate is what a member says that it takes at most; 0: it says nothing that bounds it.
+func (n *Node) rate(m *member) uint32 {
+	b, _ := readBeat(m.word(0).value)
+	return max(b.most, m.most)
+}
+
 // drift is how much faster another's clock may run than ours: twice 500 parts in a million.
 const drift = 1.001
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -30,13 +30,12 @@
 	Fanout    = 8                      // datagrams in a round, at most
 	Largest   = 256                    // bytes of a datagram
 	MostCells = 1024
-	mostReply = 2 // datagrams in answer to digests, beside those, in a round
 	mostLives = 2 // former lives of a member that are kept apart
 	mostHot   = 2048
 )
 
 // BytesPerSecond bounds what a member sends, however many there are.
-const BytesPerSecond = Largest * (Fanout + mostReply) * int(time.Second/Interval)
+const BytesPerSecond = Largest * Fanout * int(time.Second/Interval)
 
 // Incarnation tells the lives of a member apart and orders them: milliseconds of the wall clock at the start, and chance. Where the clock
 // went back, or two starts look alike, the member hears of its other life and goes above it (Node.outbid).
@@ -116,7 +115,6 @@
 	}
 	lastTick  time.Duration
 	woke      time.Duration // when it last went on after standing still
-	paused    time.Duration // in all
 	wasAlone  bool
 	drops     Dropped
 	bytesSent int
@@ -181,7 +179,6 @@
 func (n *Node) tick(ev Tick) {
 	if gap := n.now - n.lastTick; n.lastTick > 0 && gap > stalled {
 		n.woke = n.now
-		n.paused += gap
 		n.note(n.cfg.Number, fmt.Sprintf("stood still for %v: what it knows of others is as old", gap.Round(time.Millisecond)))
 	}
 	n.lastTick = n.now
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -233,3 +233,18 @@
 		t.Errorf("%d notes, %d and %d times above, %d taken", notes, twin.outbid.times, c.nodes[1].outbid.times, s.Cells[0][Taken])
 	}
 }
+
+// A member that says nothing of its rate bounds nothing: it is counted apart, also after it has started anew.
+func TestNoRateIsNoBound(t *testing.T) {
+	c := newCrowd(t, 3, 1)
+	c.nodes[1].cfg.Most = 0
+	c.pass(5 * time.Second)
+	if s := c.nodes[0].Sums(); s.Unbound != 1 {
+		t.Errorf("%d without a bound", s.Unbound)
+	}
+	c.nodes[1] = c.node(1, 3, 1)
+	c.pass(5 * time.Second)
+	if s := c.nodes[0].Sums(); s.Unbound != 1 {
+		t.Errorf("after its next start %d without a bound", s.Unbound)
+	}
+}
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -140,7 +140,7 @@
 	m := &n.members[number]
 	if m.inc != 0 {
 		// Until now at the latest it went on, within its stated rate. Where nothing bounds that, nothing will.
-		m.unbound = m.unbound || m.asOf < 0
+		m.unbound = m.unbound || m.asOf < 0 || n.rate(m) == 0
 		if n.planted != GapForgotten {
 			m.extra = n.unheard(m)
 		}
--- /dev/null
+++ b/internal/peers/peers_test.go
@@ -0,0 +1,86 @@
+package peers
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"cedararch/fleet"
+	"cedararch/internal/testbed"
+)
+
+func socket(t *testing.T) *net.UDPConn {
+	t.Helper()
+	c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+// What comes from nobody's address, is too long or can't be read is dropped, and counted by its reason; what is right is still heard.
+func TestDropsAreCountedByReason(t *testing.T) {
+	own, peer, foreign := socket(t), socket(t), socket(t)
+	at := own.LocalAddr().String()
+	own.Close()
+	tally := NewTally([]string{"read"}, nil, 100)
+	p, err := Open(Config{
+		Listen: at, Peers: []string{at, peer.LocalAddr().String()}, Tally: tally, Log: slog.New(slog.DiscardHandler),
+		Fleet: fleet.Config{Number: 0, Members: 2, Incarnation: 1 << 40, Cells: tally.Cells(), Most: 100},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { p.Run(ctx); close(ended) }()
+	t.Cleanup(func() { cancel(); <-ended })
+	to := net.UDPAddrFromAddrPort(p.addrs[0])
+	foreign.WriteTo([]byte("hello"), to)
+	peer.WriteTo(bytes.Repeat([]byte{1}, fleet.Largest+1), to)
+	peer.WriteTo([]byte("fl\x01 no datagram"), to)
+
+	other, err := fleet.New(fleet.Config{Number: 1, Members: 2, Incarnation: 1 << 41, Cells: tally.Cells(), Most: 100})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, a := range other.Handle(time.Second, fleet.Tick{Counters: []fleet.Counters{{fleet.Taken: 7}}}) {
+		if a.Kind == fleet.Send {
+			peer.WriteTo(a.Data, to)
+			peer.WriteTo(a.Data, to) // once more
+		}
+	}
+	testbed.Until(t, "all came", func() bool {
+		v, err := p.Status(ctx)
+		s, ok := v.(*Status)
+		return err == nil && ok && s.Dropped.ForeignSender == 1 && s.Dropped.Oversize == 1 && s.Dropped.Unreadable == 1 && s.Dropped.Replayed == 1 &&
+			s.Members[1].Taken == 7
+	})
+}
+
+// The rate that others reckon with is kept, and an address that is missing or there twice is named by its key.
+func TestTallyAndAddresses(t *testing.T) {
+	tally := NewTally([]string{"read"}, []string{"a"}, 40)
+	taken := 0
+	for range 100 {
+		if tally.Take(time.Second, 0, 0, false) {
+			taken++
+		}
+	}
+	if taken != 10 { // a quarter of a second's
+		t.Errorf("%d taken at once", taken)
+	}
+	for want, err := range map[string]error{
+		"peers:": Check(0, "127.0.0.1:1", nil), "peer_listen": Check(0, "", []string{"127.0.0.1:1"}),
+		"are both": Check(0, "127.0.0.1:1", []string{"127.0.0.1:1", "127.0.0.1:1"}), "has number 3": Check(3, "127.0.0.1:1", []string{"127.0.0.1:1"}),
+	} {
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v: want %q", err, want)
+		}
+	}
+}
--- a/internal/roster/follow/plan.go
+++ b/internal/roster/follow/plan.go
@@ -39,7 +39,7 @@
 	// come with the answer or after that.
 	sameWatch = 210 * time.Millisecond
 	leastGap  = 100 * time.Millisecond // between calls to an agent, who may answer at once each time
-	// MostFence bounds how long after a debt was due nothing is sent, in limits for asking: after it what is held is used again, as a
+	// mostFence bounds how long after a debt was due nothing is sent, in limits for asking: after it what is held is used again, as a
 	// discovery that answers nobody for so long must not end the service.
 	mostFence = 0.5
 	noAsk     = 10 * time.Second // the limit where the settings give none
