--- a/balance/api.go
+++ b/balance/api.go
@@ -110,6 +110,8 @@
 	ConnectTimeout float64
 	ConnIdle       float64 // an unused connection is closed after this
 	Streams        int     // attempts that one connection carries at a time
+	Hold           float64 // part of its aim for which a request that was not sent waits for a server; 0: all of it
+	Purse          Purse   // what repeats draw on; nil: they are bounded by attempts alone
 	OpenCap        int     // requests beyond this many open ones never reach the balancer; 0: no cap
 
 	DrainGrace   float64 // sends to a draining or gone server must stop within this
@@ -124,6 +126,14 @@
 	Prices Prices
 }
 
+// Purse bounds what a request sends beyond the first server that it reaches.
+type Purse interface {
+	// Asked counts a request.
+	Asked(now float64)
+	// Spend takes what one repeat costs, or says that it is not there.
+	Spend(now float64) bool
+}
+
 // Goal weighs the parts of the result; what is refused in overload goes by it.
 type Goal struct{ Whole, WorstWindow, WorstClass, WorstTenant, Nines float64 }
 
@@ -179,6 +189,7 @@
 	Repeat        bool    // the client says that it tried before
 	Write         bool
 	Upload        bool // its body is yet to come: Remaining counts from Sent
+	Attempts      int  // servers that it may reach; 0: bounded for all alike
 }
 
 // Result is how an attempt or a probe ended.
@@ -209,6 +220,7 @@
 	Finished bool      // the request needs no answer (any more)
 	Report   []float32 // load report, empty if none; not kept
 	Spent    bool      // the request's body has gone with it: there can be no other attempt
+	Unmet    bool      // it was turned away ahead of the server, which never saw it
 }
 
 // Sent says that the last byte of an upload has been written to a server: time counts from now.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,12 +1,12 @@
 // Package balance takes the decisions of one sidecar's load balancer: which server gets a request, when it
 // is tried again, when it is refused. What goes in and out is in api.go; what is remembered, and Handle,
-// which calls the functions below, in state.go. The mechanism is AWRR: each server has a
+// which calls the decisions, in state.go. The decisions: balance.go has the way of a request and the ordinary pick, admit.go what is
+// let in, probes.go whom to ask first, judge.go what outcomes say, servers.go the list. The mechanism is AWRR: each server has a
 // multiplier m that falls with its consecutive errors and recovers with time; smooth weighted round robin
 // over size × m picks the server; a failed repeatable request goes to the untried server of highest m.
 package balance
 
 import (
-	"fmt"
 	"math"
 )
 
@@ -59,157 +59,6 @@
 	firstAsk   = 2000  // ms after the start by when a sidecar of many has asked
 )
 
-func (b *Balancer) onRequest(ev Request) error {
-	if ev.Class < 0 || ev.Class >= len(b.cfg.Classes) {
-		return fmt.Errorf("request %d: unknown class %d", ev.ID, ev.Class)
-	}
-	r := b.open(ev)
-	if b.admit(r) {
-		b.probeFor(r)
-		b.step(r)
-	} else {
-		b.answer(r, Shed)
-	}
-	return nil
-}
-
-// admit sheds what the fleet cannot answer within the aims, before it is sent. Attempts in flight over the
-// rate of answers tell how long answers take (Little's law). Answers assumed beside, most of what a trickle
-// sidecar has, take as long as recent ones: by the one or two in flight alone it shed nothing or all.
-func (b *Balancer) admit(r *request) bool {
-	full := b.quickest + spareAim*(1-b.quickest)
-	fade := math.Exp((b.answeredAt - b.now) / max(paceAims*b.longestAim, halfLife)) // a jam is forgotten
-	slow := b.quickest + (b.slowness-b.quickest)*fade
-	crowd := slow
-	if b.cfg.Reports == ReportProbe {
-		crowd = 0 // crowded refuses by what probes tell
-	}
-	lost := b.lost * bound(4*(slow/full-1), 0, 1) // overdue while answers are quick: no load
-	took := (b.openLoad() + lost + crowd*fewAnswers/paceAims/b.longestAim) / b.pace(0, fewAnswers)
-	over := min(took, 2) - full
-	rate := bound((b.now-b.admitted)/shedAims/b.longestAim, shedRate, shedMost)
-	b.admitted = b.now
-	b.steady = bound(b.steady+rate*over, 0, min(maxShed, shedLate*b.lateShare*fade))
-	shed := bound(b.steady+shedNow*over, 0, min(maxShed, 2*b.steady)) // not by chance alone
-	tooLate := b.late(r) && b.steady >= r.class.LateWorth
-	return !tooLate && (shed == 0 || b.random() >= b.shedPart(r, shed))
-}
-
-// late: a client's later try whose aim has passed already; the time left is less than that of first tries.
-func (b *Balancer) late(r *request) bool {
-	r.stats.longest = max(r.stats.longest, r.Remaining)
-	return r.Remaining < 0.99*r.stats.longest && r.Remaining <= r.class.Deadline-r.class.Aim
-}
-
-// openLoad is what is in flight, each attempt as one over its aim; what hangs at resting servers is theirs.
-func (b *Balancer) openLoad() float64 {
-	load := 0.0
-	for _, s := range b.servers {
-		if s.restUntil == 0 {
-			load += s.load
-		}
-	}
-	return load
-}
-
-// pace counts answers and returns their rate a millisecond, over the last few of the longest aims and
-// with some assumed; or over the last aim, where what is surely seen there is more: traffic may grow fast.
-func (b *Balancer) pace(more, assumed float64) float64 {
-	short, long := b.longestAim, paceAims*b.longestAim
-	b.latest = b.latest*math.Exp((b.answersAt-b.now)/short) + more
-	b.answers = b.answers*math.Exp((b.answersAt-b.now)/long) + more
-	b.answersAt = b.now
-	slow := (b.answers + assumed) / long / max(-math.Expm1((b.started-b.now)/long), 1e-3)
-	return max(slow, (b.latest-2*math.Sqrt(b.latest))/short)
-}
-
-// shedPart spreads the load to shed over classes and tenants, those first whose answers add least worth for
-// their work.
-func (b *Balancer) shedPart(r *request, shed float64) float64 {
-	asked := b.asked()
-	value := func(class *classStats, tenant *tally) float64 {
-		return class.worth * b.inShare(tenant, asked) / max(class.mean, 1e-3)
-	}
-	total, below, like, own := 0.0, 0.0, 1e-3, value(r.stats, r.tenant)
-	for c := range b.classes {
-		for t := range b.tenants {
-			work := b.classes[c].asked * b.classes[c].mean * b.tenants[t].asked
-			total += work
-			if v := value(&b.classes[c], &b.tenants[t]); v*alike < own {
-				below += work
-			} else if v < own*alike {
-				like += work
-			}
-		}
-	}
-	return (shed*total - below) / like
-}
-
-// inShare tells how much of a tenant's traffic counts in full, by its part of this sidecar's requests.
-func (b *Balancer) inShare(t *tally, asked float64) float64 {
-	if t.share <= 0 {
-		return 1
-	}
-	return b.cfg.OverShareWorth + (1-b.cfg.OverShareWorth)*min(t.share*asked/t.asked, fairBound)
-}
-
-// probeFor asks the servers next in turn before a first send, where they tell what they hold only when
-// probed; so many that hardly ever all are busy, within what that may cost.
-func (b *Balancer) probeFor(r *request) {
-	if !b.cfg.Probes || b.cfg.Reports != ReportProbe {
-		return
-	}
-	most := probeSpend / max(b.cfg.Prices.Probe, 1e-3)
-	fan := int(min(most, math.Ceil(math.Log(allBusy)/math.Log(bound(b.busy, 0.01, 0.99)))))
-	for len(r.probed) < fan {
-		var next *server
-		for _, s := range b.servers {
-			free := b.allowed(r, s) && !b.resting(s) && !r.hasProbed(s)
-			if free && (next == nil || s.running > next.running) {
-				next = s
-			}
-		}
-		if next == nil {
-			break
-		}
-		r.probed = append(r.probed, next)
-		if !next.probing {
-			next.probing = true
-			b.emit(Action{Kind: Probe, Server: next.ID})
-		}
-	}
-	if len(r.probed) > 0 {
-		r.holdUntil = b.now + probeAims*r.class.Aim
-		b.holding = append(b.holding, r)
-	}
-}
-
-func (b *Balancer) onProbe(ev ProbeResult) {
-	s := b.byID[ev.Server]
-	if s == nil {
-		return
-	}
-	s.probing = false
-	if ev.Result != OK { // out of reach: the process may run, but nothing gets through from here
-		b.rest(s)
-		s.dark = true
-	} else if b.note(s, ev.Report); s.dark {
-		s.pardon()
-	}
-	b.stepHeld()
-}
-
-// held reports whether a request still waits for its probes; it never waits for long.
-func (b *Balancer) held(r *request) bool {
-	for _, s := range r.probed {
-		if s.probing && b.now < r.holdUntil {
-			return true
-		}
-	}
-	r.holdUntil = 0
-	return false
-}
-
 // step looks at a request afresh.
 func (b *Balancer) step(r *request) {
 	if r.done || r.stream {
@@ -225,7 +74,12 @@
 		return
 	}
 	if r.live == 0 && !b.held(r) {
-		if s := b.pick(r, len(r.tries) > 0); s != nil && !b.crowded(r, s) {
+		s := b.pick(r, len(r.tries) > 0)
+		if s != nil && r.met() > 0 && b.cfg.Purse != nil && !b.cfg.Purse.Spend(b.now) {
+			b.answer(r, Spent)
+			return
+		}
+		if s != nil && !b.crowded(r, s) {
 			b.send(r, s)
 		} else if s != nil {
 			b.answer(r, Crowded)
@@ -235,15 +89,11 @@
 	b.wake(r)
 }
 
-// crowded: probes found no server that would answer in time; nothing was sent yet.
-func (b *Balancer) crowded(r *request, s *server) bool {
-	return len(r.tries) == 0 && b.fresh(s) && b.now+b.perHeld*(b.holds(s)+1) > r.arrived+probedAim*r.class.Aim
-}
-
 // hopeless: nothing more can be sent for the request, or it is no use to wait for a server.
 func (b *Balancer) hopeless(r *request) bool {
-	tries, cuts := len(r.tries), r.cuts()
-	if r.spent || tries >= b.cfg.MaxAttempts || tries-cuts > maxRepeats || cuts > maxCuts || b.cutShort(r) {
+	tries, met, cuts := len(r.tries), r.met(), r.cuts()
+	if r.spent || tries >= b.cfg.MaxAttempts || met-cuts > maxRepeats || cuts > maxCuts || b.cutShort(r) ||
+		r.Attempts > 0 && met >= r.Attempts {
 		return true
 	}
 	for _, a := range r.tries {
@@ -252,7 +102,14 @@
 			return true
 		}
 	}
-	return b.now >= r.arrived+r.class.Aim && b.refusable(r)
+	hold := r.class.Aim
+	switch {
+	case b.cfg.Hold > 0 && r.met() == 0:
+		hold *= b.cfg.Hold
+	case b.cfg.Hold > 0: // late is better than never
+		hold = r.class.Deadline
+	}
+	return b.now >= r.arrived+hold && b.refusable(r)
 }
 
 // cutShort: the sidecar ends before an answer to a further attempt is to be expected.
@@ -432,7 +289,8 @@
 }
 
 func (b *Balancer) troubled(r *request) bool { return b.now <= r.stats.failedAt+2*classLife }
-func (b *Balancer) fade(v verdict) float64   { return math.Exp((v.at - b.now) / classLife) }
+
+func (b *Balancer) fade(v verdict) float64 { return math.Exp((v.at - b.now) / classLife) }
 
 // expect takes the mean over servers of how a troubled class fared.
 func (b *Balancer) expect(r *request) {
@@ -446,19 +304,6 @@
 	r.stats.expected = good / known
 }
 
-// conclude notes how a class fared at a server: 1 served, 0 failed.
-func (b *Balancer) conclude(r *request, s *server, res Result) {
-	v, score := &s.verdicts[r.Class], 1.0
-	if res == Failed {
-		b.startTurns(r)
-		r.stats.failedAt, score = b.now, 0
-	} else if res != OK {
-		return
-	}
-	before := r.stats.expected + (v.score-r.stats.expected)*b.fade(*v)
-	v.score, v.at = before+classStep*(score-before), b.now
-}
-
 // holds is the best evidence of how many requests a server holds: a fresh report and what was sent
 // since, else this sidecar's own.
 func (b *Balancer) holds(s *server) float64 {
@@ -472,111 +317,9 @@
 	return s.reportedAt > 0 && b.cfg.Reports == ReportProbe && b.now-s.reportedAt <= probeAims*b.longestAim
 }
 
-func (b *Balancer) cold(s *server) bool { return b.now < s.coldSince+b.cfg.ColdTime }
-
-// warmth is the least fraction of its capacity that a server has; 1 when it is warm.
-func (b *Balancer) warmth(s *server) float64 {
-	age := max(0, b.now-s.coldSince) / max(b.cfg.ColdTime, 1)
-	return b.cfg.ColdFrom + (1-b.cfg.ColdFrom)*min(1, age)
-}
-
-// coldBudget is a hard limit of sends to a cold server: half of the allowed multiple of what warm servers of
-// its size answer of this sidecar's requests, times its warmth. Answers are counted, not requests, which
-// clients repeat in overload, and few assumed: with thirty, small sidecars broke the rule.
-func (b *Balancer) coldBudget(s *server) bool {
-	fill := b.pace(0, 1) * s.share / max(b.pool, s.share) * max(1, b.cfg.FallMultiple/2)
-	s.tokens = min(s.tokens+fill*(b.now-s.tokensAt), max(1, fill*b.cfg.FallTime/4))
-	s.tokensAt = b.now
-	return s.tokens >= 1
-}
-
 // resting: it left several attempts unanswered, or is out of reach; the next strike rests it for longer.
 func (b *Balancer) resting(s *server) bool { return b.now < s.restUntil }
 
-// markOverdue counts an attempt far beyond its class's answers as an error: else hangs show late.
-func (b *Balancer) markOverdue(r *request) {
-	for i := range r.tries {
-		if a := &r.tries[i]; a.live && !a.overdue && !a.coming && b.now >= a.sent+b.overdueAfter(r) {
-			a.overdue = true
-			b.lose(r, a, 1)
-			b.fault(a.s, false)
-		}
-	}
-}
-
-// overdueAfter follows what the class's answers take now: in a congested fleet all are late.
-func (b *Balancer) overdueAfter(r *request) float64 {
-	if r.stats.n < 5 {
-		return r.class.Aim / 2
-	}
-	return r.stats.mean + lateDevs*r.stats.dev
-}
-
-// fault counts an error against m; a server rests when it is gone, else after several in a row.
-func (b *Balancer) fault(s *server, down bool) {
-	s.errs, s.lastErr = s.errs+1, b.now
-	if down {
-		s.downs++
-	}
-	b.learn(s, 3)
-	if down && s.downs >= goneAfter || s.errs >= strikes {
-		b.rest(s)
-	}
-}
-
-func (b *Balancer) rest(s *server) {
-	s.restUntil = b.now + b.longestAim*float64(int(1)<<min(s.rests, 3))
-	s.rests++
-}
-
-// judge draws from an outcome what it says of the server, its class and the load.
-func (b *Balancer) judge(r *request, a *attempt, ev Outcome) {
-	s := a.s
-	b.conclude(r, s, ev.Result)
-	switch ev.Result {
-	case OK:
-		gone := s.downs >= goneAfter || s.downs > 0 && b.now > s.lastErr+comeback
-		if gone && !b.cold(s) { // and is back: a restart that the list has yet to tell
-			b.chill(s, b.now)
-		}
-		s.pardon()
-		b.pace(1, 0)
-		b.time(a, ev.Took, r.class.Aim)
-		if r.stats.n > 0 {
-			b.learn(s, ev.Took/r.stats.mean)
-		}
-		r.stats.add(ev.Took, b.gain()/2)
-	case Cancelled, Moot:
-	default:
-		b.countLate(ev.Result == TimedOut || ev.Result == Full)
-		if ev.Result == Full { // no answer is slower than one that is turned away
-			b.slowness += (2 - b.slowness) * b.gain()
-		}
-		if down := ev.Result == ConnectFailed; down || !a.overdue {
-			b.fault(s, down)
-		}
-	}
-}
-
-// learn moves the sizes of a server, its kind and its zone until answers take equally long everywhere; took
-// is relative to the class. The mean step is taken off: what all servers share is load, not size.
-func (b *Balancer) learn(s *server, took float64) {
-	if b.cold(s) {
-		return
-	}
-	step := max(-2, 1-took)
-	b.learned++
-	gain := b.gain()
-	b.drift += gain * (step - b.drift) / 2
-	step = gain * (step - b.drift)
-	s.size.move(step/2, gain)
-	s.kind.move(step, gain)
-	s.zone.move(step/2, gain)
-}
-
-// gain is the step of an average over answers: it covers learnTime, but a few answers at least.
-func (b *Balancer) gain() float64 { return bound(1/(learnTime*b.pace(0, 1)), learnLeast, learnMost) }
-
 // wake sets a timer for the next moment at which the request must be looked at.
 func (b *Balancer) wake(r *request) {
 	next := r.deadline
@@ -595,46 +338,3 @@
 		b.emit(Action{Kind: SetTimer, Token: uint64(r.ID), At: max(0, next-b.now)})
 	}
 }
-
-// update takes in one entry. A restart clears what was held against the server.
-func (b *Balancer) update(entry *Server) {
-	s := b.server(entry)
-	if entry.StartedAt > s.StartedAt {
-		s.pardon()
-		b.chill(s, entry.StartedAt)
-	}
-	s.Server = *entry
-	s.kind, s.zone = b.group(b.kinds, s.Kind), b.group(b.zones, s.Zone)
-}
-
-// chill begins a warm-up. The first budget is random, so that the first sends of all sidecars do not meet.
-func (b *Balancer) chill(s *server, since float64) {
-	s.coldSince, s.tokens, s.tokensAt, s.phased = since, b.random(), b.now, false
-}
-
-// askFirst calls for the list at the start, but not in the same instant as a fleet that starts with it: each
-// has the list that it last had.
-func (b *Balancer) askFirst() {
-	if b.cfg.Peers < fewPeers {
-		b.emit(Action{Kind: Watch})
-		return
-	}
-	spread := min(askEach/2*float64(b.cfg.Peers), firstAsk)
-	b.emit(Action{Kind: SetTimer, Token: listTimer, At: spread * b.random()})
-}
-
-// askAgain calls after a growing pause, which spreads the calls of a whole fleet: each that waits in vain
-// costs discovery as much as one that is answered. Few need no spread, and are better off when they wait.
-// Within the limit for sidecars not subscribed.
-func (b *Balancer) askAgain() {
-	peers := float64(b.cfg.Peers)
-	pause, least := (askPause+askEach*max(0, peers-fewPeers))*float64(int(1)<<min(b.asks, 4)), 0.5
-	if peers >= fewPeers {
-		least = 0.1
-	}
-	if b.cfg.AskWithin > 0 {
-		pause = min(pause, bound(peers/manyPeers, askLeast, askMost)*b.cfg.AskWithin)
-	}
-	b.asks++
-	b.emit(Action{Kind: SetTimer, Token: listTimer, At: pause * (least + (1-least)*b.random())})
-}
--- a/balance/state.go
+++ b/balance/state.go
@@ -135,6 +135,7 @@
 	live    bool
 	clean   bool // proved never to have run
 	cut     bool // its connection was reset
+	unmet   bool // the server never saw it
 	overdue bool
 	coming  bool    // the body is still on its way: neither time nor load counts
 	held    float64 // what the server held before, by a fresh report; else -1
@@ -175,6 +176,17 @@
 	return Aged
 }
 
+// met counts the tries that a server may have seen.
+func (r *request) met() int {
+	n := 0
+	for i := range r.tries {
+		if !r.tries[i].unmet {
+			n++
+		}
+	}
+	return n
+}
+
 // cuts counts the tries whose connections were reset.
 func (r *request) cuts() int {
 	n := 0
@@ -256,6 +268,21 @@
 	return b
 }
 
+// Extend adds a class, whose number is how many there were before.
+func (b *Balancer) Extend(c Class) {
+	b.cfg.Classes = append(b.cfg.Classes, c)
+	b.classes = append(b.classes, classStats{
+		tally: tally{asked: 1}, worth: c.Worth, failedAt: math.Inf(-1), expected: 1,
+	})
+	b.longestAim = max(b.longestAim, c.Aim)
+	for _, s := range b.servers {
+		s.verdicts = append(s.verdicts, verdict{at: math.Inf(-1)})
+	}
+	for _, r := range b.reqs { // what they point at may have moved
+		r.class, r.stats = &b.cfg.Classes[r.Class], &b.classes[r.Class]
+	}
+}
+
 // Start begins the balancer's life. The actions are valid until the next call.
 func (b *Balancer) Start(now float64) []Action {
 	b.now, b.started, b.out = now, now, b.out[:0]
@@ -518,6 +545,7 @@
 	}
 	a := &r.tries[ev.Attempt]
 	a.live, a.clean = false, ev.Result.NeverRan()
+	a.unmet = ev.Unmet
 	a.cut = ev.Result == Reset
 	a.s.inFlight--
 	b.live--
--- /dev/null
+++ b/cmd/prompter/main.go
@@ -0,0 +1,37 @@
+// Command prompter is the prompter in his box, who has the book and helps whoever is stuck: the control plane's program, one on each core
+// machine. All that it does is in package wings.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/go-kit/log/level"
+
+	"cedararch/mesh/greenroom"
+	"cedararch/mesh/wings"
+)
+
+var cli struct {
+	Settings string `help:"Settings file." env:"FIRPLANK_BOOT" default:""`
+	Debug    bool   `help:"Log more."`
+}
+
+func main() {
+	kong.Parse(&cli, kong.Name("prompter"), kong.Description("The control plane of the mesh: one on each core machine."))
+	log, _ := greenroom.NewLog(os.Stderr, cli.Debug)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	signal.Ignore(syscall.SIGHUP)
+	s, err := greenroom.Load(cli.Settings)
+	if err == nil {
+		err = wings.Run(ctx, s, log)
+	}
+	if err != nil {
+		level.Error(log).Log("msg", "the core machine ends", "error", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/cmd/usher/main.go
@@ -0,0 +1,34 @@
+// Command usher is the usher, who shows everybody to a seat: the data plane's program, one beside each server. All that it does is in package
+// stage.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/go-kit/log/level"
+
+	"cedararch/mesh/greenroom"
+	"cedararch/mesh/stage"
+)
+
+var cli struct {
+	Settings string `help:"Settings file." env:"FIRPLANK_BOOT" default:""`
+	Debug    bool   `help:"Log more."`
+}
+
+func main() {
+	reloads := make(chan os.Signal, 1) // of several at once one is enough
+	signal.Notify(reloads, syscall.SIGHUP)
+	kong.Parse(&cli, kong.Name("usher"), kong.Description("The data plane of the mesh: one beside each server."))
+	log, shared := greenroom.NewLog(os.Stderr, cli.Debug)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := stage.Run(ctx, cli.Settings, reloads, log, shared); err != nil {
+		level.Error(log).Log("msg", "the sidecar ends", "error", err)
+		os.Exit(1)
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -29,6 +29,8 @@
 
 	Target    string // what is asked for, where servers go by paths
 	Method    string // what is asked for, where servers go by names of methods
+	Verb      string // of HTTP, where it does not follow from Safe
+	Edition   uint64 // of the configuration by which it was routed; 0: none
 	Authority string // of whom, where the client said so
 	// Meta holds what else came beside the body, by name; nil where the front's protocol has no such thing. It holds the
 	// fields above too, as they came, so that a back of the same form sends them on unchanged.
@@ -53,9 +55,23 @@
 	Ask      balance.Request // without ID; Remaining counts from Received
 	Received time.Time
 	Client   Client
+	Exchange Exchange        // that it is for, where a front serves several; nil: the front's own
+	State    atomic.Value    // the exchange's own
 	Claim    *contract.Claim // who sends it, besides its tenant; nil where nobody asks
 }
 
+// Exchange is what a front hands calls to; *Loop is one.
+type Exchange interface {
+	// Arrive hands in a call, whose client is answered once unless the exchange ends before.
+	Arrive(*Call)
+	// Leave says that the client of a call is gone.
+	Leave(*Call)
+	// Ready reports whether calls can be carried.
+	Ready() bool
+	// Done is closed when the exchange answers nothing any more.
+	Done() <-chan struct{}
+}
+
 // Client is given the one final answer of each of its calls.
 type Client interface {
 	// Answer is called once for a call, from the exchange's goroutine: it must not wait for anything.
@@ -92,6 +108,9 @@
 	HoldOff time.Duration // of Refused: how long the client should stay away; 0: not said
 	Text    string        // of Refused and Failed: for people
 
+	// Status is the status as the server gave it, where the front's protocol has such a thing; 0: it follows from what is
+	// above. With a status an answer is worded as one that is Served.
+	Status int
 	// What follows is of Served.
 	Declined    bool // the server has answered with an error of the application's own
 	Meta        map[string][]string
@@ -103,8 +122,9 @@
 // Result is how an attempt or a probe ended.
 type Result struct {
 	Outcome balance.Result
-	Answer  *Answer // of an OK
+	Answer  *Answer // of an OK; of a failure that which the server said itself, where it is to be passed on
 	Report  []float32
+	Unmet   bool // the attempt was turned away ahead of the server
 }
 
 // Gate is asked about each call before the decision module is. The exchange calls it from its own goroutine, with the time
@@ -195,6 +215,9 @@
 	return a.answered.Load() || a.Endpoint.Closed() || !time.Now().Before(a.Cut)
 }
 
+// Number counts the attempts of a request, from 0.
+func (a *Attempt) Number() int { return a.number }
+
 // SetAnswered says that the request has its final answer.
 func (a *Attempt) SetAnswered() { a.answered.Store(true) }
 
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -61,6 +61,7 @@
 	inspection struct{ do func(now time.Duration) }
 	sent       struct{ attempt *Attempt } // its body was a stream, and has gone out
 	endBy      struct{ at time.Time }
+	extended   struct{ class balance.Class }
 )
 
 // Loop owns the balancer and what is known of each request. All else talks to it by events; it never waits for
@@ -112,8 +113,9 @@
 	attempts []*Attempt
 	live     int
 	done     bool
-	coming   bool // its body is: its time does not count yet
-	told     bool // it was taken, by the Tally
+	said     *Answer // what the last server said that has failed it
+	coming   bool    // its body is: its time does not count yet
+	told     bool    // it was taken, by the Tally
 }
 
 // New returns an exchange that works until ctx ends, once Run is called.
@@ -147,6 +149,9 @@
 // refused where nothing can have run.
 func (l *Loop) End(by time.Time) { l.post(endBy{by}) }
 
+// Extend adds a class of requests, whose number is how many there were before.
+func (l *Loop) Extend(c balance.Class) { l.post(extended{c}) }
+
 // Inspect calls do on the exchange's goroutine, with the time that its Gate is told. It returns at once.
 func (l *Loop) Inspect(do func(now time.Duration)) { l.post(inspection{do}) }
 
@@ -261,6 +266,8 @@
 		})
 	case endBy:
 		l.endAll(ev.at)
+	case extended:
+		l.bal.Extend(ev.class)
 	case inspection:
 		ev.do(l.elapsed())
 	case listed:
@@ -309,7 +316,7 @@
 			l.finish(l.requests[a.Request], l.refusal(a.At))
 		case balance.Fail:
 			l.record.gaveUp(a)
-			l.finish(l.requests[a.Request], failed(ByServers, "failed"))
+			l.finish(l.requests[a.Request], l.failure(a))
 		case balance.Cancel:
 			if r := l.requests[a.Request]; r != nil && a.Attempt < len(r.attempts) {
 				at := r.attempts[a.Attempt]
@@ -331,6 +338,14 @@
 	}
 }
 
+// failure is the answer of a request that has failed: what a server said of it, where one did.
+func (l *Loop) failure(a *balance.Action) *Answer {
+	if r := l.requests[a.Request]; r != nil && r.said != nil {
+		return r.said
+	}
+	return failed(ByServers, "failed")
+}
+
 var errAnswered = errors.New("the request has its answer")
 
 func failed(why Reason, text string) *Answer { return &Answer{Kind: Failed, Reason: why, Text: text} }
@@ -597,10 +612,12 @@
 			a.Stream.CloseRead(errAnswered)
 		}
 		l.finish(r, at.result.Answer)
+	} else if a := at.result.Answer; a != nil {
+		r.said = a
 	}
 	out := balance.Outcome{
 		Request: r.id, Attempt: at.number, Result: at.result.Outcome, Took: at.took,
-		Finished: r.done, Report: at.result.Report, Spent: spent,
+		Finished: r.done, Report: at.result.Report, Spent: spent, Unmet: at.result.Unmet,
 	}
 	if at.Endpoint != nil {
 		out.Server = at.Endpoint.id
--- a/internal/front/http/front.go
+++ b/internal/front/http/front.go
@@ -66,11 +66,32 @@
 	// Method names what a path is to servers that go by names. With it bodies in MessagePack are taken also with safe
 	// requests, by POST; nil: neither.
 	Method func(path string) string
-	Claims bool           // the exchange wants to know who sends a request
-	Counts *report.Counts // nil: nobody counts what the door turns away
-	Log    *slog.Logger
+	// Dialect is what requests and answers mean, where that is not what the platform of packages core and settings says; nil:
+	// it is.
+	Dialect Dialect
+	Claims  bool           // the exchange wants to know who sends a request
+	Counts  *report.Counts // nil: nobody counts what the door turns away
+	Log     *slog.Logger
 }
 
+// Dialect says what requests mean to a front that does not serve the platform's own.
+type Dialect interface {
+	// Fill makes a call of a request, or answers it itself, or says what is wrong with it. The body and the header are the
+	// call's from now on.
+	Fill(c *core.Call, r *Request, body []byte) (*core.Answer, error)
+	// Verdict words an error that Fill, or the reading of a request, has ended with.
+	Verdict(status int, text string) *core.Answer
+}
+
+// Request is the head of a request, as it came.
+type Request struct {
+	Method, Target, Path, Host string
+	Header                     http.Header
+}
+
+// BadRequest is a mistake of a client's, to be answered with a status.
+func BadRequest(status int, text string) error { return &badRequest{status, text} }
+
 // waiting is how many of so many connections may wait for a request: a part of them, or where that is 0 the usual one.
 func waiting(most int, part float64) int { return int(float64(most) * cmp.Or(part, 1./keptShare)) }
 
@@ -80,7 +101,7 @@
 // kernel has what it wants, PollFront does the same for less.
 type Front struct {
 	cfg      Config
-	exchange *core.Loop
+	exchange core.Exchange
 	clients  *clients
 	server   *http.Server
 	failed   chan error
@@ -88,7 +109,7 @@
 }
 
 // New returns a front that hands requests to an exchange.
-func New(cfg Config, exchange *core.Loop) *Front {
+func New(cfg Config, exchange core.Exchange) *Front {
 	f := &Front{cfg: cfg, exchange: exchange, clients: &clients{most: cfg.Connections, waiting: cfg.Waiting}, failed: make(chan error, 1)}
 	notes := rate.Sometimes{First: 3, Interval: time.Second}
 	f.clients.stranger = func(peer net.Addr) {
@@ -149,6 +170,15 @@
 type call struct {
 	core.Call
 	answers chan *core.Answer // takes the one final answer
+	direct  *core.Answer      // what a dialect answers itself
+}
+
+// exchangeOf is who carries a call.
+func exchangeOf(c *core.Call, own core.Exchange) core.Exchange {
+	if c.Exchange != nil {
+		return c.Exchange
+	}
+	return own
 }
 
 // Answer implements core.Client.
@@ -178,6 +208,10 @@
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	cl := r.Context().Value(clientKey{}).(*client)
 	cl.next()
+	if f.cfg.Dialect != nil {
+		f.api(w, r, cl)
+		return
+	}
 	switch path := r.URL.Path; {
 	case path == "/api" || strings.HasPrefix(path, "/api/"):
 		f.api(w, r, cl)
@@ -220,7 +254,10 @@
 }
 
 func (f *Front) api(w http.ResponseWriter, r *http.Request, cl *client) {
-	class := f.cfg.classOf(r.Header)
+	class := -1
+	if f.cfg.Dialect == nil {
+		class = f.cfg.classOf(r.Header)
+	}
 	if ok, holdOff := f.cfg.Door.Admit(class); !ok {
 		f.cfg.countTurnedAway(class, r.Header)
 		write(w, core.Refusal(holdOff.Truncate(time.Millisecond)))
@@ -244,6 +281,10 @@
 		turnAway(w, err)
 		return
 	}
+	if c.direct != nil {
+		write(w, c.direct)
+		return
+	}
 	if c.Message.Stream == nil && behind == socket.Closed {
 		// The client has gone before anything was done for it, as all have that a stopped sidecar finds when it goes on.
 		w.Header().Set("Connection", "close")
@@ -251,7 +292,8 @@
 		return
 	}
 	arrived = true
-	f.exchange.Arrive(&c.Call)
+	exchange := exchangeOf(&c.Call, f.exchange)
+	exchange.Arrive(&c.Call)
 	select {
 	case a := <-c.answers:
 		// Decided when the answer is there, not when the request came: many wait when the end comes.
@@ -261,7 +303,7 @@
 		write(w, a)
 	case <-r.Context().Done():
 		// The client is gone, as far as can be told. One that has only ended its sending is owed an answer all the same.
-		f.exchange.Leave(&c.Call)
+		exchange.Leave(&c.Call)
 		select {
 		case a := <-c.answers:
 			w.Header().Set("Connection", "close")
@@ -284,6 +326,8 @@
 // statusOf words an answer; only 429 and 503 say that trying again is harmless.
 func statusOf(a *core.Answer) int {
 	switch {
+	case a.Status != 0:
+		return a.Status
 	case a.Kind == core.Refused && a.Reason == core.OverBudget:
 		return http.StatusTooManyRequests
 	case a.Kind == core.Refused:
@@ -299,7 +343,7 @@
 // write writes an answer, in which nobody else writes by now.
 func write(w http.ResponseWriter, a *core.Answer) {
 	h, body := w.Header(), a.Body
-	if a.Kind == core.Served {
+	if a.Kind == core.Served || a.Status != 0 {
 		for name, values := range a.Meta {
 			h[name] = values
 		}
@@ -396,7 +440,8 @@
 		body = nil
 	}
 	h := &head{method: r.Method, target: r.RequestURI, path: r.URL.Path, host: r.Host, header: r.Header}
-	return c, f.cfg.fill(&c.Call, h, body)
+	c.direct, err = f.cfg.fillAny(&c.Call, h, body)
+	return c, err
 }
 
 // classOf is the class that a request says it is of; -1 for none that there is.
@@ -417,6 +462,14 @@
 	cfg.Counts.Ended(class, tenant, report.Refused, 0)
 }
 
+// fillAny makes a call of a request, in whatever dialect, or its answer.
+func (cfg *Config) fillAny(c *core.Call, r *head, body []byte) (*core.Answer, error) {
+	if cfg.Dialect != nil {
+		return cfg.Dialect.Fill(c, r.request(), body)
+	}
+	return nil, cfg.fill(c, r, body)
+}
+
 // fill checks a request and makes a call of it. The header is the call's from now on.
 func (cfg *Config) fill(c *core.Call, r *head, body []byte) error {
 	h := r.header
--- a/internal/front/http/head.go
+++ b/internal/front/http/head.go
@@ -24,6 +24,11 @@
 	expects                    bool // it waits for leave to send its body
 }
 
+// request is what a dialect is shown of it.
+func (h *head) request() *Request {
+	return &Request{Method: h.method, Target: h.target, Path: h.path, Host: h.host, Header: h.header}
+}
+
 // What is wrong with a head, besides framing's errors.
 var (
 	errLongHead  = &badRequest{http.StatusRequestHeaderFieldsTooLarge, "head too long"}
--- a/internal/front/http/poll_linux.go
+++ b/internal/front/http/poll_linux.go
@@ -28,7 +28,7 @@
 // connection's.
 type PollFront struct {
 	cfg      Config
-	exchange *core.Loop
+	exchange core.Exchange
 	start    time.Time
 	failed   chan error
 	accepted chan struct{} // closed when no connection is taken any more
@@ -93,7 +93,7 @@
 }
 
 // NewPoll returns a front that hands requests to an exchange.
-func NewPoll(cfg Config, exchange *core.Loop) (*PollFront, error) {
+func NewPoll(cfg Config, exchange core.Exchange) (*PollFront, error) {
 	p, err := poller.New()
 	if err != nil {
 		return nil, err
--- a/internal/front/http/pollconn_linux.go
+++ b/internal/front/http/pollconn_linux.go
@@ -99,10 +99,10 @@
 	}
 	c.mu.Unlock()
 	if arrive != nil {
-		c.front.exchange.Arrive(&arrive.Call)
+		exchangeOf(&arrive.Call, c.front.exchange).Arrive(&arrive.Call)
 	}
 	if leave != nil {
-		c.front.exchange.Leave(&leave.Call)
+		exchangeOf(&leave.Call, c.front.exchange).Leave(&leave.Call)
 	}
 }
 
@@ -298,6 +298,7 @@
 	// What is answered here ends the connection where the body is still coming.
 	c.last, c.old, c.wary = h.last || stream != nil, h.old, stream != nil
 	switch {
+	case f.cfg.Dialect != nil:
 	case h.path == "/api" || strings.HasPrefix(h.path, "/api/"):
 	case h.path == "/up" && h.method == http.MethodGet:
 		c.last = c.last || f.leaving()
@@ -311,9 +312,14 @@
 		c.turnAway(&badRequest{http.StatusNotFound, "no such path"})
 		return nil
 	}
-	class := f.cfg.classOf(h.header)
+	class := -1
+	if f.cfg.Dialect == nil {
+		class = f.cfg.classOf(h.header)
+	}
 	if ok, holdOff := f.cfg.Door.Admit(class); !ok {
-		f.cfg.countTurnedAway(class, h.header)
+		if f.cfg.Dialect == nil {
+			f.cfg.countTurnedAway(class, h.header)
+		}
 		c.last = c.last || f.leaving()
 		c.reply(core.Refusal(holdOff.Truncate(time.Millisecond)))
 		return nil
@@ -322,11 +328,19 @@
 	call.Client = call
 	call.Message.Stream = stream
 	// The body outlives the buffer, which is the connection's next request's.
-	if err := f.cfg.fill(&call.Call, h, append([]byte(nil), body...)); err != nil {
+	direct, err := f.cfg.fillAny(&call.Call, h, append([]byte(nil), body...))
+	if err != nil || direct != nil {
 		f.cfg.Door.Ended(class, 0, overload.Void)
+	}
+	if err != nil {
 		c.turnAway(err)
 		return nil
 	}
+	if direct != nil {
+		c.last = c.last || f.leaving()
+		c.reply(direct)
+		return nil
+	}
 	c.call, c.state = call, pollOpen
 	if stream != nil {
 		return call // begin goes on
@@ -359,6 +373,10 @@
 		status = http.StatusRequestHeaderFieldsTooLarge
 	}
 	c.last, c.wary = true, true
+	if d := c.front.cfg.Dialect; d != nil {
+		c.reply(d.Verdict(status, err.Error()))
+		return
+	}
 	c.plain(status, err.Error()+"\n")
 }
 
@@ -600,7 +618,7 @@
 	dst = append(append(dst, *f.date.Load()...), "\r\n"...)
 	body := a.Body
 	switch {
-	case a.Kind != core.Served:
+	case a.Kind != core.Served && a.Status == 0:
 		dst = append(dst, "Content-Type: text/plain; charset=utf-8\r\n"...)
 		body = append([]byte(a.Text), '\n')
 		if a.HoldOff > 0 {
--- a/internal/upstream/http/poll_linux.go
+++ b/internal/upstream/http/poll_linux.go
@@ -127,7 +127,7 @@
 // encode makes its request, with the time that it has left.
 func (t *try) encode(b *PollBack) ([]byte, error) {
 	if t.attempt != nil {
-		return encode(t.attempt.Message, t.cut)
+		return b.up.encode(t.attempt)
 	}
 	return b.up.question(t.endpoint.Addr()), nil
 }
--- a/internal/upstream/http/sock_linux.go
+++ b/internal/upstream/http/sock_linux.go
@@ -5,7 +5,6 @@
 	"context"
 	"io"
 	"net"
-	"net/http"
 	"os"
 	"sync"
 	"time"
@@ -259,13 +258,24 @@
 	if s.try.attempt == nil {
 		return s.end(s.back.up.probed(h, body), !h.last && rest == 0)
 	}
-	r, reusable := s.back.up.answered(nil, s.conn, h, body, rest)
+	if d := s.back.up.dialect; d != nil && !d.Ours(s.try.attempt, h.header) { // a surplus one: the next may be ours
+		if eof || h.last {
+			return s.failed(balance.Reset)
+		}
+		left := append([]byte(nil), b[len(b)-rest:]...)
+		s.in, s.ans = nil, incoming{}
+		if rest > 0 {
+			return s.take(left, false, nil)
+		}
+		return nil
+	}
+	r, reusable := s.back.up.answered(s.try.attempt, s.conn, h, body, rest)
 	return s.end(r, reusable && !eof)
 }
 
 // passes reports whether an answer may be passed on while it comes: it is a good one that is long, or may be.
 func (s *sock) passes(h *answerHead) bool {
-	return s.try.attempt != nil && s.try.attempt.Message.Streams && h.status == http.StatusOK && !s.ans.short &&
+	return s.try.attempt != nil && s.try.attempt.Message.Streams && s.back.up.passes(s.try.attempt, h) && !s.ans.short &&
 		(h.length < 0 || h.length > httpwire.MaxBody)
 }
 
--- a/internal/upstream/http/stream.go
+++ b/internal/upstream/http/stream.go
@@ -153,7 +153,7 @@
 		}
 		if err == io.EOF {
 			if !r.passed() && r.hold() {
-				return u.answered(a, c, r.head, r.held, c.in.Buffered())
+				return u.answered(a.Attempt, c, r.head, r.held, c.in.Buffered())
 			}
 			r.pipe.CloseWrite(nil)
 			return core.Result{}, !resp.Close && c.in.Buffered() == 0
@@ -207,6 +207,9 @@
 	}
 	report := reportOf(r.head.header, r.u.fields)
 	answer := r.head.answer()
+	if r.u.dialect != nil {
+		answer.Status = r.head.status
+	}
 	answer.Stream = r.pipe
 	r.a.End(core.Result{Outcome: balance.OK, Report: report, Answer: answer})
 }
--- a/internal/upstream/http/upstream.go
+++ b/internal/upstream/http/upstream.go
@@ -39,6 +39,22 @@
 	Fields         []string      // the figures of a load report, in the module's order
 	Reports        bool          // probes ask for the load report
 	NoteLate       func(*core.Endpoint)
+	// Dialect words requests and judges answers, where that is not as the platform of package settings has it; nil: it is.
+	Dialect Dialect
+}
+
+// Dialect is what a back speaks that does not speak the platform's own.
+type Dialect interface {
+	// Fields appends the header lines of a request that the dialect adds, each ended with CR LF, for an attempt that has so
+	// long left. Of what came with the message those go on for which Keep holds.
+	Fields(dst []byte, a *core.Attempt, left time.Duration) []byte
+	Keep(name string) bool
+	// Judge tells what a whole answer proves, of which the header is the judge's own from now on.
+	Judge(a *core.Attempt, status int, header http.Header, body []byte) core.Result
+	// Ours reports whether an answer belongs to an attempt. One that does not is dropped, and the next is read.
+	Ours(a *core.Attempt, header http.Header) bool
+	// Passes reports whether the body of an answer may be passed on while it comes.
+	Passes(a *core.Attempt, status int, header http.Header) bool
 }
 
 // attempt is a core.Attempt with what it takes to give it up.
@@ -63,7 +79,7 @@
 	if cfg.NoteLate != nil {
 		p.noteLate = cfg.NoteLate
 	}
-	u := &upstream{pool: p, fields: cfg.Fields, probe: "/alive"}
+	u := &upstream{pool: p, fields: cfg.Fields, probe: "/alive", dialect: cfg.Dialect}
 	if cfg.Reports {
 		u.probe = "/metrics/load"
 	}
@@ -121,6 +137,8 @@
 	pool   *pool
 	fields []string
 	probe  string // path
+
+	dialect Dialect
 }
 
 // try makes an attempt and tells how it ended.
@@ -149,7 +167,7 @@
 
 // exchange writes the request and reads the answer. Cancelling an attempt ends its connection.
 func (u *upstream) exchange(a *attempt, c *conn) (r core.Result, reusable bool) {
-	request, err := encode(a.Message, a.Cut)
+	request, err := u.encode(a.Attempt)
 	if err != nil {
 		return core.Result{Outcome: balance.Moot}, false
 	}
@@ -183,7 +201,10 @@
 	if err != nil {
 		return core.Result{Outcome: a.broken(err)}, false
 	}
-	if a.Message.Streams && resp.StatusCode == http.StatusOK && resp.Body != http.NoBody &&
+	if u.dialect != nil && !u.dialect.Ours(a.Attempt, resp.Header) {
+		return core.Result{Outcome: balance.Reset}, false
+	}
+	if a.Message.Streams && u.passes(a.Attempt, headOf(resp)) && resp.Body != http.NoBody &&
 		(resp.ContentLength < 0 || resp.ContentLength > httpwire.MaxBody) {
 		return u.relay(a, c, resp)
 	}
@@ -193,11 +214,15 @@
 			return core.Result{Outcome: a.broken(err)}, false
 		}
 	}
-	return u.answered(a, c, headOf(resp), body, c.in.Buffered())
+	return u.answered(a.Attempt, c, headOf(resp), body, c.in.Buffered())
 }
 
 // answered makes a result of an answer that is there as a whole, with rest bytes behind it.
-func (u *upstream) answered(a *attempt, c *conn, h *answerHead, body []byte, rest int) (r core.Result, reusable bool) {
+func (u *upstream) answered(a *core.Attempt, c *conn, h *answerHead, body []byte, rest int) (r core.Result, reusable bool) {
+	if u.dialect != nil {
+		httpwire.DropHop(h.header)
+		return u.dialect.Judge(a, h.status, h.header, body), !h.last && rest == 0
+	}
 	r = core.Result{Outcome: h.outcome(), Report: reportOf(h.header, u.fields)}
 	if r.Outcome == balance.OK {
 		if u.pool.isCopy(c, body) {
@@ -216,6 +241,14 @@
 	return &core.Answer{Meta: h.header, ContentType: h.header.Get("Content-Type")}
 }
 
+// passes reports whether an answer that is long may be passed on while it comes.
+func (u *upstream) passes(a *core.Attempt, h *answerHead) bool {
+	if u.dialect != nil {
+		return u.dialect.Passes(a, h.status, h.header)
+	}
+	return h.status == http.StatusOK
+}
+
 func interrupted(a *attempt, err error) bool {
 	return a.ctx.Err() != nil || errors.Is(err, os.ErrDeadlineExceeded)
 }
@@ -246,6 +279,9 @@
 
 // methodOf follows from what the request may do; a safe one that has something to say cannot say it with GET.
 func methodOf(m *core.Message) string {
+	if m.Verb != "" {
+		return m.Verb
+	}
 	if m.Safe && len(m.Body) == 0 && m.Stream == nil {
 		return http.MethodGet
 	}
@@ -274,6 +310,49 @@
 	return h
 }
 
+// encode writes the request of an attempt.
+func (u *upstream) encode(a *core.Attempt) ([]byte, error) {
+	if u.dialect != nil {
+		return u.appendSpoken(make([]byte, 0, 512+len(a.Message.Body)), a), nil
+	}
+	return encode(a.Message, a.Cut)
+}
+
+// appendSpoken appends a request in the words of a dialect; a body that is a stream follows it.
+func (u *upstream) appendSpoken(dst []byte, a *core.Attempt) []byte {
+	m, left := a.Message, time.Until(a.Cut)
+	if m.Stream != nil {
+		left = m.Remaining
+	}
+	dst = append(append(dst, methodOf(m)...), ' ')
+	dst = append(append(dst, m.Target...), " HTTP/1.1\r\nHost: "...)
+	dst = append(append(dst, m.Authority...), "\r\n"...)
+	for name, values := range m.Meta {
+		switch name {
+		case "Host", "Content-Length", "Transfer-Encoding", "Trailer", "Expect":
+			continue
+		}
+		if !u.dialect.Keep(name) {
+			continue
+		}
+		for _, v := range values {
+			dst = append(append(append(append(dst, name...), ": "...), v...), "\r\n"...)
+		}
+	}
+	dst = u.dialect.Fields(dst, a, left)
+	switch {
+	case m.Stream != nil && m.Stream.Length() < 0:
+		return append(dst, "Transfer-Encoding: chunked\r\n\r\n"...)
+	case m.Stream != nil:
+		dst = append(dst, "Content-Length: "...)
+		return append(strconv.AppendInt(dst, m.Stream.Length(), 10), "\r\n\r\n"...)
+	case len(m.Body) > 0 || methodOf(m) != http.MethodGet:
+		dst = append(dst, "Content-Length: "...)
+		dst = append(strconv.AppendInt(dst, int64(len(m.Body)), 10), "\r\n"...)
+	}
+	return append(append(dst, "\r\n"...), m.Body...)
+}
+
 // encode writes the message as it goes to a server, which is told the time that remains until cut.
 func encode(m *core.Message, cut time.Time) ([]byte, error) {
 	if m.Meta != nil && m.Stream == nil { // it came over HTTP, and was checked
--- /dev/null
+++ b/mesh/callboard/callboard.go
@@ -0,0 +1,186 @@
+// Package callboard is the call board behind the stage, on which everybody reads who is in the house tonight: which branch machines there are, at
+// what address, and which server stands on each, accepting, closing or gone. It owns whose word on a machine is the newest, and when
+// one that nobody hears of counts as lost. It has no clock, no socket and no opinion on who should be sent to.
+//
+// Begin with Board.Merge.
+package callboard
+
+import (
+	"cmp"
+	"hash/fnv"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// State is what is known of the server on a machine.
+type State uint8
+
+// The states.
+const (
+	Empty     State = iota // no server has said anything yet
+	Accepting              // its beats say so
+	Closing                // ... or it has been told to end
+	Left                   // it has left
+	Silent                 // no beats, or no connection
+)
+
+// Most bounds the machines on a board; more are not taken in.
+const Most = 8192
+
+// Entry is one machine. Life and Seq order its own words: a later life of its sidecar has a higher Life, a later word a higher Seq.
+type Entry struct {
+	Node       string
+	Life, Seq  uint64
+	Addr       string // where requests for its server go
+	Talk       string // where its sidecar is spoken to by others
+	Zone, Line string
+	Server     string // the id of its server's life
+	State      State
+	Berths     int
+	Cold       time.Duration // until when its server is slow from its start, by this process's clock
+	Lost       bool          // nobody has heard of the machine for so long that it counts as gone
+	Heard      time.Duration // when its sidecar was last known to live
+	rev        uint64
+}
+
+// Newer reports whether the entry is a later word than another.
+func (e *Entry) Newer(o *Entry) bool {
+	return cmp.Or(cmp.Compare(e.Life, o.Life), cmp.Compare(e.Seq, o.Seq)) > 0
+}
+
+// Board holds the newest word on each machine. It is not safe for concurrent use.
+type Board struct {
+	entries map[string]*Entry
+	rev     uint64
+}
+
+// New returns an empty board.
+func New() *Board { return &Board{entries: map[string]*Entry{}} }
+
+// Merge takes in a word on a machine, of which it was known at heard that it lives. It reports whether that is news.
+func (b *Board) Merge(e Entry, heard time.Duration) bool {
+	old := b.entries[e.Node]
+	switch {
+	case old == nil:
+		if len(b.entries) >= Most {
+			return false
+		}
+	case !e.Newer(old):
+		if e.Life == old.Life && heard > old.Heard {
+			old.Heard = heard
+			if old.Lost {
+				old.Lost = false
+				b.touch(old)
+				return true
+			}
+		}
+		return false
+	default:
+		heard = max(heard, old.Heard)
+	}
+	e.Heard, e.Lost = heard, false
+	b.entries[e.Node] = &e
+	b.touch(&e)
+	return true
+}
+
+// Tell takes in what a parent says of a machine: a later word, or of the same word whether it counts as lost. It reports whether that is
+// news.
+func (b *Board) Tell(e Entry, now time.Duration) bool {
+	old := b.entries[e.Node]
+	if old == nil || e.Newer(old) {
+		lost := e.Lost
+		if !b.Merge(e, now) {
+			return false
+		}
+		b.entries[e.Node].Lost = lost
+		return true
+	}
+	old.Heard = now
+	if old.Newer(&e) || e.Lost == old.Lost {
+		return false
+	}
+	old.Lost = e.Lost
+	b.touch(old)
+	return true
+}
+
+// Alive notes that a machine's sidecar lived at a time, if it is still the one of that life. It reports whether it counted as lost.
+func (b *Board) Alive(node string, life uint64, heard time.Duration) bool {
+	e := b.entries[node]
+	if e == nil || e.Life != life || heard <= e.Heard {
+		return false
+	}
+	e.Heard = heard
+	if e.Lost {
+		e.Lost = false
+		b.touch(e)
+		return true
+	}
+	return false
+}
+
+func (b *Board) touch(e *Entry) {
+	b.rev++
+	e.rev = b.rev
+}
+
+// Sweep counts as lost whom nobody has heard of for longer than patience, and forgets those of whom nobody has for longer than memory.
+func (b *Board) Sweep(now, patience, memory time.Duration) (changed bool) {
+	for node, e := range b.entries {
+		switch silent := now - e.Heard; {
+		case silent > memory:
+			delete(b.entries, node)
+			changed = true
+		case silent > patience && !e.Lost:
+			e.Lost = true
+			b.touch(e)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// Rev counts changes: it is higher after each.
+func (b *Board) Rev() uint64 { return b.rev }
+
+// Since returns the entries that have changed since a revision, in the order of their machines' names.
+func (b *Board) Since(rev uint64) []Entry {
+	var all []Entry
+	for _, node := range slices.Sorted(maps.Keys(b.entries)) {
+		if e := b.entries[node]; e.rev > rev {
+			all = append(all, *e)
+		}
+	}
+	return all
+}
+
+// All returns all entries, in the order of their machines' names.
+func (b *Board) All() []Entry { return b.Since(0) }
+
+// Get returns what is known of a machine.
+func (b *Board) Get(node string) (Entry, bool) {
+	if e := b.entries[node]; e != nil {
+		return *e, true
+	}
+	return Entry{}, false
+}
+
+// Len is how many machines there are.
+func (b *Board) Len() int { return len(b.entries) }
+
+// Hash is the same for two boards that hold the same words.
+func (b *Board) Hash() uint64 {
+	var sum uint64
+	for _, e := range b.entries {
+		h := fnv.New64a()
+		h.Write([]byte(e.Node))
+		h.Write(strconv.AppendUint(nil, e.Life, 16))
+		h.Write([]byte{'.'})
+		h.Write(strconv.AppendUint(nil, e.Seq, 16))
+		sum += h.Sum64()
+	}
+	return sum
+}
--- /dev/null
+++ b/mesh/callboy/callboy.go
@@ -0,0 +1,174 @@
+// Package callboy carries frames between the system's processes, as the call boy of a theatre carries messages between its rooms: over TCP, each
+// connection with a bounded queue of its own. It owns connections and nothing that they say.
+//
+// Begin with Dial and Serve.
+package callboy
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"cedararch/mesh/script"
+)
+
+const (
+	// queued bounds the frames that wait to be written on a connection: one that is full is closed, as its other side does not read.
+	queued = 512
+	// silent is how long what was written may be without an acknowledgement before the connection counts as dead.
+	silent = 2500 * time.Millisecond
+	// mostConns bounds the connections that a listener holds.
+	mostConns = 1024
+)
+
+// Handler is told what comes on connections, each on its connection's goroutine.
+type Handler interface {
+	// Frame takes in a frame, which is the handler's own from now on.
+	Frame(c *Conn, f *script.FrameT)
+	// Gone says that a connection has ended, once.
+	Gone(c *Conn)
+}
+
+// Conn is a connection. Its methods may be called from any goroutine.
+type Conn struct {
+	net  net.Conn
+	out  chan []byte
+	done chan struct{}
+	once sync.Once
+	Peer string // who is at the other side, as the handler has it: its own field, set before any other goroutine knows the connection
+}
+
+// Remote is the address of the other side.
+func (c *Conn) Remote() string { return c.net.RemoteAddr().String() }
+
+// Send queues a frame. It reports whether there was room; where there was none, the connection is closed.
+func (c *Conn) Send(f *script.FrameT) bool { return c.SendBytes(script.Encode(f)) }
+
+// SendBytes queues an encoded frame, which may be queued elsewhere, too.
+func (c *Conn) SendBytes(b []byte) bool {
+	select {
+	case c.out <- b:
+		return true
+	case <-c.done:
+		return false
+	default:
+		c.Close()
+		return false
+	}
+}
+
+// Close ends the connection.
+func (c *Conn) Close() {
+	c.once.Do(func() {
+		close(c.done)
+		c.net.Close()
+	})
+}
+
+// Done is closed when the connection has ended.
+func (c *Conn) Done() <-chan struct{} { return c.done }
+
+func start(n net.Conn, h Handler) *Conn {
+	if t, ok := n.(*net.TCPConn); ok {
+		if raw, err := t.SyscallConn(); err == nil {
+			raw.Control(func(fd uintptr) {
+				unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silent.Milliseconds()))
+			})
+		}
+	}
+	c := &Conn{net: n, out: make(chan []byte, queued), done: make(chan struct{})}
+	go c.write()
+	return c
+}
+
+func (c *Conn) write() {
+	defer c.Close()
+	w := bufio.NewWriterSize(c.net, 16<<10)
+	for {
+		select {
+		case b := <-c.out:
+			if _, err := w.Write(b); err != nil {
+				return
+			}
+		case <-c.done:
+			return
+		}
+		for more := true; more; {
+			select {
+			case b := <-c.out:
+				if _, err := w.Write(b); err != nil {
+					return
+				}
+			default:
+				more = false
+			}
+		}
+		if w.Flush() != nil {
+			return
+		}
+	}
+}
+
+func (c *Conn) read(h Handler) {
+	defer h.Gone(c)
+	defer c.Close()
+	r := bufio.NewReaderSize(c.net, 16<<10)
+	for {
+		f, err := script.ReadFrame(r)
+		if err != nil {
+			return
+		}
+		h.Frame(c, f)
+	}
+}
+
+// Dial connects to an address. Frames that come are told to h.
+func Dial(ctx context.Context, addr string, timeout time.Duration, h Handler) (*Conn, error) {
+	d := net.Dialer{Timeout: timeout, KeepAlive: -1}
+	n, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	c := start(n, h)
+	c.Peer = addr
+	go c.read(h)
+	return c, nil
+}
+
+// Serve takes connections until the listener is closed.
+func Serve(ln net.Listener, h Handler) error {
+	var mu sync.Mutex
+	open := 0
+	for {
+		n, err := ln.Accept()
+		if err != nil {
+			if e, ok := err.(*net.OpError); ok && e.Err == syscall.EMFILE {
+				time.Sleep(10 * time.Millisecond)
+				continue
+			}
+			return err
+		}
+		mu.Lock()
+		full := open >= mostConns
+		if !full {
+			open++
+		}
+		mu.Unlock()
+		if full {
+			n.Close()
+			continue
+		}
+		c := start(n, h)
+		go func() {
+			c.read(h)
+			mu.Lock()
+			open--
+			mu.Unlock()
+		}()
+	}
+}
--- /dev/null
+++ b/mesh/door/door.go
@@ -0,0 +1,179 @@
+// Package door is the stage door, the last hop before a server: what it lets through, and what it tells those whom it does not. Whatever others
+// believe, a server is reached through its own sidecar's door alone, so that a drain, an address that was given to another server, or a
+// server that is full are settled here. It owns the state of the one server beside it; it has no clock and no socket.
+//
+// Begin with Door.
+package door
+
+import (
+	"time"
+
+	"cedararch/mesh/callboard"
+)
+
+// Verdict is what the door says of a request.
+type Verdict uint8
+
+// The verdicts. All but Enter are a promise that the request has not run and, by this try, never will.
+const (
+	Enter   Verdict = iota
+	NotHere         // another server, or none, is behind this door
+	Closing         // the server ends
+	Silent          // the server does not answer
+	Full            // it holds as much as it may
+	Ending          // this sidecar ends
+)
+
+// String words a verdict.
+func (v Verdict) String() string {
+	return [...]string{"enter", "not-here", "closing", "silent", "full", "ending"}[min(v, Ending)]
+}
+
+// Beat is what a server says of itself.
+type Beat struct {
+	ID, Line string
+	Berths   int
+	Closing  bool
+	ColdLeft time.Duration
+	Sequence uint64
+}
+
+// perBerth is how many requests a server may hold for each that it works on at a time: the others wait with it.
+const perBerth = 2.5
+
+// Door is the door of one server. It is not safe for concurrent use.
+type Door struct {
+	id       string
+	line     string
+	berths   int
+	state    callboard.State
+	sequence uint64
+	cold     time.Duration
+	heard    time.Duration
+	patience time.Duration // without beats
+	held     int
+	left     map[string]bool // ids that have left, so that a late beat does not bring them back
+}
+
+// mostLeft bounds the ids that are remembered as gone.
+const mostLeft = 64
+
+// New returns a door behind which nobody is. A server without beats for longer than patience counts as silent.
+func New(patience time.Duration) *Door { return &Door{patience: patience, left: map[string]bool{}} }
+
+// Hear takes in a beat. It reports whether it says anything new.
+func (d *Door) Hear(now time.Duration, b Beat) bool {
+	if d.left[b.ID] || b.ID == d.id && b.Sequence <= d.sequence && b.Sequence > 0 {
+		return false
+	}
+	state := callboard.Accepting
+	if b.Closing || b.ID == d.id && d.state == callboard.Closing { // who has said that it ends does not take it back
+		state = callboard.Closing
+	}
+	if b.ID != d.id {
+		d.forget(d.id)
+		d.held = 0
+	}
+	news := b.ID != d.id || state != d.state || b.Line != d.line || b.Berths != d.berths
+	d.id, d.line, d.berths, d.state, d.sequence = b.ID, b.Line, b.Berths, state, b.Sequence
+	d.cold, d.heard = now+b.ColdLeft, now
+	return news
+}
+
+// Leave says that a server ends now. It reports whether that is news.
+func (d *Door) Leave(id string) bool {
+	d.forget(id)
+	if id != d.id || d.state == callboard.Left {
+		return false
+	}
+	d.state = callboard.Left
+	return true
+}
+
+func (d *Door) forget(id string) {
+	if id == "" {
+		return
+	}
+	if len(d.left) >= mostLeft {
+		for old := range d.left {
+			delete(d.left, old)
+			break
+		}
+	}
+	d.left[id] = true
+}
+
+// Recall takes in what an earlier life of this sidecar knew of its server, if nothing was heard since.
+func (d *Door) Recall(now time.Duration, e *callboard.Entry) {
+	if d.id == "" && e.Server != "" && e.State != callboard.Left {
+		d.id, d.line, d.berths, d.state, d.cold, d.heard = e.Server, e.Line, e.Berths, e.State, e.Cold, now
+		if d.state == callboard.Silent {
+			d.state = callboard.Accepting
+		}
+	}
+}
+
+// Refused says that a connection to the server was refused: nobody listens. It reports whether that is news.
+func (d *Door) Refused() bool {
+	if d.state != callboard.Accepting {
+		return false
+	}
+	d.state = callboard.Silent
+	return true
+}
+
+// Answered says that the server has answered. It reports whether that is news.
+func (d *Door) Answered(now time.Duration) bool {
+	d.heard = max(d.heard, now)
+	if d.state != callboard.Silent {
+		return false
+	}
+	d.state = callboard.Accepting
+	return true
+}
+
+// Tick counts a server as silent that has not beaten for too long. It reports whether that is news.
+func (d *Door) Tick(now time.Duration) bool {
+	if d.state != callboard.Accepting || now-d.heard <= d.patience {
+		return false
+	}
+	d.state = callboard.Silent
+	return true
+}
+
+// Ask decides on a request for a server. Where it may enter, Done has to be called once.
+func (d *Door) Ask(id string) Verdict {
+	switch {
+	case id != d.id || d.state == callboard.Left || d.state == callboard.Empty:
+		return NotHere
+	case d.state == callboard.Closing:
+		return Closing
+	case d.state == callboard.Silent:
+		return Silent
+	case d.held >= d.places():
+		return Full
+	}
+	d.held++
+	return Enter
+}
+
+// places is how many requests the server may hold.
+func (d *Door) places() int { return max(2, int(perBerth*float64(d.berths))) }
+
+// Done says that a request that entered has ended, at the server of an id.
+func (d *Door) Done(id string) {
+	if id == d.id && d.held > 0 {
+		d.held--
+	}
+}
+
+// Held is how many requests the server holds.
+func (d *Door) Held() int { return d.held }
+
+// Fill writes what is known of the server into a board's entry.
+func (d *Door) Fill(e *callboard.Entry) {
+	e.Server, e.Line, e.State, e.Berths, e.Cold = d.id, d.line, d.state, d.berths, d.cold
+}
+
+// Line is the service of the server that was last heard; empty where none was.
+func (d *Door) Line() string { return d.line }
--- /dev/null
+++ b/mesh/greenroom/greenroom.go
@@ -0,0 +1,199 @@
+// Package greenroom is the green room, where each player is told what he needs to know before he goes on: the settings file of a process, read and
+// checked, and the log that it writes. It owns the form of the file; what a process does with it is not its concern.
+//
+// Begin with Load.
+package greenroom
+
+import (
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	validation "github.com/go-ozzo/ozzo-validation/v4"
+	"gopkg.in/yaml.v3"
+)
+
+// Variable names the settings file.
+const Variable = "FIRPLANK_BOOT"
+
+// Settings are what a process is told. Times are in seconds. Fields that are not known are ignored.
+type Settings struct {
+	NodeName   string            `yaml:"nodeName"`
+	Role       string            `yaml:"role"`
+	Class      string            `yaml:"machineClass"`
+	IP         string            `yaml:"ip"`
+	Zone       string            `yaml:"zone"`
+	Region     string            `yaml:"region"`
+	Zones      map[string]string `yaml:"zones"`
+	Addresses  Addresses         `yaml:"addresses"`
+	SparePorts []int             `yaml:"sparePorts"`
+	SeedNodes  []string          `yaml:"seedNodes"`
+	FirstStart bool              `yaml:"firstStart"`
+	Counted    bool              `yaml:"counted"`
+	Caps       Caps              `yaml:"caps"`
+	DataPath   *string           `yaml:"dataPath"`
+	BeatS      float64           `yaml:"beatS"`
+	Tolerance  Tolerance         `yaml:"tolerance"`
+	RawBounds  []string          `yaml:"bounds"`
+	AppAddr    string            `yaml:"appAddr"`
+	Line       string            `yaml:"line"`
+	Bounds     Bounds            `yaml:"-"`
+}
+
+// Addresses are where a process is to be found.
+type Addresses struct {
+	Incoming  string `yaml:"incoming"`
+	Outgoing  string `yaml:"outgoing"`
+	Readiness string `yaml:"readiness"`
+	Control   string `yaml:"control"`
+}
+
+// Caps is what a machine gives a process.
+type Caps struct {
+	CPUShare    float64 `yaml:"cpuShare"`
+	CPUCores    int     `yaml:"cpuCores"`
+	MemoryMB    int     `yaml:"memoryMb"`
+	FileHandles int     `yaml:"fileHandles"`
+	LinkMbps    float64 `yaml:"linkMbps"`
+	DiskMB      int     `yaml:"diskMb"`
+}
+
+// Tolerance is what may be lost at once.
+type Tolerance struct {
+	Machines int `yaml:"machines"`
+	Zones    int `yaml:"zones"`
+	Regions  int `yaml:"regions"`
+}
+
+// Bounds are the figures of the rules in force. Those that are not told have their usual value.
+type Bounds struct {
+	InTouch, Receipt, Sync, LastPost, Grace, InForce, BackSlack, Recovery, AddressReuse time.Duration
+	RetryRatio, RetrySlack                                                              float64
+	RetryWindow                                                                         time.Duration
+}
+
+// Load reads and checks a settings file.
+func Load(path string) (*Settings, error) {
+	if path == "" {
+		return nil, errors.Errorf("%s names no settings file", Variable)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "settings")
+	}
+	s, err := Parse(text)
+	if err != nil {
+		return nil, errors.Wrap(err, path)
+	}
+	return s, nil
+}
+
+// Parse reads and checks settings.
+func Parse(text []byte) (*Settings, error) {
+	s := &Settings{}
+	if err := yaml.Unmarshal(text, s); err != nil { // which tells the line
+		return nil, err
+	}
+	if err := s.Validate(); err != nil {
+		return nil, err
+	}
+	return s, s.readBounds()
+}
+
+func hostPort(value any) error {
+	text, _ := value.(string)
+	if text == "" {
+		return nil
+	}
+	host, port, err := net.SplitHostPort(text)
+	if err != nil {
+		return errors.Errorf("%q is not host:port", text)
+	}
+	if n, err := strconv.Atoi(port); net.ParseIP(host) == nil || err != nil || n < 0 || n > 65535 {
+		return errors.Errorf("%q is no address and port", text)
+	}
+	return nil
+}
+
+// Validate implements validation.Validatable.
+func (s *Settings) Validate() error {
+	return validation.ValidateStruct(s,
+		validation.Field(&s.NodeName, validation.Required, validation.Length(1, 200)),
+		validation.Field(&s.IP, validation.Required, validation.By(func(v any) error {
+			if net.ParseIP(v.(string)) == nil {
+				return errors.New("is no address")
+			}
+			return nil
+		})),
+		validation.Field(&s.Addresses),
+		validation.Field(&s.SparePorts, validation.Required, validation.Length(2, 2), validation.Each(validation.Min(1), validation.Max(65535))),
+		validation.Field(&s.SeedNodes, validation.Required, validation.Each(validation.By(hostPort))),
+		validation.Field(&s.AppAddr, validation.By(hostPort)),
+		validation.Field(&s.BeatS, validation.Min(0.)),
+	)
+}
+
+// Validate implements validation.Validatable.
+func (a Addresses) Validate() error {
+	return validation.ValidateStruct(&a,
+		validation.Field(&a.Incoming, validation.By(hostPort)), validation.Field(&a.Outgoing, validation.By(hostPort)),
+		validation.Field(&a.Readiness, validation.By(hostPort)), validation.Field(&a.Control, validation.By(hostPort)),
+	)
+}
+
+func (s *Settings) readBounds() error {
+	b := &s.Bounds
+	*b = Bounds{
+		InTouch: 3 * time.Second, Receipt: 5 * time.Second, Sync: 4 * time.Second, LastPost: 2500 * time.Millisecond,
+		Grace: 6 * time.Second, InForce: 2500 * time.Millisecond, BackSlack: 250 * time.Millisecond, Recovery: 15 * time.Second,
+		AddressReuse: 2 * time.Second, RetryRatio: 0.2, RetrySlack: 0, RetryWindow: 10 * time.Second,
+	}
+	times := map[string]*time.Duration{
+		"inTouchS": &b.InTouch, "receiptS": &b.Receipt, "syncS": &b.Sync, "lastPostS": &b.LastPost, "graceS": &b.Grace,
+		"inForceS": &b.InForce, "backSlackS": &b.BackSlack, "recoveryS": &b.Recovery, "addressReuseS": &b.AddressReuse,
+		"retryWindowS": &b.RetryWindow,
+	}
+	figures := map[string]*float64{"retryRatio": &b.RetryRatio, "retrySlack": &b.RetrySlack}
+	for i, text := range s.RawBounds {
+		name, figure, _ := strings.Cut(text, "=")
+		t, f := times[name], figures[name]
+		if t == nil && f == nil {
+			continue
+		}
+		v, err := strconv.ParseFloat(figure, 64)
+		if err != nil || !(v >= 0 && v < 1e6) {
+			return errors.Errorf("bounds[%d]: %q has no figure of 0 or more", i, text)
+		}
+		if t != nil {
+			*t = time.Duration(v * float64(time.Second))
+		} else {
+			*f = v
+		}
+	}
+	return nil
+}
+
+// Talk is the address at which this process speaks with the others of the system, and talkOf that of one whose control address is known:
+// the ports are the same on all machines.
+func (s *Settings) Talk() string { return net.JoinHostPort(s.IP, strconv.Itoa(s.SparePorts[0])) }
+
+// TalkOf is where a machine speaks with others, by any address of it.
+func (s *Settings) TalkOf(addr string) string {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		host = addr
+	}
+	return net.JoinHostPort(host, strconv.Itoa(s.SparePorts[0]))
+}
+
+// Seeds are the addresses at which the core machines named in the settings speak with others.
+func (s *Settings) Seeds() []string {
+	var all []string
+	for _, a := range s.SeedNodes {
+		all = append(all, s.TalkOf(a))
+	}
+	return all
+}
--- /dev/null
+++ b/mesh/lines/lines.go
@@ -0,0 +1,185 @@
+// Package lines turns what the decisions of the mesh say into frames of package script, and back. It owns nothing else: no decision, no socket. Ages
+// in frames become times of this process's clock.
+package lines
+
+import (
+	"time"
+
+	"cedararch/mesh/callboard"
+	"cedararch/mesh/cue"
+	"cedararch/mesh/promptbook"
+	"cedararch/mesh/script"
+)
+
+// aliveOnly is the state of an entry that says no more than that its machine lives, and lostBit marks one that counts as lost.
+const (
+	aliveOnly = 0x7f
+	lostBit   = 0x80
+)
+
+func ballot(b promptbook.Ballot) *script.BallotT {
+	if b == (promptbook.Ballot{}) {
+		return nil
+	}
+	return &script.BallotT{N: b.N, By: b.By}
+}
+
+func ballotOf(b *script.BallotT) promptbook.Ballot {
+	if b == nil {
+		return promptbook.Ballot{}
+	}
+	return promptbook.Ballot{N: b.N, By: b.By}
+}
+
+func value(v *promptbook.Value) *script.ValueT {
+	if v == nil {
+		return nil
+	}
+	return &script.ValueT{Edition: v.Edition, Body: v.Body, Members: v.Members, Prior: v.Prior}
+}
+
+func valueOf(v *script.ValueT) *promptbook.Value {
+	if v == nil {
+		return nil
+	}
+	return &promptbook.Value{Edition: v.Edition, Body: v.Body, Members: v.Members, Prior: v.Prior}
+}
+
+func lives(all map[string]uint32) []*script.LifeT {
+	var out []*script.LifeT
+	for node, n := range all {
+		out = append(out, &script.LifeT{Node: node, Count: n})
+	}
+	return out
+}
+
+func livesOf(all []*script.LifeT) map[string]uint32 {
+	out := make(map[string]uint32, len(all))
+	for _, l := range all {
+		out[l.Node] = l.Count
+	}
+	return out
+}
+
+// kinds of the register's messages, in the order of package promptbook.
+var kinds = [...]byte{
+	0, script.Prepare, script.Promise, script.Accept, script.Accepted, script.Nack, script.Read, script.ReadReply, script.Rejoin,
+	script.RejoinReply, script.Chosen,
+}
+
+// Register makes a frame of a message of the register.
+func Register(m *promptbook.Message) *script.FrameT {
+	return &script.FrameT{
+		Kind: kinds[m.Kind], Id: m.Round, From: m.From, Ok: m.Voter, Ballot: ballot(m.Ballot), Promised: ballot(m.Promised),
+		Accepted: ballot(m.Accepted), Value: value(m.Value), Lives: lives(m.Lives), Life: m.Life,
+	}
+}
+
+// RegisterOf returns the register's message that a frame holds; ok is false where it holds none.
+func RegisterOf(f *script.FrameT) (m promptbook.Message, ok bool) {
+	for k, kind := range kinds {
+		if k > 0 && kind == f.Kind {
+			return promptbook.Message{
+				Kind: promptbook.Kind(k), Round: f.Id, From: f.From, Voter: f.Ok, Ballot: ballotOf(f.Ballot), Promised: ballotOf(f.Promised),
+				Accepted: ballotOf(f.Accepted), Value: valueOf(f.Value), Lives: livesOf(f.Lives), Life: f.Life,
+			}, true
+		}
+	}
+	return m, false
+}
+
+// State and StateOf are for the disk.
+func State(s *promptbook.State) *script.StateT {
+	return &script.StateT{
+		Promised: ballot(s.Promised), Accepted: ballot(s.Accepted), Value: value(&s.Value), Lives: lives(s.Lives), Life: s.Life, Voter: s.Voter,
+	}
+}
+
+// StateOf is the other way.
+func StateOf(s *script.StateT) *promptbook.State {
+	out := &promptbook.State{
+		Promised: ballotOf(s.Promised), Accepted: ballotOf(s.Accepted), Lives: livesOf(s.Lives), Life: s.Life, Voter: s.Voter,
+	}
+	if v := valueOf(s.Value); v != nil {
+		out.Value = *v
+	}
+	return out
+}
+
+func ms(d time.Duration) uint32 { return uint32(min(max(0, d/time.Millisecond), 1<<31)) }
+
+// Entry makes a frame's entry of one of the board's.
+func Entry(e *callboard.Entry, now time.Duration) *script.EntryT {
+	state := byte(e.State)
+	if e.Lost {
+		state |= lostBit
+	}
+	return &script.EntryT{
+		Node: e.Node, Life: e.Life, Seq: e.Seq, Addr: e.Addr, Talk: e.Talk, Zone: e.Zone, Line: e.Line, Server: e.Server,
+		State: state, Berths: uint16(min(max(0, e.Berths), 1<<16-1)), ColdMs: ms(e.Cold - now), AgeMs: ms(now - e.Heard),
+	}
+}
+
+// Alive says of a machine only that it lives.
+func Alive(e *callboard.Entry, now time.Duration) *script.EntryT {
+	return &script.EntryT{Node: e.Node, Life: e.Life, State: aliveOnly, AgeMs: ms(now - e.Heard)}
+}
+
+// Entries makes a frame's entries.
+func Entries(all []callboard.Entry, now time.Duration) []*script.EntryT {
+	out := make([]*script.EntryT, len(all))
+	for i := range all {
+		out[i] = Entry(&all[i], now)
+	}
+	return out
+}
+
+// EntryOf returns the board's entry; whole is false where it says only that a machine lives.
+func EntryOf(e *script.EntryT, now time.Duration) (out callboard.Entry, whole bool) {
+	return callboard.Entry{
+		Node: e.Node, Life: e.Life, Seq: e.Seq, Addr: e.Addr, Talk: e.Talk, Zone: e.Zone, Line: e.Line, Server: e.Server,
+		State: callboard.State(e.State &^ lostBit), Lost: e.State&lostBit != 0, Berths: int(e.Berths),
+		Cold: now + time.Duration(e.ColdMs)*time.Millisecond, Heard: now - time.Duration(e.AgeMs)*time.Millisecond,
+	}, e.State != aliveOnly
+}
+
+// never is the age of what is not known.
+const never = 1<<32 - 1
+
+// News makes a frame of news.
+func News(n *cue.News, now time.Duration) *script.FrameT {
+	f := &script.FrameT{Kind: script.News, Edition: n.Edition, AgeMs: never, Entries: Entries(n.Entries, now), Machines: Machines(n.Machines, now)}
+	if n.AsOf >= 0 {
+		f.AgeMs = ms(now - n.AsOf)
+	}
+	if n.Body != nil {
+		f.Value = &script.ValueT{Edition: n.Edition, Body: n.Body}
+	}
+	return f
+}
+
+// AsOf is the time that a frame's age says; below 0 where it says none.
+func AsOf(f *script.FrameT, now time.Duration) time.Duration {
+	if f.AgeMs == never {
+		return -1
+	}
+	return max(0, now-time.Duration(f.AgeMs)*time.Millisecond)
+}
+
+// Machines makes a frame's machines.
+func Machines(all []cue.Machine, now time.Duration) []*script.MachineT {
+	var out []*script.MachineT
+	for _, m := range all {
+		out = append(out, &script.MachineT{Addr: m.Addr, Zone: m.Zone, AgeMs: ms(now - m.Heard)})
+	}
+	return out
+}
+
+// MachinesOf is the other way.
+func MachinesOf(all []*script.MachineT, now time.Duration) []cue.Machine {
+	var out []cue.Machine
+	for _, m := range all {
+		out = append(out, cue.Machine{Addr: m.Addr, Zone: m.Zone, Heard: now - time.Duration(m.AgeMs)*time.Millisecond})
+	}
+	return out
+}
--- /dev/null
+++ b/mesh/stage/beats.go
@@ -0,0 +1,81 @@
+package stage
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	validation "github.com/go-ozzo/ozzo-validation/v4"
+
+	"cedararch/mesh/calls"
+	"cedararch/mesh/door"
+)
+
+// beat is what a server says of itself.
+type beat struct {
+	Line      string  `json:"line"`
+	Address   string  `json:"address"`
+	Zone      string  `json:"zone"`
+	Edition   string  `json:"edition"`
+	Berths    int     `json:"berths"`
+	Condition string  `json:"condition"`
+	ColdLeftS float64 `json:"coldLeftS"`
+	Sequence  uint64  `json:"sequence"`
+}
+
+// Validate implements validation.Validatable.
+func (b beat) Validate() error {
+	return validation.ValidateStruct(&b,
+		validation.Field(&b.Line, validation.Required, validation.Length(1, 200)),
+		validation.Field(&b.Berths, validation.Min(0), validation.Max(60000)),
+		validation.Field(&b.Condition, validation.Required, validation.In("accepting", "closing")),
+		validation.Field(&b.ColdLeftS, validation.Min(0.), validation.Max(3600.)),
+	)
+}
+
+// calls is the tree of what the server beside may call.
+func (s *Stage) calls() *calls.Tree {
+	t := &calls.Tree{}
+	t.On(http.MethodPost, "/Servers.Beat/*", s.takeBeat)
+	t.On(http.MethodPost, "/Servers.Leave/*", s.takeLeave)
+	return t
+}
+
+const mostID = 200
+
+var errID = errors.New("id: too long")
+
+func (s *Stage) takeBeat(c *calls.Call) calls.Answer {
+	var b beat
+	if err := json.Unmarshal(c.Body, &b); err != nil {
+		return calls.Fault(http.StatusBadRequest, err)
+	}
+	if err := b.Validate(); err != nil {
+		return calls.Fault(http.StatusBadRequest, err)
+	}
+	if len(c.Args[0]) > mostID {
+		return calls.Fault(http.StatusBadRequest, errID)
+	}
+	s.inMu.Lock()
+	news := s.door.Hear(s.now(), door.Beat{
+		ID: c.Args[0], Line: b.Line, Berths: b.Berths, Closing: b.Condition == "closing",
+		ColdLeft: time.Duration(b.ColdLeftS * float64(time.Second)), Sequence: b.Sequence,
+	})
+	s.inMu.Unlock()
+	if news {
+		s.line.Store(&b.Line)
+		s.post(changed{})
+	}
+	return calls.Answer{Status: http.StatusOK, Body: struct{}{}}
+}
+
+func (s *Stage) takeLeave(c *calls.Call) calls.Answer {
+	s.inMu.Lock()
+	news := s.door.Leave(c.Args[0])
+	s.inMu.Unlock()
+	if news {
+		s.post(changed{})
+	}
+	return calls.Answer{Status: http.StatusOK, Body: struct{}{}}
+}
--- /dev/null
+++ b/mesh/stage/incoming.go
@@ -0,0 +1,157 @@
+package stage
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"cedararch/balance"
+	"cedararch/internal/core"
+	httpfront "cedararch/internal/front/http"
+	"cedararch/mesh/door"
+)
+
+// incoming is what the front towards other sidecars speaks.
+type incoming struct{ s *Stage }
+
+// Fill implements httpfront.Dialect.
+func (in incoming) Fill(c *core.Call, r *httpfront.Request, body []byte) (*core.Answer, error) {
+	if in.s.outdated(r) {
+		return say(http.StatusServiceUnavailable, fateUnmet, "the configuration is a newer one", 0), nil
+	}
+	left := deadlineOf(r.Header)
+	if left <= 0 {
+		left = 60000
+	}
+	c.Received = time.Now()
+	c.Ask = balance.Request{Remaining: left}
+	to := r.Header.Get(deliverTo)
+	c.Message = messageOf(r, body, c.Message.Stream)
+	c.Message.Object = to
+	return nil, nil
+}
+
+// outdated reports whether a request was routed by a configuration older than this sidecar's, which does not let it come here.
+func (s *Stage) outdated(r *httpfront.Request) bool {
+	bill := s.bill.Load()
+	by, err := strconv.ParseUint(r.Header.Get(edition), 16, 32)
+	if bill == nil || err != nil || uint32(by) >= bill.Edition {
+		return false
+	}
+	route := bill.Match(r.Host, r.Path)
+	return route == nil || !route.Allows(*s.line.Load())
+}
+
+// Verdict implements httpfront.Dialect: what the front turns away was never sent on.
+func (incoming) Verdict(status int, text string) *core.Answer { return say(status, fateUnmet, text, 0) }
+
+// lastExchange hands what comes from other sidecars to the server beside, as far as the door lets it.
+type lastExchange struct{ s *Stage }
+
+// Ready implements core.Exchange.
+func (x lastExchange) Ready() bool { return true }
+
+// Done implements core.Exchange.
+func (x lastExchange) Done() <-chan struct{} { return x.s.ctx.Done() }
+
+// lastTry is a request at the last hop.
+type lastTry struct {
+	attempt *core.Attempt
+}
+
+// Arrive implements core.Exchange.
+func (x lastExchange) Arrive(c *core.Call) {
+	s, id := x.s, c.Message.Object
+	s.inMu.Lock()
+	verdict := s.door.Ask(id)
+	s.inMu.Unlock()
+	if verdict != door.Enter {
+		c.Client.Answer(c, say(http.StatusServiceUnavailable, fateUnmet, verdict.String(), 0))
+		return
+	}
+	cut := c.Received.Add(time.Duration(c.Ask.Remaining * float64(time.Millisecond)))
+	t := &lastTry{}
+	t.attempt = core.NewAttempt(s.place, &c.Message, cut, func(r core.Result) { x.end(c, id, r) })
+	c.State.Store(t)
+	s.local.Begin(t.attempt)
+}
+
+// Leave implements core.Exchange: what may run again is given up.
+func (x lastExchange) Leave(c *core.Call) {
+	if t, ok := c.State.Load().(*lastTry); ok && c.Message.Verb == http.MethodGet {
+		x.s.local.Cancel(t.attempt)
+	}
+}
+
+// end answers the sending sidecar.
+func (x lastExchange) end(c *core.Call, id string, r core.Result) {
+	s := x.s
+	news := false
+	s.inMu.Lock()
+	s.door.Done(id)
+	switch {
+	case r.Outcome == balance.ConnectFailed:
+		news = s.door.Refused()
+	case r.Answer != nil:
+		news = s.door.Answered(s.now())
+	}
+	s.inMu.Unlock()
+	if news {
+		s.post(changed{})
+	}
+	c.Client.Answer(c, wordEnd(r))
+}
+
+// wordEnd is what the sending sidecar is told.
+func wordEnd(r core.Result) *core.Answer {
+	if a := r.Answer; a != nil {
+		if r.Outcome == balance.Full {
+			a.Meta[fate] = []string{fateShed}
+		} else {
+			a.Meta[fate] = []string{fateRan}
+		}
+		return a
+	}
+	switch r.Outcome {
+	case balance.ConnectFailed, balance.Moot:
+		return say(http.StatusServiceUnavailable, fateUnmet, "the server was not reached", 0)
+	case balance.TimedOut:
+		return say(http.StatusGatewayTimeout, fateLate, "out of time", 0)
+	}
+	return say(http.StatusBadGateway, fateBroken, "the server broke off", 0)
+}
+
+// lastHop is what is spoken to the server beside.
+type lastHop struct{ s *Stage }
+
+// Keep implements httpback.Dialect: the sending sidecar has set what servers expect.
+func (lastHop) Keep(name string) bool { return name != deadlineMS && name != fate && name != edition }
+
+// Fields implements httpback.Dialect.
+func (lastHop) Fields(dst []byte, _ *core.Attempt, left time.Duration) []byte {
+	return appendField(dst, deadlineMS, strconv.FormatFloat(math.Max(1, float64(left)/float64(time.Millisecond)), 'f', 1, 64))
+}
+
+// Ours implements httpback.Dialect.
+func (lastHop) Ours(a *core.Attempt, h http.Header) bool { return ours(a, h) }
+
+// Passes implements httpback.Dialect.
+func (lastHop) Passes(_ *core.Attempt, status int, h http.Header) bool {
+	return isOK(status) && stamped(h)
+}
+
+// Judge implements httpback.Dialect.
+func (lastHop) Judge(_ *core.Attempt, status int, h http.Header, body []byte) core.Result {
+	delete(h, fate)
+	answer := &core.Answer{Kind: core.Served, Status: status, Meta: h, Body: body}
+	switch {
+	case h.Get(notRun) != "" || status == http.StatusMisdirectedRequest:
+		return core.Result{Outcome: balance.Full, Answer: answer}
+	case isOK(status) && stamped(h):
+		return core.Result{Outcome: balance.OK, Answer: answer}
+	case isOK(status) || h.Get(tryID) == "":
+		return core.Result{Outcome: balance.Reset}
+	}
+	return core.Result{Outcome: balance.Failed, Answer: answer}
+}
--- /dev/null
+++ b/mesh/stage/outgoing.go
@@ -0,0 +1,220 @@
+package stage
+
+import (
+	"hash/fnv"
+	"math"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"cedararch/balance"
+	"cedararch/internal/core"
+	httpfront "cedararch/internal/front/http"
+	"cedararch/internal/roster"
+	"cedararch/mesh/callboard"
+	"cedararch/mesh/playbill"
+	"cedararch/mesh/purse"
+)
+
+const (
+	// mostClasses bounds the classes of one service; beyond it a route shares one of its kind.
+	mostClasses = 48
+	// coldTime is for how long a server counts as slow from its start, at most, and mostAttempts how often a request is sent on, counting
+	// those that were turned away ahead of a server.
+	coldTime     = 3000 // ms
+	mostAttempts = 8
+	// hold is the part of its aim for which a request waits for a server where there is none.
+	hold = 0.15
+	// mostHoldOff bounds for how long a client is asked to stay away.
+	mostHoldOff = 1000 // ms
+	// purseShare is the part of the budget for further tries that is handed out: the rest is for what runs because of a repeat.
+	purseShare = 0.5
+)
+
+// service is one service as this sidecar sends to it: an exchange with a decision module of its own.
+type service struct {
+	line string
+	loop *core.Loop
+
+	mu      sync.Mutex
+	classes map[classKey]int
+	rules   []balance.Class
+	purse   *purse.Purse // the loop's own, but for its slack, which is set before there is a loop
+}
+
+// classKey is by what routes are told apart as classes.
+type classKey struct {
+	kind       playbill.Kind
+	aim        float64
+	deadline   float64
+	precedence int
+}
+
+// newService returns an exchange for a service, which runs until the stage ends.
+func (s *Stage) newService(line string) *service {
+	settings := s.settings.Load()
+	zones := map[string]int{}
+	for name := range settings.Zones {
+		zones[name] = len(zones)
+	}
+	own, ok := zones[settings.Zone]
+	if !ok {
+		own = len(zones)
+	}
+	b := &settings.Bounds
+	sidecars := max(1, s.desk.Board.Len())
+	svc := &service{line: line, classes: map[classKey]int{}}
+	svc.purse = purse.New(b.RetryRatio*purseShare, b.RetrySlack*purseShare/float64(sidecars), float64(b.RetryWindow/time.Millisecond))
+	svc.loop = core.New(s.ctx, core.Config{
+		Balance: balance.Config{
+			Seed: seedOf(settings.NodeName+line) ^ uint64(s.start.UnixNano()), Zone: own, MaxAttempts: mostAttempts, Cancel: true,
+			RetryAfter: true, MaxRetryAfter: mostHoldOff, ConnectTimeout: float64(hopConnect / time.Millisecond),
+			ConnIdle: float64(hopIdle / time.Millisecond), Streams: 1, ColdFrom: 0.5, ColdTime: coldTime, FallMultiple: 8, FallTime: 1000,
+			Goal: balance.Goal{Whole: 1}, Hold: hold, Purse: svc.purse,
+		},
+		Zones: zones, Kinds: map[string]int{}, Known: &roster.List{}, Back: func(string) core.Back { return s.hops }, Log: s.slog,
+	})
+	go svc.loop.Run()
+	return svc
+}
+
+// class is the number of a route's class, which may be new.
+func (v *service) class(r *playbill.Route) int {
+	key := classKey{r.Kind, r.TargetS, r.Dispatch.DeadlineS, r.Precedence}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if at, ok := v.classes[key]; ok {
+		return at
+	}
+	if len(v.rules) >= mostClasses {
+		for old, at := range v.classes {
+			if (old.kind == playbill.Unsafe) == (key.kind == playbill.Unsafe) {
+				return at
+			}
+		}
+	}
+	c := balance.Class{
+		Effect: balance.Safe, Aim: r.TargetS * 1000, Deadline: r.Dispatch.DeadlineS * 1000, Worth: 1 / (1 + math.Max(0, float64(r.Precedence))),
+		LateWorth: 0.3, Window: math.Inf(1),
+	}
+	if !r.Repeatable() {
+		c.Effect = balance.Unsafe
+	}
+	if c.Aim <= 0 || c.Aim > c.Deadline {
+		c.Aim = c.Deadline
+	}
+	at := len(v.rules)
+	v.rules = append(v.rules, c)
+	v.classes[key] = at
+	v.loop.Extend(c)
+	return at
+}
+
+// follow tells the exchange which servers there are.
+func (v *service) follow(board []callboard.Entry, now time.Duration) {
+	list := &roster.List{Complete: true}
+	clock := float64(time.Now().UnixMicro()) / 1000
+	for i := range board {
+		e := &board[i]
+		if e.Line != v.line || e.Lost || e.Server == "" || e.State != callboard.Accepting && e.State != callboard.Closing {
+			continue
+		}
+		m := roster.Member{ID: e.Server, HostPort: e.Addr, Locality: e.Zone, Phase: "ready", Size: 1}
+		if e.State == callboard.Closing {
+			m.Phase = "draining"
+		}
+		if left := float64(e.Cold-now) / float64(time.Millisecond); left > 0 {
+			m.UpSince = math.Max(1, math.Round((clock+left-coldTime)/500)*500) // the same from one time to the next
+		}
+		list.Members = append(list.Members, m)
+	}
+	v.loop.Listed(list)
+}
+
+// outgoing is what the front towards this machine's clients speaks.
+type outgoing struct{ s *Stage }
+
+// Fill implements httpfront.Dialect: it routes.
+func (o outgoing) Fill(c *core.Call, r *httpfront.Request, body []byte) (*core.Answer, error) {
+	bill := o.s.bill.Load()
+	if bill == nil {
+		return say(http.StatusServiceUnavailable, "", "there is no configuration yet", 300*time.Millisecond), nil
+	}
+	if r.Method == http.MethodHead || r.Method == http.MethodConnect {
+		return nil, httpfront.BadRequest(http.StatusNotImplemented, "the method is not carried")
+	}
+	route := bill.Match(r.Host, r.Path)
+	if route == nil {
+		return say(http.StatusNotFound, "", "no route", 0), nil
+	}
+	line := route.Choose(spread(r.Header.Get(tryID)))
+	svc := (*o.s.services.Load())[line]
+	if svc == nil {
+		return say(http.StatusServiceUnavailable, "", "the service is not known yet", 200*time.Millisecond), nil
+	}
+	left := route.Dispatch.DeadlineS * 1000
+	if d := deadlineOf(r.Header); d > 0 {
+		left = min(left, d)
+	}
+	c.Received = time.Now()
+	c.Message = messageOf(r, body, c.Message.Stream)
+	c.Message.Safe, c.Message.Edition = route.Repeatable(), uint64(bill.Edition)
+	c.Ask = balance.Request{Class: svc.class(route), Tenant: -1, Remaining: left, Attempts: route.Dispatch.Attempts}
+	c.Exchange = svc.loop
+	return nil, nil
+}
+
+// spread makes a number from 0 to below 1 of a request's id, the same for each.
+func spread(id string) float64 {
+	h := fnv.New64a()
+	h.Write([]byte(id))
+	return float64(h.Sum64()>>11) / (1 << 53)
+}
+
+// Verdict implements httpfront.Dialect.
+func (outgoing) Verdict(status int, text string) *core.Answer { return say(status, "", text, 0) }
+
+// hop is what is spoken to the sidecar beside a server.
+type hop struct{ s *Stage }
+
+// Keep implements httpback.Dialect.
+func (hop) Keep(name string) bool { return !isOwn(name) }
+
+// Fields implements httpback.Dialect.
+func (h hop) Fields(dst []byte, a *core.Attempt, left time.Duration) []byte {
+	dst = appendField(dst, deadlineMS, strconv.FormatFloat(math.Max(1, float64(left)/float64(time.Millisecond)), 'f', 1, 64))
+	dst = appendField(dst, senderLine, *h.s.line.Load())
+	dst = appendField(dst, deliverTo, a.Endpoint.Name())
+	return appendField(dst, edition, strconv.FormatUint(a.Message.Edition, 16))
+}
+
+// Ours implements httpback.Dialect.
+func (hop) Ours(a *core.Attempt, h http.Header) bool { return ours(a, h) }
+
+// Passes implements httpback.Dialect.
+func (hop) Passes(a *core.Attempt, status int, h http.Header) bool {
+	return isOK(status) && h.Get(fate) == fateRan && stamped(h)
+}
+
+// Judge implements httpback.Dialect: the last hop says what became of the request.
+func (hop) Judge(a *core.Attempt, status int, h http.Header, body []byte) core.Result {
+	said := h.Get(fate)
+	delete(h, fate)
+	answer := &core.Answer{Kind: core.Served, Status: status, Meta: h, Body: body}
+	switch {
+	case said == fateUnmet:
+		return core.Result{Outcome: balance.Full, Unmet: true}
+	case said == fateShed:
+		return core.Result{Outcome: balance.Full}
+	case said == fateLate:
+		return core.Result{Outcome: balance.TimedOut, Answer: say(http.StatusGatewayTimeout, "", "out of time", 0)}
+	case said == fateBroken:
+		return core.Result{Outcome: balance.Reset}
+	case said == fateRan && isOK(status) && stamped(h):
+		return core.Result{Outcome: balance.OK, Answer: answer}
+	case said == fateRan && !isOK(status):
+		return core.Result{Outcome: balance.Failed, Answer: answer}
+	}
+	return core.Result{Outcome: balance.Reset}
+}
--- /dev/null
+++ b/mesh/stage/stage.go
@@ -0,0 +1,247 @@
+// Package stage is the stage, on which all can be seen: the library of the data plane. One process beside each server takes what its machine's
+// clients and server send, chooses a server for each request, and passes it to the sidecar beside that server, which passes it on.
+// It owns a branch machine's state: what is wanted (configuration, servers) comes as news from a parent and replaces what was; loops bring
+// the exchanges of the services to it.
+//
+// outgoing.go has what comes from clients, hop.go the way between two sidecars, incoming.go the last hop, beats.go the server beside,
+// news.go the parent. The exchange itself, the fronts and the backs are those of the program in service. Begin with Run.
+package stage
+
+import (
+	"context"
+	"hash/fnv"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	kitlog "github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"cedararch/internal/core"
+	httpfront "cedararch/internal/front/http"
+	"cedararch/internal/poller"
+	httpback "cedararch/internal/upstream/http"
+	"cedararch/mesh/callboard"
+	"cedararch/mesh/cue"
+	"cedararch/mesh/door"
+	"cedararch/mesh/greenroom"
+	"cedararch/mesh/playbill"
+)
+
+const (
+	// hopConnect bounds the wait for a connection to another sidecar, hopIdle how long one is kept unused; the front at the other
+	// side keeps it longer.
+	hopConnect = 400 * time.Millisecond
+	hopIdle    = 20 * time.Second
+	frontIdle  = 45 * time.Second
+	// serverConnect and serverIdle are the same for the server beside.
+	serverConnect = 300 * time.Millisecond
+	serverIdle    = 5 * time.Second
+	// beatsMissed is how many beats a server may leave out before it counts as silent.
+	beatsMissed = 2.6
+	// lastCalls is how long new connections are taken after SIGTERM: the platform sends clients for about two seconds more.
+	lastCalls = 2200 * time.Millisecond
+	// endSpare is how long before the platform's patience all is to have ended.
+	endSpare = 600 * time.Millisecond
+	// tick is how often the loops look at what time alone changes.
+	tick = 200 * time.Millisecond
+	// mostEvents bounds what waits for the one goroutine.
+	mostEvents = 2048
+)
+
+// Stage is one branch machine's sidecar.
+type Stage struct {
+	path     string // of the settings
+	settings atomic.Pointer[greenroom.Settings]
+	log      kitlog.Logger
+	slog     *slog.Logger
+	start    time.Time
+	ctx      context.Context
+	events   chan any
+
+	bill     atomic.Pointer[playbill.Bill]
+	line     atomic.Pointer[string] // the service beside
+	services atomic.Pointer[map[string]*service]
+	ending   atomic.Bool
+	ready    atomic.Bool
+	hops     back
+	polled   bool
+
+	inMu  sync.Mutex // guards the door
+	door  *door.Door
+	local back
+	place *core.Endpoint // the server beside
+
+	// What follows is the one goroutine's.
+	desk    *cue.Desk
+	parent  parent
+	own     callboard.Entry
+	boardAt uint64 // of the board, as the exchanges have it
+	dirty   bool
+	made    map[string]*service
+}
+
+// back is who makes attempts.
+type back interface {
+	core.Back
+	Run(context.Context)
+	Close()
+}
+
+// Run serves until ctx ends, and then ends what it has taken. With each signal of reloads it reads the settings again.
+func Run(ctx context.Context, path string, reloads <-chan os.Signal, log kitlog.Logger, shared *slog.Logger) error {
+	settings, err := greenroom.Load(path)
+	if err != nil {
+		return err
+	}
+	a := &settings.Addresses
+	for name, addr := range map[string]string{
+		"outgoing": a.Outgoing, "incoming": a.Incoming, "readiness": a.Readiness, "control": a.Control, "appAddr": settings.AppAddr,
+	} {
+		if addr == "" {
+			return errors.Errorf("%s: addresses: %s: is missing", path, name)
+		}
+	}
+	inner, stop := context.WithCancel(context.Background())
+	defer stop()
+	s := &Stage{
+		path: path, log: log, slog: shared, start: time.Now(), ctx: inner, events: make(chan any, mostEvents), desk: cue.NewDesk(),
+		door: door.New(time.Duration(beatsMissed * max(settings.BeatS, 0.2) * float64(time.Second))), made: map[string]*service{},
+	}
+	s.settings.Store(settings)
+	s.line.Store(&settings.Line)
+	s.services.Store(&map[string]*service{})
+	s.polled = poller.Check() == nil
+	s.place = core.NewEndpoint("server", settings.AppAddr)
+	s.own = callboard.Entry{
+		Node: settings.NodeName, Life: uint64(time.Now().UnixMilli()), Seq: 1, Addr: a.Incoming, Talk: settings.Talk(),
+		Zone: settings.Zone, Line: settings.Line,
+	}
+	sockets := max(200, settings.Caps.FileHandles-400)
+	s.hops = s.newBack(httpback.Config{ConnectTimeout: hopConnect, Idle: hopIdle, Sockets: sockets / 3, Dialect: hop{s}})
+	s.local = s.newBack(httpback.Config{
+		ConnectTimeout: serverConnect, Idle: serverIdle, Rest: 2 * time.Millisecond, Sockets: sockets / 8, Dialect: lastHop{s},
+	})
+	for _, b := range []back{s.hops, s.local} {
+		go b.Run(inner)
+	}
+	return s.serve(ctx, reloads, sockets/4)
+}
+
+func (s *Stage) newBack(c httpback.Config) back {
+	if s.polled {
+		if b, err := httpback.NewPoll(s.ctx, c); err == nil {
+			return b
+		}
+	}
+	return httpback.New(s.ctx, c)
+}
+
+// front is a side towards those who ask.
+type front interface {
+	Serve(net.Listener)
+	Failed() <-chan error
+	End(within time.Duration) error
+}
+
+func (s *Stage) newFront(d httpfront.Dialect, x core.Exchange, connections int) (front, error) {
+	cfg := httpfront.Config{
+		Catalog: &core.Catalog{}, Connections: connections, LastCalls: lastCalls, Idle: frontIdle, Waiting: 0.9,
+		Evict: func() bool { return false }, Dialect: d, Log: s.slog,
+	}
+	if s.polled {
+		return httpfront.NewPoll(cfg, x)
+	}
+	return httpfront.New(cfg, x), nil
+}
+
+func (s *Stage) serve(ctx context.Context, reloads <-chan os.Signal, connections int) error {
+	settings := s.settings.Load()
+	out, err := s.newFront(outgoing{s}, idle{s.ctx}, connections)
+	if err != nil {
+		return err
+	}
+	in, err := s.newFront(incoming{s}, lastExchange{s}, connections)
+	if err != nil {
+		return err
+	}
+	var listeners []net.Listener
+	for _, addr := range []string{settings.Addresses.Outgoing, settings.Addresses.Incoming, settings.Addresses.Readiness, settings.Addresses.Control} {
+		ln, err := net.Listen("tcp", addr)
+		if err != nil {
+			return errors.Wrap(err, "listen")
+		}
+		defer ln.Close()
+		listeners = append(listeners, ln)
+	}
+	ready := &http.Server{Handler: http.HandlerFunc(s.tellReady)}
+	control := &http.Server{Handler: s.calls(), ReadTimeout: 10 * time.Second}
+	defer ready.Close()
+	defer control.Close()
+	go ready.Serve(listeners[2])
+	go control.Serve(listeners[3])
+	out.Serve(listeners[0])
+	in.Serve(listeners[1])
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.loop(reloads)
+	}()
+	level.Info(s.log).Log("msg", "the sidecar is up", "node", settings.NodeName, "polled", s.polled)
+	select {
+	case <-ctx.Done():
+	case err := <-out.Failed():
+		return errors.Wrap(err, "serve clients")
+	case err := <-in.Failed():
+		return errors.Wrap(err, "serve sidecars")
+	}
+	s.ending.Store(true)
+	s.post(ended{})
+	within := settings.Bounds.Grace - endSpare
+	for _, svc := range *s.services.Load() {
+		svc.loop.End(time.Now().Add(within - 200*time.Millisecond))
+	}
+	var ends sync.WaitGroup
+	errs := make([]error, 2)
+	for i, f := range []front{out, in} {
+		ends.Go(func() { errs[i] = f.End(within) })
+	}
+	ends.Wait()
+	return errors.Join(errs...)
+}
+
+func (s *Stage) tellReady(w http.ResponseWriter, _ *http.Request) {
+	if s.ending.Load() || !s.ready.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (s *Stage) now() time.Duration { return time.Since(s.start) }
+
+func (s *Stage) post(e any) {
+	select {
+	case s.events <- e:
+	case <-s.ctx.Done():
+	}
+}
+
+func seedOf(text string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(text))
+	return h.Sum64()
+}
+
+// idle is the exchange of a front whose calls all name their own.
+type idle struct{ ctx context.Context }
+
+func (i idle) Arrive(c *core.Call) {
+	c.Client.Answer(c, &core.Answer{Kind: core.Refused, Status: http.StatusServiceUnavailable})
+}
+func (idle) Leave(*core.Call)        {}
+func (idle) Ready() bool             { return true }
+func (i idle) Done() <-chan struct{} { return i.ctx.Done() }
--- /dev/null
+++ b/mesh/stage/words.go
@@ -0,0 +1,100 @@
+package stage
+
+import (
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"time"
+
+	"cedararch/internal/core"
+	httpfront "cedararch/internal/front/http"
+	"cedararch/internal/httpwire"
+	"cedararch/internal/pipe"
+)
+
+// Headers of the platform, and those that sidecars tell one another.
+var (
+	tryID      = textproto.CanonicalMIMEHeaderKey("Try-Id")
+	deadlineMS = textproto.CanonicalMIMEHeaderKey("Deadline-Ms")
+	postmark   = textproto.CanonicalMIMEHeaderKey("Postmark")
+	deliverTo  = textproto.CanonicalMIMEHeaderKey("Deliver-To")
+	notRun     = textproto.CanonicalMIMEHeaderKey("Not-Delivered")
+	senderLine = textproto.CanonicalMIMEHeaderKey("Sender-Line")
+	retryAfter = textproto.CanonicalMIMEHeaderKey("Retry-After")
+	encoding   = textproto.CanonicalMIMEHeaderKey("Content-Encoding")
+
+	// fate is what became of a request at the last hop, and edition by which configuration it was routed.
+	fate    = textproto.CanonicalMIMEHeaderKey("Firplank-Fate")
+	edition = textproto.CanonicalMIMEHeaderKey("Firplank-Edition")
+)
+
+// Fates.
+const (
+	fateRan    = "ran"    // the answer is the server's
+	fateUnmet  = "unmet"  // the server never saw it
+	fateShed   = "shed"   // the server turned it away, and has not run it
+	fateBroken = "broken" // it may have run
+	fateLate   = "late"   // ... and its time is over
+)
+
+// own are headers that a sidecar sets, whatever came.
+func isOwn(name string) bool {
+	switch name {
+	case deadlineMS, deliverTo, senderLine, fate, edition:
+		return true
+	}
+	return false
+}
+
+// say is an answer of this system's own.
+func say(status int, why, text string, holdOff time.Duration) *core.Answer {
+	kind := core.Failed
+	meta := map[string][]string{"Content-Type": {"text/plain; charset=utf-8"}}
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+		kind = core.Refused
+	}
+	if holdOff > 0 {
+		meta[retryAfter] = []string{strconv.FormatFloat(holdOff.Seconds(), 'f', 3, 64)}
+	}
+	if why != "" {
+		meta[fate] = []string{why}
+	}
+	return &core.Answer{Kind: kind, Status: status, Meta: meta, Body: []byte(text + "\n")}
+}
+
+// deadlineOf is how long the client waits, in milliseconds; 0 where it does not say.
+func deadlineOf(h http.Header) float64 {
+	v, err := strconv.ParseFloat(h.Get(deadlineMS), 64)
+	if err != nil || !(v > 0) {
+		return 0
+	}
+	return min(v, 1e7)
+}
+
+func appendField(dst []byte, name, value string) []byte {
+	dst = append(append(dst, name...), ": "...)
+	return append(append(dst, value...), "\r\n"...)
+}
+
+// ours reports whether an answer belongs to an attempt: whoever answers names the request, if anything.
+func ours(a *core.Attempt, h http.Header) bool {
+	id := h.Get(tryID)
+	return id == "" || id == a.Message.Trace
+}
+
+// isOK reports whether a status is a success.
+func isOK(status int) bool { return status >= 200 && status < 300 }
+
+// stamped reports whether an answer that says success can be a server's own.
+func stamped(h http.Header) bool {
+	return h.Get(postmark) != "" && h.Get(tryID) != "" && h.Get(encoding) == ""
+}
+
+// messageOf takes a request over, whose body may still be coming.
+func messageOf(r *httpfront.Request, body []byte, coming *pipe.Pipe) core.Message {
+	httpwire.DropHop(r.Header)
+	return core.Message{
+		Trace: r.Header.Get(tryID), Verb: r.Method, Target: r.Target, Authority: r.Host, Meta: r.Header, Body: body, Stream: coming,
+		Streams: true,
+	}
+}
--- /dev/null
+++ b/mesh/vault/vault.go
@@ -0,0 +1,152 @@
+// Package vault is where the prompt book is locked up at night: the only code of the mesh that knows a disk. It keeps what a voter of the
+// register has to keep, in pebble, each time synced before Save returns, and checks on loading that not a byte has changed.
+//
+// On disk, under the key "book": a byte of version (1), eight bytes of xxHash64 over what follows, low byte first, and a State of package
+// script as FlatBuffers.
+//
+// Begin with Open.
+package vault
+
+import (
+	"encoding/binary"
+	"fmt"
+	"path/filepath"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/pebble/v2"
+	"github.com/cockroachdb/pebble/v2/vfs"
+	"github.com/go-faster/errors"
+
+	"cedararch/mesh/lines"
+	"cedararch/mesh/promptbook"
+	"cedararch/mesh/script"
+)
+
+const (
+	version = 1
+	header  = 1 + 8
+	// mostReopened bounds how often a store that has failed is opened anew: each time what the one before held in memory may be lost.
+	mostReopened = 40
+)
+
+var key = []byte("book")
+
+// ErrDamaged says that what is on disk is not what was written.
+var ErrDamaged = errors.New("the book on disk is damaged")
+
+// Vault is a data folder. It is not safe for concurrent use.
+type Vault struct {
+	dir      string
+	fs       vfs.FS
+	db       *pebble.DB
+	reopened int
+}
+
+// Open opens the book in a data folder, which it makes where there is none.
+func Open(dir string) (*Vault, error) { return OpenOn(vfs.Default, dir) }
+
+// OpenOn is Open on another file system, for tests of what disks do.
+func OpenOn(fs vfs.FS, dir string) (*Vault, error) {
+	v := &Vault{dir: dir, fs: fs}
+	return v, v.open()
+}
+
+// quiet logs nothing, and turns what pebble would end the process for into a panic that its caller catches.
+type quiet struct{}
+
+func (quiet) Infof(string, ...any)  {}
+func (quiet) Errorf(string, ...any) {}
+func (quiet) Fatalf(format string, args ...any) {
+	panic(errors.New(fmt.Sprintf(format, args...)))
+}
+
+func (v *Vault) open() (err error) {
+	defer caught(&err)
+	cache := pebble.NewCache(1 << 20)
+	defer cache.Unref()
+	v.db, err = pebble.Open(filepath.Join(v.dir, "book"), &pebble.Options{
+		FS: v.fs, Cache: cache, MemTableSize: 4 << 20, MaxOpenFiles: 32, Logger: quiet{},
+		FormatMajorVersion: pebble.FormatNewest,
+	})
+	if err != nil {
+		return errors.Wrap(err, "open the book")
+	}
+	return nil
+}
+
+func caught(err *error) {
+	if p := recover(); p != nil {
+		*err = errors.Errorf("disk: %v", p)
+	}
+}
+
+// Load returns what is on disk; nil: nothing.
+func (v *Vault) Load() (s *promptbook.State, err error) {
+	defer caught(&err)
+	b, closer, err := v.db.Get(key)
+	if errors.Is(err, pebble.ErrNotFound) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, "read the book")
+	}
+	defer closer.Close()
+	return decode(b)
+}
+
+func decode(b []byte) (*promptbook.State, error) {
+	if len(b) < header || b[0] != version || binary.LittleEndian.Uint64(b[1:]) != xxhash.Sum64(b[header:]) {
+		return nil, ErrDamaged
+	}
+	s, err := script.DecodeState(append([]byte(nil), b[header:]...))
+	if err != nil {
+		return nil, ErrDamaged
+	}
+	return lines.StateOf(s), nil
+}
+
+func encode(s *promptbook.State) []byte {
+	body := script.EncodeState(lines.State(s))
+	b := make([]byte, header, header+len(body))
+	b[0] = version
+	binary.LittleEndian.PutUint64(b[1:], xxhash.Sum64(body))
+	return append(b, body...)
+}
+
+// Save returns once the state is on disk, or was refused. After an error the state on disk is the one before or this one.
+func (v *Vault) Save(s *promptbook.State) error {
+	if v.db == nil {
+		if err := v.reopen(); err != nil {
+			return err
+		}
+	}
+	err := v.set(encode(s))
+	if err != nil { // pebble takes nothing more after an error
+		v.db = nil
+	}
+	return err
+}
+
+func (v *Vault) set(b []byte) (err error) {
+	defer caught(&err)
+	if err := v.db.Set(key, b, pebble.Sync); err != nil {
+		return errors.Wrap(err, "write the book")
+	}
+	return nil
+}
+
+func (v *Vault) reopen() error {
+	if v.reopened++; v.reopened > mostReopened {
+		return errors.New("the disk has failed too often")
+	}
+	return v.open()
+}
+
+// Close gives the folder free.
+func (v *Vault) Close() (err error) {
+	defer caught(&err)
+	if v.db == nil {
+		return nil
+	}
+	return v.db.Close()
+}
--- /dev/null
+++ b/mesh/wings/wings.go
@@ -0,0 +1,451 @@
+// Package wings is what goes on beside the stage, unseen: the library of the control plane. It takes the calls of operators, keeps the register with
+// the other core machines, and gives the cues to the branch machines that ask. It owns a core machine's state and one goroutine that
+// changes it; what is decided is decided in promptbook, callboard and cue.
+//
+// Begin with Run.
+package wings
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+	kitlog "github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"cedararch/mesh/callboy"
+	"cedararch/mesh/calls"
+	"cedararch/mesh/cue"
+	"cedararch/mesh/greenroom"
+	"cedararch/mesh/lines"
+	"cedararch/mesh/playbill"
+	"cedararch/mesh/promptbook"
+	"cedararch/mesh/script"
+	"cedararch/mesh/vault"
+)
+
+const (
+	// gossip is how often core machines tell one another who lives.
+	gossip = 300 * time.Millisecond
+	// patience is how long a branch machine may be unheard of before it counts as lost, and memory before it is forgotten.
+	patience = 3 * time.Second
+	memory   = 10 * time.Minute
+	// machineMemory is how long a core machine may be unheard of before it is no longer told of.
+	machineMemory = 30 * time.Second
+	// redial is the pause between two attempts to reach a core machine.
+	redial      = 250 * time.Millisecond
+	dialPatient = 600 * time.Millisecond
+	// callPatience is how long an operator's call waits for a majority.
+	callPatience = 2500 * time.Millisecond
+	// resave is the pause after the disk has refused a state.
+	resave = 150 * time.Millisecond
+	// mostEvents bounds what waits for the one goroutine; beyond it connections are not read.
+	mostEvents = 2048
+)
+
+type event any
+
+type (
+	framed struct {
+		conn  *callboy.Conn
+		frame *script.FrameT
+	}
+	gone   struct{ conn *callboy.Conn }
+	linked struct {
+		addr string
+		conn *callboy.Conn
+	}
+	asked struct {
+		op   func(id uint64) promptbook.Event
+		done chan promptbook.Outcome // has room for one
+		quit chan struct{}
+	}
+	quitted struct{ id uint64 }
+)
+
+// link is the connection to another core machine, over which this one speaks to it; what it says comes over its own.
+type link struct {
+	conn *callboy.Conn // nil: there is none now
+	rev  uint64        // of the board, as told
+}
+
+// Prompter is one core machine.
+type Prompter struct {
+	settings *greenroom.Settings
+	log      kitlog.Logger
+	self     string
+	start    time.Time
+	events   chan event
+	ctx      context.Context
+
+	vault    *vault.Vault
+	book     *promptbook.Book
+	desk     *cue.Desk
+	links    map[string]*link
+	machines map[string]*cue.Machine // other core machines
+	children map[*callboy.Conn]uint64
+	byChild  map[uint64]*callboy.Conn
+	direct   map[string]uint64 // machines that were heard here directly since the last gossip, with their lives
+	lastID   uint64
+	waiting  map[uint64]chan promptbook.Outcome
+	gossipAt time.Duration
+}
+
+// Run serves until ctx ends.
+func Run(ctx context.Context, s *greenroom.Settings, log kitlog.Logger) error {
+	if s.DataPath == nil || *s.DataPath == "" {
+		return errors.New("settings: dataPath: a core machine needs a disk")
+	}
+	if s.Addresses.Control == "" {
+		return errors.New("settings: addresses.control: is missing")
+	}
+	v, err := vault.Open(*s.DataPath)
+	if err != nil {
+		return err
+	}
+	defer v.Close()
+	onDisk, err := v.Load()
+	if errors.Is(err, vault.ErrDamaged) { // as if it were lost: a damaged book is never served, and the others have it
+		level.Error(log).Log("msg", "the book on disk is damaged, and is read anew from the others")
+		onDisk, err = nil, nil
+	}
+	if err != nil {
+		return err
+	}
+	p := &Prompter{
+		settings: s, log: log, self: s.Talk(), start: time.Now(), events: make(chan event, mostEvents), ctx: ctx, vault: v,
+		desk: cue.NewDesk(), links: map[string]*link{}, machines: map[string]*cue.Machine{}, children: map[*callboy.Conn]uint64{},
+		byChild: map[uint64]*callboy.Conn{}, direct: map[string]uint64{}, waiting: map[uint64]chan promptbook.Outcome{},
+	}
+	p.book = promptbook.New(p.self, s.Seeds(), s.FirstStart && onDisk == nil, onDisk, uint64(p.start.UnixNano()))
+	if onDisk == nil && s.FirstStart { // so that a power loss before the first promise does not make this disk a lost one
+		state := p.book.State()
+		if err := v.Save(&state); err != nil {
+			return err
+		}
+	}
+	talk, err := net.Listen("tcp", s.Talk())
+	if err != nil {
+		return errors.Wrap(err, "listen for the others")
+	}
+	defer talk.Close()
+	control, err := net.Listen("tcp", s.Addresses.Control)
+	if err != nil {
+		return errors.Wrap(err, "listen for calls")
+	}
+	server := &http.Server{Handler: p.calls(), ReadTimeout: 10 * time.Second, IdleTimeout: 30 * time.Second}
+	defer server.Close()
+	go server.Serve(control)
+	go callboy.Serve(talk, p)
+	for _, m := range append(s.Seeds(), p.book.Members()...) {
+		p.meet(m, "", 0)
+	}
+	level.Info(log).Log("msg", "the core machine is up", "talk", p.self, "voter", p.book.State().Voter, "members", len(p.book.Members()))
+	p.loop()
+	return nil
+}
+
+func (p *Prompter) now() time.Duration { return time.Since(p.start) }
+
+func (p *Prompter) post(e event) {
+	select {
+	case p.events <- e:
+	case <-p.ctx.Done():
+	}
+}
+
+// Frame implements callboy.Handler.
+func (p *Prompter) Frame(c *callboy.Conn, f *script.FrameT) { p.post(framed{c, f}) }
+
+// Gone implements callboy.Handler.
+func (p *Prompter) Gone(c *callboy.Conn) { p.post(gone{c}) }
+
+func (p *Prompter) loop() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		now := p.now()
+		if now >= p.gossipAt {
+			p.gossipAt = now + gossip
+			p.tellOthers(now)
+			p.desk.Board.Sweep(now, patience, memory)
+		}
+		if now >= p.book.Next() {
+			p.act(promptbook.Tick{})
+		}
+		next := p.tellChildren(p.now())
+		next = min(next, p.book.Next(), p.gossipAt)
+		timer.Reset(max(0, next-p.now()))
+		select {
+		case e := <-p.events:
+			p.handle(e)
+			for n := len(p.events); n > 0; n-- {
+				p.handle(<-p.events)
+			}
+		case <-timer.C:
+		case <-p.ctx.Done():
+			return
+		}
+	}
+}
+
+func (p *Prompter) handle(e event) {
+	switch e := e.(type) {
+	case framed:
+		p.hear(e.conn, e.frame)
+	case gone:
+		if id, ok := p.children[e.conn]; ok {
+			delete(p.children, e.conn)
+			delete(p.byChild, id)
+			p.desk.Leave(id)
+		}
+	case linked:
+		l := p.links[e.addr]
+		l.conn, l.rev = e.conn, 0
+		if e.conn != nil {
+			p.hello(e.addr, p.now())
+		}
+	case asked:
+		p.lastID++
+		id := p.lastID
+		p.waiting[id] = e.done
+		go func() {
+			<-e.quit
+			p.post(quitted{id})
+		}()
+		p.act(e.op(id))
+	case quitted:
+		delete(p.waiting, e.id)
+		p.book.Forget(e.id)
+	}
+}
+
+// act hands an event to the register and does what it wants: first the disk, then the others, then those who wait.
+func (p *Prompter) act(ev promptbook.Event) {
+	out := p.book.Handle(p.now(), ev)
+	for out.State != nil {
+		err := p.vault.Save(out.State)
+		if err == nil {
+			break
+		}
+		level.Error(p.log).Log("msg", "the disk does not take the book", "error", err)
+		select {
+		case <-time.After(resave):
+		case <-p.ctx.Done():
+			return
+		}
+	}
+	for i := range out.Messages {
+		m := &out.Messages[i]
+		if l := p.links[m.To]; l != nil && l.conn != nil {
+			l.conn.Send(lines.Register(m))
+		} else if l == nil {
+			p.meet(m.To, "", 0)
+		}
+	}
+	if v, asOf, ok := p.book.Newest(); ok && v.Edition > 0 {
+		if p.desk.Config(v.Edition, v.Body, asOf) {
+			level.Info(p.log).Log("msg", "a configuration is in force", "edition", v.Edition, "members", len(v.Members))
+			p.tellChildren(p.now())
+		}
+	}
+	for _, o := range out.Done {
+		if c := p.waiting[o.ID]; c != nil {
+			c <- o
+			delete(p.waiting, o.ID)
+		}
+	}
+}
+
+func (p *Prompter) hear(c *callboy.Conn, f *script.FrameT) {
+	now := p.now()
+	if m, ok := lines.RegisterOf(f); ok {
+		p.meet(m.From, "", now)
+		m.To = p.self
+		p.act(promptbook.Heard{Message: m})
+		return
+	}
+	switch f.Kind {
+	case script.Hello:
+		p.meet(f.From, f.Text, now)
+		for _, m := range lines.MachinesOf(f.Machines, now) {
+			if now-m.Heard < machineMemory {
+				p.meet(m.Addr, m.Zone, max(0, m.Heard))
+			}
+		}
+		p.mergeEntries(f.Entries, now, false)
+	case script.Join:
+		p.lastID++
+		if _, twice := p.children[c]; !twice && p.desk.Join(p.lastID, f.Edition) {
+			p.children[c], p.byChild[p.lastID] = p.lastID, c
+		}
+		p.mergeEntries(f.Entries, now, true)
+	case script.Keep:
+		p.mergeEntries(f.Entries, now, true)
+	}
+}
+
+// mergeEntries takes in words on branch machines: direct ones come from those themselves, or whoever passes on for them.
+func (p *Prompter) mergeEntries(all []*script.EntryT, now time.Duration, direct bool) {
+	for _, t := range all {
+		e, whole := lines.EntryOf(t, now)
+		if direct {
+			p.direct[e.Node] = e.Life
+		}
+		if !whole {
+			p.desk.Board.Alive(e.Node, e.Life, e.Heard)
+			continue
+		}
+		p.desk.Board.Merge(e, e.Heard)
+	}
+}
+
+// meet notes a core machine that was heard of at a time, and keeps a connection to it.
+func (p *Prompter) meet(addr, zone string, heard time.Duration) {
+	if addr == p.self || addr == "" || len(p.machines) >= 64 && p.machines[addr] == nil {
+		return
+	}
+	m := p.machines[addr]
+	if m == nil {
+		m = &cue.Machine{Addr: addr, Heard: heard}
+		p.machines[addr] = m
+		p.links[addr] = &link{}
+		go p.keepLink(addr)
+	}
+	m.Heard = max(m.Heard, heard)
+	if zone != "" {
+		m.Zone = zone
+	}
+}
+
+func (p *Prompter) keepLink(addr string) {
+	for p.ctx.Err() == nil {
+		c, err := callboy.Dial(p.ctx, addr, dialPatient, p)
+		if err == nil {
+			p.post(linked{addr, c})
+			select {
+			case <-c.Done():
+			case <-p.ctx.Done():
+				c.Close()
+				return
+			}
+			p.post(linked{addr, nil})
+		}
+		select {
+		case <-time.After(redial):
+		case <-p.ctx.Done():
+			return
+		}
+	}
+}
+
+// known lists the core's machines that were heard of lately, this one first.
+func (p *Prompter) known(now time.Duration) []cue.Machine {
+	all := []cue.Machine{{Addr: p.self, Zone: p.settings.Zone, Heard: now}}
+	for _, m := range p.machines {
+		if m.Heard > 0 && now-m.Heard < machineMemory {
+			all = append(all, *m)
+		}
+	}
+	slices.SortFunc(all[1:], func(a, b cue.Machine) int { return int(b.Heard - a.Heard) })
+	return all
+}
+
+func (p *Prompter) hello(addr string, now time.Duration) {
+	l := p.links[addr]
+	if l.conn == nil {
+		return
+	}
+	f := &script.FrameT{Kind: script.Hello, From: p.self, Text: p.settings.Zone, Machines: lines.Machines(p.known(now), now)}
+	board := p.desk.Board
+	changed := map[string]bool{}
+	for _, e := range board.Since(l.rev) {
+		f.Entries = append(f.Entries, lines.Entry(&e, now))
+		changed[e.Node] = true
+	}
+	l.rev = board.Rev()
+	for node, life := range p.direct {
+		if e, ok := board.Get(node); ok && !changed[node] && e.Life == life {
+			f.Entries = append(f.Entries, lines.Alive(&e, now))
+		}
+	}
+	l.conn.Send(f)
+}
+
+func (p *Prompter) tellOthers(now time.Duration) {
+	var machines []string
+	for addr, m := range p.machines {
+		p.hello(addr, now)
+		if m.Heard > 0 {
+			machines = append(machines, addr)
+		}
+	}
+	slices.Sort(machines)
+	clear(p.direct)
+	p.desk.Machines = p.known(now)
+	if len(machines) > 0 {
+		p.act(promptbook.Known{Machines: machines})
+	}
+}
+
+func (p *Prompter) tellChildren(now time.Duration) (next time.Duration) {
+	news, next := p.desk.Tick(now)
+	for i := range news {
+		if c := p.byChild[news[i].Child]; c != nil {
+			c.Send(lines.News(&news[i], now))
+		}
+	}
+	return next
+}
+
+// calls is the tree of what operators may call.
+func (p *Prompter) calls() *calls.Tree {
+	t := &calls.Tree{}
+	t.On(http.MethodPost, "/Timetable.Replace", p.replace)
+	t.On(http.MethodGet, "/Timetable.Read", p.read)
+	return t
+}
+
+var errNoMajority = errors.New("no majority of the core answers")
+
+// settle has the register settle something and waits for it.
+func (p *Prompter) settle(op func(id uint64) promptbook.Event) (promptbook.Outcome, bool) {
+	a := asked{op, make(chan promptbook.Outcome, 1), make(chan struct{})}
+	defer close(a.quit)
+	p.post(a)
+	select {
+	case o := <-a.done:
+		return o, true
+	case <-time.After(callPatience):
+	case <-p.ctx.Done():
+	}
+	return promptbook.Outcome{}, false
+}
+
+func (p *Prompter) replace(c *calls.Call) calls.Answer {
+	bill, err := playbill.Parse(c.Body)
+	if err != nil {
+		return calls.Fault(http.StatusBadRequest, err)
+	}
+	_, ok := p.settle(func(id uint64) promptbook.Event {
+		return promptbook.Put{ID: id, Edition: bill.Edition, Body: c.Body}
+	})
+	if !ok {
+		return calls.Fault(http.StatusServiceUnavailable, errNoMajority)
+	}
+	return calls.Answer{Status: http.StatusOK}
+}
+
+func (p *Prompter) read(*calls.Call) calls.Answer {
+	o, ok := p.settle(func(id uint64) promptbook.Event { return promptbook.Sync{ID: id} })
+	switch {
+	case !ok:
+		return calls.Fault(http.StatusServiceUnavailable, errNoMajority)
+	case o.Value.Edition == 0:
+		return calls.Fault(http.StatusNotFound, errors.New("there is no configuration yet"))
+	}
+	return calls.Answer{Status: http.StatusOK, Body: o.Value.Body}
+}
