News go down a tree of relays; a duty won by ballots keeps the core's members; urgent routes

Need: the users' style asks for relays that the sidecars form and for duties won by ballots; a core machine that is replaced for good has to lose its place. Register and duty have timelines as tests, one column a machine.

--- a/balance/api.go
+++ b/balance/api.go
@@ -40,6 +40,7 @@
 	Worth      float64
 	LateWorth  float64 // fraction of Worth that an answer after the aim still earns
 	Stream     bool
+	Hold       float64 // part of the aim for which a request that no server has seen waits for one; 0: all of it
 }
 
 // Tenant is one customer of the service.
@@ -110,7 +111,6 @@
 	ConnectTimeout float64
 	ConnIdle       float64 // an unused connection is closed after this
 	Streams        int     // attempts that one connection carries at a time
-	Hold           float64 // part of its aim for which a request that was not sent waits for a server; 0: all of it
 	LastHop        bool    // a server's own sidecar turns away what it has no room for: nothing is shed ahead of it
 	HoldOff        float64 // part of the aim for which a refused client is asked to stay away; 0: the usual
 	Purse          Purse   // what repeats draw on; nil: they are bounded by attempts alone
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -106,9 +106,9 @@
 	}
 	hold := r.class.Aim
 	switch {
-	case b.cfg.Hold > 0 && r.met() == 0:
-		hold *= b.cfg.Hold
-	case b.cfg.Hold > 0: // late is better than never
+	case r.class.Hold > 0 && r.met() == 0:
+		hold *= r.class.Hold
+	case r.class.Hold > 0: // late is better than never
 		hold = r.class.Deadline
 	}
 	return b.now >= r.arrived+hold && b.refusable(r)
--- /dev/null
+++ b/mesh/cue/tree.go
@@ -0,0 +1,53 @@
+package cue
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+)
+
+const (
+	// Breadth is how many children a relay is to have, so that a zone of n sidecars has one relay in Breadth + 1.
+	Breadth = 5
+	// small is the number of sidecars of a zone up to which all of them ask the core: a tree would cost them time and spare it nothing.
+	small = 6
+)
+
+// Place is a sidecar as the tree sees it.
+type Place struct{ Node, Zone, Talk string }
+
+// Parents tells a sidecar whom it is to hear news from, the best first: nobody (so the core), or relays of its zone. All sidecars that know of
+// the same ones come to the same tree: in each zone the first in the order of a hash of their names are relays, which ask the core, and
+// the others are dealt out to them. Relays have no relays above them, so that news take one step more at most and no ring can form
+// out of what sidecars believe differently.
+func Parents(self string, all []Place) []Place {
+	var zone []Place
+	at := slices.IndexFunc(all, func(p Place) bool { return p.Node == self })
+	if at < 0 {
+		return nil
+	}
+	for _, p := range all {
+		if p.Zone == all[at].Zone {
+			zone = append(zone, p)
+		}
+	}
+	if len(zone) <= small {
+		return nil
+	}
+	slices.SortFunc(zone, func(a, b Place) int {
+		return cmp.Or(cmp.Compare(order(a.Node), order(b.Node)), cmp.Compare(a.Node, b.Node))
+	})
+	relays := (len(zone) + Breadth) / (Breadth + 1)
+	i := slices.IndexFunc(zone, func(p Place) bool { return p.Node == self })
+	if i < relays {
+		return nil
+	}
+	first := (i - relays) % relays
+	return slices.Concat(zone[first:relays], zone[:first])
+}
+
+func order(node string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(node))
+	return h.Sum64()
+}
--- a/mesh/door/door.go
+++ b/mesh/door/door.go
@@ -42,7 +42,7 @@
 // has been sent on: the others wait with the server. Who asks first is let in where it need not wait, so that requests find
 // the servers that are free, and only who was turned away elsewhere may wait. What goes first has room left where the rest fills
 // its own: a call that a server makes for a request that it works on is lost with all the work before it.
-var perBerth = [...][3]float64{{1.25, 1.7, 3}, {1, 1.4, 2.25}, {1, 1.25, 1.75}}
+var perBerth = [...][3]float64{{1.5, 3, 3}, {1.1, 1.8, 2.25}, {1, 1.4, 1.75}}
 
 // Door is the door of one server. It is not safe for concurrent use.
 type Door struct {
--- /dev/null
+++ b/mesh/part/part.go
@@ -0,0 +1,121 @@
+// Package part gives out parts: a duty that one core machine does is won by a round of ballots each time that it falls vacant. Whoever holds one
+// renews it by further ballots; a holder that a majority no longer hears has lost it when its time is over, by its own clock before by
+// anybody else's. It decides only: the clock is an argument, messages go in and out, and nothing is kept on disk, as what a duty does
+// is safe by itself also where for an instant two believe that it is theirs (the register orders what they write).
+//
+// Begin with Part.Handle.
+package part
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// Term is how long a vote binds the voter, and held how long the holder acts on it: the difference is what clocks may drift
+	// apart and messages take within a term.
+	Term = 2 * time.Second
+	held = 1500 * time.Millisecond
+	// renew is how often a holder asks for votes anew, retry how long one who wants the part waits for a majority, and turn by how much
+	// later each member in their order asks again.
+	renew = 500 * time.Millisecond
+	retry = 300 * time.Millisecond
+	turn  = 80 * time.Millisecond
+	// Quiet is how long after its start a machine votes for nobody: it may have voted before.
+	Quiet = Term
+)
+
+// Ballot is a message between machines: a wish for the part, or a vote for whoever wished.
+type Ballot struct {
+	From, To string
+	Number   uint64
+	Vote     bool // else it is a wish
+	Yes      bool // of a vote
+}
+
+// Part is one machine's view of one duty. It is not safe for concurrent use.
+type Part struct {
+	self    string
+	members []string
+
+	number uint64 // of the wish that is out
+	asked  time.Duration
+	votes  []string
+	until  time.Duration // the duty is held until then
+	next   time.Duration
+
+	given      string // whom this machine's vote binds it to
+	givenUntil time.Duration
+}
+
+// New returns a part that nobody holds, at a machine that starts at a time.
+func New(self string, now time.Duration) *Part {
+	return &Part{self: self, givenUntil: now + Quiet, next: now + Quiet}
+}
+
+// Mine reports whether the duty is this machine's now.
+func (p *Part) Mine(now time.Duration) bool { return now < p.until }
+
+// Members says whose votes count: a majority of them wins.
+func (p *Part) Members(members []string) { p.members = members }
+
+// Tick returns the wishes to be sent now.
+func (p *Part) Tick(now time.Duration) (out []Ballot) {
+	if now < p.next || !slices.Contains(p.members, p.self) {
+		return nil
+	}
+	if !p.Mine(now) && p.given != "" && p.given != p.self && now < p.givenUntil { // it is not vacant, as far as is known here
+		p.next = p.givenUntil
+		return nil
+	}
+	if p.given == p.self && !p.Mine(now) && p.votes != nil { // all wished at once: votes that come late count no more, and it is free again
+		p.number++
+		p.given, p.givenUntil, p.votes = "", now, nil
+		p.next = now + turn*time.Duration(1+slices.Index(p.members, p.self))
+		return nil
+	}
+	p.next = now + retry
+	if p.Mine(now) {
+		p.next = now + renew
+	}
+	p.number++
+	p.asked, p.votes = now, []string{}
+	for _, m := range p.members {
+		b := Ballot{From: p.self, To: m, Number: p.number}
+		if m == p.self {
+			if v, ok := p.vote(now, b); ok {
+				p.count(now, v)
+			}
+			continue
+		}
+		out = append(out, b)
+	}
+	return out
+}
+
+// Handle takes in a message and returns the answer, if there is one.
+func (p *Part) Handle(now time.Duration, b Ballot) (answer Ballot, ok bool) {
+	if b.Vote {
+		p.count(now, b)
+		return Ballot{}, false
+	}
+	return p.vote(now, b)
+}
+
+func (p *Part) vote(now time.Duration, b Ballot) (Ballot, bool) {
+	yes := now >= p.givenUntil || p.given == b.From
+	if yes {
+		p.given, p.givenUntil = b.From, now+Term
+	}
+	return Ballot{From: p.self, To: b.From, Number: b.Number, Vote: true, Yes: yes}, true
+}
+
+func (p *Part) count(now time.Duration, b Ballot) {
+	if b.Number != p.number || !b.Yes || slices.Contains(p.votes, b.From) || !slices.Contains(p.members, b.From) {
+		return
+	}
+	p.votes = append(p.votes, b.From)
+	if len(p.votes) > len(p.members)/2 {
+		p.until = max(p.until, p.asked+held) // from when it was asked: no vote binds from earlier
+	}
+}
--- /dev/null
+++ b/mesh/part/part_test.go
@@ -0,0 +1,125 @@
+package part
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"cedararch/lab/timeline"
+)
+
+// stageOf plays parts over links of 5 ms.
+type troupe struct {
+	names []string
+	parts []*Part
+	cut   map[int]bool
+	mail  []letter
+	log   []string
+	last  string
+}
+
+type letter struct {
+	at time.Duration
+	b  Ballot
+}
+
+func (tr *troupe) at(name string) int {
+	for i, n := range tr.names {
+		if n == name {
+			return i
+		}
+	}
+	return -1
+}
+
+func (tr *troupe) send(now time.Duration, b Ballot) {
+	tr.mail = append(tr.mail, letter{now + 5*time.Millisecond, b})
+}
+
+func (tr *troupe) step(now time.Duration) {
+	mail := tr.mail
+	tr.mail = nil
+	for _, l := range mail {
+		from, to := tr.at(l.b.From), tr.at(l.b.To)
+		switch {
+		case l.at > now:
+			tr.mail = append(tr.mail, l)
+		case tr.parts[to] == nil || tr.cut[from] || tr.cut[to]:
+		default:
+			if answer, ok := tr.parts[to].Handle(now, l.b); ok {
+				tr.send(now, answer)
+			}
+		}
+	}
+	var holders []string
+	for i, p := range tr.parts {
+		if p == nil {
+			continue
+		}
+		for _, b := range p.Tick(now) {
+			tr.send(now, b)
+		}
+		if p.Mine(now) {
+			holders = append(holders, tr.names[i])
+		}
+	}
+	if held := strings.Join(holders, " and "); held != tr.last {
+		tr.last = held
+		if held == "" {
+			held = "nobody"
+		}
+		tr.log = append(tr.log, fmt.Sprintf("%5.2f  %s", now.Seconds(), held))
+	}
+}
+
+func (tr *troupe) do(now time.Duration, i int, cell string) {
+	switch cell {
+	case "up":
+		tr.parts[i] = New(tr.names[i], now)
+		tr.parts[i].Members(tr.names)
+	case "kill":
+		tr.parts[i] = nil
+	case "cut":
+		tr.cut[i] = true
+	case "heal":
+		delete(tr.cut, i)
+	}
+}
+
+func TestTimelines(t *testing.T) {
+	datadriven.RunTest(t, "testdata/timelines", func(t *testing.T, d *datadriven.TestData) string {
+		drawing, err := timeline.Parse(d.Input)
+		if err != nil {
+			t.Fatal(err)
+		}
+		tr := &troupe{names: drawing.Names, parts: make([]*Part, len(drawing.Names)), cut: map[int]bool{}}
+		drawing.Play(5*time.Millisecond, tr.step, tr.do)
+		return strings.Join(tr.log, "\n") + "\n"
+	})
+}
+
+// At most one machine holds a duty, whatever machines are killed or cut off when.
+func TestAtMostOneHolds(t *testing.T) {
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		tr := &troupe{names: []string{"a", "b", "c", "d", "e"}, parts: make([]*Part, 5), cut: map[int]bool{}}
+		for i := range tr.parts {
+			tr.do(0, i, "up")
+		}
+		for now := time.Duration(0); now < 20*time.Second; now += 5 * time.Millisecond {
+			if i := rng.IntN(2000); i < len(tr.parts) {
+				cell := []string{"kill", "up", "cut", "heal"}[rng.IntN(4)]
+				if cell != "up" || tr.parts[i] == nil {
+					tr.do(now, i, cell)
+				}
+			}
+			if tr.step(now); strings.Contains(tr.last, "and") {
+				t.Fatalf("seed %d, %v: %s", seed, now, tr.last)
+			}
+		}
+	}
+}
--- a/mesh/playbill/playbill.go
+++ b/mesh/playbill/playbill.go
@@ -104,8 +104,14 @@
 	*Rule
 	Lines []Share // at least one; their shares are above 0 together
 	total float64
+	// Rank is the route's precedence, but for routes that are urgent: it is 0 where another of the same service leaves a clearly longer
+	// time. What can wait least goes first, and is mostly a call that a server makes for a request that it works on.
+	Rank int
 }
 
+// urgent is by how much longer the aim of another route has to be.
+const urgent = 1.4
+
 // Parse reads and checks a configuration. What is wrong is told by its place.
 func Parse(body []byte) (*Bill, error) {
 	if len(body) > MostBytes {
@@ -200,9 +206,34 @@
 			b.hosts[host][prefix] = r
 		}
 	}
+	b.rank()
 	return nil
 }
 
+// rank finds the routes that are urgent.
+func (b *Bill) rank() {
+	longest := map[string]float64{}
+	each := func(do func(*Route, string)) {
+		for _, routes := range b.hosts {
+			for _, r := range routes {
+				for _, s := range r.Lines {
+					do(r, s.Line)
+				}
+			}
+		}
+	}
+	each(func(r *Route, line string) {
+		if r.Rank = r.Precedence; r.Precedence > 0 {
+			longest[line] = max(longest[line], r.TargetS)
+		}
+	})
+	each(func(r *Route, line string) {
+		if r.TargetS*urgent <= longest[line] {
+			r.Rank = 0
+		}
+	})
+}
+
 // Validate implements validation.Validatable.
 func (c Caps) Validate() error {
 	return validation.ValidateStruct(&c,
--- /dev/null
+++ b/mesh/promptbook/timeline_test.go
@@ -0,0 +1,130 @@
+package promptbook
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"cedararch/lab/timeline"
+)
+
+// house plays books over links of 2 ms and disks that sync at once.
+type house struct {
+	names   []string
+	members []string
+	books   []*Book
+	disks   []*State
+	lives   int
+	cut     map[int]bool
+	mail    []letter
+	log     []string
+	lastID  uint64
+	asked   map[uint64]string
+}
+
+type letter struct {
+	at time.Duration
+	m  Message
+}
+
+func (h *house) note(now time.Duration, format string, args ...any) {
+	h.log = append(h.log, fmt.Sprintf("%5.2f  ", now.Seconds())+fmt.Sprintf(format, args...))
+}
+
+func (h *house) handle(now time.Duration, i int, ev Event) {
+	out := h.books[i].Handle(now, ev)
+	if out.State != nil {
+		if h.disks[i] != nil && !h.disks[i].Voter && out.State.Voter || h.disks[i] == nil && out.State.Life > 0 {
+			h.note(now, "%s is a voter again, in life %d", h.names[i], out.State.Life)
+		}
+		h.disks[i] = out.State
+	}
+	for _, m := range out.Messages {
+		h.mail = append(h.mail, letter{now + 2*time.Millisecond, m})
+	}
+	for _, o := range out.Done {
+		if what, ok := h.asked[o.ID]; ok {
+			h.note(now, "%s: %s, edition %d %s", h.names[i], what, o.Value.Edition, o.Value.Body)
+			delete(h.asked, o.ID)
+		}
+	}
+}
+
+func (h *house) step(now time.Duration) {
+	mail := h.mail
+	h.mail = nil
+	for _, l := range mail {
+		from, to := slices.Index(h.names, l.m.From), slices.Index(h.names, l.m.To)
+		switch {
+		case l.at > now:
+			h.mail = append(h.mail, l)
+		case h.books[to] == nil || h.cut[from] != h.cut[to]:
+		default:
+			h.handle(now, to, Heard{l.m})
+		}
+	}
+	for i, b := range h.books {
+		if b != nil && now >= b.Next() {
+			h.handle(now, i, Tick{})
+		}
+	}
+}
+
+func (h *house) do(now time.Duration, i int, cell string) {
+	verb, arg, _ := strings.Cut(cell, ":")
+	switch verb {
+	case "first", "up":
+		h.lives++
+		h.books[i] = New(h.names[i], h.members, verb == "first", h.disks[i], uint64(i+h.lives*100))
+		if s := h.books[i].State(); verb == "first" {
+			h.disks[i] = &s
+		}
+	case "kill":
+		h.books[i] = nil
+	case "wipe":
+		h.books[i], h.disks[i] = nil, nil
+	case "cut":
+		h.cut[i] = true
+	case "heal":
+		delete(h.cut, i)
+	case "put":
+		edition, body, _ := strings.Cut(arg, "=")
+		n, _ := strconv.Atoi(edition)
+		h.lastID++
+		h.asked[h.lastID] = "put " + arg
+		h.handle(now, i, Put{h.lastID, uint32(n), []byte(body)})
+	case "read":
+		h.lastID++
+		h.asked[h.lastID] = "read"
+		h.handle(now, i, Sync{h.lastID})
+	case "recast":
+		h.lastID++
+		h.asked[h.lastID] = "recast " + arg
+		h.handle(now, i, Recast{h.lastID, strings.Split(arg, ",")})
+	}
+}
+
+func TestTimelines(t *testing.T) {
+	datadriven.RunTest(t, "testdata/timelines", func(t *testing.T, d *datadriven.TestData) string {
+		drawing, err := timeline.Parse(d.Input)
+		if err != nil {
+			t.Fatal(err)
+		}
+		h := &house{
+			names: drawing.Names, members: []string{"a", "b", "c"}, books: make([]*Book, len(drawing.Names)),
+			disks: make([]*State, len(drawing.Names)), cut: map[int]bool{}, asked: map[uint64]string{},
+		}
+		drawing.Play(time.Millisecond, h.step, h.do)
+		for id := uint64(1); id <= h.lastID; id++ {
+			if what, ok := h.asked[id]; ok {
+				h.log = append(h.log, "no answer: "+what)
+			}
+		}
+		return strings.Join(h.log, "\n") + "\n"
+	})
+}
--- a/mesh/stage/news.go
+++ b/mesh/stage/news.go
@@ -8,6 +8,7 @@
 
 	"cedararch/mesh/callboard"
 	"cedararch/mesh/callboy"
+	"cedararch/mesh/cue"
 	"cedararch/mesh/greenroom"
 	"cedararch/mesh/lines"
 	"cedararch/mesh/playbill"
@@ -16,12 +17,16 @@
 
 const (
 	// stale is the age of what a parent last confirmed at which another is looked for.
-	stale = 1100 * time.Millisecond
+	stale = 1350 * time.Millisecond
 	// keepEvery is how often the parent hears that this sidecar lives.
 	keepEvery = 700 * time.Millisecond
 	// dialPatience bounds the wait for a connection to a parent, and redial the pause before the next.
 	dialPatience = 500 * time.Millisecond
 	redial       = 60 * time.Millisecond
+	// settled is how long after it is ready, at the least, a sidecar looks for its place in the tree: by then all know of all. resettle is
+	// when it looks again, where it has its news from the core.
+	settled  = 1200 * time.Millisecond
+	resettle = 5 * time.Second
 	// reread is how often the settings file is looked at, of whose change nobody may tell.
 	reread = 2 * time.Second
 	// memory is how long a machine that counts as lost is kept.
@@ -54,6 +59,7 @@
 	tried    map[string]time.Duration // when each was last turned to in vain
 	read     int64                    // bytes that have come on it, as of readAt
 	readAt   time.Duration
+	relay    bool // it is a sidecar
 	heard    bool // news came on this connection
 }
 
@@ -69,11 +75,19 @@
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
 	var readAt time.Duration
+	cues := time.NewTimer(tick)
+	defer cues.Stop()
 	for {
 		now := s.now()
 		s.seekParent(now)
 		s.bringAbout(now)
+		next := tick
+		if len(s.children) > 0 {
+			next = min(next, s.tellChildren(now)-now)
+		}
+		cues.Reset(max(0, next))
 		select {
+		case <-cues.C:
 		case e := <-s.events:
 			s.handle(e)
 			for n := len(s.events); n > 0; n-- {
@@ -87,6 +101,7 @@
 			if news {
 				s.announce(now)
 			}
+			s.settleIn(now)
 			if now >= readAt {
 				readAt = now + reread
 				s.reload()
@@ -113,6 +128,18 @@
 	}
 }
 
+// settleIn goes over from the core machine that a sidecar starts with to the relay that the tree has for it, where it has one.
+func (s *Stage) settleIn(now time.Duration) {
+	if s.settleAt == 0 || now < s.settleAt || s.parent.conn == nil || s.parent.relay {
+		return
+	}
+	s.settleAt = now + resettle
+	if _, relay := s.nextParent(now); relay {
+		s.parent.conn.Close()
+		s.parent.conn, s.parent.again = nil, now
+	}
+}
+
 func (s *Stage) handle(e any) {
 	now := s.now()
 	switch e := e.(type) {
@@ -135,6 +162,11 @@
 		}
 		e.conn.Send(f)
 	case parted:
+		if id, ok := s.children[e.conn]; ok {
+			delete(s.children, e.conn)
+			delete(s.byChild, id)
+			s.desk.Leave(id)
+		}
 		if s.parent.conn == e.conn {
 			s.parent.conn = nil
 			s.parent.again = now + redial
@@ -143,12 +175,68 @@
 			}
 		}
 	case framed:
-		if e.conn == s.parent.conn && e.frame.Kind == script.News {
+		switch {
+		case e.conn == s.parent.conn && e.frame.Kind == script.News:
 			s.takeNews(e.frame, now)
+		case e.conn == s.parent.conn && e.frame.Kind == script.Bye:
+			s.leaveParent(now)
+		case e.frame.Kind == script.Join:
+			s.takeChild(e.conn, e.frame, now)
+		case e.frame.Kind == script.Keep:
+			s.passOn(e.frame, now)
 		}
 	}
 }
 
+// takeChild takes in a sidecar that wants its news from this one, unless this one has its own from a third.
+func (s *Stage) takeChild(c *callboy.Conn, f *script.FrameT, now time.Duration) {
+	if _, twice := s.children[c]; twice {
+		return
+	}
+	s.lastChild++
+	if !s.ready.Load() || s.ending.Load() || s.parent.conn == nil || s.parent.relay || !s.desk.Join(s.lastChild, f.Edition) {
+		c.Send(&script.FrameT{Kind: script.Bye})
+		return
+	}
+	s.children[c], s.byChild[s.lastChild] = s.lastChild, c
+	s.passOn(f, now)
+}
+
+// passOn passes what comes from below on to the parent.
+func (s *Stage) passOn(f *script.FrameT, now time.Duration) {
+	if len(f.Entries) == 0 {
+		return
+	}
+	for _, t := range f.Entries {
+		if e, whole := lines.EntryOf(t, now); whole {
+			s.desk.Board.Merge(e, e.Heard)
+		}
+	}
+	if c := s.parent.conn; c != nil {
+		c.Send(&script.FrameT{Kind: script.Keep, From: s.own.Node, Entries: f.Entries})
+	}
+}
+
+// tellChildren gives the cues that are due.
+func (s *Stage) tellChildren(now time.Duration) (next time.Duration) {
+	news, next := s.desk.Tick(now)
+	for i := range news {
+		if c := s.byChild[news[i].Child]; c != nil {
+			c.Send(lines.News(&news[i], now))
+		}
+	}
+	return next
+}
+
+// leaveParent turns away from the present parent, and for a while to others first.
+func (s *Stage) leaveParent(now time.Duration) {
+	p := &s.parent
+	p.tried[p.addr] = now
+	p.conn.Close()
+	p.conn = nil
+	p.again = now
+}
+
 // announce tells the parent what has changed beside this sidecar.
 func (s *Stage) announce(now time.Duration) {
 	s.own.Seq++
@@ -184,10 +272,7 @@
 		}
 		if now-s.desk.AsOf > stale && now-p.since > stale && (now-p.readAt > stale || now-s.desk.AsOf > 3*stale) {
 			level.Info(s.log).Log("msg", "the parent has nothing fresh", "parent", p.addr, "age", now-s.desk.AsOf)
-			p.tried[p.addr] = now
-			p.conn.Close()
-			p.conn = nil
-			p.again = now
+			s.leaveParent(now)
 		} else if now >= p.keepAt && s.ready.Load() {
 			p.keepAt = now + keepEvery
 			e := s.own
@@ -198,7 +283,12 @@
 	if p.conn != nil || p.dialling || now < p.again {
 		return
 	}
-	p.addr = s.nextParent()
+	p.addr, p.relay = s.nextParent(now)
+	if p.relay { // who has a relay above it is none
+		for c := range s.children {
+			c.Send(&script.FrameT{Kind: script.Bye})
+		}
+	}
 	p.dialling, p.since = true, now
 	addr := p.addr
 	go func() {
@@ -207,9 +297,30 @@
 	}()
 }
 
-// nextParent is whom to turn to: of the core machines the one in vain turned to longest ago, one of the own zone first.
-func (s *Stage) nextParent() string {
+// inVain is for how long a relay that was turned to in vain is left alone.
+const inVain = 5 * time.Second
+
+// nextParent is whom to turn to: the relay that the tree has for this sidecar, or else of the core machines the one in vain turned to
+// longest ago, one of the own zone first.
+func (s *Stage) nextParent(now time.Duration) (addr string, relay bool) {
 	settings := s.settings.Load()
+	if s.ready.Load() {
+		var all []cue.Place
+		for _, e := range s.desk.Board.All() {
+			if !e.Lost && e.State != callboard.Left || e.Node == s.own.Node {
+				all = append(all, cue.Place{Node: e.Node, Zone: e.Zone, Talk: e.Talk})
+			}
+		}
+		tries := 0
+		for _, p := range cue.Parents(s.own.Node, all) {
+			if at, was := s.parent.tried[p.Talk]; !was || now-at > inVain {
+				return p.Talk, true
+			}
+			if tries++; tries >= 2 {
+				break
+			}
+		}
+	}
 	best, score := "", time.Duration(1<<62)
 	consider := func(addr, zone string) {
 		at, was := s.parent.tried[addr]
@@ -234,7 +345,7 @@
 			consider(addr, "")
 		}
 	}
-	return best
+	return best, false
 }
 
 // takeNews replaces what is wanted by what the parent says.
@@ -265,6 +376,7 @@
 			s.ready.Store(true)
 			level.Info(s.log).Log("msg", "ready", "edition", s.desk.Edition, "machines", s.desk.Board.Len())
 			s.announce(now)
+			s.settleAt = now + settled + time.Duration(seedOf(s.own.Node)%uint64(settled))
 		}
 	}
 }
--- a/mesh/stage/outgoing.go
+++ b/mesh/stage/outgoing.go
@@ -24,8 +24,9 @@
 	// those that were turned away ahead of a server.
 	coldTime     = 3000 // ms
 	mostAttempts = 8
-	// hold is the part of its aim for which a request waits for a server where there is none.
-	hold = 0.15
+	// hold is the part of its aim for which a request waits for room at a server, and holdUrgent that of one of the first rank.
+	hold       = 0.2
+	holdUrgent = 0.9
 	// holdOff is the part of its aim for which a refused client is asked to stay away, and mostHoldOff bounds it.
 	holdOff     = 0.5
 	mostHoldOff = 1000 // ms
@@ -50,6 +51,7 @@
 	aim        float64
 	deadline   float64
 	precedence int
+	rank       int
 }
 
 // newService returns an exchange for a service, which runs until the stage ends.
@@ -72,7 +74,7 @@
 			Seed: seedOf(settings.NodeName+line) ^ uint64(s.start.UnixNano()), Zone: own, MaxAttempts: mostAttempts, Cancel: true,
 			RetryAfter: true, MaxRetryAfter: mostHoldOff, ConnectTimeout: float64(hopConnect / time.Millisecond),
 			ConnIdle: float64(hopIdle / time.Millisecond), Streams: 1, ColdFrom: 0.5, ColdTime: coldTime, FallMultiple: 8, FallTime: 1000,
-			Goal: balance.Goal{Whole: 1}, Hold: hold, HoldOff: holdOff, LastHop: true, Purse: svc.purse,
+			Goal: balance.Goal{Whole: 1}, HoldOff: holdOff, LastHop: true, Purse: svc.purse,
 		},
 		Zones: zones, Kinds: map[string]int{}, Known: &roster.List{}, Back: func(string) core.Back { return s.hops }, Log: s.slog,
 	})
@@ -82,7 +84,7 @@
 
 // class is the number of a route's class, which may be new.
 func (v *service) class(r *playbill.Route) int {
-	key := classKey{r.Kind, r.TargetS, r.Dispatch.DeadlineS, r.Precedence}
+	key := classKey{r.Kind, r.TargetS, r.Dispatch.DeadlineS, r.Precedence, r.Rank}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if at, ok := v.classes[key]; ok {
@@ -97,7 +99,10 @@
 	}
 	c := balance.Class{
 		Effect: balance.Safe, Aim: r.TargetS * 1000, Deadline: r.Dispatch.DeadlineS * 1000, Worth: 1 / (1 + math.Max(0, float64(r.Precedence))),
-		LateWorth: 0.3, Window: math.Inf(1),
+		LateWorth: 0.3, Window: math.Inf(1), Hold: hold,
+	}
+	if r.Rank == 0 {
+		c.Hold = holdUrgent
 	}
 	if !r.Repeatable() {
 		c.Effect = balance.Unsafe
@@ -160,7 +165,7 @@
 	}
 	c.Received = time.Now()
 	c.Message = messageOf(r, body, c.Message.Stream)
-	c.Message.Safe, c.Message.Edition, c.Message.Rank = route.Repeatable(), uint64(bill.Edition), route.Precedence
+	c.Message.Safe, c.Message.Edition, c.Message.Rank = route.Repeatable(), uint64(bill.Edition), route.Rank
 	c.Ask = balance.Request{Class: svc.class(route), Tenant: -1, Remaining: left, Attempts: route.Dispatch.Attempts}
 	c.Exchange = svc.loop
 	return nil, nil
--- a/mesh/stage/stage.go
+++ b/mesh/stage/stage.go
@@ -27,6 +27,7 @@
 	"cedararch/internal/poller"
 	httpback "cedararch/internal/upstream/http"
 	"cedararch/mesh/callboard"
+	"cedararch/mesh/callboy"
 	"cedararch/mesh/cue"
 	"cedararch/mesh/door"
 	"cedararch/mesh/greenroom"
@@ -47,7 +48,7 @@
 	// lastCalls is how long new connections are taken after SIGTERM: the platform sends clients for about two seconds more.
 	lastCalls = 2200 * time.Millisecond
 	// endSpare is how long before the platform's patience all is to have ended.
-	endSpare = 600 * time.Millisecond
+	endSpare = 1500 * time.Millisecond
 	// tick is how often the loops look at what time alone changes.
 	tick = 200 * time.Millisecond
 	// mostEvents bounds what waits for the one goroutine.
@@ -84,6 +85,11 @@
 	boardAt uint64 // of the board, as the exchanges have it
 	dirty   bool
 	made    map[string]*service
+
+	children  map[*callboy.Conn]uint64
+	byChild   map[uint64]*callboy.Conn
+	lastChild uint64
+	settleAt  time.Duration
 }
 
 // back is who makes attempts.
@@ -112,6 +118,7 @@
 	s := &Stage{
 		path: path, log: log, slog: shared, start: time.Now(), ctx: inner, events: make(chan any, mostEvents), desk: cue.NewDesk(),
 		door: door.New(time.Duration(beatsMissed * max(settings.BeatS, 0.2) * float64(time.Second))), made: map[string]*service{},
+		children: map[*callboy.Conn]uint64{}, byChild: map[uint64]*callboy.Conn{},
 	}
 	s.settings.Store(settings)
 	s.line.Store(&settings.Line)
@@ -179,6 +186,12 @@
 		defer ln.Close()
 		listeners = append(listeners, ln)
 	}
+	talk, err := net.Listen("tcp", settings.Talk())
+	if err != nil {
+		return errors.Wrap(err, "listen for other sidecars")
+	}
+	defer talk.Close()
+	go callboy.Serve(talk, s)
 	ready := &http.Server{Handler: http.HandlerFunc(s.tellReady)}
 	control := &http.Server{Handler: s.calls(), ReadTimeout: 10 * time.Second}
 	defer ready.Close()
--- a/mesh/wings/wings.go
+++ b/mesh/wings/wings.go
@@ -21,6 +21,7 @@
 	"cedararch/mesh/cue"
 	"cedararch/mesh/greenroom"
 	"cedararch/mesh/lines"
+	"cedararch/mesh/part"
 	"cedararch/mesh/playbill"
 	"cedararch/mesh/promptbook"
 	"cedararch/mesh/script"
@@ -92,6 +93,7 @@
 	lastID   uint64
 	waiting  map[uint64]chan promptbook.Outcome
 	gossipAt time.Duration
+	keeper   keeper
 }
 
 // Run serves until ctx ends.
@@ -120,6 +122,7 @@
 		desk: cue.NewDesk(), links: map[string]*link{}, machines: map[string]*cue.Machine{}, children: map[*callboy.Conn]uint64{},
 		byChild: map[uint64]*callboy.Conn{}, direct: map[string]uint64{}, waiting: map[uint64]chan promptbook.Outcome{},
 	}
+	p.keeper.part = part.New(p.self, 0)
 	p.book = promptbook.New(p.self, s.Seeds(), s.FirstStart && onDisk == nil, onDisk, uint64(p.start.UnixNano()))
 	if onDisk == nil && s.FirstStart { // so that a power loss before the first promise does not make this disk a lost one
 		state := p.book.State()
@@ -172,6 +175,7 @@
 			p.gossipAt = now + gossip
 			p.tellOthers(now)
 			p.desk.Board.Sweep(now, patience, memory)
+			p.keep(now)
 		}
 		if now >= p.book.Next() {
 			p.act(promptbook.Tick{})
@@ -269,6 +273,8 @@
 		return
 	}
 	switch f.Kind {
+	case script.Ballots, script.Vote:
+		p.hearBallot(f, now)
 	case script.Hello:
 		p.meet(f.From, f.Text, now)
 		for _, m := range lines.MachinesOf(f.Machines, now) {
