Sidecars look after one another: probes in turn, second opinions, suspicion before removal

Need: a machine that goes dark was sent to until the core had heard nothing of it for 3 s. Now others that get no answer from it, nor through third parties, tell the core, which counts it as lost where it has heard nothing itself for 1.2 s; what a sidecar has found out itself leaves out at most half of a service. Decision in mesh/company with timelines; datagrams at the stage's edge.

--- a/mesh/callboard/callboard.go
+++ b/mesh/callboard/callboard.go
@@ -143,6 +143,18 @@
 	return changed
 }
 
+// Suspect counts a machine as lost, if its sidecar is of that life and nothing was heard of it for longer than quiet. It reports whether
+// that is news.
+func (b *Board) Suspect(node string, life uint64, now, quiet time.Duration) bool {
+	e := b.entries[node]
+	if e == nil || e.Life != life || e.Lost || now-e.Heard <= quiet {
+		return false
+	}
+	e.Lost = true
+	b.touch(e)
+	return true
+}
+
 // Rev counts changes: it is higher after each.
 func (b *Board) Rev() uint64 { return b.rev }
 
--- /dev/null
+++ b/mesh/company/company_test.go
@@ -0,0 +1,118 @@
+package company
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"cedararch/lab/timeline"
+)
+
+// troupe plays companies over links of 3 ms. A member that is cut hears and says nothing; "deaf:x" cuts the link to x alone, and "slow"
+// delays all that a member says by 400 ms.
+type troupe struct {
+	names []string
+	all   []*Company
+	cut   map[int]bool
+	deaf  map[[2]string]bool
+	slow  map[int]bool
+	mail  []letter
+	log   []string
+	lost  string
+}
+
+type letter struct {
+	at time.Duration
+	w  Word
+}
+
+func (tr *troupe) send(now time.Duration, words []Word) {
+	for _, w := range words {
+		at := now + 3*time.Millisecond
+		if tr.slow[slices.Index(tr.names, w.From)] {
+			at += 400 * time.Millisecond
+		}
+		tr.mail = append(tr.mail, letter{at, w})
+	}
+}
+
+func (tr *troupe) step(now time.Duration) {
+	mail := tr.mail
+	tr.mail = nil
+	for _, l := range mail {
+		from, to := slices.Index(tr.names, l.w.From), slices.Index(tr.names, l.w.To)
+		switch {
+		case l.at > now:
+			tr.mail = append(tr.mail, l)
+		case tr.all[to] == nil || tr.cut[from] || tr.cut[to] || tr.deaf[[2]string{l.w.From, l.w.To}] || tr.deaf[[2]string{l.w.To, l.w.From}]:
+		default:
+			out, _ := tr.all[to].Handle(now, l.w)
+			tr.send(now, out)
+		}
+	}
+	var lost []string
+	for i, c := range tr.all {
+		if c == nil {
+			continue
+		}
+		out, _ := c.Tick(now)
+		tr.send(now, out)
+		var of []string
+		for _, name := range tr.names {
+			if c.Lost(name) {
+				of = append(of, name)
+			}
+		}
+		if of != nil {
+			lost = append(lost, fmt.Sprintf("%s without %s", tr.names[i], strings.Join(of, ",")))
+		}
+	}
+	if text := strings.Join(lost, "; "); text != tr.lost {
+		tr.lost = text
+		if text == "" {
+			text = "all are there to all"
+		}
+		tr.log = append(tr.log, fmt.Sprintf("%5.2f  %s", now.Seconds(), text))
+	}
+}
+
+func (tr *troupe) do(now time.Duration, i int, cell string) {
+	switch verb, arg, _ := strings.Cut(cell, ":"); verb {
+	case "up":
+		tr.all[i] = New(tr.names[i], uint64(i+1))
+		tr.all[i].Cast(now, tr.names)
+	case "kill":
+		tr.all[i] = nil
+	case "cut":
+		tr.cut[i] = true
+	case "heal":
+		delete(tr.cut, i)
+		delete(tr.slow, i)
+		clear(tr.deaf)
+	case "deaf":
+		tr.deaf[[2]string{tr.names[i], arg}] = true
+	case "slow":
+		tr.slow[i] = true
+	}
+}
+
+func TestTimelines(t *testing.T) {
+	datadriven.RunTest(t, "testdata/timelines", func(t *testing.T, d *datadriven.TestData) string {
+		drawing, err := timeline.Parse(d.Input)
+		if err != nil {
+			t.Fatal(err)
+		}
+		tr := &troupe{
+			names: drawing.Names, all: make([]*Company, len(drawing.Names)), cut: map[int]bool{}, deaf: map[[2]string]bool{}, slow: map[int]bool{},
+		}
+		drawing.Play(10*time.Millisecond, tr.step, tr.do)
+		if tr.log == nil {
+			return "nobody is ever lost\n"
+		}
+		return strings.Join(tr.log, "\n") + "\n"
+	})
+}
--- a/mesh/stage/news.go
+++ b/mesh/stage/news.go
@@ -102,6 +102,7 @@
 				s.announce(now)
 			}
 			s.settleIn(now)
+			s.lookAfter(now)
 			if now >= readAt {
 				readAt = now + reread
 				s.reload()
@@ -143,6 +144,8 @@
 func (s *Stage) handle(e any) {
 	now := s.now()
 	switch e := e.(type) {
+	case heardWord:
+		s.hearWord(now, e.word)
 	case changed:
 		s.announce(now)
 	case ended:
@@ -208,7 +211,7 @@
 		return
 	}
 	for _, t := range f.Entries {
-		if e, whole := lines.EntryOf(t, now); whole {
+		if e, whole := lines.EntryOf(t, now); whole && !e.Lost {
 			s.desk.Board.Merge(e, e.Heard)
 		}
 	}
@@ -427,9 +430,9 @@
 	s.bringBill()
 	if rev := s.desk.Board.Rev(); rev != s.boardAt || s.dirty {
 		s.boardAt, s.dirty = rev, false
-		all := s.desk.Board.All()
+		seen := s.seen(s.desk.Board.All())
 		for _, svc := range s.made {
-			svc.follow(all, now)
+			svc.follow(seen, now)
 		}
 	}
 }
--- /dev/null
+++ b/mesh/stage/probes.go
@@ -0,0 +1,138 @@
+package stage
+
+import (
+	"net"
+	"net/netip"
+	"time"
+
+	"cedararch/mesh/callboard"
+	"cedararch/mesh/company"
+	"cedararch/mesh/lines"
+	"cedararch/mesh/script"
+)
+
+// mostWord bounds a datagram between sidecars.
+const mostWord = 1 << 10
+
+// heardWord is a word that has come from another sidecar.
+type heardWord struct{ word company.Word }
+
+// openProbes opens the socket over which sidecars look after one another. Where there is none, the core alone tells who lives.
+func (s *Stage) openProbes() *net.UDPConn {
+	addr, err := net.ResolveUDPAddr("udp", s.settings.Load().Talk())
+	if err != nil {
+		return nil
+	}
+	c, err := net.ListenUDP("udp", addr)
+	if err != nil {
+		return nil
+	}
+	go func() {
+		buf := make([]byte, mostWord)
+		for {
+			n, _, err := c.ReadFromUDPAddrPort(buf)
+			if err != nil {
+				return
+			}
+			f, err := script.Decode(append([]byte(nil), buf[:n]...))
+			if err != nil || f.Kind != script.Probe {
+				continue
+			}
+			select { // a datagram more or less is nobody's loss
+			case s.events <- heardWord{company.Word{Kind: company.Kind(f.Life), From: f.From, To: s.own.Node, Number: f.Id, About: f.Text}}:
+			default:
+			}
+		}
+	}()
+	return c
+}
+
+// say sends words to others.
+func (s *Stage) say(words []company.Word) {
+	if s.probes == nil {
+		return
+	}
+	for _, w := range words {
+		e, ok := s.desk.Board.Get(w.To)
+		if !ok {
+			continue
+		}
+		to, err := netip.ParseAddrPort(e.Talk)
+		if err != nil {
+			continue
+		}
+		f := &script.FrameT{Kind: script.Probe, Life: uint32(w.Kind), From: w.From, Id: w.Number, Text: w.About}
+		s.probes.WriteToUDPAddrPort(script.Encode(f)[4:], to)
+	}
+}
+
+// lookAfter lets time pass for the company.
+func (s *Stage) lookAfter(now time.Duration) {
+	if !s.ready.Load() || s.ending.Load() {
+		return
+	}
+	if rev := s.desk.Board.Rev(); rev != s.castAt {
+		s.castAt = rev
+		var names []string
+		for _, e := range s.desk.Board.All() {
+			if !e.Lost {
+				names = append(names, e.Node)
+			}
+		}
+		s.company.Cast(now, names)
+	}
+	words, changed := s.company.Tick(now)
+	s.say(words)
+	if changed {
+		s.tellLost(now)
+	}
+}
+
+// hearWord takes in a word of another sidecar.
+func (s *Stage) hearWord(now time.Duration, w company.Word) {
+	words, changed := s.company.Handle(now, w)
+	s.say(words)
+	s.dirty = s.dirty || changed
+}
+
+// tellLost tells the core whom nobody here has heard of: evidence, which the core holds against what it has heard itself.
+func (s *Stage) tellLost(now time.Duration) {
+	s.dirty = true
+	c := s.parent.conn
+	if c == nil {
+		return
+	}
+	f := &script.FrameT{Kind: script.Keep, From: s.own.Node}
+	for _, e := range s.desk.Board.All() {
+		if s.company.Lost(e.Node) && !e.Lost {
+			e.Lost = true
+			f.Entries = append(f.Entries, lines.Entry(&e, now))
+		}
+	}
+	if len(f.Entries) > 0 {
+		c.Send(f)
+	}
+}
+
+// seen is the board with what this sidecar has found out itself: whom it has lost is left out, unless that were more than half of a
+// service, which tells more of this sidecar than of them.
+func (s *Stage) seen(all []callboard.Entry) []callboard.Entry {
+	lost, there := map[string]int{}, map[string]int{}
+	for i := range all {
+		there[all[i].Line]++
+		if s.company.Lost(all[i].Node) {
+			lost[all[i].Line]++
+		}
+	}
+	if len(lost) == 0 {
+		return all
+	}
+	out := make([]callboard.Entry, len(all))
+	copy(out, all)
+	for i := range out {
+		if line := out[i].Line; 2*lost[line] <= there[line] && s.company.Lost(out[i].Node) {
+			out[i].Lost = true
+		}
+	}
+	return out
+}
--- a/mesh/stage/stage.go
+++ b/mesh/stage/stage.go
@@ -28,6 +28,7 @@
 	httpback "cedararch/internal/upstream/http"
 	"cedararch/mesh/callboard"
 	"cedararch/mesh/callboy"
+	"cedararch/mesh/company"
 	"cedararch/mesh/cue"
 	"cedararch/mesh/door"
 	"cedararch/mesh/greenroom"
@@ -90,6 +91,10 @@
 	byChild   map[uint64]*callboy.Conn
 	lastChild uint64
 	settleAt  time.Duration
+
+	company *company.Company
+	probes  *net.UDPConn // nil: there is no socket
+	castAt  uint64       // of the board, as the company has it
 }
 
 // back is who makes attempts.
@@ -129,6 +134,7 @@
 		Node: settings.NodeName, Life: uint64(time.Now().UnixMilli()), Seq: 1, Addr: a.Incoming, Talk: settings.Talk(),
 		Zone: settings.Zone, Line: settings.Line,
 	}
+	s.company = company.New(settings.NodeName, seedOf(settings.NodeName)^uint64(s.start.UnixNano()))
 	sockets := max(200, settings.Caps.FileHandles-400)
 	s.hops = s.newBack(httpback.Config{ConnectTimeout: hopConnect, Idle: hopIdle, Sockets: sockets / 3, Dialect: hop{s}})
 	s.local = s.newBack(httpback.Config{
@@ -200,11 +206,8 @@
 	go control.Serve(listeners[3])
 	out.Serve(listeners[0])
 	in.Serve(listeners[1])
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		s.loop(reloads)
-	}()
+	s.probes = s.openProbes()
+	go s.loop(reloads)
 	level.Info(s.log).Log("msg", "the sidecar is up", "node", settings.NodeName, "polled", s.polled)
 	select {
 	case <-ctx.Done():
--- a/mesh/wings/wings.go
+++ b/mesh/wings/wings.go
@@ -34,6 +34,8 @@
 	// patience is how long a branch machine may be unheard of before it counts as lost, and memory before it is forgotten.
 	patience = 3 * time.Second
 	memory   = 10 * time.Minute
+	// quiet is for how long nothing may have been heard of a machine that others call lost, for it to count as lost at once.
+	quiet = 1200 * time.Millisecond
 	// machineMemory is how long a core machine may be unheard of before it is no longer told of.
 	machineMemory = 30 * time.Second
 	// redial is the pause between two attempts to reach a core machine.
@@ -298,13 +300,19 @@
 func (p *Prompter) mergeEntries(all []*script.EntryT, now time.Duration, direct bool) {
 	for _, t := range all {
 		e, whole := lines.EntryOf(t, now)
-		if direct {
+		if direct && !e.Lost {
 			p.direct[e.Node] = e.Life
 		}
 		if !whole {
 			p.desk.Board.Alive(e.Node, e.Life, e.Heard)
 			continue
 		}
+		if e.Lost && direct { // what others have found: it counts where nothing was heard here
+			if now-e.Heard >= 0 && p.desk.Board.Suspect(e.Node, e.Life, now, quiet) {
+				level.Info(p.log).Log("msg", "a branch machine counts as lost by what others say", "node", e.Node)
+			}
+			continue
+		}
 		p.desk.Board.Merge(e, e.Heard)
 	}
 }
