--- a/cmd/firplank-lab/main.go
+++ b/cmd/firplank-lab/main.go
@@ -37,6 +37,7 @@
 	Report  reportingCommand  `cmd:"" name:"reporting" help:"Measure what reports to monitoring cost requests: off, on, and with a receiver that never reads."`
 	Shed    shedCommand       `cmd:"" help:"Reckon the most that a scenario lets anyone serve, and play ways of shedding against models of its servers, in virtual time."`
 	Explore exploreCommand    `cmd:"" help:"Play a decision against all that its surroundings may do, in every order up to a depth and at random beyond it."`
+	Mesh    meshCommand       `cmd:"" help:"Start a whole small mesh on loopback, with stand-in servers, until it is interrupted."`
 	Count   countCommand      `cmd:"" help:"Add up, over a whole fleet, what sidecars record in their logs at debug level."`
 	Load    loadCommand       `cmd:"" help:"Hold connections to an HTTP address on loopback and send requests on some of them, open loop."`
 	Stand   standCommand      `cmd:"" help:"Start a scenario's servers and roster for sidecars and clients of your own."`
--- /dev/null
+++ b/cmd/firplank-lab/mesh.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"cedararch/lab/mesh"
+)
+
+type meshCommand struct {
+	Core   int           `help:"Core machines." default:"3"`
+	Branch int           `help:"Branch machines for each of the two services." default:"3"`
+	For    time.Duration `help:"How long it stands; 0: until it is interrupted." default:"0s"`
+}
+
+// meshBill is the configuration that the mesh begins with.
+const meshBill = `{"edition":"00000001","caps":{},"gates":[{"depot":"plates.example","regulations":[
+ {"name":"look","routeKind":"safe","targetS":0.5,"precedence":2,"sorting":{"lanePrefix":"/look/"},"dispatch":{"line":"records","deadlineS":2,"attempts":2}},
+ {"name":"file","routeKind":"unsafe","targetS":0.5,"precedence":1,"sorting":{"lanePrefix":"/file/"},"dispatch":{"line":"registry","deadlineS":2,"attempts":2}}]}],
+ "fleets":[{"name":"records","healthPath":"/health","maxConns":100},{"name":"registry","healthPath":"/health","maxConns":100}]}`
+
+// Run starts a whole small mesh on loopback and tells how it is spoken to.
+func (c *meshCommand) Run(ctx context.Context, out io.Writer) error {
+	folder, err := os.MkdirTemp("", "firplank-mesh")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(folder)
+	build := exec.CommandContext(ctx, "go", "build", "-o", folder+"/", "./cmd/usher", "./cmd/prompter", "./cmd/stagemanager")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		return fmt.Errorf("build: %w", err)
+	}
+	m, err := mesh.Start(mesh.Config{
+		Folder: folder, Programs: folder, Net: 77, Core: c.Core, Services: map[string]int{"records": c.Branch, "registry": c.Branch}, Work: 20 * time.Millisecond,
+	})
+	if err != nil {
+		return err
+	}
+	defer m.Stop()
+	err = mesh.Await(10*time.Second, "the configuration is taken", func() bool {
+		status, err := m.Core[0].Put([]byte(meshBill))
+		return err == nil && status == http.StatusOK
+	})
+	if err != nil {
+		return err
+	}
+	for _, x := range m.Branch {
+		if err := mesh.Await(10*time.Second, x.Name+" is ready", x.Ready); err != nil {
+			return err
+		}
+	}
+	fmt.Fprintf(out, "%d core machines and %d branch machines stand; their settings, disks and logs are in %s\n", len(m.Core), len(m.Branch), folder)
+	fmt.Fprintf(out, "a request:          curl -H 'Host: plates.example' -H 'Try-Id: one' -H 'Deadline-Ms: 2000' http://%s:7304/look/1\n", m.Branch[0].IP)
+	fmt.Fprintf(out, "the configuration:  %s read %s:7306\n", filepath.Join(folder, "stagemanager"), m.Core[0].IP)
+	if c.For > 0 {
+		var stop context.CancelFunc
+		ctx, stop = context.WithTimeout(ctx, c.For)
+		defer stop()
+	}
+	<-ctx.Done()
+	return nil
+}
--- /dev/null
+++ b/lab/mesh/mesh_test.go
@@ -0,0 +1,164 @@
+package mesh
+
+import (
+	"fmt"
+	"net/http"
+	"os/exec"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+func config(edition int) []byte {
+	return fmt.Appendf(nil, `{"edition":"%08x","caps":{},"gates":[{"depot":"plates.example","regulations":[
+ {"name":"look","routeKind":"safe","targetS":0.5,"precedence":2,"sorting":{"lanePrefix":"/look/"},"dispatch":{"line":"records","deadlineS":2,"attempts":2}},
+ {"name":"file","routeKind":"unsafe","targetS":0.5,"precedence":1,"sorting":{"lanePrefix":"/file/"},"dispatch":{"line":"registry","deadlineS":2,"attempts":2}}]}],
+ "fleets":[{"name":"records","healthPath":"/health","maxConns":100},{"name":"registry","healthPath":"/health","maxConns":100}]}`, edition)
+}
+
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func start(t *testing.T, number int) *Mesh {
+	t.Helper()
+	programs := t.TempDir()
+	if out, err := exec.Command("go", "build", "-o", programs+"/", "../../cmd/usher", "../../cmd/prompter").CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	m, err := Start(Config{
+		Folder: t.TempDir(), Programs: programs, Net: number, Core: 4, Services: map[string]int{"records": 3, "registry": 2}, Work: 20 * time.Millisecond,
+	})
+	must(t, err)
+	t.Cleanup(func() {
+		m.Stop()
+		if t.Failed() {
+			for _, x := range m.All() {
+				t.Logf("%s:\n%s", x.Name, x.Log())
+			}
+		}
+	})
+	must(t, Await(10*time.Second, "the first configuration is taken", func() bool {
+		status, err := m.Core[0].Put(config(7))
+		return err == nil && status == http.StatusOK
+	}))
+	must(t, Await(10*time.Second, "all branch machines are ready", func() bool {
+		for _, x := range m.Branch {
+			if !x.Ready() {
+				return false
+			}
+		}
+		return true
+	}))
+	must(t, Await(5*time.Second, "servers are known", func() bool {
+		for i, path := range []string{"/look/1", "/file/1"} {
+			status, _, err := m.Branch[i].Ask(http.MethodGet, "plates.example", path, "warm", nil)
+			if err != nil || status != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	}))
+	return m
+}
+
+// A whole mesh of real processes: two hops, who sends, routes that are not there, drains, kills of sidecars and of all of the core, a
+// disk that is lost.
+func TestSeveralProcessesWithFaultsBetween(t *testing.T) {
+	m := start(t, 21)
+	status, body, err := m.Branch[0].Ask(http.MethodGet, "plates.example", "/look/9", "one", nil)
+	if want := "one from records for records"; err != nil || status != http.StatusOK || string(body) != want {
+		t.Errorf("answered %d %q, %v: want %q", status, body, err, want)
+	}
+	if status, _, _ := m.Branch[0].Ask(http.MethodGet, "plates.example", "/nowhere/", "two", nil); status != http.StatusNotFound {
+		t.Errorf("no route: answered %d", status)
+	}
+	for _, bad := range []string{`{"edition":"00000009"`, strings.Replace(string(config(9)), `"line":"records"`, `"line":"unknown"`, 1)} {
+		if status, err := m.Core[1].Put([]byte(bad)); err != nil || status != http.StatusBadRequest {
+			t.Errorf("a configuration that is none: answered %d, %v", status, err)
+		}
+	}
+
+	// Requests go on all the while, at machines whose sidecars live.
+	var tasks sync.WaitGroup
+	stop := make(chan struct{})
+	var served, refused, failed, doubled atomic.Int64
+	for w := range 4 {
+		tasks.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				id := fmt.Sprintf("w%d-%d", w, i)
+				method, path := http.MethodGet, "/look/x"
+				if i%3 == 0 {
+					method, path = http.MethodPost, "/file/x"
+				}
+				status, _, err := m.Branch[w].Ask(method, "plates.example", path, id, []byte(strings.Repeat("b", 100*(i%3))))
+				switch {
+				case err == nil && status == http.StatusOK:
+					served.Add(1)
+				case err == nil && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests):
+					refused.Add(1)
+					if method == http.MethodPost && m.Runs(id) > 0 {
+						t.Errorf("%s was refused and has run", id)
+					}
+				default:
+					failed.Add(1)
+				}
+				if method == http.MethodPost && m.Runs(id) > 1 {
+					doubled.Add(1)
+				}
+			}
+		})
+	}
+	closing := m.Branch[0].Server // a server of the records service drains
+	closing.Close()
+	must(t, Await(3*time.Second, "a server's closing is acknowledged", closing.Acked))
+
+	m.Branch[4].Kill() // a sidecar beside a server of the registry service
+	must(t, m.Branch[4].Start(false))
+	must(t, Await(8*time.Second, "a sidecar is ready again", m.Branch[4].Ready))
+
+	for _, x := range m.Core { // all of the core at once, right after a configuration was acknowledged
+		x.Signal(syscall.SIGSTOP)
+	}
+	for _, x := range m.Core {
+		x.Signal(syscall.SIGCONT)
+	}
+	must(t, Await(5*time.Second, "a configuration is taken after a stop", func() bool {
+		status, err := m.Core[2].Put(config(8))
+		return err == nil && status == http.StatusOK
+	}))
+	for _, x := range m.Core {
+		x.Kill()
+	}
+	must(t, m.Core[0].Wipe()) // and one of them has lost its disk
+	for _, x := range m.Core {
+		must(t, x.Start(false))
+	}
+	must(t, Await(10*time.Second, "the configuration is read back", func() bool {
+		status, body, err := m.Core[0].Read()
+		return err == nil && status == http.StatusOK && string(body) == string(config(8))
+	}))
+	close(stop)
+	tasks.Wait()
+	t.Logf("served %d, refused %d, failed %d; late at the closing server: %d", served.Load(), refused.Load(), failed.Load(), closing.Late.Load())
+	if doubled.Load() > 0 {
+		t.Errorf("%d requests that may run once ran twice", doubled.Load())
+	}
+	if n := closing.Late.Load(); n > 0 {
+		t.Errorf("%d requests reached a server whose closing was acknowledged", n)
+	}
+	if n := served.Load(); n < 30 || failed.Load() > n/10 {
+		t.Errorf("served %d, failed %d", n, failed.Load())
+	}
+}
--- a/mesh/stage/stage.go
+++ b/mesh/stage/stage.go
@@ -216,6 +216,7 @@
 	case err := <-in.Failed():
 		return errors.Wrap(err, "serve sidecars")
 	}
+	level.Info(s.log).Log("msg", "the sidecar ends", "within", settings.Bounds.Grace-endSpare)
 	s.ending.Store(true)
 	s.post(ended{})
 	within := settings.Bounds.Grace - endSpare
@@ -228,6 +229,7 @@
 		ends.Go(func() { errs[i] = f.End(within) })
 	}
 	ends.Wait()
+	level.Info(s.log).Log("msg", "all that was taken is answered")
 	return errors.Join(errs...)
 }
 
