What hangs at a machine that went dark goes elsewhere while it has the time

Now connections between sidecars break when the other side's kernel says nothing for 1.2 s, what may run again is given up at a machine that the board or the company has lost, and a server that holds requests and answers none is looked at.

--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -43,6 +43,8 @@
 	Behind func() bool
 	// Tally counts requests for the fleet, and says whether one may be taken; nil: all may.
 	Tally Tally
+	// DropGone says that a server that a complete list does not name any more answers nothing: what may run again is given up there.
+	DropGone bool
 	// Fresh says that what is known of the roster does not do to be ready: it has to be heard of again.
 	Fresh bool
 }
@@ -655,6 +657,7 @@
 		for name, e := range l.endpoints {
 			if !seen[name] {
 				l.shut(e)
+				l.giveUp(e)
 				l.remove(e)
 			}
 		}
@@ -699,6 +702,23 @@
 	e.back.CloseIdle(e)
 }
 
+// giveUp ends what may run again elsewhere and is out at a server that is there no more, where that means that nobody answers.
+func (l *Loop) giveUp(e *Endpoint) {
+	if !l.cfg.DropGone {
+		return
+	}
+	for _, r := range l.requests {
+		if r.done || !r.call.Message.Safe {
+			continue
+		}
+		for _, at := range r.attempts {
+			if at.Endpoint == e && !at.ended.Load() {
+				e.back.Cancel(at)
+			}
+		}
+	}
+}
+
 func (l *Loop) remove(e *Endpoint) {
 	delete(l.endpoints, e.name)
 	delete(l.byID, e.id)
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -55,6 +55,20 @@
 	return false
 }
 
+// Watch has the kernel break a connection whose other side's has not said a word for so long, as that of a machine without power, or behind
+// a cut. With 0 it does nothing.
+func Watch(fd int, silence time.Duration) {
+	if silence <= 0 {
+		return
+	}
+	every := max(1, int(silence/(2*time.Second)))
+	unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1)
+	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_KEEPIDLE, every)
+	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_KEEPINTVL, every)
+	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_KEEPCNT, 1)
+	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence/time.Millisecond))
+}
+
 // Listen listens at a TCP address. Where shared is set, another process of the same user may listen there too, and the kernel
 // gives each a part of the connections (SO_REUSEPORT).
 func Listen(addr string, shared bool) (net.Listener, error) {
--- a/internal/upstream/http/poll_linux.go
+++ b/internal/upstream/http/poll_linux.go
@@ -167,7 +167,7 @@
 		b.settle(t, balance.Moot)
 		return
 	}
-	fd, err := connect(addr)
+	fd, err := connect(addr, p.silence)
 	if err != nil {
 		p.release()
 		if socket.Exhausted(err) {
@@ -193,7 +193,7 @@
 }
 
 // connect begins a connection.
-func connect(addr netip.AddrPort) (fd int, err error) {
+func connect(addr netip.AddrPort, silence time.Duration) (fd int, err error) {
 	family := unix.AF_INET6
 	var to unix.Sockaddr = &unix.SockaddrInet6{Port: int(addr.Port()), Addr: addr.Addr().As16()}
 	if ip := addr.Addr().Unmap(); ip.Is4() {
@@ -204,6 +204,7 @@
 		return -1, fmt.Errorf("connect: %w", err)
 	}
 	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+	socket.Watch(fd, silence)
 	if err := unix.Connect(fd, to); err != nil && err != unix.EINPROGRESS && err != unix.EINTR {
 		unix.Close(fd)
 		return -1, fmt.Errorf("connect: %w", err)
--- a/internal/upstream/http/pool.go
+++ b/internal/upstream/http/pool.go
@@ -63,7 +63,8 @@
 	connectTimeout time.Duration
 	idleTime       time.Duration
 	restTime       time.Duration
-	most           int // open connections
+	silence        time.Duration // Config.Silence
+	most           int           // open connections
 
 	mu   sync.Mutex
 	open int                        // dialled, in use and idle
@@ -184,6 +185,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect: %w", err)
 	}
+	if sc, ok := c.(syscall.Conn); ok {
+		if raw, err := sc.SyscallConn(); err == nil {
+			raw.Control(func(fd uintptr) { socket.Watch(int(fd), p.silence) })
+		}
+	}
 	return &conn{Conn: c, in: newAnswerReader(c), endpoint: e, addr: addr}, nil
 }
 
--- a/internal/upstream/http/upstream.go
+++ b/internal/upstream/http/upstream.go
@@ -39,6 +39,9 @@
 	Fields         []string      // the figures of a load report, in the module's order
 	Reports        bool          // probes ask for the load report
 	NoteLate       func(*core.Endpoint)
+	// Silence is after how long without a word of the kernel at the other side a connection that carries a request counts as broken:
+	// its machine has no power, or is cut off. 0: it may hang.
+	Silence time.Duration
 	// Dialect words requests and judges answers, where that is not as the platform of package settings has it; nil: it is.
 	Dialect Dialect
 }
@@ -76,6 +79,7 @@
 // New returns a back whose attempts end when ctx does.
 func New(ctx context.Context, cfg Config) *Back {
 	p := newPool(cfg.ConnectTimeout, cfg.Idle, cfg.Rest, cfg.Sockets)
+	p.silence = cfg.Silence
 	if cfg.NoteLate != nil {
 		p.noteLate = cfg.NoteLate
 	}
--- a/mesh/door/door.go
+++ b/mesh/door/door.go
@@ -55,6 +55,8 @@
 	heard    time.Duration
 	patience time.Duration // without beats
 	held     int
+	word     time.Duration   // when the server last answered, or was handed something while it held nothing
+	looked   time.Duration   // when it was last looked at
 	left     map[string]bool // ids that have left, so that a late beat does not bring them back
 }
 
@@ -127,7 +129,7 @@
 
 // Answered says that the server has answered. It reports whether that is news.
 func (d *Door) Answered(now time.Duration) bool {
-	d.heard = max(d.heard, now)
+	d.heard, d.word = max(d.heard, now), now
 	if d.state != callboard.Silent {
 		return false
 	}
@@ -156,10 +158,28 @@
 	case d.held >= d.places(rank, sent):
 		return Full
 	}
-	d.held++
+	if d.held++; d.held == 1 {
+		d.word = max(d.word, d.heard)
+	}
 	return Enter
 }
 
+const (
+	// muteAfter is how long a server that holds requests may answer none before it is looked at, and lookEvery the pause between looks.
+	muteAfter = 700 * time.Millisecond
+	lookEvery = 500 * time.Millisecond
+)
+
+// Mute reports whether the server is to be looked at now: it holds requests, and has neither answered one nor beaten for a while. Slow ones
+// are no less looked at than dead ones; what is found decides.
+func (d *Door) Mute(now time.Duration) bool {
+	if d.held == 0 || d.state == callboard.Silent || d.state == callboard.Left || now-max(d.word, d.heard) < muteAfter || now-d.looked < lookEvery {
+		return false
+	}
+	d.looked = now
+	return true
+}
+
 // places is how many requests the server may hold for one of a rank to come in that was sent on so often.
 func (d *Door) places(rank, sent int) int {
 	row := &perBerth[min(max(rank, 0), len(perBerth)-1)]
--- a/mesh/stage/incoming.go
+++ b/mesh/stage/incoming.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -76,8 +77,11 @@
 	}
 	cut := c.Received.Add(time.Duration(c.Ask.Remaining * float64(time.Millisecond)))
 	t := &lastTry{}
-	t.attempt = core.NewAttempt(s.place, &c.Message, cut, func(r core.Result) { x.end(c, id, r) })
+	t.attempt = core.NewAttempt(s.place, &c.Message, cut, func(r core.Result) { x.end(c, t, id, r) })
 	c.State.Store(t)
+	s.inMu.Lock()
+	s.tries[t] = struct{}{}
+	s.inMu.Unlock()
 	s.local.Begin(t.attempt)
 }
 
@@ -89,11 +93,12 @@
 }
 
 // end answers the sending sidecar.
-func (x lastExchange) end(c *core.Call, id string, r core.Result) {
+func (x lastExchange) end(c *core.Call, t *lastTry, id string, r core.Result) {
 	s := x.s
 	news := false
 	s.inMu.Lock()
 	s.door.Done(id)
+	delete(s.tries, t)
 	switch {
 	case r.Outcome == balance.ConnectFailed:
 		news = s.door.Refused()
@@ -107,6 +112,31 @@
 	c.Client.Answer(c, wordEnd(r))
 }
 
+// lookPatience bounds the wait for a connection to a server that is looked at: it is on the same machine.
+const lookPatience = 250 * time.Millisecond
+
+// look finds out whether the server beside, which holds requests and says nothing, is there at all. If nobody takes a connection, what it holds
+// is broken: what may run again goes elsewhere while it has the time.
+func (s *Stage) look() {
+	if c, err := net.DialTimeout("tcp", s.place.Addr(), lookPatience); err == nil {
+		c.Close()
+		return
+	}
+	s.inMu.Lock()
+	news := s.door.Refused()
+	var held []*lastTry
+	for t := range s.tries {
+		held = append(held, t)
+	}
+	s.inMu.Unlock()
+	for _, t := range held {
+		s.local.Cancel(t.attempt)
+	}
+	if news {
+		s.post(changed{})
+	}
+}
+
 // wordEnd is what the sending sidecar is told.
 func wordEnd(r core.Result) *core.Answer {
 	if a := r.Answer; a != nil {
--- a/mesh/stage/news.go
+++ b/mesh/stage/news.go
@@ -94,8 +94,11 @@
 		case <-ticker.C:
 			now = s.now()
 			s.inMu.Lock()
-			news := s.door.Tick(now)
+			news, mute := s.door.Tick(now), s.door.Mute(now)
 			s.inMu.Unlock()
+			if mute {
+				go s.look()
+			}
 			if news {
 				s.announce(now)
 			}
--- a/mesh/stage/outgoing.go
+++ b/mesh/stage/outgoing.go
@@ -76,7 +76,7 @@
 			ConnIdle: float64(hopIdle / time.Millisecond), Streams: 1, ColdFrom: 0.5, ColdTime: coldTime, FallMultiple: 8, FallTime: 1000,
 			Goal: balance.Goal{Whole: 1}, HoldOff: holdOff, LastHop: true, Purse: svc.purse,
 		},
-		Zones: zones, Kinds: map[string]int{}, Known: &roster.List{}, Back: func(string) core.Back { return s.hops }, Log: s.slog,
+		Zones: zones, Kinds: map[string]int{}, Known: &roster.List{}, Back: func(string) core.Back { return s.hops }, Log: s.slog, DropGone: true,
 	})
 	go svc.loop.Run()
 	return svc
--- a/mesh/stage/stage.go
+++ b/mesh/stage/stage.go
@@ -41,9 +41,14 @@
 	hopConnect = 400 * time.Millisecond
 	hopIdle    = 20 * time.Second
 	frontIdle  = 45 * time.Second
+	// hopSilence is how long another machine's kernel may say nothing while it has a request: beyond it the machine is dark or cut off, and
+	// what may run again goes elsewhere.
+	hopSilence = 1200 * time.Millisecond
 	// serverConnect and serverIdle are the same for the server beside.
 	serverConnect = 300 * time.Millisecond
 	serverIdle    = 5 * time.Second
+	// serverSilence is hopSilence for the server beside: one that is gone without a word.
+	serverSilence = 1000 * time.Millisecond
 	// beatsMissed is how many beats a server may leave out before it counts as silent.
 	beatsMissed = 2.6
 	// lastCalls is how long new connections are taken after SIGTERM: the platform sends clients for about two seconds more.
@@ -77,7 +82,8 @@
 	inMu  sync.Mutex // guards the door
 	door  *door.Door
 	local back
-	place *core.Endpoint // the server beside
+	place *core.Endpoint        // the server beside
+	tries map[*lastTry]struct{} // what it holds
 
 	// What follows is the one goroutine's.
 	desk    *cue.Desk
@@ -122,7 +128,7 @@
 	defer stop()
 	s := &Stage{
 		path: path, log: log, slog: shared, start: time.Now(), ctx: inner, events: make(chan any, mostEvents), desk: cue.NewDesk(),
-		door: door.New(time.Duration(beatsMissed * max(settings.BeatS, 0.2) * float64(time.Second))), made: map[string]*service{},
+		door: door.New(time.Duration(beatsMissed * max(settings.BeatS, 0.2) * float64(time.Second))), made: map[string]*service{}, tries: map[*lastTry]struct{}{},
 		children: map[*callboy.Conn]uint64{}, byChild: map[uint64]*callboy.Conn{},
 	}
 	s.settings.Store(settings)
@@ -136,9 +142,10 @@
 	}
 	s.company = company.New(settings.NodeName, seedOf(settings.NodeName)^uint64(s.start.UnixNano()))
 	sockets := max(200, settings.Caps.FileHandles-400)
-	s.hops = s.newBack(httpback.Config{ConnectTimeout: hopConnect, Idle: hopIdle, Sockets: sockets / 3, Dialect: hop{s}})
+	s.hops = s.newBack(httpback.Config{ConnectTimeout: hopConnect, Idle: hopIdle, Silence: hopSilence, Sockets: sockets / 3, Dialect: hop{s}})
 	s.local = s.newBack(httpback.Config{
-		ConnectTimeout: serverConnect, Idle: serverIdle, Rest: 2 * time.Millisecond, Sockets: sockets / 8, Dialect: lastHop{s},
+		ConnectTimeout: serverConnect, Idle: serverIdle, Rest: 2 * time.Millisecond, Silence: serverSilence, Sockets: sockets / 8,
+		Dialect: lastHop{s},
 	})
 	for _, b := range []back{s.hops, s.local} {
 		go b.Run(inner)
