--- /dev/null
+++ b/mesh/door/link_test.go
@@ -0,0 +1,38 @@
+package door
+
+import (
+	"testing"
+	"time"
+)
+
+// Asked for twice what the link carries, long answers fill it and no more: what is let begin never waits for much longer than linkWait.
+func TestLongAnswersKeepToTheLink(t *testing.T) {
+	const bytes = 90 << 10
+	l := NewLink(8) // 1 MB a second
+	type answer struct {
+		at time.Duration
+	}
+	var out []answer
+	sent := 0
+	most := 0.
+	for now := time.Duration(0); now < 20*time.Second; now += 10 * time.Millisecond {
+		for len(out) > 0 && out[0].at <= now {
+			l.Ended(now, bytes)
+			out = out[1:]
+			sent += bytes
+		}
+		most = max(most, l.level/l.rate)
+		if now%(40*time.Millisecond) == 0 && l.Offer(now) { // 25 a second are asked for
+			out = append(out, answer{now + 150*time.Millisecond})
+		}
+	}
+	if rate := float64(sent) / 20; rate < 0.82e6 || rate > 0.95e6 {
+		t.Errorf("%.0f bytes a second go out", rate)
+	}
+	if most > 2*linkWait.Seconds() {
+		t.Errorf("answers wait %.2f s for the link", most)
+	}
+	if l := NewLink(0); !l.Offer(0) || !l.Offer(0) {
+		t.Error("without a bound long answers are turned away")
+	}
+}
--- a/mesh/stage/incoming.go
+++ b/mesh/stage/incoming.go
@@ -12,8 +12,12 @@
 	"cedararch/internal/core"
 	httpfront "cedararch/internal/front/http"
 	"cedararch/mesh/door"
+	"cedararch/mesh/playbill"
 )
 
+// bulk is the class of a message whose answer is long.
+const bulk = "bulk"
+
 // incoming is what the front towards other sidecars speaks.
 type incoming struct{ s *Stage }
 
@@ -31,6 +35,11 @@
 	to := r.Header.Get(deliverTo)
 	c.Message = messageOf(r, body, c.Message.Stream)
 	c.Message.Object = to
+	if bill := in.s.bill.Load(); bill != nil {
+		if route := bill.Match(r.Host, r.Path); route != nil && route.Kind == playbill.Download {
+			c.Message.Class = bulk
+		}
+	}
 	first, sent, _ := strings.Cut(r.Header.Get(rank), ".")
 	c.Message.Rank, _ = strconv.Atoi(first)
 	c.Message.Sent, _ = strconv.Atoi(sent)
@@ -69,7 +78,14 @@
 func (x lastExchange) Arrive(c *core.Call) {
 	s, id := x.s, c.Message.Object
 	s.inMu.Lock()
-	verdict := s.door.Ask(id, c.Message.Rank, c.Message.Sent)
+	long := c.Message.Class == bulk
+	verdict := door.Full
+	if !long || s.link.Offer(s.now()) {
+		verdict = s.door.Ask(id, c.Message.Rank, c.Message.Sent)
+		if long && verdict != door.Enter {
+			s.link.Ended(s.now(), 0)
+		}
+	}
 	s.inMu.Unlock()
 	if verdict != door.Enter {
 		c.Client.Answer(c, say(http.StatusServiceUnavailable, fateUnmet, verdict.String(), 0))
@@ -99,6 +115,17 @@
 	s.inMu.Lock()
 	s.door.Done(id)
 	delete(s.tries, t)
+	bytes := 0
+	if a := r.Answer; a != nil {
+		if bytes = len(a.Body); a.Stream != nil {
+			bytes += int(max(0, a.Stream.Length()))
+		}
+	}
+	if c.Message.Class == bulk {
+		s.link.Ended(s.now(), bytes)
+	} else {
+		s.link.Sent(s.now(), bytes)
+	}
 	switch {
 	case r.Outcome == balance.ConnectFailed:
 		news = s.door.Refused()
--- a/mesh/stage/stage.go
+++ b/mesh/stage/stage.go
@@ -81,6 +81,7 @@
 
 	inMu  sync.Mutex // guards the door
 	door  *door.Door
+	link  *door.Link
 	local back
 	place *core.Endpoint        // the server beside
 	tries map[*lastTry]struct{} // what it holds
@@ -132,6 +133,7 @@
 		children: map[*callboy.Conn]uint64{}, byChild: map[uint64]*callboy.Conn{},
 	}
 	s.settings.Store(settings)
+	s.link = door.NewLink(settings.Caps.LinkMbps)
 	s.line.Store(&settings.Line)
 	s.services.Store(&map[string]*service{})
 	s.polled = poller.Check() == nil
