--- /dev/null
+++ b/balance/lasthop_test.go
@@ -0,0 +1,108 @@
+package balance
+
+import "testing"
+
+// few is a purse of so many repeats.
+type few struct{ asked, left int }
+
+func (p *few) Asked(float64) { p.asked++ }
+
+func (p *few) Spend(float64) bool {
+	p.left--
+	return p.left >= 0
+}
+
+func lastHop(n int, purse Purse) (*Balancer, []Action) {
+	cfg := baseConfig()
+	cfg.Classes, cfg.LastHop, cfg.MaxAttempts, cfg.Purse = nil, true, 8, purse
+	b := New(cfg)
+	b.Start(0)
+	acts, _ := b.Handle(0, ServerList{Kind: ListFull, Servers: fleet(n)})
+	b.Extend(Class{Effect: Safe, Aim: 400, Deadline: 2000, Worth: 1, Hold: 0.25})
+	b.Extend(Class{Effect: Unsafe, Aim: 400, Deadline: 2000, Worth: 1, Hold: 0.25})
+	return b, acts
+}
+
+// play asks for one request and ends each attempt as the next of results says. It returns what is sent and the last action.
+func play(t *testing.T, b *Balancer, req Request, results ...Outcome) (sent []ServerID, last Action) {
+	t.Helper()
+	acts, err := b.Handle(b.now+1, req)
+	for i := 0; ; i++ {
+		if err != nil {
+			t.Fatal(err)
+		}
+		again := false
+		for _, a := range acts {
+			if last = a; a.Kind == Send {
+				sent, again = append(sent, a.Server), true
+			}
+		}
+		if !again || i == len(results) {
+			return sent, last
+		}
+		out := results[i]
+		out.Request, out.Attempt, out.Server = req.ID, len(sent)-1, sent[len(sent)-1]
+		acts, err = b.Handle(b.now+5, out)
+	}
+}
+
+func TestWhatNoServerHasSeenCostsNothing(t *testing.T) {
+	unmet := Outcome{Result: Full, Unmet: true}
+	purse := &few{}
+	b, _ := lastHop(5, purse)
+	for class := range 2 {
+		sent, _ := play(t, b, Request{ID: RequestID(class + 1), Class: class, Remaining: 2000, Attempts: 1}, unmet, unmet, unmet, Outcome{Result: OK})
+		if len(sent) != 4 {
+			t.Errorf("class %d: sent to %v", class, sent)
+		}
+	}
+	if purse.asked != 2 || purse.left != 0 {
+		t.Errorf("asked %d, %d taken", purse.asked, -purse.left)
+	}
+	for _, s := range b.servers {
+		if s.errs != 0 {
+			t.Errorf("server %d has %d errors for what it never saw", s.ID, s.errs)
+		}
+	}
+}
+
+func TestRepeatsKeepToAttemptsAndPurse(t *testing.T) {
+	failed := Outcome{Result: Failed}
+	for _, c := range []struct {
+		name            string
+		class, attempts int
+		left, want      int
+	}{
+		{"one more, as the purse has it", 0, 2, 5, 2},
+		{"one attempt, whatever the purse has", 0, 1, 5, 1},
+		{"an empty purse", 0, 2, 0, 1},
+		{"what must not run twice", 1, 3, 5, 1},
+	} {
+		b, _ := lastHop(5, &few{left: c.left})
+		sent, last := play(t, b, Request{ID: 1, Class: c.class, Remaining: 2000, Attempts: c.attempts}, failed, failed, failed)
+		if len(sent) != c.want || last.Kind != Refuse && last.Kind != Fail {
+			t.Errorf("%s: sent to %v, then %v", c.name, sent, last.Kind)
+		}
+		if c.class == 1 && last.Kind != Fail {
+			t.Errorf("%s: refused although it ran", c.name)
+		}
+	}
+}
+
+// Turned away everywhere, a request asks those again after a pause, and is refused at once when its time of waiting is over.
+func TestTurnedAwayEverywhereAsksAgainAndGivesUp(t *testing.T) {
+	b, _ := lastHop(2, nil)
+	unmet := Outcome{Result: Full, Unmet: true}
+	sent, last := play(t, b, Request{ID: 1, Class: 0, Remaining: 2000}, unmet, unmet)
+	if len(sent) != 2 || last.Kind != SetTimer || last.At > 50 {
+		t.Fatalf("sent to %v, then %v", sent, last)
+	}
+	acts, _ := b.Handle(b.now+last.At, Timer{Token: 1})
+	if len(acts) == 0 || acts[0].Kind != Send {
+		t.Fatalf("after the pause: %v", acts)
+	}
+	acts, _ = b.Handle(b.now+95, Outcome{Request: 1, Attempt: 2, Server: acts[0].Server, Result: Full, Unmet: true})
+	if len(acts) == 0 || acts[0].Kind != Refuse {
+		t.Errorf("when its time is over: %v", acts)
+	}
+}
--- a/internal/core/loop_test.go
+++ b/internal/core/loop_test.go
@@ -82,3 +82,25 @@
 		}
 	}
 }
+
+// What may run again is not left at a server that is there no more, where that means that nobody answers; what may not is.
+func TestWhatIsOutAtALostServerGoesElsewhere(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		drop, may bool
+		cancelled int
+	}{
+		{"lost, and may run again", true, true, 1}, {"lost, but must not run twice", true, false, 0}, {"gone by a list that is only late", false, true, 0},
+	} {
+		b, got := &back{}, &caller{}
+		l := newLoop(t, b)
+		l.cfg.DropGone = c.drop
+		servers := []roster.Member{{ID: "s-1", HostPort: "h:1", Phase: "ready", Size: 1}}
+		l.take(&roster.List{Complete: true, Members: servers}, balance.ListFull)
+		l.begin(&Call{Message: Message{Safe: c.may}, Received: l.started, Ask: balance.Request{Remaining: 20000}, Client: got})
+		l.take(&roster.List{Complete: true}, balance.ListFull)
+		if len(b.begun) != 1 || b.cancelled != c.cancelled {
+			t.Errorf("%s: %d begun, %d given up", c.name, len(b.begun), b.cancelled)
+		}
+	}
+}
