After a loss of all power: cores ask anew with each link, sidecars ask their servers who they are

Now each new link begins the asking anew, a child that knows nothing leaves a parent that cannot tell within 0.45 s, and a restarted sidecar asks its server's health path who it is. A lost machine is found by a clearly later word only (the same word told by another core found it again, several times a second). What failed at servers is answered as they said.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -126,7 +126,7 @@
 // answer ends a request unserved: refused where harmless, to come back soon but not at once; else failed.
 func (b *Balancer) answer(r *request, why Why) {
 	end := Action{Kind: Fail, Request: r.ID, Why: why}
-	if b.refusable(r) {
+	if b.refusable(r) && !(b.cfg.LastHop && r.mayHaveRun()) { // what a server said of it tells more there
 		away := holdOff
 		if b.cfg.HoldOff > 0 {
 			away = b.cfg.HoldOff
--- a/mesh/callboard/callboard.go
+++ b/mesh/callboard/callboard.go
@@ -26,6 +26,9 @@
 	Silent                 // no beats, or no connection
 )
 
+// later is how much later than the last word on a lost machine one has to be that finds it.
+const later = 400 * time.Millisecond
+
 // Most bounds the machines on a board; more are not taken in.
 const Most = 8192
 
@@ -68,15 +71,7 @@
 			return false
 		}
 	case !e.Newer(old):
-		if e.Life == old.Life && heard > old.Heard {
-			old.Heard = heard
-			if old.Lost {
-				old.Lost = false
-				b.touch(old)
-				return true
-			}
-		}
-		return false
+		return e.Life == old.Life && old.alive(b, heard)
 	default:
 		heard = max(heard, old.Heard)
 	}
@@ -110,16 +105,21 @@
 // Alive notes that a machine's sidecar lived at a time, if it is still the one of that life. It reports whether it counted as lost.
 func (b *Board) Alive(node string, life uint64, heard time.Duration) bool {
 	e := b.entries[node]
-	if e == nil || e.Life != life || heard <= e.Heard {
+	return e != nil && e.Life == life && e.alive(b, heard)
+}
+
+// alive notes that an entry's machine lived at a time. Who counts as lost is found by a clearly later word only: the same one, told by another,
+// seems later by what it was under way.
+func (e *Entry) alive(b *Board, heard time.Duration) (found bool) {
+	if heard <= e.Heard || e.Lost && heard <= e.Heard+later {
 		return false
 	}
 	e.Heard = heard
-	if e.Lost {
+	if found = e.Lost; found {
 		e.Lost = false
 		b.touch(e)
-		return true
 	}
-	return false
+	return found
 }
 
 func (b *Board) touch(e *Entry) {
--- a/mesh/callboard/callboard_test.go
+++ b/mesh/callboard/callboard_test.go
@@ -44,6 +44,9 @@
 	if b.Alive("a", 6, 5*time.Second) {
 		t.Error("an earlier life speaks for a later one")
 	}
+	if b.Alive("a", 7, 100*time.Millisecond) || b.Merge(Entry{Node: "a", Life: 7, Seq: 1}, 50*time.Millisecond) {
+		t.Error("found by the word that was known, told once more")
+	}
 	if !b.Alive("a", 7, 5*time.Second) || b.All()[0].Lost {
 		t.Error("not found again")
 	}
--- a/mesh/cue/tree.go
+++ b/mesh/cue/tree.go
@@ -19,12 +19,17 @@
 	// frame is still coming.
 	stale   = 1350 * time.Millisecond
 	longest = 4 * time.Second
+	// unknown is how long a parent has to tell a child anything at all that knows nothing yet.
+	unknown = 450 * time.Millisecond
 )
 
 // Stale reports whether a child is to look for another parent: what it knows was last confirmed at asOf, it turned to this parent at since, and
 // of a frame that is not whole so many bytes have come, the last of them at moved. Whole frames are no reason to stay: a parent that
 // is cut off from the majority sends them, too.
 func Stale(now, asOf, since time.Duration, coming int64, moved time.Duration) bool {
+	if asOf < 0 { // nothing is known yet: whoever can tell is to be found soon
+		return now-since > unknown
+	}
 	age := now - asOf
 	if age <= stale || now-since <= stale {
 		return false
--- a/mesh/door/door.go
+++ b/mesh/door/door.go
@@ -193,6 +193,9 @@
 	}
 }
 
+// Known reports whether it is known who is behind the door.
+func (d *Door) Known() bool { return d.id != "" }
+
 // Held is how many requests the server holds.
 func (d *Door) Held() int { return d.held }
 
--- a/mesh/promptbook/promptbook.go
+++ b/mesh/promptbook/promptbook.go
@@ -98,6 +98,8 @@
 		ID      uint64
 		Members []string
 	}
+	// Linked says that a machine can be reached that could not: what is asked is asked anew, where nothing is known yet.
+	Linked struct{}
 	// Known are machines to ask, where no member answers.
 	Known struct{ Machines []string }
 )
@@ -108,6 +110,7 @@
 func (Sync) event()   {}
 func (Recast) event() {}
 func (Known) event()  {}
+func (Linked) event() {}
 
 // Outcome is the end of a Put, a Sync or a Recast that a majority has settled.
 type Outcome struct {
@@ -229,6 +232,10 @@
 		if len(b.ops) < mostOps {
 			b.ops = append(b.ops, ev)
 		}
+	case Linked:
+		if b.asOf < 0 || !b.state.Voter {
+			b.phase, b.due = idle, now
+		}
 	case Tick:
 	}
 	b.advance()
--- a/mesh/stage/beats.go
+++ b/mesh/stage/beats.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 	validation "github.com/go-ozzo/ozzo-validation/v4"
 
+	"cedararch/mesh/callboard"
 	"cedararch/mesh/calls"
 	"cedararch/mesh/door"
 )
@@ -70,6 +71,67 @@
 	return calls.Answer{Status: http.StatusOK, Body: struct{}{}}
 }
 
+const (
+	// askPatience bounds the wait for a server's word on who it is, asked where a restarted sidecar knows nothing of it, and asks how often
+	// it is asked: its next beat tells more.
+	askPatience = 400 * time.Millisecond
+	asks        = 4
+	// usualBerths is what a server counts as until its beat says how many it has.
+	usualBerths = 4
+)
+
+// askServer asks the server beside who it is, by its health path, where nothing is known of it: all that knew have ended with this sidecar's
+// earlier life, and the server's next beat may be a second away.
+func (s *Stage) askServer() {
+	bill := s.bill.Load()
+	settings := s.settings.Load()
+	if bill == nil || settings.FirstStart {
+		return
+	}
+	line := *s.line.Load()
+	fleet := bill.Fleets[line]
+	if fleet == nil || fleet.HealthPath == "" {
+		return
+	}
+	client := http.Client{Timeout: askPatience, Transport: &http.Transport{DisableKeepAlives: true}}
+	for range asks {
+		if s.knowsServer() || s.ending.Load() {
+			return
+		}
+		if id := askOnce(&client, "http://"+settings.AppAddr+fleet.HealthPath); id != "" {
+			s.inMu.Lock()
+			s.door.Recall(s.now(), &callboard.Entry{Server: id, Line: line, Berths: usualBerths, State: callboard.Accepting})
+			s.inMu.Unlock()
+			s.post(changed{})
+			return
+		}
+		select {
+		case <-time.After(askPatience / 2):
+		case <-s.ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Stage) knowsServer() bool {
+	s.inMu.Lock()
+	defer s.inMu.Unlock()
+	return s.door.Known()
+}
+
+// askOnce returns the id of a server that says it is well; empty: none.
+func askOnce(client *http.Client, url string) string {
+	resp, err := client.Get(url)
+	if err != nil {
+		return ""
+	}
+	defer resp.Body.Close()
+	if id := resp.Header.Get("Served-By"); resp.StatusCode == http.StatusOK && len(id) <= mostID {
+		return id
+	}
+	return ""
+}
+
 func (s *Stage) takeLeave(c *calls.Call) calls.Answer {
 	s.inMu.Lock()
 	news := s.door.Leave(c.Args[0])
--- a/mesh/stage/news.go
+++ b/mesh/stage/news.go
@@ -380,6 +380,7 @@
 			s.ready.Store(true)
 			level.Info(s.log).Log("msg", "ready", "edition", s.desk.Edition, "machines", s.desk.Board.Len())
 			s.announce(now)
+			go s.askServer()
 			s.settleAt = now + settled + time.Duration(seedOf(s.own.Node)%uint64(settled))
 		}
 	}
--- a/mesh/wings/wings.go
+++ b/mesh/wings/wings.go
@@ -39,7 +39,7 @@
 	// machineMemory is how long a core machine may be unheard of before it is no longer told of.
 	machineMemory = 30 * time.Second
 	// redial is the pause between two attempts to reach a core machine.
-	redial      = 250 * time.Millisecond
+	redial      = 120 * time.Millisecond
 	dialPatient = 600 * time.Millisecond
 	// callPatience is how long an operator's call waits for a majority.
 	callPatience = 2500 * time.Millisecond
@@ -213,6 +213,7 @@
 		l.conn, l.rev = e.conn, 0
 		if e.conn != nil {
 			p.hello(e.addr, p.now())
+			p.act(promptbook.Linked{})
 		}
 	case asked:
 		p.lastID++
