--- a/lab/explore/book/book.go
+++ b/lab/explore/book/book.go
@@ -7,7 +7,6 @@
 
 import (
 	"fmt"
-	"hash/fnv"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -106,6 +105,7 @@
 	bodies   map[uint32]string
 	broken   error
 	path     uint64
+	named    bool // choices get names
 }
 
 // Start returns what makes a new system; a nil defect plants none.
@@ -145,15 +145,18 @@
 func (s *system) State() uint64 { return s.path }
 
 // Choices implements explore.System.
-func (s *system) Choices() []string { return explore.Names(s.choices()) }
+func (s *system) Choices() []string {
+	s.named = true
+	defer func() { s.named = false }()
+	return explore.Names(s.choices())
+}
 
 // Do implements explore.System.
 func (s *system) Do(choice int) {
 	next := s.choices()[choice]
 	s.step++
-	h := fnv.New64a()
-	fmt.Fprint(h, s.path, choice)
-	s.path = h.Sum64()
+	s.path = (s.path ^ uint64(choice+1)) * 1099511628211
+	s.path ^= s.path >> 29
 	next.Do()
 }
 
@@ -197,7 +200,11 @@
 	}
 	for i := range s.flight {
 		f := &s.flight[i]
-		add(fmt.Sprintf("%s hears of %s: %d", f.To, f.From, f.Kind), func() { s.deliver(i, true) })
+		name := ""
+		if s.named { // which costs more than all the rest
+			name = fmt.Sprintf("%s hears of %s: %d", f.To, f.From, f.Kind)
+		}
+		add(name, func() { s.deliver(i, true) })
 		if s.bounds.Faults > 0 && i == 0 && s.step%2 == 0 {
 			add("the oldest message is lost", func() { s.bounds.Faults--; s.flight = slices.Delete(s.flight, 0, 1) })
 			add("the oldest message comes twice", func() { s.bounds.Faults--; s.deliver(0, false) })
@@ -398,10 +405,11 @@
 func (s *system) walk(seed uint64, steps int) {
 	rng := rand.New(rand.NewPCG(seed, 7))
 	for range steps {
-		n := len(s.choices())
-		if n == 0 || s.broken != nil {
+		all := s.choices()
+		if len(all) == 0 || s.broken != nil {
 			return
 		}
-		s.Do(rng.IntN(n))
+		s.step++
+		all[rng.IntN(len(all))].Do()
 	}
 }
