Servers of the own zone get 2.5 times the weight

The decision module's own favour for the zone is given its price; doors send on what they have no room for.

--- a/mesh/stage/outgoing.go
+++ b/mesh/stage/outgoing.go
@@ -27,6 +27,9 @@
 	// hold is the part of its aim for which a request waits for room at a server, and holdUrgent that of one of the first rank.
 	hold       = 0.2
 	holdUrgent = 0.9
+	// crossZone is what a request that crosses zones costs, as a part of its worth: by it a server of the own zone gets 2.5 times the weight
+	// of another. Its door sends on what it has no room for.
+	crossZone = 0.0144
 	// holdOff is the part of its aim for which a refused client is asked to stay away, and mostHoldOff bounds it.
 	holdOff     = 0.5
 	mostHoldOff = 1000 // ms
@@ -74,7 +77,7 @@
 			Seed: seedOf(settings.NodeName+line) ^ uint64(s.start.UnixNano()), Zone: own, MaxAttempts: mostAttempts, Cancel: true,
 			RetryAfter: true, MaxRetryAfter: mostHoldOff, ConnectTimeout: float64(hopConnect / time.Millisecond),
 			ConnIdle: float64(hopIdle / time.Millisecond), Streams: 1, ColdFrom: 0.5, ColdTime: coldTime, FallMultiple: 8, FallTime: 1000,
-			Goal: balance.Goal{Whole: 1}, HoldOff: holdOff, LastHop: true, Purse: svc.purse,
+			Goal: balance.Goal{Whole: 1}, Prices: balance.Prices{CrossZone: crossZone}, HoldOff: holdOff, LastHop: true, Purse: svc.purse,
 		},
 		Zones: zones, Kinds: map[string]int{}, Known: &roster.List{}, Back: func(string) core.Back { return s.hops }, Log: s.slog, DropGone: true,
 	})
