What must not run twice goes to servers on connections that were just used

Cause: a server may forget an idle connection without a word (the grown sites' idle_race), and after the reset nobody knows whether an unsafe request ran. At the last hop such a request takes a connection idle for 0.8 s at most, or a new one.

--- a/internal/upstream/http/answer_test.go
+++ b/internal/upstream/http/answer_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cedararch/balance"
+	"cedararch/internal/core"
 	"cedararch/internal/httpwire"
 	"cedararch/internal/testbed"
 )
@@ -121,11 +122,11 @@
 	if r := u.try(newAttempt(e, testbed.Patience).attempt); r.Outcome != balance.OK {
 		t.Fatalf("outcome %v", r.Outcome)
 	}
-	if c := u.pool.takeIdle(e); c != nil {
+	if c := u.pool.takeIdle(e, 0); c != nil {
 		t.Error("taken at once")
 	}
 	u.pool.idle[e][0].idleFrom = time.Now().Add(-2 * time.Hour)
-	if c := u.pool.takeIdle(e); c == nil {
+	if c := u.pool.takeIdle(e, 0); c == nil {
 		t.Error("not taken after its rest")
 	} else {
 		u.pool.put(c)
@@ -164,3 +165,27 @@
 		}
 	})
 }
+
+// What must not run twice goes out on no connection that a server may have forgotten; what may goes out on any that stands.
+func TestIdleConnectionsThatMayBeForgotten(t *testing.T) {
+	p := newPool(time.Second, time.Minute, 0, 4)
+	p.fresh = 800 * time.Millisecond
+	e, now := core.NewEndpoint("s", "h:1"), time.Now()
+	for _, c := range []struct {
+		name string
+		safe bool
+		idle time.Duration
+		want bool
+	}{
+		{"safe, idle for long", true, 10 * time.Second, true}, {"unsafe, idle for long", false, 10 * time.Second, false},
+		{"unsafe, just used", false, 100 * time.Millisecond, true},
+	} {
+		p.idle[e] = []*conn{{endpoint: e, idleFrom: now.Add(-c.idle)}}
+		if got := p.takeIdle(e, p.within(&core.Message{Safe: c.safe})) != nil; got != c.want {
+			t.Errorf("%s: taken: %v", c.name, got)
+		}
+	}
+	if p.fresh = 0; p.within(&core.Message{}) != 0 {
+		t.Error("bounded where nothing bounds it")
+	}
+}
--- a/internal/upstream/http/late_test.go
+++ b/internal/upstream/http/late_test.go
@@ -40,7 +40,7 @@
 
 func (p *pool) mustGet(t *testing.T, e *core.Endpoint) *conn {
 	t.Helper()
-	c, err := p.get(t.Context(), e, time.Now().Add(testbed.Patience))
+	c, err := p.get(t.Context(), e, time.Now().Add(testbed.Patience), 0)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/upstream/http/poll_linux.go
+++ b/internal/upstream/http/poll_linux.go
@@ -156,7 +156,11 @@
 		return
 	}
 	p := b.up.pool
-	for c := p.takeIdle(t.endpoint); c != nil; c = p.takeIdle(t.endpoint) {
+	within := time.Duration(0)
+	if t.attempt != nil {
+		within = p.within(t.attempt.Message)
+	}
+	for c := p.takeIdle(t.endpoint, within); c != nil; c = p.takeIdle(t.endpoint, within) {
 		if c = p.check(c, t.endpoint); c == nil {
 			continue
 		}
--- a/internal/upstream/http/pool.go
+++ b/internal/upstream/http/pool.go
@@ -63,7 +63,7 @@
 	connectTimeout time.Duration
 	idleTime       time.Duration
 	restTime       time.Duration
-	silence        time.Duration // Config.Silence
+	silence, fresh time.Duration // Config's
 	most           int           // open connections
 
 	mu   sync.Mutex
@@ -101,9 +101,9 @@
 }
 
 // get returns an idle connection that still stands, or a new one.
-func (p *pool) get(ctx context.Context, e *core.Endpoint, cut time.Time) (*conn, error) {
+func (p *pool) get(ctx context.Context, e *core.Endpoint, cut time.Time, within time.Duration) (*conn, error) {
 	for {
-		c := p.takeIdle(e)
+		c := p.takeIdle(e, within)
 		if c == nil {
 			break
 		}
@@ -193,8 +193,16 @@
 	return &conn{Conn: c, in: newAnswerReader(c), endpoint: e, addr: addr}, nil
 }
 
-// takeIdle takes the most recently used connection that has rested.
-func (p *pool) takeIdle(e *core.Endpoint) *conn {
+// within is how long a connection may have been idle to carry a message; 0: as long as any.
+func (p *pool) within(m *core.Message) time.Duration {
+	if m.Safe {
+		return 0
+	}
+	return p.fresh
+}
+
+// takeIdle takes the most recently used connection that has rested, if it was used within so long; 0: whenever.
+func (p *pool) takeIdle(e *core.Endpoint, within time.Duration) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	idle, now, rest := p.idle[e], time.Now(), p.restTime
@@ -202,6 +210,9 @@
 		rest = max(rest, lateRest)
 	}
 	for i := len(idle) - 1; i >= 0; i-- {
+		if within > 0 && now.Sub(idle[i].idleFrom) > within {
+			return nil // and those before it are older
+		}
 		if c := idle[i]; now.Sub(c.idleFrom) >= rest {
 			p.setIdle(e, slices.Delete(idle, i, i+1))
 			return c
--- a/internal/upstream/http/upstream.go
+++ b/internal/upstream/http/upstream.go
@@ -42,6 +42,9 @@
 	// Silence is after how long without a word of the kernel at the other side a connection that carries a request counts as broken:
 	// its machine has no power, or is cut off. 0: it may hang.
 	Silence time.Duration
+	// Fresh is how long a connection may have been idle to carry what must not run twice: servers may forget idle ones without a word, and
+	// after a reset nobody knows whether a request ran. 0: as long as any.
+	Fresh time.Duration
 	// Dialect words requests and judges answers, where that is not as the platform of package settings has it; nil: it is.
 	Dialect Dialect
 }
@@ -79,7 +82,7 @@
 // New returns a back whose attempts end when ctx does.
 func New(ctx context.Context, cfg Config) *Back {
 	p := newPool(cfg.ConnectTimeout, cfg.Idle, cfg.Rest, cfg.Sockets)
-	p.silence = cfg.Silence
+	p.silence, p.fresh = cfg.Silence, cfg.Fresh
 	if cfg.NoteLate != nil {
 		p.noteLate = cfg.NoteLate
 	}
@@ -147,7 +150,7 @@
 
 // try makes an attempt and tells how it ended.
 func (u *upstream) try(a *attempt) core.Result {
-	c, err := u.pool.get(a.ctx, a.Endpoint, a.Cut)
+	c, err := u.pool.get(a.ctx, a.Endpoint, a.Cut, u.pool.within(a.Message))
 	if err != nil {
 		return core.Result{Outcome: unconnected(a, err)}
 	}
@@ -426,7 +429,7 @@
 // ask probes an endpoint.
 func (u *upstream) ask(ctx context.Context, e *core.Endpoint) core.Result {
 	cut := time.Now().Add(u.pool.connectTimeout + probePatience)
-	c, err := u.pool.get(ctx, e, cut)
+	c, err := u.pool.get(ctx, e, cut, 0)
 	if err != nil {
 		return core.Result{Outcome: balance.ConnectFailed}
 	}
--- a/internal/upstream/http/upstream_test.go
+++ b/internal/upstream/http/upstream_test.go
@@ -205,7 +205,7 @@
 	if n := u.kept(); n != 1 {
 		t.Errorf("%d connections open, want 1", n)
 	}
-	c, err := u.pool.get(context.Background(), at(first.Addr), time.Now().Add(testbed.Patience))
+	c, err := u.pool.get(context.Background(), at(first.Addr), time.Now().Add(testbed.Patience), 0)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/mesh/stage/incoming.go
+++ b/mesh/stage/incoming.go
@@ -36,8 +36,11 @@
 	c.Message = messageOf(r, body, c.Message.Stream)
 	c.Message.Object = to
 	if bill := in.s.bill.Load(); bill != nil {
-		if route := bill.Match(r.Host, r.Path); route != nil && route.Kind == playbill.Download {
-			c.Message.Class = bulk
+		if route := bill.Match(r.Host, r.Path); route != nil {
+			c.Message.Safe = route.Repeatable()
+			if route.Kind == playbill.Download {
+				c.Message.Class = bulk
+			}
 		}
 	}
 	first, sent, _ := strings.Cut(r.Header.Get(rank), ".")
@@ -103,7 +106,7 @@
 
 // Leave implements core.Exchange: what may run again is given up.
 func (x lastExchange) Leave(c *core.Call) {
-	if t, ok := c.State.Load().(*lastTry); ok && c.Message.Verb == http.MethodGet {
+	if t, ok := c.State.Load().(*lastTry); ok && c.Message.Safe {
 		x.s.local.Cancel(t.attempt)
 	}
 }
--- a/mesh/stage/stage.go
+++ b/mesh/stage/stage.go
@@ -47,6 +47,8 @@
 	// serverConnect and serverIdle are the same for the server beside.
 	serverConnect = 300 * time.Millisecond
 	serverIdle    = 5 * time.Second
+	// serverFresh is how long a connection to the server may have been idle to carry what must not run twice.
+	serverFresh = 800 * time.Millisecond
 	// serverSilence is hopSilence for the server beside: one that is gone without a word.
 	serverSilence = 1000 * time.Millisecond
 	// beatsMissed is how many beats a server may leave out before it counts as silent.
@@ -146,7 +148,7 @@
 	sockets := max(200, settings.Caps.FileHandles-400)
 	s.hops = s.newBack(httpback.Config{ConnectTimeout: hopConnect, Idle: hopIdle, Silence: hopSilence, Sockets: sockets / 3, Dialect: hop{s}})
 	s.local = s.newBack(httpback.Config{
-		ConnectTimeout: serverConnect, Idle: serverIdle, Rest: 2 * time.Millisecond, Silence: serverSilence, Sockets: sockets / 8,
+		ConnectTimeout: serverConnect, Idle: serverIdle, Rest: 2 * time.Millisecond, Silence: serverSilence, Fresh: serverFresh, Sockets: sockets / 8,
 		Dialect: lastHop{s},
 	})
 	for _, b := range []back{s.hops, s.local} {
