--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -62,10 +62,11 @@
 		return
 	}
 	every := max(1, int(silence/(2*time.Second)))
+	// Three probes: on a link that is full one may wait behind what else is on its way for longer than the next is due.
 	unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1)
 	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_KEEPIDLE, every)
 	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_KEEPINTVL, every)
-	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_KEEPCNT, 1)
+	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_KEEPCNT, 3)
 	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silence/time.Millisecond))
 }
 
--- a/mesh/stage/stage.go
+++ b/mesh/stage/stage.go
@@ -43,14 +43,14 @@
 	frontIdle  = 45 * time.Second
 	// hopSilence is how long another machine's kernel may say nothing while it has a request: beyond it the machine is dark or cut off, and
 	// what may run again goes elsewhere.
-	hopSilence = 1200 * time.Millisecond
+	hopSilence = 2500 * time.Millisecond
 	// serverConnect and serverIdle are the same for the server beside.
 	serverConnect = 300 * time.Millisecond
 	serverIdle    = 5 * time.Second
 	// serverFresh is how long a connection to the server may have been idle to carry what must not run twice.
 	serverFresh = 800 * time.Millisecond
 	// serverSilence is hopSilence for the server beside: one that is gone without a word.
-	serverSilence = 1000 * time.Millisecond
+	serverSilence = 2500 * time.Millisecond
 	// beatsMissed is how many beats a server may leave out before it counts as silent.
 	beatsMissed = 2.6
 	// lastCalls is how long new connections are taken after SIGTERM: the platform sends clients for about two seconds more.
