The fleet's explorer asks bounds to hold only what a running process has heard of

Cause: `firplank-lab explore fleet` said "at most 62 were taken: it were 63". Played step by step, members 1 and 2 had crashed and member 0, the last that knew of anything, was started anew three times: no process that runs had heard of those lives, and no design can bound what nobody remembers (the design note says so; the laboratory of real processes reckons with it). The check asked for all the same. Change: the explorer keeps, for each process, the lives that it has heard of, and asks a bound to hold what was taken by any life that any running process knows, also one that stands still. The lower bound is checked against all as before.

--- a/fleet/member.go
+++ b/fleet/member.go
@@ -170,6 +170,9 @@
 	Conflict    bool
 }
 
+// Life returns the latest life of a member that was heard of; 0: none was.
+func (n *Node) Life(member int) Incarnation { return n.members[member].inc }
+
 // View returns what is known of each member.
 func (n *Node) View() []MemberView {
 	all := make([]MemberView, len(n.members))
--- a/lab/explore/talk/talk_test.go
+++ b/lab/explore/talk/talk_test.go
@@ -30,3 +30,16 @@
 		t.Logf("%v: %v", d, r)
 	}
 }
+
+// Member 0 is the last that has heard of what was taken, and is started anew: with it that is gone, and the bounds of those that come after
+// need not hold it.
+func TestWhatNobodyLivingHasHeardOfIsGone(t *testing.T) {
+	schedule := []int{0, 3, 5, 4, 0, 3, 4, 0, 0, 0, 19, 0, 1, 3, 14, 12, 1, 10, 3, 2, 7, 0, 1, 4}
+	w := explore.Play(Start(Bounds{Members: 3, Faults: 10}, 0), schedule).(*world)
+	if w.Broken() != nil {
+		t.Error(w.Broken())
+	}
+	if known := w.knowable(); known != 0 || w.truth[0] == 0 {
+		t.Errorf("%d of %d are known, after all that knew have ended", known, w.truth)
+	}
+}
