A sidecar that ends in order no longer closes the server beside it for good

An ending sidecar told its server as closing, so that nothing new came; its next life took that word over from the board (meetSelf, door.Recall), and a server that closes does not take it back: 29 of 78 servers were out of service until they began new lives. Ruled out: the new routes and configurations (no sidecar above 0.05 of 0.16 cores), the release (two servers). Change: an ending sidecar says Ending of itself; senders treat it as draining, the next life finds the server as open as it was. A server that closes itself stays closed. Tests: mesh/stage TestEndOfASidecarIsNotItsServers, two timelines of the door.

--- a/mesh/callboard/callboard.go
+++ b/mesh/callboard/callboard.go
@@ -24,6 +24,7 @@
 	Closing                // ... or it has been told to end
 	Left                   // it has left
 	Silent                 // no beats, or no connection
+	Ending                 // the server goes on, but its sidecar ends: nothing new until that is back
 )
 
 // later is how much later than the last word on a lost machine one has to be that finds it.
--- a/mesh/door/door.go
+++ b/mesh/door/door.go
@@ -112,7 +112,7 @@
 func (d *Door) Recall(now time.Duration, e *callboard.Entry) {
 	if d.id == "" && e.Server != "" && e.State != callboard.Left {
 		d.id, d.line, d.berths, d.state, d.cold, d.heard = e.Server, e.Line, e.Berths, e.State, e.Cold, now
-		if d.state == callboard.Silent {
+		if d.state == callboard.Silent || d.state == callboard.Ending {
 			d.state = callboard.Accepting
 		}
 	}
--- a/mesh/door/door_test.go
+++ b/mesh/door/door_test.go
@@ -54,7 +54,9 @@
 			case "done":
 				door.Done(arg)
 			case "recall":
-				door.Recall(now, &callboard.Entry{Server: arg, Line: "records", Berths: 2, State: callboard.Accepting})
+				id, state, _ := strings.Cut(arg, ":")
+				was := map[string]callboard.State{"": callboard.Accepting, "closing": callboard.Closing, "ending": callboard.Ending}[state]
+				door.Recall(now, &callboard.Entry{Server: id, Line: "records", Berths: 2, State: was})
 			case "ask": // for whom, of what rank, sent on how often
 				parts := strings.Split(arg+":0:0", ":")
 				rank, _ := strconv.Atoi(parts[1])
--- a/mesh/stage/news.go
+++ b/mesh/stage/news.go
@@ -251,7 +251,7 @@
 		s.own.Line = *s.line.Load()
 	}
 	if s.ending.Load() && s.own.State == callboard.Accepting {
-		s.own.State = callboard.Closing
+		s.own.State = callboard.Ending
 	}
 	s.own.Heard = now
 	s.desk.Board.Merge(s.own, now)
--- a/mesh/stage/outgoing.go
+++ b/mesh/stage/outgoing.go
@@ -126,11 +126,12 @@
 	clock := float64(time.Now().UnixMicro()) / 1000
 	for i := range board {
 		e := &board[i]
-		if e.Line != v.line || e.Lost || e.Server == "" || e.State != callboard.Accepting && e.State != callboard.Closing {
+		draining := e.State == callboard.Closing || e.State == callboard.Ending
+		if e.Line != v.line || e.Lost || e.Server == "" || e.State != callboard.Accepting && !draining {
 			continue
 		}
 		m := roster.Member{ID: e.Server, HostPort: e.Addr, Locality: e.Zone, Phase: "ready", Size: 1}
-		if e.State == callboard.Closing {
+		if draining {
 			m.Phase = "draining"
 		}
 		if left := float64(e.Cold-now) / float64(time.Millisecond); left > 0 {
--- a/mesh/stage/stage_test.go
+++ b/mesh/stage/stage_test.go
@@ -15,6 +15,8 @@
 	httpback "cedararch/internal/upstream/http"
 	"cedararch/mesh/callboard"
 	"cedararch/mesh/company"
+	"cedararch/mesh/cue"
+	"cedararch/mesh/door"
 	"cedararch/mesh/playbill"
 )
 
@@ -189,3 +191,33 @@
 		ln.Close()
 	}
 }
+
+// A sidecar that ends in order says so of itself, not of its server: what comes after it finds that as open as it was.
+func TestEndOfASidecarIsNotItsServers(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		closing bool
+		said    callboard.State
+		then    door.Verdict
+	}{{"its server goes on", false, callboard.Ending, door.Enter}, {"its server closes", true, callboard.Closing, door.Closing}} {
+		line := "records"
+		life := func(number uint64) *Stage {
+			s := &Stage{desk: cue.NewDesk(), door: door.New(time.Second), own: callboard.Entry{Node: "b1", Life: number}}
+			s.line.Store(&line)
+			return s
+		}
+		first := life(1)
+		first.door.Hear(0, door.Beat{ID: "i1", Line: line, Berths: 4, Closing: c.closing, Sequence: 1})
+		first.ending.Store(true)
+		first.announce(0)
+		e, _ := first.desk.Board.Get("b1")
+		if e.State != c.said {
+			t.Errorf("%s: told as %v", c.name, e.State)
+		}
+		second := life(2)
+		second.meetSelf(&e, 0)
+		if v := second.door.Ask("i1", 0, 0); v != c.then {
+			t.Errorf("%s: the next sidecar's door says %v", c.name, v)
+		}
+	}
+}
