An answer that begins as its attempt is given up is no longer passed on and cut off

A sidecar's probes get lost on full links, its list then lacks the machine, and what may run again is given up there (Loop.giveUp). An answer of unknown length whose first 64 KB were held at that moment had not ended its attempt: it was cancelled, and right after its beginning passed on to the client. Ruled out: the module's own cancelling, time-outs of connections (3.5 s were left), the last hop (it breaks with an end of file). Change: an attempt is given up or ended, by one atomic fate; what streams after a give-up is closed and the request goes elsewhere. Test: internal/core TestAnswerOfAnAttemptGivenUpIsNotPassedOn (the old rule answers the first case).

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -9,6 +9,7 @@
 package core
 
 import (
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -199,13 +200,20 @@
 	number   int
 	sent     float64 // the loop's clock
 	answered atomic.Bool
-	ended    atomic.Bool
+	fate     atomic.Uint32 // one of the fates
 	end      func(*Attempt)
 	written  func(*Attempt)
 	result   Result
 	took     float64
 }
 
+// The fates of an attempt, in the order that they come in.
+const (
+	underWay = iota
+	givenUp
+	over
+)
+
 // NewAttempt returns an attempt outside any exchange, whose end is told to done; for tests of backs.
 func NewAttempt(e *Endpoint, m *Message, cut time.Time, done func(Result)) *Attempt {
 	return &Attempt{Endpoint: e, Message: m, Cut: cut, end: func(a *Attempt) { done(a.result) }}
@@ -230,10 +238,22 @@
 	}
 }
 
-// End ends the attempt; the first call counts. It may wait for the exchange.
+// GiveUp says that the attempt is to be cancelled, and reports whether it can be: it has not ended, nor was it given up before.
+func (a *Attempt) GiveUp() bool { return a.fate.CompareAndSwap(underWay, givenUp) }
+
+// End ends the attempt; the first call counts. It may wait for the exchange. An answer that is still coming when the attempt is given up is
+// not passed on, as its back breaks it off.
 func (a *Attempt) End(r Result) {
-	if a.ended.CompareAndSwap(false, true) {
-		a.result = r
-		a.end(a)
+	was := a.fate.Swap(over)
+	if was == over {
+		return
+	}
+	if was == givenUp && r.Answer != nil && r.Answer.Stream != nil {
+		r.Answer.Stream.CloseRead(errGivenUp)
+		r = Result{Outcome: balance.Cancelled}
 	}
+	a.result = r
+	a.end(a)
 }
+
+var errGivenUp = errors.New("the attempt was given up")
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -321,8 +321,9 @@
 			l.finish(l.requests[a.Request], l.failure(a))
 		case balance.Cancel:
 			if r := l.requests[a.Request]; r != nil && a.Attempt < len(r.attempts) {
-				at := r.attempts[a.Attempt]
-				at.Endpoint.back.Cancel(at)
+				if at := r.attempts[a.Attempt]; at.GiveUp() {
+					at.Endpoint.back.Cancel(at)
+				}
 			}
 		case balance.SetTimer:
 			heap.Push(&l.timers, &timer{at: l.now + a.At, token: a.Token})
@@ -582,7 +583,7 @@
 		e.inFlight++
 	}
 	if r.done || e == nil || len(r.attempts) > l.cfg.Balance.MaxAttempts {
-		at.ended.Store(true)
+		at.fate.Store(over)
 		at.result.Outcome = balance.Moot
 		l.pending = append(l.pending, at)
 		return
@@ -712,7 +713,7 @@
 			continue
 		}
 		for _, at := range r.attempts {
-			if at.Endpoint == e && !at.ended.Load() {
+			if at.Endpoint == e && at.GiveUp() {
 				e.back.Cancel(at)
 			}
 		}
--- a/internal/core/loop_test.go
+++ b/internal/core/loop_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"cedararch/balance"
+	"cedararch/internal/pipe"
 	"cedararch/internal/roster"
 )
 
@@ -104,3 +105,42 @@
 		}
 	}
 }
+
+// An answer that begins to pass through just as its attempt is given up is cut off by its back: the client must not get the beginning of it.
+func TestAnswerOfAnAttemptGivenUpIsNotPassedOn(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		first          bool // the answer begins before the attempt is to be given up
+		sent, answered int
+	}{{"given up first", false, 2, 0}, {"the answer first", true, 1, 1}} {
+		b, got := &back{}, &caller{}
+		l := newLoop(t, b)
+		l.cfg.DropGone = true
+		both := []roster.Member{{ID: "s-1", HostPort: "h:1", Phase: "ready", Size: 1}, {ID: "s-2", HostPort: "h:2", Phase: "ready", Size: 1}}
+		l.take(&roster.List{Complete: true, Members: both}, balance.ListFull)
+		l.begin(&Call{Message: Message{Safe: true}, Received: l.started, Ask: balance.Request{Remaining: 20000}, Client: got})
+		at := b.begun[0]
+		lose := func() {
+			left := both[:1]
+			if at.Endpoint.Name() == "s-1" {
+				left = both[1:]
+			}
+			l.take(&roster.List{Complete: true, Members: left}, balance.ListFull)
+		}
+		body := pipe.New(-1)
+		if !c.first {
+			lose()
+		}
+		at.End(Result{Outcome: balance.OK, Answer: &Answer{Stream: body}})
+		if c.first {
+			lose()
+		}
+		l.handle(<-l.inbox)
+		if len(b.begun) != c.sent || len(*got) != c.answered {
+			t.Errorf("%s: %d sent, answered %v", c.name, len(b.begun), *got)
+		}
+		if gone := body.Put([]byte("more")) != nil; gone == c.first {
+			t.Errorf("%s: whether its body is still taken: %v", c.name, !gone)
+		}
+	}
+}
--- a/mesh/stage/incoming.go
+++ b/mesh/stage/incoming.go
@@ -160,7 +160,9 @@
 	}
 	s.inMu.Unlock()
 	for _, t := range held {
-		s.local.Cancel(t.attempt)
+		if t.attempt.GiveUp() {
+			s.local.Cancel(t.attempt)
+		}
 	}
 	if news {
 		s.post(changed{})
