Who answers requests is not suspected for words that a full link lost

Change: an answer of a machine's sidecar to a request counts as its word (Company.Met), looked up only while anybody is suspected. Test: mesh/company timeline link-full-but-it-answers.

--- a/mesh/company/company.go
+++ b/mesh/company/company.go
@@ -198,6 +198,20 @@
 	return append(out, c.ask(now, name, "", 0)...)
 }
 
+// Suspects reports whether any member is suspected, or counts as lost.
+func (c *Company) Suspects() bool {
+	for _, m := range c.members {
+		if m.suspected >= 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Met says that a member was met elsewhere than among these words: it has answered something. On a link that is full words get lost, and answers
+// only come late. It reports whether the member was lost until then.
+func (c *Company) Met(now time.Duration, name string) (changed bool) { return c.found(now, name) }
+
 // found notes that a member lives.
 func (c *Company) found(now time.Duration, name string) (changed bool) {
 	if m := c.members[name]; m != nil {
--- a/mesh/company/company_test.go
+++ b/mesh/company/company_test.go
@@ -20,6 +20,7 @@
 	cut   map[int]bool
 	deaf  map[[2]string]bool
 	slow  map[int]bool
+	full  map[int]bool // its words are lost, but it answers requests
 	mail  []letter
 	log   []string
 	lost  string
@@ -56,7 +57,12 @@
 	}
 	var lost []string
 	for i, c := range tr.all {
-		if c == nil {
+		for j := range tr.full {
+			if c != nil && i != j && now%(200*time.Millisecond) == 0 {
+				c.Met(now, tr.names[j])
+			}
+		}
+		if c == nil || tr.full[i] { // what one whose words are lost makes of the others is not told here
 			continue
 		}
 		out, _ := c.Tick(now)
@@ -89,7 +95,10 @@
 		tr.all[i] = nil
 	case "cut":
 		tr.cut[i] = true
+	case "full":
+		tr.cut[i], tr.full[i] = true, true
 	case "heal":
+		delete(tr.full, i)
 		delete(tr.cut, i)
 		delete(tr.slow, i)
 		clear(tr.deaf)
@@ -107,7 +116,7 @@
 			t.Fatal(err)
 		}
 		tr := &troupe{
-			names: drawing.Names, all: make([]*Company, len(drawing.Names)), cut: map[int]bool{}, deaf: map[[2]string]bool{}, slow: map[int]bool{},
+			names: drawing.Names, all: make([]*Company, len(drawing.Names)), cut: map[int]bool{}, deaf: map[[2]string]bool{}, slow: map[int]bool{}, full: map[int]bool{},
 		}
 		drawing.Play(10*time.Millisecond, tr.step, tr.do)
 		if tr.log == nil {
--- a/mesh/stage/outgoing.go
+++ b/mesh/stage/outgoing.go
@@ -204,12 +204,14 @@
 func (hop) Ours(a *core.Attempt, h http.Header) bool { return ours(a, h) }
 
 // Passes implements httpback.Dialect.
-func (hop) Passes(a *core.Attempt, status int, h http.Header) bool {
+func (d hop) Passes(a *core.Attempt, status int, h http.Header) bool {
+	d.s.meet(a.Endpoint.Addr())
 	return isOK(status) && h.Get(fate) == fateRan && stamped(h)
 }
 
 // Judge implements httpback.Dialect: the last hop says what became of the request.
-func (hop) Judge(a *core.Attempt, status int, h http.Header, body []byte) core.Result {
+func (d hop) Judge(a *core.Attempt, status int, h http.Header, body []byte) core.Result {
+	d.s.meet(a.Endpoint.Addr())
 	said := h.Get(fate)
 	delete(h, fate)
 	answer := &core.Answer{Kind: core.Served, Status: status, Meta: h, Body: body}
--- a/mesh/stage/probes.go
+++ b/mesh/stage/probes.go
@@ -66,6 +66,29 @@
 	}
 }
 
+// meet notes that the sidecar at an address has answered a request.
+func (s *Stage) meet(addr string) {
+	s.metMu.Lock()
+	s.met[addr] = struct{}{}
+	s.metMu.Unlock()
+}
+
+// tellMet tells the company whom requests have met.
+func (s *Stage) tellMet(now time.Duration) (changed bool) {
+	s.metMu.Lock()
+	defer s.metMu.Unlock()
+	defer clear(s.met)
+	if len(s.met) == 0 || !s.company.Suspects() {
+		return false
+	}
+	for _, e := range s.desk.Board.All() {
+		if _, ok := s.met[e.Addr]; ok && s.company.Met(now, e.Node) {
+			changed = true
+		}
+	}
+	return changed
+}
+
 // lookAfter lets time pass for the company.
 func (s *Stage) lookAfter(now time.Duration) {
 	if !s.ready.Load() || s.ending.Load() {
@@ -81,7 +104,9 @@
 		}
 		s.company.Cast(now, names)
 	}
+	found := s.tellMet(now)
 	words, changed := s.company.Tick(now)
+	s.dirty = s.dirty || found
 	s.say(words)
 	if changed {
 		s.tellLost(now)
--- a/mesh/stage/stage.go
+++ b/mesh/stage/stage.go
@@ -101,6 +101,9 @@
 	lastChild uint64
 	settleAt  time.Duration
 
+	metMu sync.Mutex
+	met   map[string]struct{} // addresses of machines that have answered since the company was last told; one an endpoint
+
 	company *company.Company
 	probes  *net.UDPConn // nil: there is no socket
 	castAt  uint64       // of the board, as the company has it
@@ -132,7 +135,7 @@
 	s := &Stage{
 		path: path, log: log, slog: shared, start: time.Now(), ctx: inner, events: make(chan any, mostEvents), desk: cue.NewDesk(),
 		door: door.New(time.Duration(beatsMissed * max(settings.BeatS, 0.2) * float64(time.Second))), made: map[string]*service{}, tries: map[*lastTry]struct{}{},
-		children: map[*callboy.Conn]uint64{}, byChild: map[uint64]*callboy.Conn{},
+		met: map[string]struct{}{}, children: map[*callboy.Conn]uint64{}, byChild: map[uint64]*callboy.Conn{},
 	}
 	s.settings.Store(settings)
 	s.link = door.NewLink(settings.Caps.LinkMbps)
