--- a/internal/front/http/poll_linux.go
+++ b/internal/front/http/poll_linux.go
@@ -38,7 +38,8 @@
 	cuts    rate.Sometimes // bounds what is logged of answers cut short
 	poller  *poller.Poller
 	tasks   sync.WaitGroup
-	date    atomic.Pointer[string] // of answers
+	date    atomic.Pointer[date] // of answers
+	sooner  chan struct{}        // something is due before the alarm; has room for one
 
 	scratch []byte // the poller's own
 
@@ -48,10 +49,11 @@
 	closed    bool
 	open      int
 	wheel     *wheel.Wheel[*pollConn]
-	silent    queue // connections that never asked, the oldest first
-	idle      queue // between two requests, the longest idle first
-	ended     queue // that wait for their client to read the last answer
-	partly    queue // with a request on its way, the one that began first first
+	alarm     time.Duration // when tick looks next
+	silent    queue         // connections that never asked, the oldest first
+	idle      queue         // between two requests, the longest idle first
+	ended     queue         // that wait for their client to read the last answer
+	partly    queue         // with a request on its way, the one that began first first
 	empty     chan struct{}
 }
 
@@ -102,15 +104,15 @@
 		cfg: cfg, exchange: exchange, start: time.Now(), failed: make(chan error, 1), accepted: make(chan struct{}),
 		poller: p, scratch: make([]byte, readAtOnce), wheel: wheel.New[*pollConn](wheelTick, wheelSlots),
 		strange: rate.Sometimes{First: 3, Interval: time.Second}, cuts: rate.Sometimes{First: 5, Interval: time.Second},
+		sooner: make(chan struct{}, 1),
 	}
-	f.setDate(time.Now())
 	f.Resize(cfg.Connections)
 	return f, nil
 }
 
 const (
 	wheelTick  = 50 * time.Millisecond
-	wheelSlots = 128
+	wheelSlots = 1024 // so that most time-outs lie within one round
 )
 
 // readAtOnce is the one buffer into which connections are read; what is left of a request that is not whole is kept by its
@@ -119,9 +121,21 @@
 
 func (f *PollFront) now() time.Duration { return time.Since(f.start) }
 
-func (f *PollFront) setDate(now time.Time) {
-	text := now.UTC().Format(time.RFC1123[:len(time.RFC1123)-3] + "GMT")
-	f.date.Store(&text)
+// date is the value of answers' Date in one second.
+type date struct {
+	second int64
+	text   string
+}
+
+// dated returns the value of Date now.
+func (f *PollFront) dated() string {
+	now := time.Now()
+	d := f.date.Load()
+	if d == nil || d.second != now.Unix() {
+		d = &date{now.Unix(), now.UTC().Format(time.RFC1123[:len(time.RFC1123)-3] + "GMT")}
+		f.date.Store(d)
+	}
+	return d.text
 }
 
 // Serve takes connections until End, on goroutines of its own. What goes wrong comes on Failed.
@@ -240,7 +254,7 @@
 		c.since = f.now()
 	}
 	if timeout > 0 {
-		f.wheel.Set(&c.timeout, f.now()+timeout)
+		f.setDue(c, f.now()+timeout)
 	} else {
 		f.wheel.Clear(&c.timeout)
 	}
@@ -280,29 +294,66 @@
 	return false
 }
 
-// tick plays the time-outs.
+// tick plays the time-outs when they are due, and looks each wheelTick while connections are to go.
 func (f *PollFront) tick(done <-chan struct{}) {
-	ticker := time.NewTicker(wheelTick)
-	defer ticker.Stop()
+	timer := time.NewTimer(wheelTick)
+	defer timer.Stop()
 	var due []*pollConn
 	for {
 		select {
-		case now := <-ticker.C:
-			f.setDate(now)
+		case <-timer.C:
+		case <-f.sooner:
 		case <-done:
 			return
 		}
 		f.mu.Lock()
-		due = f.wheel.Advance(f.now(), due[:0])
+		now := f.now()
+		due = f.wheel.Advance(now, due[:0])
 		f.mu.Unlock()
 		for _, c := range due {
 			c.expired()
 		}
 		clear(due)
 		f.sendAway()
+		f.mu.Lock()
+		f.alarm = now + rarely
+		if at, ok := f.wheel.Next(); ok {
+			f.alarm = min(f.alarm, at)
+		}
+		if f.paused.Load() != 0 || f.open > int(f.most.Load()) {
+			f.alarm = min(f.alarm, now+wheelTick)
+		}
+		timer.Reset(f.alarm - f.now())
+		f.mu.Unlock()
+	}
+}
+
+// rarely is how often tick looks where nothing is due.
+const rarely = time.Minute
+
+// setDue sets a connection's time-out, and has tick look in time. The caller holds mu.
+func (f *PollFront) setDue(c *pollConn, at time.Duration) {
+	f.wheel.Set(&c.timeout, at)
+	if at < f.alarm-wheelTick {
+		f.alarm = at
+		f.look()
 	}
 }
 
+// look has tick look now, and set its alarm anew.
+func (f *PollFront) look() {
+	select {
+	case f.sooner <- struct{}{}:
+	default:
+	}
+}
+
+// Pause implements what state does, and begins to send clients away.
+func (f *PollFront) Pause(on bool) {
+	f.state.Pause(on)
+	f.look()
+}
+
 // sendAway closes connections that carry nothing: some of those beyond the budget after it was lowered, and while clients
 // are sent away all that could have been used since.
 func (f *PollFront) sendAway() {
@@ -338,7 +389,10 @@
 }
 
 // Resize changes how many connections may be open. Beyond it those that carry nothing go, one after another.
-func (f *PollFront) Resize(n int) { f.most.Store(int64(max(1, n))) }
+func (f *PollFront) Resize(n int) {
+	f.most.Store(int64(max(1, n)))
+	f.look()
+}
 
 // End takes new connections for a little while yet, and answers all that was taken, within a time.
 func (f *PollFront) End(within time.Duration) error {
--- a/internal/front/http/pollconn_linux.go
+++ b/internal/front/http/pollconn_linux.go
@@ -615,7 +615,7 @@
 func (f *PollFront) render(dst []byte, status int, a *core.Answer, last, inChunks bool) []byte {
 	dst = append(append(dst, "HTTP/1.1 "...), strconv.Itoa(status)...)
 	dst = append(append(append(dst, ' '), http.StatusText(status)...), "\r\nDate: "...)
-	dst = append(append(dst, *f.date.Load()...), "\r\n"...)
+	dst = append(append(dst, f.dated()...), "\r\n"...)
 	body := a.Body
 	switch {
 	case a.Kind != core.Served && a.Status == 0:
--- a/internal/front/http/stream_linux.go
+++ b/internal/front/http/stream_linux.go
@@ -27,7 +27,7 @@
 func (c *pollConn) setTimeout(d time.Duration) {
 	f := c.front
 	f.mu.Lock()
-	f.wheel.Set(&c.timeout, f.now()+d)
+	f.setDue(c, f.now()+d)
 	f.mu.Unlock()
 }
 
--- a/mesh/greenroom/greenroom.go
+++ b/mesh/greenroom/greenroom.go
@@ -5,6 +5,7 @@
 package greenroom
 
 import (
+	"bytes"
 	"net"
 	"os"
 	"strconv"
@@ -76,17 +77,30 @@
 }
 
 // Load reads and checks a settings file.
-func Load(path string) (*Settings, error) {
-	if path == "" {
+func Load(path string) (*Settings, error) { return (&File{Path: path}).Next() }
+
+// File is a settings file that is looked at from time to time. It is not safe for concurrent use.
+type File struct {
+	Path string
+	last []byte // as it was at the last look
+}
+
+// Next returns the settings if the file is another than at the last look; nil: it is not.
+func (f *File) Next() (*Settings, error) {
+	if f.Path == "" {
 		return nil, errors.Errorf("%s names no settings file", Variable)
 	}
-	text, err := os.ReadFile(path)
+	text, err := os.ReadFile(f.Path)
 	if err != nil {
 		return nil, errors.Wrap(err, "settings")
 	}
+	if f.last != nil && bytes.Equal(text, f.last) {
+		return nil, nil
+	}
+	f.last = text
 	s, err := Parse(text)
 	if err != nil {
-		return nil, errors.Wrap(err, path)
+		return nil, errors.Wrap(err, f.Path)
 	}
 	return s, nil
 }
--- a/mesh/greenroom/greenroom_test.go
+++ b/mesh/greenroom/greenroom_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"encoding/json"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -68,3 +70,23 @@
 		}
 	}
 }
+
+// A file is read anew where it has changed, and what is wrong with it is told once.
+func TestFileIsReadWhereItChanges(t *testing.T) {
+	f := File{Path: filepath.Join(t.TempDir(), "settings.yaml")}
+	for i, c := range []struct {
+		text        string
+		read, wrong bool
+	}{
+		{told, true, false}, {told, false, false}, {"nodeName: [", false, true}, {"nodeName: [", false, false},
+		{strings.Replace(told, `"z"`, `"y"`, 1), true, false}, {told, true, false},
+	} {
+		if err := os.WriteFile(f.Path, []byte(c.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		s, err := f.Next()
+		if (s != nil) != c.read || (err != nil) != c.wrong {
+			t.Errorf("%d: %v, %v", i, s, err)
+		}
+	}
+}
--- a/mesh/stage/news.go
+++ b/mesh/stage/news.go
@@ -9,7 +9,6 @@
 	"cedararch/mesh/callboard"
 	"cedararch/mesh/callboy"
 	"cedararch/mesh/cue"
-	"cedararch/mesh/greenroom"
 	"cedararch/mesh/lines"
 	"cedararch/mesh/playbill"
 	"cedararch/mesh/script"
@@ -70,44 +69,33 @@
 // loop owns the wanted state until the stage ends.
 func (s *Stage) loop(reloads <-chan os.Signal) {
 	s.parent.tried = map[string]time.Duration{}
-	ticker := time.NewTicker(tick)
-	defer ticker.Stop()
-	var readAt time.Duration
-	cues := time.NewTimer(tick)
-	defer cues.Stop()
+	var tickAt, readAt time.Duration
+	timer := time.NewTimer(tick)
+	defer timer.Stop()
 	for {
 		now := s.now()
+		if now >= tickAt {
+			tickAt = now + tick
+			s.tick(now)
+			if now >= readAt {
+				readAt = now + reread
+				s.reload()
+			}
+		}
 		s.seekParent(now)
 		s.bringAbout(now)
-		next := tick
+		next := tickAt
 		if len(s.children) > 0 {
-			next = min(next, s.tellChildren(now)-now)
+			next = min(next, s.tellChildren(now))
 		}
-		cues.Reset(max(0, next))
+		timer.Reset(max(0, next-s.now()))
 		select {
-		case <-cues.C:
+		case <-timer.C:
 		case e := <-s.events:
 			s.handle(e)
 			for n := len(s.events); n > 0; n-- {
 				s.handle(<-s.events)
 			}
-		case <-ticker.C:
-			now = s.now()
-			s.inMu.Lock()
-			news, mute := s.door.Tick(now), s.door.Mute(now)
-			s.inMu.Unlock()
-			if mute {
-				go s.look()
-			}
-			if news {
-				s.announce(now)
-			}
-			s.settleIn(now)
-			s.lookAfter(now)
-			if now >= readAt {
-				readAt = now + reread
-				s.reload()
-			}
 		case <-reloads:
 			s.reload()
 		case <-s.ctx.Done():
@@ -116,13 +104,31 @@
 	}
 }
 
+// tick looks at what time alone changes.
+func (s *Stage) tick(now time.Duration) {
+	s.inMu.Lock()
+	news, mute := s.door.Tick(now), s.door.Mute(now)
+	s.inMu.Unlock()
+	if mute {
+		go s.look()
+	}
+	if news {
+		s.announce(now)
+	}
+	s.settleIn(now)
+	s.lookAfter(now)
+}
+
 // reload reads the settings again. What is wrong with them leaves the old ones in force.
 func (s *Stage) reload() {
-	next, err := greenroom.Load(s.path)
+	next, err := s.file.Next()
 	if err != nil {
 		level.Warn(s.log).Log("msg", "the settings cannot be used, and the old ones hold", "error", err)
 		return
 	}
+	if next == nil {
+		return
+	}
 	before := s.settings.Load()
 	s.settings.Store(next)
 	if next.Line != before.Line {
--- a/mesh/stage/stage.go
+++ b/mesh/stage/stage.go
@@ -65,7 +65,7 @@
 
 // Stage is one branch machine's sidecar.
 type Stage struct {
-	path     string // of the settings
+	file     greenroom.File
 	settings atomic.Pointer[greenroom.Settings]
 	log      kitlog.Logger
 	slog     *slog.Logger
@@ -118,7 +118,8 @@
 
 // Run serves until ctx ends, and then ends what it has taken. With each signal of reloads it reads the settings again.
 func Run(ctx context.Context, path string, reloads <-chan os.Signal, log kitlog.Logger, shared *slog.Logger) error {
-	settings, err := greenroom.Load(path)
+	file := greenroom.File{Path: path}
+	settings, err := file.Next()
 	if err != nil {
 		return err
 	}
@@ -133,7 +134,7 @@
 	inner, stop := context.WithCancel(context.Background())
 	defer stop()
 	s := &Stage{
-		path: path, log: log, slog: shared, start: time.Now(), ctx: inner, events: make(chan any, mostEvents), desk: cue.NewDesk(),
+		file: file, log: log, slog: shared, start: time.Now(), ctx: inner, events: make(chan any, mostEvents), desk: cue.NewDesk(),
 		door: door.New(time.Duration(beatsMissed * max(settings.BeatS, 0.2) * float64(time.Second))), made: map[string]*service{}, tries: map[*lastTry]struct{}{},
 		met: map[string]struct{}{}, children: map[*callboy.Conn]uint64{}, byChild: map[uint64]*callboy.Conn{},
 	}
