A zone's requests stay in it as far as its part of the service's servers carries them

Cause: bytes between zones cost 0.012 to 0.020 on all four sites. The own zone had 2.5 times the weight whatever stood there: of three even zones 44 % crossed, while a zone with a third of its part of the servers sent these as much. Change: mesh/gangway decides from callers and berths of each zone how much stays (0.8 at most, and no more than 0.9 of what the zone's part of the berths is for), and the list carries the weight that does it. It holds for servers without errors; else m and the price decide as before. Tests: gangway by property (no zone's servers get more of their own than their part), balance TestFavourOfTheOwnZoneEndsWithErrors.

--- a/balance/api.go
+++ b/balance/api.go
@@ -179,6 +179,9 @@
 type ServerList struct {
 	Kind    ListKind
 	Servers []Server
+	// Favour is the factor of the weight of the own zone's servers that have no errors, in place of what the price of crossing gives;
+	// 0: by the price. Of a ListFull.
+	Favour float64
 }
 
 // Request is a client's request; it is owed one final answer.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -254,7 +254,11 @@
 // counts, and new connections, unless the server just failed. A cold one has no connections yet.
 func (b *Balancer) favour(s *server) float64 {
 	f := 1.0
-	if s.Zone == b.cfg.Zone {
+	switch {
+	case s.Zone != b.cfg.Zone:
+	case b.local > 0 && s.errs == 0: // else a zone would keep to one that fails
+		f = b.local
+	default:
 		f += (zoneFavour * b.cfg.Prices.CrossZone) * (zoneFavour * b.cfg.Prices.CrossZone)
 	}
 	if b.cold(s) || s.errs == 0 && b.keeps(s) {
--- a/balance/lasthop_test.go
+++ b/balance/lasthop_test.go
@@ -106,3 +106,32 @@
 		t.Errorf("when its time is over: %v", acts)
 	}
 }
+
+// The own zone's server gets its favour as long as it has no errors, and no more than m and the price give it from then on.
+func TestFavourOfTheOwnZoneEndsWithErrors(t *testing.T) {
+	b, _ := lastHop(4, nil)
+	servers := fleet(4)
+	for i := range servers {
+		servers[i].Zone = i
+	}
+	b.cfg.Zone = 0
+	b.Handle(b.now, ServerList{Kind: ListFull, Servers: servers, Favour: 9})
+	share := func(result Result) (got int) {
+		for i := range 240 {
+			sent, _ := play(t, b, Request{ID: RequestID(i + 1), Class: 0, Remaining: 2000, Attempts: 1}, Outcome{Result: OK, Took: 5})
+			if len(sent) > 0 && sent[0] == servers[0].ID {
+				got++
+			}
+		}
+		return got
+	}
+	if got := share(OK); got < 170 || got > 190 {
+		t.Errorf("%d of 240 to the own zone, want 9 of 12", got)
+	}
+	s := b.byID[servers[0].ID]
+	s.errs, s.lastErr = 1, b.now
+	total, _ := b.enter(&request{Request: Request{ID: 9999}, class: &b.cfg.Classes[0], stats: &b.classes[0]}, false, false)
+	if part := s.weight / total; part > 0.5 {
+		t.Errorf("with an error it still has %.2f of the weight", part)
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -23,6 +23,7 @@
 	servers []*server // those listed, in order of ID
 	byID    map[ServerID]*server
 	level   float64       // running value of the last winner
+	local   float64       // ServerList's Favour
 	pool    float64       // sum of shares at the last first pick
 	kinds   map[int]*size // learned size by kind
 	zones   map[int]*size // ... and by zone
@@ -363,6 +364,7 @@
 	}
 	if ev.Kind != ListDelta {
 		b.markUnlisted(ev.Servers)
+		b.local = ev.Favour
 	}
 	if ev.Kind != ListCached {
 		b.asks = 0
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -640,7 +640,7 @@
 
 // take brings a list to the endpoints and to the module.
 func (l *Loop) take(told *roster.List, kind balance.ListKind) {
-	list := balance.ServerList{Kind: kind}
+	list := balance.ServerList{Kind: kind, Favour: told.Favour}
 	seen := map[string]bool{}
 	for i := range told.Members {
 		m := &told.Members[i]
--- a/internal/roster/follower.go
+++ b/internal/roster/follower.go
@@ -29,6 +29,8 @@
 	Revision int64    `json:"revision"`
 	Complete bool     `json:"complete"`
 	Members  []Member `json:"members"`
+	// Favour is balance.ServerList's, where whoever makes the list knows more than its entries tell.
+	Favour float64 `json:"-"`
 }
 
 // Member is a server in the list.
--- /dev/null
+++ b/mesh/gangway/gangway_test.go
@@ -0,0 +1,50 @@
+package gangway
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Whatever stands where: what a zone's servers get, of their own and of the rest of all others by weight, is near their part of the whole.
+func TestNoZoneCarriesMoreThanItsPart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		zones := make([]Zone, rapid.IntRange(2, 5).Draw(t, "zones"))
+		var all Zone
+		for i := range zones {
+			zones[i] = Zone{Callers: rapid.IntRange(1, 30).Draw(t, "callers"), Berths: 6 * rapid.IntRange(0, 12).Draw(t, "servers")}
+			all.Callers += zones[i].Callers
+			all.Berths += zones[i].Berths
+		}
+		if all.Berths == 0 {
+			return
+		}
+		for i, z := range zones {
+			own := Stay(z, all) * float64(z.Callers) / float64(all.Callers)
+			if part := float64(z.Berths) / float64(all.Berths); own > room*part+1e-9 {
+				t.Fatalf("zone %d: %.3f of its own, part %.3f", i, own, part)
+			}
+			if f := Favour(z, all); f != 0 && f < 1 {
+				t.Fatalf("zone %d: favour %v", i, f)
+			}
+		}
+	})
+}
+
+func TestFavour(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		own, all Zone
+		want     float64
+	}{
+		{"as much as all others", Zone{5, 12}, Zone{15, 36}, 8},
+		{"less than its part", Zone{5, 12}, Zone{15, 60}, 4 * 0.54 / 0.46},
+		{"nothing here", Zone{5, 0}, Zone{15, 36}, 0},
+		{"nothing elsewhere", Zone{5, 12}, Zone{15, 12}, 0},
+		{"hardly anything here", Zone{14, 6}, Zone{15, 60}, 1},
+	} {
+		if got := Favour(c.own, c.all); got < c.want-1e-9 || got > c.want+1e-9 {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/mesh/stage/outgoing.go
+++ b/mesh/stage/outgoing.go
@@ -13,6 +13,7 @@
 	httpfront "cedararch/internal/front/http"
 	"cedararch/internal/roster"
 	"cedararch/mesh/callboard"
+	"cedararch/mesh/gangway"
 	"cedararch/mesh/playbill"
 	"cedararch/mesh/purse"
 )
@@ -40,6 +41,7 @@
 // service is one service as this sidecar sends to it: an exchange with a decision module of its own.
 type service struct {
 	line string
+	zone string // of this sidecar
 	loop *core.Loop
 
 	mu      sync.Mutex
@@ -70,7 +72,7 @@
 	}
 	b := &settings.Bounds
 	sidecars := max(1, s.desk.Board.Len())
-	svc := &service{line: line, classes: map[classKey]int{}}
+	svc := &service{line: line, zone: settings.Zone, classes: map[classKey]int{}}
 	svc.purse = purse.New(b.RetryRatio*purseShare, b.RetrySlack*purseShare/float64(sidecars), float64(b.RetryWindow/time.Millisecond))
 	svc.loop = core.New(s.ctx, core.Config{
 		Balance: balance.Config{
@@ -123,6 +125,22 @@
 // follow tells the exchange which servers there are.
 func (v *service) follow(board []callboard.Entry, now time.Duration) {
 	list := &roster.List{Complete: true}
+	var own, all gangway.Zone
+	for i := range board {
+		e := &board[i]
+		if e.Lost {
+			continue
+		}
+		here := gangway.Zone{Callers: 1}
+		if e.Line == v.line && e.State == callboard.Accepting {
+			here.Berths = max(1, e.Berths)
+		}
+		all.Callers, all.Berths = all.Callers+here.Callers, all.Berths+here.Berths
+		if e.Zone == v.zone {
+			own.Callers, own.Berths = own.Callers+here.Callers, own.Berths+here.Berths
+		}
+	}
+	list.Favour = gangway.Favour(own, all)
 	clock := float64(time.Now().UnixMicro()) / 1000
 	for i := range board {
 		e := &board[i]
