--- a/balance/api.go
+++ b/balance/api.go
@@ -159,6 +159,7 @@
 	StartedAt        float64 // 0: long ago
 	Rating           float64 // relative size; 1 where nothing is known
 	Cell, Zone, Kind int
+	Way              uint64 // is higher when what stands before the server has begun anew: what failed on the way is forgotten
 }
 
 // Event is anything that a sidecar is told: one of the types below.
--- a/balance/judge.go
+++ b/balance/judge.go
@@ -61,7 +61,7 @@
 	switch ev.Result {
 	case OK:
 		gone := s.downs >= goneAfter || s.downs > 0 && b.now > s.lastErr+comeback
-		if gone && !b.cold(s) { // and is back: a restart that the list has yet to tell
+		if gone && !b.cold(s) && !b.cfg.LastHop { // and is back: a restart that the list has yet to tell
 			b.chill(s, b.now)
 		}
 		s.pardon()
--- a/balance/lasthop_test.go
+++ b/balance/lasthop_test.go
@@ -135,3 +135,36 @@
 		t.Errorf("with an error it still has %.2f of the weight", part)
 	}
 }
+
+// Half of the sidecars are gone at once: a connection that none of them takes costs neither attempts nor budget, as no server has seen the
+// request, and where its sidecar is back a server is asked again at once, as warm as it was.
+func TestRefusedConnectionsOnTheWayCostNothing(t *testing.T) {
+	refused := Outcome{Result: ConnectFailed}
+	for class := range 2 {
+		purse := &few{}
+		b, _ := lastHop(6, purse)
+		sent, _ := play(t, b, Request{ID: 1, Class: class, Remaining: 2000, Attempts: 2}, refused, refused, refused, Outcome{Result: OK, Took: 5, Finished: true})
+		if len(sent) != 4 || purse.left != 0 {
+			t.Errorf("class %d: sent to %v, %d taken from the purse", class, sent, -purse.left)
+		}
+	}
+	b, _ := lastHop(1, nil)
+	servers := fleet(1)
+	servers[0].Way = 1
+	b.Handle(b.now, ServerList{Kind: ListFull, Servers: servers})
+	for id := range RequestID(3) {
+		play(t, b, Request{ID: id + 1, Class: 0, Remaining: 2000}, refused)
+	}
+	if !b.Rests(servers[0].ID, b.now) {
+		t.Fatal("a server that nobody can connect to is not rested")
+	}
+	servers[0].Way = 2
+	b.Handle(b.now, ServerList{Kind: ListFull, Servers: servers})
+	if b.Rests(servers[0].ID, b.now) {
+		t.Error("its sidecar is back, and it is still rested")
+	}
+	play(t, b, Request{ID: 9, Class: 0, Remaining: 2000}, Outcome{Result: OK, Took: 5, Finished: true})
+	if b.cold(b.byID[servers[0].ID]) {
+		t.Error("its sidecar was gone, and it counts as cold")
+	}
+}
--- a/balance/servers.go
+++ b/balance/servers.go
@@ -28,6 +28,9 @@
 		s.pardon()
 		b.chill(s, entry.StartedAt)
 	}
+	if entry.Way > s.Way && s.Way > 0 && s.downs > 0 {
+		s.pardon()
+	}
 	s.Server = *entry
 	s.kind, s.zone = b.group(b.kinds, s.Kind), b.group(b.zones, s.Zone)
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -548,7 +548,7 @@
 	}
 	a := &r.tries[ev.Attempt]
 	a.live, a.clean = false, ev.Result.NeverRan()
-	a.unmet = ev.Unmet
+	a.unmet = ev.Unmet || b.cfg.LastHop && (ev.Result == ConnectFailed || ev.Result == Moot) // no server has seen it
 	a.cut = ev.Result == Reset
 	a.s.inFlight--
 	b.live--
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -689,7 +689,7 @@
 	m := &e.member
 	s := balance.Server{
 		ID: e.id, State: m.State(), StartedAt: max(0, m.UpSince), Rating: m.Size,
-		Cell: m.Cell, Zone: position(l.cfg.Zones, m.Locality), Kind: position(l.cfg.Kinds, m.Flavor),
+		Way: m.Way, Cell: m.Cell, Zone: position(l.cfg.Zones, m.Locality), Kind: position(l.cfg.Kinds, m.Flavor),
 	}
 	if s.State == balance.Ready && e.Closed() {
 		s.State = balance.Draining
--- a/internal/roster/follower.go
+++ b/internal/roster/follower.go
@@ -43,6 +43,7 @@
 	Phase    string  `json:"phase"`
 	Size     float64 `json:"size"`
 	UpSince  float64 `json:"up_since_ms"`
+	Way      uint64  `json:"-"` // balance.Server's
 }
 
 // State is what the list says of the member, which passed the check.
--- a/mesh/stage/outgoing.go
+++ b/mesh/stage/outgoing.go
@@ -148,7 +148,7 @@
 		if e.Line != v.line || e.Lost || e.Server == "" || e.State != callboard.Accepting && !draining {
 			continue
 		}
-		m := roster.Member{ID: e.Server, HostPort: e.Addr, Locality: e.Zone, Phase: "ready", Size: 1}
+		m := roster.Member{ID: e.Server, HostPort: e.Addr, Locality: e.Zone, Phase: "ready", Size: 1, Way: e.Life}
 		if draining {
 			m.Phase = "draining"
 		}
