--- a/mesh/door/door.go
+++ b/mesh/door/door.go
@@ -21,12 +21,12 @@
 	Closing         // the server ends
 	Silent          // the server does not answer
 	Full            // it holds as much as it may
-	Ending          // this sidecar ends
+	Ill             // it fails too much of what it is given
 )
 
 // String words a verdict.
 func (v Verdict) String() string {
-	return [...]string{"enter", "not-here", "closing", "silent", "full", "ending"}[min(v, Ending)]
+	return [...]string{"enter", "not-here", "closing", "silent", "full", "ill"}[min(v, Ill)]
 }
 
 // Beat is what a server says of itself.
@@ -55,8 +55,9 @@
 	heard    time.Duration
 	patience time.Duration // without beats
 	held     int
-	word     time.Duration   // when the server last answered, or was handed something while it held nothing
-	looked   time.Duration   // when it was last looked at
+	word     time.Duration // when the server last answered, or was handed something while it held nothing
+	looked   time.Duration // when it was last looked at
+	health   Health
 	left     map[string]bool // ids that have left, so that a late beat does not bring them back
 }
 
@@ -77,7 +78,7 @@
 	}
 	if b.ID != d.id {
 		d.forget(d.id)
-		d.held = 0
+		d.held, d.health = 0, Health{}
 	}
 	news := b.ID != d.id || state != d.state || b.Line != d.line || b.Berths != d.berths
 	d.id, d.line, d.berths, d.state, d.sequence = b.ID, b.Line, b.Berths, state, b.Sequence
@@ -193,6 +194,35 @@
 	}
 }
 
+// Spares reports whether a request is to go elsewhere, as the server is ill. See Health.
+func (d *Door) Spares(now time.Duration, again bool, sent int) bool {
+	return d.health.Spares(now, again, sent)
+}
+
+// Ran takes in how a request ended at the server of an id, after Done. It reports whether the server has become ill or well by it.
+func (d *Door) Ran(now time.Duration, id string, end End) (changed bool) {
+	if id != d.id || end == Neither || end == Shed && d.held >= d.berths {
+		return false
+	}
+	before := d.health.Ill()
+	d.health.Ran(now, end == Well)
+	return d.health.Ill() != before
+}
+
+// Ill reports whether the server counts as ill.
+func (d *Door) Ill() bool { return d.health.Ill() }
+
+// End is what the end of a request says of a server.
+type End uint8
+
+// The ends.
+const (
+	Neither End = iota // nothing: it was late, given up, or never reached the server
+	Well               // served
+	Failed             // answered as failed, or not at all
+	Shed               // turned away by the server; that is a failure where it has berths free
+)
+
 // Known reports whether it is known who is behind the door.
 func (d *Door) Known() bool { return d.id != "" }
 
--- a/mesh/stage/incoming.go
+++ b/mesh/stage/incoming.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"cedararch/balance"
 	"cedararch/internal/core"
 	httpfront "cedararch/internal/front/http"
@@ -83,7 +85,9 @@
 	s.inMu.Lock()
 	long := c.Message.Class == bulk
 	verdict := door.Full
-	if !long || s.link.Offer(s.now()) {
+	if s.door.Spares(s.now(), c.Message.Safe, c.Message.Sent) {
+		verdict = door.Ill
+	} else if !long || s.link.Offer(s.now()) {
 		verdict = s.door.Ask(id, c.Message.Rank, c.Message.Sent)
 		if long && verdict != door.Enter {
 			s.link.Ended(s.now(), 0)
@@ -117,6 +121,8 @@
 	news := false
 	s.inMu.Lock()
 	s.door.Done(id)
+	turned := s.door.Ran(s.now(), id, endOf(r.Outcome))
+	ill := s.door.Ill()
 	delete(s.tries, t)
 	bytes := 0
 	if a := r.Answer; a != nil {
@@ -139,9 +145,41 @@
 	if news {
 		s.post(changed{})
 	}
+	if turned {
+		level.Info(s.log).Log("msg", "the server is judged by its requests", "server", id, "ill", ill)
+	}
+	s.tellBroken(c, id, r)
 	c.Client.Answer(c, wordEnd(r))
 }
 
+// endOf is what an outcome says of the server beside.
+func endOf(r balance.Result) door.End {
+	switch r {
+	case balance.OK:
+		return door.Well
+	case balance.Failed, balance.Reset:
+		return door.Failed
+	case balance.Full:
+		return door.Shed
+	}
+	return door.Neither
+}
+
+// tellBroken logs runs that may have begun and have no answer, some of many: what must not run twice fails by them.
+func (s *Stage) tellBroken(c *core.Call, id string, r core.Result) {
+	if r.Answer != nil || r.Outcome != balance.Reset && r.Outcome != balance.TimedOut {
+		return
+	}
+	s.broken.Do(func() {
+		why := "the connection ended, or what came is no answer of this server's"
+		if r.Outcome == balance.TimedOut {
+			why = "no answer in time"
+		}
+		level.Info(s.log).Log("msg", "a run has no answer", "server", id, "try", c.Message.Trace, "again", c.Message.Safe, "why", why,
+			"after", time.Since(c.Received).Round(time.Millisecond))
+	})
+}
+
 // lookPatience bounds the wait for a connection to a server that is looked at: it is on the same machine.
 const lookPatience = 250 * time.Millisecond
 
--- a/mesh/stage/stage.go
+++ b/mesh/stage/stage.go
@@ -21,6 +21,7 @@
 	"github.com/go-faster/errors"
 	kitlog "github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"golang.org/x/time/rate"
 
 	"cedararch/internal/core"
 	httpfront "cedararch/internal/front/http"
@@ -88,6 +89,8 @@
 	place *core.Endpoint        // the server beside
 	tries map[*lastTry]struct{} // what it holds
 
+	broken rate.Sometimes // bounds what is logged of runs without an answer
+
 	// What follows is the one goroutine's.
 	desk    *cue.Desk
 	parent  parent
@@ -135,7 +138,7 @@
 	defer stop()
 	s := &Stage{
 		file: file, log: log, slog: shared, start: time.Now(), ctx: inner, events: make(chan any, mostEvents), desk: cue.NewDesk(),
-		door: door.New(time.Duration(beatsMissed * max(settings.BeatS, 0.2) * float64(time.Second))), made: map[string]*service{}, tries: map[*lastTry]struct{}{},
+		broken: rate.Sometimes{First: 2, Interval: time.Second}, door: door.New(time.Duration(beatsMissed * max(settings.BeatS, 0.2) * float64(time.Second))), made: map[string]*service{}, tries: map[*lastTry]struct{}{},
 		met: map[string]struct{}{}, children: map[*callboy.Conn]uint64{}, byChild: map[uint64]*callboy.Conn{},
 	}
 	s.settings.Store(settings)
