stagemanager review tells from the logs of many nodes what happened, and why

Need: the aim is a fleet that explains what it did; incidents were solved by reading logs of 90 programs with grep.

--- /dev/null
+++ b/mesh/review/review.go
@@ -0,0 +1,271 @@
+// Package review is the review in the next morning's paper: it reads the log lines of many programs of a mesh and tells what happened, in which
+// order and why, with the lines that show it. It knows the lines that the programs write and nothing else: no process, no socket, no
+// clock. Where the logs do not show a cause it names none.
+//
+// Begin with Read, then Find.
+package review
+
+import (
+	"bufio"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	// mostLine bounds a line in bytes, and mostLines how many are kept.
+	mostLine  = 64 << 10
+	mostLines = 1 << 20
+)
+
+// Line is one line of a program's log.
+type Line struct {
+	At     time.Time
+	Node   string
+	Msg    string
+	Fields map[string]any // msg and ts among them
+}
+
+// text returns a field as text; empty: it is not there.
+func (l *Line) text(name string) string {
+	if v, ok := l.Fields[name]; ok {
+		return fmt.Sprint(v)
+	}
+	return ""
+}
+
+// Read reads the lines of one log. What stands ahead of the JSON in a line ends with the name of its node, else it is of the node given. What
+// is no such line is passed over; the number of those is returned, too. An error is that of reading, or of a log that is too long.
+func Read(r io.Reader, node string) (all []Line, passed int, err error) {
+	in := bufio.NewScanner(r)
+	in.Buffer(make([]byte, 0, 4<<10), mostLine)
+	for in.Scan() {
+		ahead, object, found := strings.Cut(in.Text(), "{")
+		l := Line{Node: node}
+		if fields := strings.Fields(ahead); len(fields) > 0 {
+			l.Node = fields[len(fields)-1]
+		}
+		if !found || json.Unmarshal([]byte("{"+object), &l.Fields) != nil {
+			passed++
+			continue
+		}
+		l.Msg = l.text("msg")
+		if l.At, err = time.Parse(time.RFC3339Nano, l.text("ts")); err != nil || l.Msg == "" {
+			passed++
+			continue
+		}
+		if len(all) == mostLines {
+			return all, passed, errors.Errorf("more than %d lines", mostLines)
+		}
+		all = append(all, l)
+	}
+	if err := in.Err(); err != nil {
+		return all, passed, errors.Wrap(err, "read")
+	}
+	return all, passed, nil
+}
+
+// Sort brings lines of several logs into the order in which they were written, by the clocks of their machines.
+func Sort(all []Line) {
+	slices.SortStableFunc(all, func(a, b Line) int { return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Node, b.Node)) })
+}
+
+// About returns the lines that name a try, a server or a node, in any field.
+func About(all []Line, name string) (about []Line) {
+	for _, l := range all {
+		if l.Node == name {
+			about = append(about, l)
+			continue
+		}
+		for _, v := range l.Fields {
+			if fmt.Sprint(v) == name {
+				about = append(about, l)
+				break
+			}
+		}
+	}
+	return about
+}
+
+// Finding is something that happened.
+type Finding struct {
+	From, To time.Time
+	Nodes    []string // that it happened to, in order
+	What     string
+	Why      string // empty: the logs do not show it
+	Lines    int    // that show it
+}
+
+// String tells it in one line.
+func (f *Finding) String() string {
+	text := f.From.UTC().Format("15:04:05.000")
+	if d := f.To.Sub(f.From); d >= time.Millisecond {
+		text += fmt.Sprintf(" for %v", d.Round(time.Millisecond))
+	}
+	text += "  " + f.What + ": " + some(f.Nodes)
+	if f.Why != "" {
+		text += "\n    " + f.Why
+	}
+	return text
+}
+
+// some names a few of many.
+func some(names []string) string {
+	const few = 4
+	if len(names) <= few {
+		return strings.Join(names, ", ")
+	}
+	return fmt.Sprintf("%s and %d more", strings.Join(names[:few], ", "), len(names)-few)
+}
+
+// together is how far apart the same may happen to several machines to count as one thing.
+const together = 2 * time.Second
+
+// Find tells what happened by lines in order, the first first.
+func Find(all []Line) []Finding {
+	f := finder{began: map[string]bool{}, ended: map[string]time.Time{}, ill: map[string]int{}, broke: map[string]int{}, editions: map[string]int{}}
+	for i := range all {
+		f.take(&all[i])
+	}
+	for i := range f.found {
+		if at := &f.found[i]; at.What == ill {
+			if n := f.broke[at.Nodes[0]]; n > 0 {
+				at.Why += fmt.Sprintf("; %d of its runs without an answer are logged", n)
+			}
+		}
+	}
+	slices.SortStableFunc(f.found, func(a, b Finding) int { return a.From.Compare(b.From) })
+	return f.found
+}
+
+// What is found.
+const (
+	killed   = "started again without having ended"
+	stopped  = "ended in order and started again"
+	wiped    = "a core machine is up without its disk's vote"
+	ill      = "a server counts as ill"
+	lost     = "counted as lost by the others"
+	stale    = "turned away from a parent that had nothing fresh"
+	members  = "the core's members change"
+	disk     = "a disk refuses the book"
+	damaged  = "a book was damaged"
+	settings = "settings cannot be used"
+	force    = "a configuration comes into force"
+	refused  = "a configuration cannot be used"
+)
+
+type finder struct {
+	found    []Finding
+	began    map[string]bool      // nodes whose start was seen
+	ended    map[string]time.Time // nodes that have ended in order, and not begun since
+	ill      map[string]int       // where in found, by node
+	broke    map[string]int       // runs without an answer, by node
+	editions map[string]int       // where in found
+}
+
+// add notes that something happened to a node: as a part of the same thing elsewhere, if that was just now.
+func (f *finder) add(l *Line, node, what, why string) *Finding {
+	for i := len(f.found) - 1; i >= 0; i-- {
+		at := &f.found[i]
+		if at.What == what && at.Why == why && l.At.Sub(at.To) <= together {
+			if at.To = l.At; !slices.Contains(at.Nodes, node) {
+				at.Nodes = append(at.Nodes, node)
+			}
+			at.Lines++
+			return at
+		}
+	}
+	f.found = append(f.found, Finding{From: l.At, To: l.At, Nodes: []string{node}, What: what, Why: why, Lines: 1})
+	return &f.found[len(f.found)-1]
+}
+
+func (f *finder) take(l *Line) {
+	switch l.Msg {
+	case "the sidecar is up", "the core machine is up":
+		f.start(l)
+	case "the sidecar ends":
+		f.ended[l.Node] = l.At
+	case "the server is judged by its requests":
+		f.judged(l)
+	case "a run has no answer":
+		f.broke[l.Node]++
+	case "a branch machine counts as lost by what others say":
+		f.add(l, l.text("node"), lost, "neither its answers to probes nor those that others asked for came, and the core had not heard of it for 1.2 s")
+	case "the parent has nothing fresh":
+		f.add(l, l.Node, stale, "no majority of the core has confirmed the configuration on that way for 1.35 s: the parent, its link, or the core's majority was gone")
+	case "the core's members change":
+		f.add(l, l.Node, members, "a member was not heard of for 4 s, and a machine stood by")
+	case "the disk does not take the book":
+		f.add(l, l.Node, disk, l.text("error"))
+	case "the book on disk is damaged, and is read anew from the others":
+		f.add(l, l.Node, damaged, "its checksum does not hold; it counts as emptied")
+	case "the settings cannot be used, and the old ones hold":
+		f.add(l, l.Node, settings, l.text("error"))
+	case "a configuration cannot be used":
+		f.add(l, l.Node, refused, l.text("error"))
+	case "a configuration is in force":
+		f.inForce(l)
+	}
+}
+
+// start takes in that a program has begun; the first time is no event.
+func (f *finder) start(l *Line) {
+	again := f.began[l.Node]
+	f.began[l.Node] = true
+	if l.text("voter") == "false" {
+		f.add(l, l.Node, wiped, "its disk came back empty, or it is new: it votes once it has read from enough others")
+	}
+	if !again {
+		return
+	}
+	if at, ok := f.ended[l.Node]; ok {
+		delete(f.ended, l.Node)
+		if it := f.add(l, l.Node, stopped, ""); at.Before(it.From) {
+			it.From = at
+		}
+		return
+	}
+	why := "its process or its machine's power was lost: what its server ran then could not be answered"
+	if l.Msg == "the core machine is up" {
+		why = "its process or its machine's power was lost: the register went on without it where more than half of its members were there"
+	}
+	f.add(l, l.Node, killed, why)
+}
+
+// judged takes in that a last hop turned its server ill or well. Each server is a thing of its own.
+func (f *finder) judged(l *Line) {
+	if i, open := f.ill[l.Node]; open {
+		f.found[i].To = l.At
+		f.found[i].Lines++
+		delete(f.ill, l.Node)
+	}
+	if l.text("ill") == "true" {
+		f.ill[l.Node] = len(f.found)
+		f.found = append(f.found, Finding{
+			From: l.At, To: l.At, Nodes: []string{l.Node}, What: ill, Lines: 1,
+			Why: "server " + l.text("server") + " failed more than a fifth of the requests that its sidecar let in, whatever it says of itself",
+		})
+	}
+}
+
+// inForce takes in that a core machine knows of an edition: from the first to the last is one thing.
+func (f *finder) inForce(l *Line) {
+	edition := l.text("edition")
+	i, ok := f.editions[edition]
+	if !ok {
+		i = len(f.found)
+		f.editions[edition] = i
+		f.found = append(f.found, Finding{From: l.At, What: force + " (edition " + edition + ")"})
+	}
+	at := &f.found[i]
+	if !slices.Contains(at.Nodes, l.Node) { // who learns of it again has started anew
+		at.To, at.Nodes = l.At, append(at.Nodes, l.Node)
+	}
+	at.Lines++
+}
