Invariants checked in the running code, and figures of both programs

Cause: what a process had done wrong, or why it refused, could be told from the outside only; a violated promise showed at a server or a client, without what led to it.

Change: internal/invariant names sixteen promises and checks each where it would break: attempts, answers and deadlines in internal/core, the last hop by a guard of its own (lasthop.Guard), the configuration in force, and on control machines ballots on disk, committed values, acknowledgements and reads.

--- a/internal/core/actions.go
+++ b/internal/core/actions.go
@@ -35,11 +35,9 @@
 		case balance.Send:
 			l.startAttempt(a)
 		case balance.Refuse:
-			l.record.endedUnserved(a)
-			l.finish(l.requests[a.Request], l.refusal(a.At))
+			l.endUnserved(a, l.refusal(a.At))
 		case balance.Fail:
-			l.record.endedUnserved(a)
-			l.finish(l.requests[a.Request], l.failure(a))
+			l.endUnserved(a, l.failure(a))
 		case balance.Cancel:
 			l.cancelAttempt(a)
 		case balance.SetTimer:
@@ -58,6 +56,16 @@
 	}
 }
 
+// endUnserved carries out balance.Refuse and balance.Fail.
+func (l *Loop) endUnserved(action *balance.Action, a *Answer) {
+	l.record.endedUnserved(action)
+	r := l.requests[action.Request]
+	if r != nil {
+		r.cause = action.Cause
+	}
+	l.finish(r, a)
+}
+
 // cancelAttempt carries out balance.Cancel.
 func (l *Loop) cancelAttempt(action *balance.Action) {
 	r := l.requests[action.Request]
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -25,6 +25,7 @@
 	written  func(*Attempt)
 	result   Result
 	latency  float64
+	recorded bool // its end has reached the loop, which owns result and latency from then on
 }
 
 // The phases of an attempt, in their order.
@@ -99,6 +100,7 @@
 		end:      l.attemptEnded,
 		written:  l.attemptWritten,
 	}
+	l.checkAttempt(r, a)
 	r.attempts = append(r.attempts, a)
 	r.inFlight++
 	l.record.sent(e, l.now)
@@ -134,6 +136,7 @@
 	r.inFlight--
 	l.cfg.Counts.Attempted(reportOutcomes[a.result.Outcome], a.number > 0)
 	l.record.ended(a)
+	l.observeAttempt(a)
 	if a.Endpoint != nil {
 		a.Endpoint.inFlight--
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -128,6 +128,7 @@
 	Answer       *Answer   // of OK; of a failure: the server's own answer, where it may be passed on
 	Report       []float32 // load report, may be empty
 	NotDelivered bool      // the attempt was rejected by a proxy in front of the server
+	Detail       string    // of a rejection: its reason, for the log; may be empty
 }
 
 // Gate admits calls before the balancer does. The exchange calls it from its own goroutine, with the time since the
--- /dev/null
+++ b/internal/core/invariants.go
@@ -0,0 +1,100 @@
+package core
+
+import (
+	"math"
+	"time"
+
+	"firplank/balance"
+	"firplank/internal/invariant"
+)
+
+// deadlineTolerance is by how much an attempt's deadline may exceed its request's: the clock of the loop is as of the
+// present batch of events.
+const deadlineTolerance = 100 * time.Millisecond
+
+// violated reports a violated invariant of a request.
+func (l *Loop) violated(name invariant.Name, r *request, explanation ...any) {
+	if l.cfg.Invariants == nil {
+		return
+	}
+	line := []any{"request", r.call.Message.Trace, "target", r.call.Message.Target, "attempts", len(r.attempts)}
+	l.cfg.Invariants.Violated(name, append(line, explanation...)...)
+}
+
+// mayHaveRun reports whether a server may have begun to work on the request by this attempt.
+func (a *Attempt) mayHaveRun() bool {
+	if !a.recorded {
+		return true
+	}
+	switch a.result.Outcome {
+	case balance.ConnectFailed, balance.NotSent, balance.Rejected:
+		return false
+	}
+	return !a.result.NotDelivered
+}
+
+// uncertain returns an attempt of a request by which it may have run; nil: there is none.
+func (r *request) uncertain() *Attempt {
+	for _, a := range r.attempts {
+		if a.mayHaveRun() {
+			return a
+		}
+	}
+	return nil
+}
+
+// checkAttempt checks the invariants of an attempt that is about to begin, which is not among its request's yet.
+func (l *Loop) checkAttempt(r *request, a *Attempt) {
+	if l.cfg.Invariants == nil {
+		return
+	}
+	if !r.call.Message.Safe {
+		if before := r.uncertain(); before != nil {
+			l.violated(invariant.NotResentAfterPossibleStart, r, "earlier", before.number, "ended", before.recorded,
+				"outcome", int(before.result.Outcome))
+		}
+	}
+	if limit := r.call.Request.MaxAttempts; limit > 0 {
+		if reached := r.reachedServers(a); reached > limit {
+			l.violated(invariant.AttemptsWithinLimit, r, "reached", reached, "limit", limit)
+		}
+	}
+	if r.uploading || math.IsInf(r.call.Request.Remaining, 1) {
+		return
+	}
+	remaining := max(r.call.Request.Remaining, 0)
+	if streamed := r.call.Message.Stream != nil; !streamed && a.Deadline.After(r.call.Received.Add(millis(remaining)+deadlineTolerance)) {
+		l.violated(invariant.DeadlineNotExtended, r, "over", a.Deadline.Sub(r.call.Received)-millis(remaining))
+	}
+}
+
+// reachedServers counts the servers that the request may have reached, once the next attempt has begun.
+func (r *request) reachedServers(next *Attempt) (n int) {
+	for i, a := range r.attempts {
+		if a.mayHaveRun() && a.Endpoint != next.Endpoint && !r.reachedBefore(i) {
+			n++
+		}
+	}
+	return n + 1
+}
+
+// reachedBefore reports whether an attempt before the one at an index may have reached the same server.
+func (r *request) reachedBefore(index int) bool {
+	for _, a := range r.attempts[:index] {
+		if a.mayHaveRun() && a.Endpoint == r.attempts[index].Endpoint {
+			return true
+		}
+	}
+	return false
+}
+
+// checkAnswer checks the invariants of a request's final answer.
+func (l *Loop) checkAnswer(r *request, a *Answer) {
+	if l.cfg.Invariants == nil || a == nil || a.Kind != Refused || r.call.Message.Safe {
+		return
+	}
+	if before := r.uncertain(); before != nil {
+		l.violated(invariant.RefusedNeverStarted, r, "earlier", before.number, "ended", before.recorded,
+			"outcome", int(before.result.Outcome))
+	}
+}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"firplank/balance"
+	"firplank/internal/invariant"
 	"firplank/internal/loadshed"
 	"firplank/internal/roster"
 	"firplank/report"
@@ -38,6 +39,10 @@
 	UpdatesPending func() bool
 	// Tally counts requests for the fleet and limits them; nil: there is no limit.
 	Tally Tally
+	// Invariants is notified of violated invariants of requests; nil: none is checked.
+	Invariants invariant.Reporter
+	// Observer is notified of the ends of requests and attempts; nil: nobody is.
+	Observer Observer
 	// CancelAtGone is whether a server that a complete list does not contain answers nothing: idempotent requests are
 	// cancelled there.
 	CancelAtGone bool
--- a/internal/core/request.go
+++ b/internal/core/request.go
@@ -7,6 +7,7 @@
 
 	"firplank/balance"
 	"firplank/contract"
+	"firplank/internal/invariant"
 )
 
 // overTallyRetryAfterMillis is the retry-after time of a call that the fleet's tally rejects.
@@ -22,11 +23,12 @@
 	class        int // as submitted: the gate may change the call's
 	tenant       int
 	attempts     []*Attempt
-	inFlight     int     // attempts
-	answered     bool    // it has its final answer
-	serverAnswer *Answer // the last server's own answer of a failed attempt
-	uploading    bool    // its body is still being received: its time does not count yet
-	tallied      bool    // Tally has taken it
+	inFlight     int           // attempts
+	answered     bool          // it has its final answer
+	serverAnswer *Answer       // the last server's own answer of a failed attempt
+	uploading    bool          // its body is still being received: its time does not count yet
+	tallied      bool          // Tally has taken it
+	cause        balance.Cause // why the balancer does not serve it
 }
 
 // beginRequest admits a call and passes it to the balancer.
@@ -126,6 +128,8 @@
 		return
 	}
 	r.answered = true
+	l.checkAnswer(r, a)
+	l.observeEnd(r, a)
 	l.countEnd(r, a)
 	l.cfg.Shedder.RequestEnded(r.class, time.Since(r.call.Received), overloadEnding(a))
 	delete(l.byCall, r.call)
@@ -166,6 +170,7 @@
 		return
 	}
 	l.log.Error("a request was left without an answer", "request", r.id)
+	l.violated(invariant.AnsweredByDeadline, r, "received", r.call.Received, "in flight", r.inFlight)
 	l.finish(r, failed(DeadlineExceeded, "out of time"))
 	l.notify(balance.ClientDisconnected{Request: r.id})
 }
--- a/mesh/bootstrap/settings.go
+++ b/mesh/bootstrap/settings.go
@@ -5,6 +5,7 @@
 package bootstrap
 
 import (
+	"cmp"
 	"net"
 	"strconv"
 )
@@ -58,6 +59,9 @@
 	Incoming string `yaml:"incoming"`
 	// Advertised is where other sidecars reach Incoming, if that is elsewhere, as behind a port that is mapped. Empty: at Incoming.
 	Advertised string `yaml:"advertised"`
+	// PeerListen is where the process listens for its peers, if they reach it elsewhere (PeerAddr), as behind a port that is mapped.
+	// Empty: at PeerAddr.
+	PeerListen string `yaml:"peerListen"`
 	// Outgoing takes requests of clients and of the local server.
 	Outgoing string `yaml:"outgoing"`
 	// Readiness answers the platform's readiness checks.
@@ -86,6 +90,9 @@
 // PeerAddr returns the address at which the other processes of the mesh reach this one.
 func (s *Settings) PeerAddr() string { return s.peerAddrAt(s.IP) }
 
+// PeerListenAddr returns the address at which this process listens for its peers.
+func (s *Settings) PeerListenAddr() string { return cmp.Or(s.Addresses.PeerListen, s.PeerAddr()) }
+
 // PeerAddrOf returns the address at which the processes of the mesh reach a machine, of which any address is given, with a port or without:
 // the port is the same on all machines.
 func (s *Settings) PeerAddrOf(addr string) string {
--- a/mesh/bootstrap/validate.go
+++ b/mesh/bootstrap/validate.go
@@ -32,6 +32,7 @@
 	return validation.ValidateStruct(&a,
 		validation.Field(&a.Incoming, validation.By(hostPort)),
 		validation.Field(&a.Advertised, validation.By(hostPort)),
+		validation.Field(&a.PeerListen, validation.By(hostPort)),
 		validation.Field(&a.Outgoing, validation.By(hostPort)),
 		validation.Field(&a.Readiness, validation.By(hostPort)),
 		validation.Field(&a.Control, validation.By(hostPort)),
--- /dev/null
+++ b/mesh/controlplane/figures.go
@@ -0,0 +1,94 @@
+package controlplane
+
+import (
+	"sync/atomic"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log/level"
+
+	"firplank/internal/telemetry"
+	"firplank/mesh/controlplane/operations"
+	"firplank/mesh/dissemination"
+)
+
+// figures are the counters and gauges of a control machine. The loop writes, scrapes read.
+type figures struct {
+	registry *telemetry.Registry
+
+	diskErrors, sidecarsLost *metrics.Counter
+
+	committedVersion, members, peersConnected, subscribers atomic.Int64
+	pendingOperations, quorumAgeMillis, lowestInForce      atomic.Int64
+}
+
+// newFigures returns the figures of a machine, all at 0.
+func newFigures() *figures {
+	r := telemetry.NewRegistry()
+	f := &figures{
+		registry:     r,
+		diskErrors:   r.Counter("disk_errors_total"),
+		sidecarsLost: r.Counter("sidecars_lost_total"),
+	}
+	for name, value := range map[string]*atomic.Int64{
+		"committed_version": &f.committedVersion, "members": &f.members, "peers_connected": &f.peersConnected,
+		"subscribers": &f.subscribers, "pending_operations": &f.pendingOperations, "quorum_age_ms": &f.quorumAgeMillis,
+		"lowest_version_in_force": &f.lowestInForce,
+	} {
+		r.Gauge(name, func() float64 { return float64(value.Load()) })
+	}
+	return f
+}
+
+// serveFigures serves the figures until close is called, where the port is free.
+func (s *Server) serveFigures() (close func()) {
+	if s.settings.IP == "" {
+		return func() {}
+	}
+	close, err := s.figures.registry.Serve(s.settings.IP, telemetry.ControlPort)
+	if err != nil {
+		_ = level.Warn(s.log).Log("msg", "metrics are not served", "error", err)
+		return func() {}
+	}
+	return close
+}
+
+// updateFigures brings the gauges up to date.
+func (s *Server) updateFigures() {
+	f, now := s.figures, s.now()
+	committed := s.pipeline.Committed()
+	f.committedVersion.Store(int64(committed.Value.Version))
+	f.members.Store(int64(len(committed.Value.Members)))
+	f.pendingOperations.Store(int64(s.operations.Len()))
+	f.subscribers.Store(int64(s.hub.Publisher.Subscribers()))
+	f.quorumAgeMillis.Store(-1)
+	if committed.Known {
+		f.quorumAgeMillis.Store((now - committed.AsOf).Milliseconds())
+	}
+	f.lowestInForce.Store(-1)
+	if lowest := s.hub.LowestInForce(now); lowest != dissemination.Unconstrained {
+		f.lowestInForce.Store(int64(lowest))
+	}
+	connected := 0
+	for _, p := range s.peers.All() {
+		if p.Connected() {
+			connected++
+		}
+	}
+	f.peersConnected.Store(int64(connected))
+}
+
+// operationEnded counts the operation of a client, by its kind and its result, and logs one that failed.
+func (s *Server) operationEnded(call *operations.Call, err error) {
+	kind := "read"
+	line := []any{"msg", "operation not completed", "operation", kind}
+	if write, ok := call.Request.(operations.Write); ok {
+		kind = "write"
+		line = []any{"msg", "operation not completed", "operation", kind, "version", formatVersion(write.Version), "content", write.Content}
+	}
+	result := "completed"
+	if err != nil {
+		result = operations.ErrorName(err)
+		_ = level.Info(s.log).Log(append(line, "error", err, "cause", result)...)
+	}
+	s.figures.registry.LabelledCounter("operations_"+kind+"_total", "result", result).Inc()
+}
--- a/mesh/controlplane/operations/errors.go
+++ b/mesh/controlplane/operations/errors.go
@@ -35,3 +35,21 @@
 	return fmt.Sprintf("edition %08x was taken with another content (%s): this one (%s) is not in force and never will be under that number; "+
 		"the newest edition is %08x, send yours under a higher one", e.Version, e.Taken, e.Content, e.Newest)
 }
+
+// ErrorName returns a short name of an error of this package, for metrics: they have to be few.
+func ErrorName(err error) string {
+	var taken *VersionTakenError
+	switch {
+	case errors.As(err, &taken):
+		return "version_taken"
+	case errors.Is(err, ErrNoQuorum):
+		return "no_quorum"
+	case errors.Is(err, ErrDiskFailing):
+		return "disk_failing"
+	case errors.Is(err, ErrQueueFull):
+		return "queue_full"
+	case errors.Is(err, ErrTimeout):
+		return "timeout"
+	}
+	return "shutdown"
+}
--- /dev/null
+++ b/mesh/controlplane/operations/invariants.go
@@ -0,0 +1,30 @@
+package operations
+
+import (
+	"firplank/internal/invariant"
+	"firplank/mesh/register"
+)
+
+// SetInvariants sets who is notified of violated invariants; without it nobody is.
+func (t *Table) SetInvariants(reporter invariant.Reporter) { t.invariants = reporter }
+
+// checkResult checks a result that its client is about to get as a success.
+func (t *Table) checkResult(request Request, result Result) {
+	if result.Err != nil {
+		return
+	}
+	value := &result.Outcome.Value
+	switch request := request.(type) {
+	case Write:
+		state := value.History.StateOf(request.Version, request.Content)
+		if state != register.RecordedSame && state != register.BelowFloor || value.Version < request.Version {
+			t.invariants.Violated(invariant.AcknowledgedIsCommitted, "version", request.Version, "content", request.Content,
+				"committed", value.Version)
+		}
+		t.acknowledged = max(t.acknowledged, request.Version)
+	case Read:
+		if value.Version < t.acknowledged {
+			t.invariants.Violated(invariant.ReadCoversAcknowledged, "version", value.Version, "acknowledged", t.acknowledged)
+		}
+	}
+}
--- a/mesh/controlplane/operations/operations.go
+++ b/mesh/controlplane/operations/operations.go
@@ -14,6 +14,7 @@
 	"slices"
 	"time"
 
+	"firplank/internal/invariant"
 	"firplank/mesh/dissemination"
 	"firplank/mesh/register"
 )
@@ -104,11 +105,13 @@
 	nextID        func() uint64
 	pending       map[uint64]*operation
 	confirmations dissemination.Confirmations
+	invariants    invariant.Reporter
+	acknowledged  uint32 // the highest version that was acknowledged here
 }
 
 // NewTable returns an empty table over a register. nextID returns a number that no other operation of this replica has.
 func NewTable(r Register, nextID func() uint64) *Table {
-	return &Table{register: r, nextID: nextID, pending: map[uint64]*operation{}}
+	return &Table{register: r, nextID: nextID, pending: map[uint64]*operation{}, invariants: invariant.Ignored{}}
 }
 
 // Len returns how many operations wait.
@@ -185,6 +188,7 @@
 }
 
 func (t *Table) respond(id uint64, result Result) {
+	t.checkResult(t.pending[id].request, result)
 	t.pending[id].responder.Respond(result)
 	delete(t.pending, id)
 }
--- a/mesh/controlplane/operators.go
+++ b/mesh/controlplane/operators.go
@@ -35,11 +35,10 @@
 
 var errNoConfig = errors.New("there is no configuration yet")
 
-// unavailable is the answer to a call that this machine cannot commit now. Its text is that of ErrNoQuorum whatever the
-// cause is: a lost quorum, a failing disk, a full queue, a timeout or the shutdown. It leaves open whether the operation
-// was committed, and another machine may be able to commit it.
-func unavailable() api.Response {
-	a := api.ErrorResponse(http.StatusServiceUnavailable, operations.ErrNoQuorum)
+// unavailable is the answer to a call that this machine cannot commit now, and says why. It leaves open whether the
+// operation was committed, and another machine may be able to commit it.
+func unavailable(err error) api.Response {
+	a := api.ErrorResponse(http.StatusServiceUnavailable, err)
 	a.RetryAfter = retryAfter
 	return a
 }
@@ -52,6 +51,7 @@
 	if errors.Is(err, operations.ErrTimeout) {
 		s.post(operationCancelled{call})
 	}
+	s.operationEnded(call, err)
 	return o, err
 }
 
@@ -68,7 +68,7 @@
 		s.logVersionTaken(taken)
 		return api.ErrorResponse(http.StatusConflict, taken)
 	case err != nil:
-		return unavailable()
+		return unavailable(err)
 	}
 	return api.Response{Status: http.StatusOK}
 }
@@ -86,7 +86,7 @@
 	o, err := s.commit(operations.Read{})
 	switch {
 	case err != nil:
-		return unavailable()
+		return unavailable(err)
 	case o.Value.Version == 0:
 		return api.ErrorResponse(http.StatusNotFound, errNoConfig)
 	}
--- a/mesh/controlplane/persistence/pipeline.go
+++ b/mesh/controlplane/persistence/pipeline.go
@@ -10,6 +10,7 @@
 import (
 	"time"
 
+	"firplank/internal/invariant"
 	"firplank/mesh/controlplane/operations"
 	"firplank/mesh/persist"
 	"firplank/mesh/register"
@@ -36,11 +37,13 @@
 	writing   *register.State   // that Sink.Write was given last
 	onDisk    register.State    // the newest that is known to be written
 	committed persist.Committed // the newest value that has left the queue
+
+	invariants invariant.Reporter
 }
 
 // New returns a pipeline for a replica whose state the disk already has.
 func New(replica *register.Replica, onDisk register.State, sink Sink) *Pipeline {
-	return &Pipeline{replica: replica, onDisk: onDisk, sink: sink}
+	return &Pipeline{replica: replica, onDisk: onDisk, sink: sink, invariants: invariant.Ignored{}}
 }
 
 // Apply hands an event to the replica. Where too much waits for the disk the event is dropped, as a link may drop a message.
@@ -82,6 +85,7 @@
 	if err != nil {
 		p.queue.WriteFailed(now)
 	} else {
+		p.checkWritten(p.writing)
 		p.onDisk = *p.writing
 		p.queue.WriteSynced(now, number)
 	}
@@ -96,8 +100,10 @@
 	}
 	for _, ready := range p.queue.TakeReady() {
 		for i := range ready.Messages {
+			p.checkSent(&ready.Messages[i])
 			p.sink.Send(&ready.Messages[i])
 		}
+		p.checkCommitted(&ready.Committed)
 		p.committed = ready.Committed
 		p.sink.Publish(ready.Committed)
 		for _, o := range ready.Outcomes {
--- a/mesh/controlplane/publishing.go
+++ b/mesh/controlplane/publishing.go
@@ -37,6 +37,7 @@
 	for _, sent := range entries {
 		e, complete := codec.EntryFromWire(sent, now)
 		if s.hub.HandleEntry(e, complete, direct, now) {
+			s.figures.sidecarsLost.Inc()
 			_ = level.Info(s.log).Log("msg", "sidecar lost", "node", e.Node)
 		}
 	}
--- a/mesh/controlplane/server.go
+++ b/mesh/controlplane/server.go
@@ -62,6 +62,7 @@
 	peers      *peers.Table[*transport.Conn]
 	reconciler *reconcile.Reconciler
 	hub        *publishing.Hub[*transport.Conn]
+	figures    *figures
 	lastID     uint64        // of the operations of the register
 	nextHello  time.Duration // when the next hello is due
 }
@@ -73,6 +74,7 @@
 		log:      log,
 		self:     self,
 		start:    time.Now(),
+		figures:  newFigures(),
 		events:   make(chan event, maxQueuedEvents),
 		writes:   make(chan persist.Write, 1),
 		hub:      publishing.New[*transport.Conn](config.Unpack),
@@ -85,6 +87,9 @@
 func (s *Server) setReplica(r *register.Replica, onDisk register.State) {
 	s.pipeline = persistence.New(r, onDisk, sink{s})
 	s.operations = operations.NewTable(s.pipeline, s.nextID)
+	monitor := s.figures.registry.NewMonitor(s.log)
+	s.pipeline.SetInvariants(monitor)
+	s.operations.SetInvariants(monitor)
 	s.reconciler = newReconciler(s)
 }
 
@@ -122,6 +127,7 @@
 		return err
 	}
 	defer closeListeners()
+	defer s.serveFigures()()
 	for _, addr := range append(settings.SeedPeerAddrs(), replica.Members()...) {
 		s.recordPeer(addr, "", 0)
 	}
@@ -140,7 +146,7 @@
 
 // listen begins to serve peers, subscribers and operators.
 func (s *Server) listen() (closeListeners func(), err error) {
-	peerListener, err := net.Listen("tcp", s.self)
+	peerListener, err := net.Listen("tcp", s.settings.PeerListenAddr())
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for peers and subscribers")
 	}
@@ -202,6 +208,7 @@
 	if now >= s.reconciler.NextTick() {
 		s.reconcileMembers(now)
 		s.operations.FailPending(now)
+		s.updateFigures()
 	}
 	s.pipeline.Tick(now)
 	next = s.updateSubscribers(s.now())
--- a/mesh/controlplane/status.go
+++ b/mesh/controlplane/status.go
@@ -1,7 +1,6 @@
 package controlplane
 
 import (
-	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -35,7 +34,7 @@
 		Members:         g.Members,
 		PreviousMembers: g.PriorMembers,
 		Version:         value.Version,
-		Ballot:          ballotText(s.pipeline.Replica().CommittedBallot()),
+		Ballot:          s.pipeline.Replica().CommittedBallot().String(),
 		LeaseHolder:     s.reconciler.LeaseHolder(now),
 		FullyReplicated: reconcile.FullyReplicated(g),
 	}
@@ -49,7 +48,7 @@
 			LastSeenS: -1,
 			Leaving:   m.Draining,
 			DiskFails: m.DiskFailed,
-			Ballot:    ballotText(s.accepted(m.Addr)),
+			Ballot:    s.accepted(m.Addr).String(),
 			UpToDate:  m.CaughtUp,
 		}
 		if m.LastContact > 0 {
@@ -68,5 +67,3 @@
 	}
 	return s.peers.Get(addr).Status.Accepted
 }
-
-func ballotText(b register.Ballot) string { return fmt.Sprintf("%d by %s", b.Number, b.Proposer) }
--- a/mesh/controlplane/store.go
+++ b/mesh/controlplane/store.go
@@ -126,6 +126,7 @@
 // handleWriteCompleted goes on after a write.
 func (s *Server) handleWriteCompleted(w writeCompleted) {
 	if w.err != nil {
+		s.figures.diskErrors.Inc()
 		_ = level.Error(s.log).Log("msg", "write of the register's state failed", "error", w.err)
 	}
 	s.pipeline.WriteCompleted(s.now(), w.number, w.err)
--- a/mesh/dataplane/host.go
+++ b/mesh/dataplane/host.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"firplank/internal/invariant"
 	"firplank/mesh/config"
 	"firplank/mesh/directory"
 )
@@ -43,6 +44,7 @@
 		}
 		return 0
 	}
+	p.checkAdopted(version, next)
 	names := make([]string, 0, len(next.Services))
 	for name := range next.Services {
 		names = append(names, name)
@@ -84,3 +86,13 @@
 	_ = level.Info(p.log).Log("msg", "sidecar ready", "edition", state.Version, "age", now-state.AsOf, "machines", state.Directory.Len())
 	p.background.Go(p.identifyServer)
 }
+
+// checkAdopted checks the invariants of a configuration that is about to come in force.
+func (p *Proxy) checkAdopted(version uint32, next *config.Config) {
+	if next.Version != version {
+		p.invariants.Violated(invariant.AdoptedVersionMatches, "sent", version, "text", next.Version)
+	}
+	if present := p.cfg.Load(); present != nil && next.Version < present.Version {
+		p.invariants.Violated(invariant.InForceMonotonic, "next", next.Version, "present", present.Version)
+	}
+}
--- a/mesh/dataplane/lasthop.go
+++ b/mesh/dataplane/lasthop.go
@@ -15,6 +15,7 @@
 
 	"firplank/balance"
 	"firplank/internal/core"
+	"firplank/internal/invariant"
 	"firplank/mesh/admission"
 	"firplank/mesh/attempts"
 	"firplank/mesh/dataplane/lasthop"
@@ -36,10 +37,13 @@
 	server  *core.Endpoint // the local server
 
 	lostResponses rate.Sometimes // bounds what is logged of requests without a response
+	figures       *figures       // nil: nothing is counted
+	invariants    invariant.Reporter
 
 	mu      sync.Mutex // guards what follows
 	gate    lasthop.Gate[*core.Call, *core.Answer]
 	running map[*lastHopAttempt]struct{} // begun at the server, and not ended
+	guard   *lasthop.Guard
 }
 
 // lastHopAttempt is a request that has begun at the local server.
@@ -61,6 +65,8 @@
 		lostResponses: rate.Sometimes{First: 2, Interval: time.Second},
 		gate:          gate,
 		running:       map[*lastHopAttempt]struct{}{},
+		invariants:    invariant.Ignored{},
+		guard:         lasthop.NewGuard(0),
 	}
 }
 
@@ -96,9 +102,13 @@
 func (l *lastHop) begin(c *core.Call, t *lastHopAttempt) *core.Answer {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if d := l.gate.Begin(l.now(), t.request); !d.Begins() {
+	now := l.now()
+	d := l.gate.Begin(now, t.request)
+	l.figures.lastHopDecided(d.Attempt, d.Admission)
+	if !d.Begins() {
 		return l.rejection(d)
 	}
+	l.checkBegin(now, c, t)
 	cut := c.Received.Add(time.Duration(c.Request.Remaining * float64(time.Millisecond)))
 	t.attempt = core.NewAttempt(l.server, &c.Message, cut, func(r core.Result) { l.finish(c, t, r) })
 	c.State.Store(t)
@@ -107,6 +117,17 @@
 	return nil
 }
 
+// checkBegin checks the invariants of a request that is handed to the server. The caller holds mu.
+func (l *lastHop) checkBegin(now time.Duration, c *core.Call, t *lastHopAttempt) {
+	if !t.request.Idempotent && l.guard.Start(c.Message.Trace) {
+		l.invariants.Violated(invariant.StartedOnce, "request", c.Message.Trace, "server", t.request.ServerID,
+			"attempt", formatAttemptID(t.request.Attempt))
+	}
+	if closedFor := l.guard.ClosedFor(now, t.request.ServerID); closedFor > 0 {
+		l.invariants.Violated(invariant.ClosingServerNotSent, "request", c.Message.Trace, "server", t.request.ServerID, "late", closedFor)
+	}
+}
+
 // rejection is the answer to a request that does not begin. The caller holds mu.
 func (l *lastHop) rejection(d lasthop.Decision) *core.Answer {
 	switch d.Attempt {
@@ -134,6 +155,9 @@
 	answer := lastHopAnswer(r)
 	l.mu.Lock()
 	done := l.gate.Finish(l.now(), t.request, gateResult(r, answer))
+	if neverStarted(r) || r.Outcome == balance.Rejected {
+		l.guard.Withdraw(c.Message.Trace)
+	}
 	delete(l.running, t)
 	l.mu.Unlock()
 	if done.ServerChanged {
@@ -229,6 +253,9 @@
 func (l *lastHop) handleHeartbeat(h admission.Heartbeat) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if h.Closing {
+		l.guard.Closing(l.now(), h.ServerID)
+	}
 	return l.gate.Admission.HandleHeartbeat(l.now(), h)
 }
 
@@ -236,6 +263,7 @@
 func (l *lastHop) serverLeft(id string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.guard.Closing(l.now(), id)
 	return l.gate.Admission.ServerLeft(id)
 }
 
--- a/mesh/dataplane/lifecycle.go
+++ b/mesh/dataplane/lifecycle.go
@@ -137,7 +137,7 @@
 			return nil, fmt.Errorf("listen: %w", err)
 		}
 	}
-	if l.sidecars, err = net.Listen("tcp", settings.PeerAddr()); err != nil {
+	if l.sidecars, err = net.Listen("tcp", settings.PeerListenAddr()); err != nil {
 		return nil, fmt.Errorf("listen for other sidecars: %w", err)
 	}
 	return l, nil
@@ -169,6 +169,7 @@
 	}
 	defer listeners.close()
 	defer p.serveControl(listeners)()
+	defer p.serveFigures(settings.IP)()
 	out.Serve(listeners.outgoing)
 	in.Serve(listeners.incoming)
 	p.startLoop(settings, reloads)
@@ -211,7 +212,7 @@
 
 // startLoop begins with the control side.
 func (p *Proxy) startLoop(settings *bootstrap.Settings, reloads <-chan os.Signal) {
-	probes, err := listenProbes(settings.PeerAddr())
+	probes, err := listenProbes(settings.PeerListenAddr())
 	if err != nil { // the control machines detect failures, too
 		_ = level.Warn(p.log).Log("msg", "failure detector sends no probes", "error", err)
 	} else {
--- a/mesh/dataplane/loop.go
+++ b/mesh/dataplane/loop.go
@@ -105,6 +105,7 @@
 	}
 	p.node.CheckReady(now)
 	p.node.Reparent(now)
+	p.updateFigures(now)
 	if p.ready.Load() && !p.shuttingDown.Load() {
 		p.applyLiveness(now, p.liveness.Tick(now, p.node.State().Directory))
 	}
@@ -154,6 +155,7 @@
 }
 
 func (p *Proxy) logParentLeft(a distribution.Close) {
+	p.figures.reasons[a.Reason].Inc()
 	if a.Reason == subscription.Stale {
 		_ = level.Info(p.log).Log("msg", "parent stale: switching to another", "parent", a.Addr, "age", p.now()-p.node.State().AsOf)
 	}
--- a/mesh/dataplane/proxy.go
+++ b/mesh/dataplane/proxy.go
@@ -26,8 +26,10 @@
 
 	"github.com/go-faster/errors"
 	kitlog "github.com/go-kit/log"
+	"golang.org/x/time/rate"
 
 	"firplank/internal/core"
+	"firplank/internal/invariant"
 	"firplank/internal/poller"
 	"firplank/mesh/admission"
 	"firplank/mesh/attempts"
@@ -87,6 +89,10 @@
 
 	shuttingDown atomic.Bool
 
+	figures    *figures
+	invariants invariant.Reporter
+	failures   *rate.Sometimes // bounds what is logged of requests that were not served
+
 	// The request path. Each part is safe for concurrent use.
 	lastHop     *lastHop
 	inFlight    *inflight.Tracker[*core.Attempt]
@@ -171,6 +177,9 @@
 		events:       make(chan event, eventQueueSize),
 		epoll:        poller.Check() == nil,
 	}
+	p.figures = newFigures()
+	p.invariants = p.figures.registry.NewMonitor(log)
+	p.failures = &rate.Sometimes{First: failuresLoggedAtOnce, Interval: failureLogInterval}
 	p.settings.Store(settings)
 	p.serviceName.Store(&settings.Service)
 	p.services.Store(&map[string]*service{})
@@ -180,6 +189,8 @@
 		Link:      admission.NewLink(settings.Resources.LinkMbps),
 		Outcomes:  attempts.New[*core.Call, *core.Answer](own.Incarnation),
 	})
+	p.lastHop.figures, p.lastHop.invariants = p.figures, p.invariants
+	p.lastHop.guard = lasthop.NewGuard(settings.Bounds.LastPost)
 	p.lastHop.changed = func() { p.post(serverChanged{}) }
 	p.inFlight = inflight.New[*core.Attempt](settings.NodeName + "." + strconv.FormatUint(rand.Uint64(), 16))
 	p.queries = newOutcomeQueries(ctx, log, p.inFlight)
--- a/mesh/dataplane/replay_test.go
+++ b/mesh/dataplane/replay_test.go
@@ -19,9 +19,13 @@
 	"testing/synctest"
 	"time"
 
+	kitlog "github.com/go-kit/log"
+	"golang.org/x/time/rate"
+
 	"firplank/balance"
 	"firplank/internal/core"
 	httpfront "firplank/internal/front/http"
+	"firplank/internal/invariant"
 	"firplank/mesh/bootstrap"
 	"firplank/mesh/config"
 	"firplank/mesh/dataplane/distribution"
@@ -46,10 +50,11 @@
 }
 
 // setUp makes the outgoing side of a sidecar in zone "za", with the services of a configuration, over the given pool.
-func setUp(ctx context.Context, cfg *config.Config, entries []directory.Entry, pool upstream) sidecarUnderTest {
+func setUp(ctx context.Context, t *testing.T, cfg *config.Config, entries []directory.Entry, pool upstream) sidecarUnderTest {
 	p := &Proxy{
 		start: time.Now(), ctx: ctx, slog: slog.New(slog.DiscardHandler), inFlight: inflight.New[*core.Attempt]("node-1.1"),
-		sidecarPool: pool,
+		sidecarPool: pool, log: kitlog.NewNopLogger(), figures: newFigures(), failures: &rate.Sometimes{},
+		invariants: invariant.Func(func(name invariant.Name, explanation ...any) { t.Errorf("%s: %v", name, explanation) }),
 	}
 	p.settings.Store(&bootstrap.Settings{
 		NodeName: "node-1", Zone: "za", Zones: map[string]string{"za": "r", "zb": "r", "zc": "r"},
@@ -376,7 +381,7 @@
 			t.Fatal(err)
 		}
 		d, entries := newDay(t, seed, full)
-		s := setUp(ctx, cfg, entries, d)
+		s := setUp(ctx, t, cfg, entries, d)
 		s.follow(entries, 0)
 		synctest.Wait()
 		d.play(s, mean)
--- a/mesh/dataplane/service.go
+++ b/mesh/dataplane/service.go
@@ -102,6 +102,8 @@
 		Backend:      func(string) core.Backend { return p.sidecarPool },
 		Log:          p.slog,
 		CancelAtGone: true,
+		Invariants:   p.invariants,
+		Observer:     &observer{service: name, log: p.log, figures: p.figures, limit: p.failures},
 	})
 	go s.exchange.Run() // the exchange ends with p.ctx; End waits for its requests
 	return s
--- a/mesh/dataplane/sidecardialect.go
+++ b/mesh/dataplane/sidecardialect.go
@@ -22,6 +22,9 @@
 // Keep implements httpback.Dialect: clients' headers are forwarded, but for those that sidecars set.
 func (sidecarDialect) Keep(name string) bool { return !isSidecarHeader(name) }
 
+// rejectedByServer is the detail of a rejection by the server itself.
+const rejectedByServer = "by the server"
+
 // Fields implements httpback.Dialect: it writes the headers between sidecars, and numbers what must not run twice.
 func (d sidecarDialect) Fields(dst []byte, a *core.Attempt, left time.Duration) []byte {
 	dst = appendDeadline(dst, left)
@@ -55,9 +58,9 @@
 	answer := &core.Answer{Kind: core.Served, Status: status, Meta: h, Body: body}
 	switch evidence {
 	case attempts.NeverExecuted:
-		return core.Result{Outcome: balance.Rejected, NotDelivered: true}
+		return core.Result{Outcome: balance.Rejected, NotDelivered: true, Detail: detailOf(body)}
 	case attempts.RejectedByServer:
-		return core.Result{Outcome: balance.Rejected}
+		return core.Result{Outcome: balance.Rejected, Detail: rejectedByServer}
 	case attempts.TimedOut:
 		return core.Result{Outcome: balance.TimedOut, Answer: ownAnswer(http.StatusGatewayTimeout, "", "out of time", 0)}
 	case attempts.Succeeded:
--- a/mesh/register/message.go
+++ b/mesh/register/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 )
 
 // Ballot orders the rounds of all proposers. The zero Ballot is below each that a round uses.
@@ -15,6 +16,9 @@
 	return cmp.Or(cmp.Compare(b.Number, o.Number), cmp.Compare(b.Proposer, o.Proposer))
 }
 
+// String returns a ballot for logs: "7 by 10.1.0.13:7620".
+func (b Ballot) String() string { return fmt.Sprintf("%d by %s", b.Number, b.Proposer) }
+
 // Value is the content of the register. A Value is never changed; its slices are shared.
 type Value struct {
 	Version      uint32   // of the configuration; 0: there is none yet
