--- a/cmd/firplank-lab/help.go
+++ b/cmd/firplank-lab/help.go
@@ -12,6 +12,8 @@
 		"its servers, in virtual time.",
 	"exploreHelp": "Play a decision against all that its surroundings may do, in every order up to a depth and at " +
 		"random beyond it.",
+	"soakHelp": "Run small meshes of real processes under overlapping troubles, with the invariants on, and judge " +
+		"what clients, servers and operators see. A seed plays the same troubles again.",
 	"scaleHelp": "Measure how the load of the mesh's control side grows with the number of sidecars: many hollow " +
 		"ones beside true processes, on loopback.",
 	"reckonHelp": "Reckon what each role of a mesh sends and gets, by construction, as built and as planned. " +
--- a/cmd/firplank-lab/main.go
+++ b/cmd/firplank-lab/main.go
@@ -23,6 +23,7 @@
 	Shed    shedCommand       `cmd:"" help:"${shedHelp}"`
 	Explore exploreCommand    `cmd:"" help:"${exploreHelp}"`
 	Mesh    meshCommand       `cmd:"" help:"Start a whole small mesh on loopback, with stand-in servers, until it is interrupted."`
+	Soak    soakCommand       `cmd:"" help:"${soakHelp}"`
 	Scale   scaleCommand      `cmd:"" help:"${scaleHelp}"`
 	Reckon  reckonCommand     `cmd:"" help:"${reckonHelp}"`
 	Hollow  hollowCommand     `cmd:"" hidden:""`
--- /dev/null
+++ b/cmd/firplank-lab/soak.go
@@ -0,0 +1,125 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"firplank/internal/output"
+	"firplank/lab/soak"
+)
+
+type soakCommand struct {
+	Seed      uint64        `help:"The first seed." default:"1"`
+	Seeds     int           `help:"How many seeds, one after the other." default:"1"`
+	Length    time.Duration `help:"Of the time in which troubles begin, of each seed." default:"30s"`
+	Core      int           `help:"Control machines." default:"4"`
+	Tolerance int           `help:"Control machines that may lose their disks at once." default:"1"`
+	Branch    int           `help:"Branch machines of each of the two services." default:"3"`
+	Clients   int           `help:"Clients of each branch machine." default:"3"`
+	Only      []soak.Kind   `help:"Kinds of troubles; empty: all."`
+	Net       int           `help:"The second number of the addresses, 127.NET.0.0, so that several can run side by side." default:"90"`
+	Race      bool          `help:"Build the programs with the race detector."`
+	Keep      string        `help:"Folder that keeps settings, disks, logs and the list of events of each seed that broke a promise."`
+}
+
+// errPromisesBroken is the result of a soak that found something.
+var errPromisesBroken = errors.New("promises were broken")
+
+// Run plays the seeds.
+func (c *soakCommand) Run(ctx context.Context, out io.Writer) error {
+	printer := output.New(out)
+	folder, err := os.MkdirTemp("", "firplank-soak")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(folder) }() // a temporary folder, which may stay
+	programs := filepath.Join(folder, "bin")
+	if err := c.build(ctx, programs); err != nil {
+		return err
+	}
+	broken := 0
+	for seed := c.Seed; seed < c.Seed+uint64(c.Seeds) && ctx.Err() == nil; seed++ {
+		report, err := c.play(ctx, filepath.Join(folder, fmt.Sprint(seed)), programs, seed)
+		if err != nil {
+			return fmt.Errorf("seed %d: %w", seed, err)
+		}
+		printReport(printer, report)
+		if len(report.Violations) > 0 {
+			broken++
+		}
+	}
+	printer.Printf("%d seeds, %d with a broken promise\n", c.Seeds, broken)
+	if err := printer.Err(); err != nil {
+		return err
+	}
+	if broken > 0 {
+		return errPromisesBroken
+	}
+	return nil
+}
+
+// build builds the mesh's programs.
+func (c *soakCommand) build(ctx context.Context, programs string) error {
+	args := []string{"build", "-o", programs + "/"}
+	if c.Race {
+		args = append(args, "-race")
+	}
+	build := exec.CommandContext(ctx, "go", append(args, "./cmd/firplank-proxy", "./cmd/firplank-control")...)
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		return fmt.Errorf("build: %w", err)
+	}
+	return nil
+}
+
+// play plays one seed in a folder, which is kept elsewhere if promises were broken.
+func (c *soakCommand) play(ctx context.Context, folder, programs string, seed uint64) (*soak.Report, error) {
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return nil, err
+	}
+	events, err := os.Create(filepath.Join(folder, "events.jsonl"))
+	if err != nil {
+		return nil, err
+	}
+	report, err := soak.Run(ctx, soak.Config{
+		Seed: seed, Length: c.Length, Folder: folder, Programs: programs, Net: c.Net, Core: c.Core, Tolerance: c.Tolerance,
+		Branch: c.Branch, Clients: c.Clients, Only: c.Only, Log: events,
+	})
+	if closeErr := events.Close(); err == nil {
+		err = closeErr
+	}
+	if c.Keep != "" && (err != nil || len(report.Violations) > 0) {
+		kept := filepath.Join(c.Keep, fmt.Sprintf("seed-%d", seed))
+		err = errors.Join(err, os.MkdirAll(c.Keep, 0o755), os.RemoveAll(kept), os.CopyFS(kept, os.DirFS(folder)))
+	}
+	return report, errors.Join(err, os.RemoveAll(folder))
+}
+
+// maxPrinted bounds the violations of one rule that are printed; the list of events has all.
+const maxPrinted = 5
+
+func printReport(printer *output.Printer, r *soak.Report) {
+	n := &r.Counts
+	printer.Printf("seed %d: %d troubles (%d skipped), %d requests: %d served, %d refused, %d failed, %d broken off, %d left; "+
+		"%d changes, %d acknowledged, %d reads; %d stalls; %d violations\n",
+		r.Seed, r.Troubles, r.Skipped, n.Requests, n.Served, n.Refused, n.Failed, n.Broken, n.Left, n.Changes, n.Acknowledged, n.Reads,
+		r.Stalls, len(r.Violations))
+	printed := map[string]int{}
+	for _, v := range r.Violations {
+		if printed[v.Rule]++; printed[v.Rule] <= maxPrinted {
+			printer.Printf("  %8.3f %s: %s\n", v.At.Seconds(), v.Rule, v.What)
+		}
+	}
+	for rule, count := range printed {
+		if count > maxPrinted {
+			printer.Printf("  %s: %d in all\n", rule, count)
+		}
+	}
+}
--- a/lab/mesh/between.go
+++ b/lab/mesh/between.go
@@ -11,6 +11,9 @@
 type Between struct {
 	listener net.Listener
 	to       string
+	name     string   // of the machine behind it
+	network  *Network // the links to it; nil: there are none
+	requests bool     // connections carry requests, whose answers may be lost
 	breaks   atomic.Pointer[Breaks]
 	number   atomic.Uint64 // of connections
 	Broken   atomic.Int64  // connections that were reset
@@ -29,12 +32,13 @@
 	Late time.Duration
 }
 
-func newBetween(at, to string) (*Between, error) {
+// newBetween listens at an address ahead of a machine's own one.
+func newBetween(at, to, name string, network *Network, requests bool) (*Between, error) {
 	ln, err := net.Listen("tcp", at)
 	if err != nil {
 		return nil, err
 	}
-	b := &Between{listener: ln, to: to, open: map[net.Conn]struct{}{}}
+	b := &Between{listener: ln, to: to, name: name, network: network, requests: requests, open: map[net.Conn]struct{}{}}
 	go b.serve()
 	return b, nil
 }
@@ -77,6 +81,10 @@
 // carry carries one connection until it ends or breaks.
 func (b *Between) carry(from *net.TCPConn) {
 	defer b.hold(from)()
+	sender, ok := b.arrive(from)
+	if !ok {
+		return
+	}
 	there, err := net.DialTimeout("tcp", b.to, time.Second)
 	if err != nil {
 		return
@@ -92,12 +100,14 @@
 			_ = from.Close()      // the connection is released even where this fails
 		})
 	}
+	ahead, back, leave := b.links(sender, func() { broken(); _ = to.Close() })
+	defer leave()
 	var ways sync.WaitGroup
 	ways.Go(func() {
 		defer func() { _ = to.CloseWrite() }() // fails only where the connection is closed already
-		b.copy(to, from, up, func() { broken(); time.Sleep(late) })
+		b.copy(to, from, up, ahead, func() { broken(); time.Sleep(late) })
 	})
-	b.copy(from, to, down, broken)
+	b.copy(from, to, down, back, broken)
 	_ = from.CloseWrite() // fails only where the connection is closed already
 	ways.Wait()
 }
@@ -116,11 +126,41 @@
 	return at, -1, how.Late
 }
 
-// copy carries bytes one way. When so many have come it calls broken, and then carries what came with the last of them all the same.
-func (b *Between) copy(to, from *net.TCPConn, limit int64, broken func()) {
+// arrive identifies the sender of a connection, which waits at a cut.
+func (b *Between) arrive(from *net.TCPConn) (sender string, ok bool) {
+	if b.network == nil {
+		return "", true
+	}
+	sender = b.network.identify(from.LocalAddr().(*net.TCPAddr), from.RemoteAddr().(*net.TCPAddr))
+	return sender, b.network.pass(sender, b.name)
+}
+
+// links returns what bytes of a connection wait for ahead and on their way back; false means that the connection breaks.
+func (b *Between) links(sender string, reset func()) (ahead, back func() bool, leave func()) {
+	free := func() bool { return true }
+	if b.network == nil {
+		return free, free, func() {}
+	}
+	ahead = func() bool { return b.network.pass(sender, b.name) }
+	back = func() bool {
+		if b.requests && b.network.losesAnswer(b.name, sender) {
+			return false
+		}
+		return b.network.pass(b.name, sender)
+	}
+	return ahead, back, b.network.add(&relayedConn{from: sender, to: b.name, reset: reset})
+}
+
+// copy carries bytes one way, each part once may permits it. When limit bytes have come, or may does not, it calls broken; at the limit
+// it then carries what came with the last of them all the same.
+func (b *Between) copy(to, from *net.TCPConn, limit int64, may func() bool, broken func()) {
 	buf, left := make([]byte, 16<<10), limit
 	for {
 		n, err := from.Read(buf)
+		if n > 0 && !may() {
+			broken()
+			return
+		}
 		if limit >= 0 && n > 0 {
 			if left -= int64(n); left <= 0 {
 				broken()
@@ -134,6 +174,7 @@
 			}
 		}
 		if err != nil {
+			_ = may() // the end of the connection waits at a cut, too
 			return
 		}
 	}
--- a/lab/mesh/mesh.go
+++ b/lab/mesh/mesh.go
@@ -7,6 +7,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -18,8 +19,11 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
+
+	"firplank/internal/telemetry"
 )
 
 // Config describes a mesh.
@@ -32,8 +36,21 @@
 	Work     time.Duration  // of each request at a server
 	Zones    []string       // over which the machines of each role are spread in turn; empty: one zone
 	Between  bool           // a Between stands ahead of each branch machine's incoming address
+	Links    bool           // relays stand ahead of all addresses at which machines reach each other: Mesh.Network
+	Seed     uint64         // of the network's random choices
+	Bounds   []string       // of the settings; empty: defaultBounds
+	// Heartbeat is the interval of the servers' heartbeats; 0: defaultHeartbeat.
+	Heartbeat time.Duration
+	// Tolerance is how many core machines may be lost at a time.
+	Tolerance int
+	Arrived   func(Arrival) // called as each request begins to run at a server; nil: nothing is. It must be safe for concurrent use
 }
 
+const defaultHeartbeat = 300 * time.Millisecond
+
+// defaultBounds are the bounds of settings where a Config has none.
+var defaultBounds = []string{"graceS=3", "retryRatio=0.2", "retryWindowS=10", "retrySlack=60"}
+
 // Machine is one process with its settings.
 type Machine struct {
 	Name, IP string
@@ -42,14 +59,18 @@
 	settings map[string]any
 	program  string
 	process  *exec.Cmd
+	pid      atomic.Int64 // of process
 	done     chan struct{}
-	Server   *Server  // nil on core machines
-	Between  *Between // nil where there is none
+	Server   *Server    // nil on core machines
+	Between  *Between   // nil where there is none
+	peers    *Between   // ahead of the address for peers; nil: there is none
+	probes   *datagrams // the same, for datagrams
 }
 
 // Mesh is a mesh that runs.
 type Mesh struct {
 	Core, Branch []*Machine
+	Network      *Network // nil without Config.Links
 	cfg          Config
 	client       *http.Client
 
@@ -57,7 +78,15 @@
 	runs map[string]int // by id of a try
 }
 
-const ports = 7300
+// ports is the first port of each machine. To it are added, where relays stand ahead of machines: advertisedPort for requests of other
+// sidecars, peerPort for peers, which listen at peerListenPort.
+const (
+	ports          = 7300
+	advertisedPort = ports + 10
+	peerListenPort = ports + 11
+	peerPort       = ports + 20
+	lastPeerPort   = ports + 35
+)
 
 // Start starts all machines. Stop ends them.
 func Start(cfg Config) (*Mesh, error) {
@@ -65,6 +94,9 @@
 		cfg.Zones = []string{"one"}
 	}
 	m := &Mesh{cfg: cfg, runs: map[string]int{}, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	if cfg.Links {
+		m.Network = newNetwork(cfg.Seed, m.machineOf)
+	}
 	var seeds []string
 	for i := range cfg.Core {
 		ip := fmt.Sprintf("127.%d.0.%d", cfg.Net, i+1)
@@ -85,12 +117,9 @@
 		}
 	}
 	for _, x := range m.All() {
-		if cfg.Between && x.Server != nil {
-			var err error
-			if x.Between, err = newBetween(fmt.Sprintf("%s:%d", x.IP, ports+10), fmt.Sprintf("%s:%d", x.IP, ports)); err != nil {
-				m.Stop()
-				return nil, err
-			}
+		if err := x.openRelays(); err != nil {
+			m.Stop()
+			return nil, err
 		}
 		x.settings = x.settingsFile(seeds)
 		if err := x.Start(true); err != nil {
@@ -107,6 +136,37 @@
 	return m, nil
 }
 
+// openRelays opens the relays ahead of a machine, as far as the mesh has any.
+func (x *Machine) openRelays() (err error) {
+	at := func(port int) string { return fmt.Sprintf("%s:%d", x.IP, port) }
+	cfg, network := &x.mesh.cfg, x.mesh.Network
+	if (cfg.Between || cfg.Links) && x.Server != nil {
+		if x.Between, err = newBetween(at(advertisedPort), at(ports), x.Name, network, true); err != nil {
+			return err
+		}
+	}
+	if !cfg.Links {
+		return nil
+	}
+	if x.peers, err = newBetween(at(peerPort), at(peerListenPort), x.Name, network, false); err != nil {
+		return err
+	}
+	x.probes, err = newDatagrams(at(peerPort), at(peerListenPort), x.Name, network)
+	return err
+}
+
+func (x *Machine) closeRelays() {
+	if x.Between != nil {
+		x.Between.close()
+	}
+	if x.peers != nil {
+		x.peers.close()
+	}
+	if x.probes != nil {
+		x.probes.close()
+	}
+}
+
 func sortedKeys(all map[string]int) []string {
 	var keys []string
 	for k := range all {
@@ -128,24 +188,37 @@
 	}
 	s := map[string]any{
 		"nodeName": x.Name, "ip": x.IP, "zone": x.Zone, "region": "here", "zones": zones,
-		"sparePorts": []int{ports + 20, ports + 35}, "seedNodes": seeds, "beatS": 0.3,
-		"bounds": []string{"graceS=3", "retryRatio=0.2", "retryWindowS=10", "retrySlack=60"},
-		"caps":   map[string]any{"fileHandles": 2000, "memoryMb": 280},
+		"sparePorts": []int{peerPort, lastPeerPort}, "seedNodes": seeds, "beatS": x.mesh.heartbeat().Seconds(),
+		"bounds": x.mesh.bounds(), "tolerance": map[string]int{"machines": x.mesh.cfg.Tolerance},
+		"caps": map[string]any{"fileHandles": 2000, "memoryMb": 280},
+	}
+	addresses := map[string]string{"control": at(6)}
+	s["addresses"] = addresses
+	if x.peers != nil {
+		addresses["peerListen"] = fmt.Sprintf("%s:%d", x.IP, peerListenPort)
 	}
 	if x.Server == nil {
-		s["addresses"] = map[string]string{"control": at(6)}
 		s["dataPath"] = filepath.Join(x.mesh.cfg.Folder, x.Name, "data")
 	} else {
-		addresses := map[string]string{"incoming": at(0), "outgoing": at(4), "readiness": at(2), "control": at(6)}
+		addresses["incoming"], addresses["outgoing"], addresses["readiness"] = at(0), at(4), at(2)
 		if x.Between != nil {
-			addresses["advertised"] = at(10)
+			addresses["advertised"] = fmt.Sprintf("%s:%d", x.IP, advertisedPort)
 		}
-		s["addresses"] = addresses
 		s["appAddr"], s["line"] = at(1), x.Server.service
 	}
 	return s
 }
 
+// heartbeat is the interval of the servers' heartbeats.
+func (m *Mesh) heartbeat() time.Duration { return cmp.Or(m.cfg.Heartbeat, defaultHeartbeat) }
+
+func (m *Mesh) bounds() []string {
+	if len(m.cfg.Bounds) > 0 {
+		return m.cfg.Bounds
+	}
+	return defaultBounds
+}
+
 // Start starts a machine's process; first: all of the mesh starts for the first time.
 func (x *Machine) Start(first bool) error {
 	folder := filepath.Join(x.mesh.cfg.Folder, x.Name)
@@ -153,12 +226,7 @@
 		return err
 	}
 	x.settings["firstStart"] = first
-	text, err := json.MarshalIndent(x.settings, "", " ")
-	if err != nil {
-		return err
-	}
-	path := filepath.Join(folder, "settings.yaml")
-	if err := os.WriteFile(path, text, 0o644); err != nil {
+	if err := x.writeSettings(); err != nil {
 		return err
 	}
 	log, err := os.OpenFile(filepath.Join(folder, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
@@ -167,11 +235,12 @@
 	}
 	defer func() { _ = log.Close() }() // only read from
 	x.process = exec.Command(filepath.Join(x.mesh.cfg.Programs, x.program))
-	x.process.Env = append(os.Environ(), "FIRPLANK_BOOT="+path)
+	x.process.Env = append(os.Environ(), "FIRPLANK_BOOT="+x.settingsPath())
 	x.process.Stdout, x.process.Stderr = log, log
 	if err := x.process.Start(); err != nil {
 		return err
 	}
+	x.pid.Store(int64(x.process.Process.Pid))
 	process, done := x.process, make(chan struct{})
 	x.done = done
 	go func() {
@@ -181,8 +250,11 @@
 	return nil
 }
 
-// PID is the id of a machine's process.
-func (x *Machine) PID() int { return x.process.Process.Pid }
+// PID is the id of a machine's process; 0: none was started.
+func (x *Machine) PID() int { return int(x.pid.Load()) }
+
+// Done is closed when the machine's process has ended.
+func (x *Machine) Done() <-chan struct{} { return x.done }
 
 // Signal sends a signal to a machine's process.
 func (x *Machine) Signal(s syscall.Signal) { _ = x.process.Process.Signal(s) } // fails only where the process has ended
@@ -200,11 +272,9 @@
 func (m *Mesh) Stop() {
 	for _, x := range m.All() {
 		if x.Server != nil {
-			x.Server.Stop()
-		}
-		if x.Between != nil {
-			x.Between.close()
+			x.CurrentServer().Stop()
 		}
+		x.closeRelays()
 		if x.process != nil && x.process.Process != nil {
 			x.Kill()
 		}
@@ -258,6 +328,49 @@
 	return x.mesh.call(http.MethodGet, fmt.Sprintf("http://%s:%d/Timetable.Read", x.IP, ports+6), nil, nil, 4*time.Second)
 }
 
+// OutgoingURL is the URL of a path at the address of a branch machine for its clients.
+func (x *Machine) OutgoingURL(path string) string {
+	return fmt.Sprintf("http://%s:%d%s", x.IP, ports+4, path)
+}
+
+// MetricsURL is the URL of a machine's figures.
+func (x *Machine) MetricsURL() string {
+	port := telemetry.ControlPort
+	if x.Server != nil {
+		port = telemetry.ProxyPort
+	}
+	return fmt.Sprintf("http://%s:%d%s", x.IP, port, telemetry.Path)
+}
+
+// Reload changes a machine's settings file, as the platform does, and tells its process so (SIGHUP). The order of the seeds changes, and
+// nothing else.
+func (x *Machine) Reload() error {
+	seeds := x.settings["seedNodes"].([]string)
+	x.settings["seedNodes"] = append(slices.Clone(seeds[1:]), seeds[0])
+	if err := x.writeSettings(); err != nil {
+		return err
+	}
+	x.Signal(syscall.SIGHUP)
+	return nil
+}
+
+// writeSettings replaces a machine's settings file.
+func (x *Machine) writeSettings() error {
+	text, err := json.MarshalIndent(x.settings, "", " ")
+	if err != nil {
+		return err
+	}
+	path := x.settingsPath()
+	if err := os.WriteFile(path+".next", text, 0o644); err != nil {
+		return err
+	}
+	return os.Rename(path+".next", path)
+}
+
+func (x *Machine) settingsPath() string {
+	return filepath.Join(x.mesh.cfg.Folder, x.Name, "settings.yaml")
+}
+
 // Ask sends a client's request by way of a branch machine.
 func (x *Machine) Ask(method, host, path, id string, body []byte) (status int, answer []byte, err error) {
 	return x.mesh.call(method, fmt.Sprintf("http://%s:%d%s", x.IP, ports+4, path),
--- a/lab/mesh/server.go
+++ b/lab/mesh/server.go
@@ -4,27 +4,54 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 )
 
-// Server stands in for an application's server: it beats, runs what it is sent, and counts what has run.
+// Behaviour is how a server misbehaves; the zero value is well.
+type Behaviour struct {
+	Delay  time.Duration // of each request, beside its work
+	Drop   float64       // share of the requests that it runs, and then closes the connection without an answer
+	Garble float64       // share of the requests that it runs, and answers with bytes that are no answer
+	Refuse float64       // share of the requests that it does not run, and says so
+}
+
+// Arrival is a request that a server runs.
+type Arrival struct {
+	RequestID, Server, Service, Sender string
+	At                                 time.Time
+	// Spoilt: the server will break the connection off.
+	Spoilt bool
+	// SinceClosing is how long ago the closing of the server was acknowledged; 0: it was not.
+	SinceClosing time.Duration
+}
+
+// Server stands in for an application's server: it sends heartbeats, runs what it is sent, and counts what has run. A Server is one life:
+// its successor at the same address is another one (Machine.ReplaceServer).
 type Server struct {
-	machine *Machine
-	service string
-	id      string
-	http    *http.Server
-	stop    chan struct{}
-	once    sync.Once
-	closing atomic.Bool
-	acked   atomic.Bool // that it closes
-	Served  atomic.Int64
-	Late    atomic.Int64 // requests that came after its closing was acknowledged
+	machine   *Machine
+	service   string
+	id        string
+	http      *http.Server
+	stop      chan struct{}
+	once      sync.Once
+	closing   atomic.Bool
+	silent    atomic.Bool  // it sends no heartbeats any more
+	acked     atomic.Bool  // that it closes
+	ackedAt   atomic.Int64 // when, in Unix nanoseconds
+	behaviour atomic.Pointer[Behaviour]
+	Served    atomic.Int64
+	Late      atomic.Int64 // requests that came after its closing was acknowledged
 }
 
+// ID is the server's id.
+func (s *Server) ID() string { return s.id }
+
 func (s *Server) start() error {
 	ln, err := net.Listen("tcp", fmt.Sprintf("%s:%d", s.machine.IP, ports+1))
 	if err != nil {
@@ -48,14 +75,70 @@
 	})
 }
 
+// ReplaceServer ends the machine's server without notice, and starts its successor, which has another id.
+func (x *Machine) ReplaceServer() (*Server, error) {
+	before := x.CurrentServer()
+	before.Stop()
+	next := &Server{machine: x, service: before.service, id: nextServerID(before.id)}
+	if err := next.start(); err != nil {
+		return nil, err
+	}
+	x.mesh.mu.Lock()
+	defer x.mesh.mu.Unlock()
+	x.Server = next
+	return next, nil
+}
+
+// Service is the service that the machine's server belongs to.
+func (x *Machine) Service() string { return x.CurrentServer().service }
+
+// CurrentServer is the present life of the machine's server.
+func (x *Machine) CurrentServer() *Server {
+	x.mesh.mu.Lock()
+	defer x.mesh.mu.Unlock()
+	return x.Server
+}
+
+// nextServerID is the id of the life after that of an id: "i-00000003", "i-00000003-2", "i-00000003-3".
+func nextServerID(id string) string {
+	const first = len("i-00000000")
+	life := 1
+	if len(id) > first {
+		life, _ = strconv.Atoi(id[first+1:]) // made here
+	}
+	return fmt.Sprintf("%s-%d", id[:first], life+1)
+}
+
+// Behave has the server behave so from now on.
+func (s *Server) Behave(b Behaviour) { s.behaviour.Store(&b) }
+
 // Close announces in heartbeats that the server will end. It goes on serving.
 func (s *Server) Close() { s.closing.Store(true) }
 
 // Acked reports whether the mesh has acknowledged that.
 func (s *Server) Acked() bool { return s.acked.Load() }
 
+// Leave deregisters the server, without a heartbeat that announces it before. It goes on serving, sends no more heartbeats, and reports
+// whether the mesh has acknowledged.
+func (s *Server) Leave() bool {
+	s.silent.Store(true)
+	status, _, err := s.machine.mesh.call(http.MethodPost,
+		fmt.Sprintf("http://%s:%d/Servers.Leave/%s", s.machine.IP, ports+6, s.id), nil, nil, time.Second)
+	if err != nil || status != http.StatusOK {
+		return false
+	}
+	s.acknowledged()
+	return true
+}
+
+func (s *Server) acknowledged() {
+	if s.acked.CompareAndSwap(false, true) {
+		s.ackedAt.Store(time.Now().UnixNano())
+	}
+}
+
 func (s *Server) sendHeartbeats() {
-	for sequence := 1; ; sequence++ {
+	for sequence := 1; !s.silent.Load(); sequence++ {
 		closing := s.closing.Load()
 		condition := "accepting"
 		if closing {
@@ -68,10 +151,10 @@
 		status, _, err := s.machine.mesh.call(http.MethodPost,
 			fmt.Sprintf("http://%s:%d/Servers.Beat/%s", s.machine.IP, ports+6, s.id), nil, body, time.Second)
 		if err == nil && status == http.StatusOK && closing {
-			s.acked.Store(true)
+			s.acknowledged()
 		}
 		select {
-		case <-time.After(150 * time.Millisecond):
+		case <-time.After(s.machine.mesh.heartbeat() / 2):
 		case <-s.stop:
 			return
 		}
@@ -82,21 +165,83 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Try-Id")
 	w.Header().Set("Try-Id", id)
+	if r.URL.Path == "/health" {
+		s.serveHealth(w)
+		return
+	}
 	if to := r.Header.Get("Deliver-To"); to != s.id {
 		w.Header().Set("Served-By", s.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	b := s.behaviour.Load()
+	if b == nil {
+		b = &Behaviour{}
+	}
+	if rand.Float64() < b.Refuse {
+		w.Header().Set("Not-Delivered", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body) // read only to be dropped
+	dropped, garbled := rand.Float64() < b.Drop, rand.Float64() < b.Garble
+	s.record(Arrival{RequestID: id, Sender: r.Header.Get("Sender-Line"), Spoilt: dropped || garbled})
+	select {
+	case <-time.After(s.machine.mesh.cfg.Work + b.Delay + workOf(r)):
+	case <-r.Context().Done():
+		return
+	}
+	switch {
+	case dropped:
+		breakOff(w, "")
+	case garbled:
+		breakOff(w, "these bytes are no answer\r\n\r\n")
+	default:
+		w.Header().Set("Postmark", "stand-in."+s.id)
+		_, _ = fmt.Fprintf(w, "%s from %s for %s", id, s.service, r.Header.Get("Sender-Line")) // fails only where the client is gone
+	}
+}
+
+// serveHealth answers a health check as the users' page on the protocol has it.
+func (s *Server) serveHealth(w http.ResponseWriter) {
+	w.Header().Set("Served-By", s.id)
+	if s.closing.Load() || s.silent.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// record counts a request that begins to run.
+func (s *Server) record(arrival Arrival) {
+	m, now := s.machine.mesh, time.Now()
+	arrival.Server, arrival.Service, arrival.At = s.id, s.service, now
 	if s.acked.Load() {
 		s.Late.Add(1)
+		arrival.SinceClosing = now.Sub(time.Unix(0, s.ackedAt.Load()))
 	}
-	_, _ = io.Copy(io.Discard, r.Body) // read only to be dropped
-	m := s.machine.mesh
 	m.mu.Lock()
-	m.runs[id]++
+	m.runs[arrival.RequestID]++
 	m.mu.Unlock()
 	s.Served.Add(1)
-	time.Sleep(m.cfg.Work)
-	w.Header().Set("Postmark", "stand-in."+s.id)
-	_, _ = fmt.Fprintf(w, "%s from %s for %s", id, s.service, r.Header.Get("Sender-Line")) // fails only where the client is gone
+	if m.cfg.Arrived != nil {
+		m.cfg.Arrived(arrival)
+	}
+}
+
+// workOf is the work that a request asks for beside the usual, in milliseconds: "/look/x?work=1500".
+func workOf(r *http.Request) time.Duration {
+	millis, err := strconv.Atoi(r.URL.Query().Get("work"))
+	if err != nil || millis < 0 {
+		return 0
+	}
+	return time.Duration(millis) * time.Millisecond
+}
+
+// breakOff writes bytes to a request's connection, and closes it.
+func breakOff(w http.ResponseWriter, text string) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = conn.Write([]byte(text)) // the connection is closed either way
+	_ = conn.Close()
 }
--- /dev/null
+++ b/lab/soak/judge.go
@@ -0,0 +1,292 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"firplank/lab/mesh"
+)
+
+// Bounds of the rules, as the processes are told them, and how much later than a bound something has to be to break a
+// rule with a time bound: the soak's own clocks and connections take some of it.
+const (
+	inTouch   = 3 * time.Second
+	inForce   = 2500 * time.Millisecond
+	backSlack = 250 * time.Millisecond
+	lastPost  = 2500 * time.Millisecond
+	grace     = 6 * time.Second
+	receipt   = 5 * time.Second
+	recovery  = 15 * time.Second
+	tolerance = 400 * time.Millisecond
+	// cutShare is the part of its time that a request has to have left for its broken connection to count.
+	cutShare = 0.7
+)
+
+// Violation is a broken promise.
+type Violation struct {
+	At   time.Duration `json:"at"` // since the start of traffic
+	Rule string        `json:"rule"`
+	What string        `json:"what"`
+}
+
+// exchange is a request of a client and what became of it.
+type exchange struct {
+	id       string
+	machine  string // that took it
+	life     int    // of its process
+	unsafe   bool
+	marker   uint32 // the version whose route it is for; 0: none
+	wrong    bool   // a success whose body or headers are not the server's
+	body     string
+	sent     time.Duration
+	ended    time.Duration
+	deadline time.Duration // how long the client waits
+	status   int           // 0: the connection ended without a complete answer
+	left     bool          // the client has left before the answer
+}
+
+// span is a time in which something was disturbed.
+type span struct{ from, to time.Duration }
+
+// Judge records what clients, servers and operators see, and tells which promises were broken. It knows nothing of the
+// programs. It is safe for concurrent use.
+type Judge struct {
+	mu         sync.Mutex
+	violations []Violation
+
+	runs      map[string]int           // by request
+	spoilt    map[string]bool          // requests whose server broke off
+	ranOn     map[string]string        // the last server of each request
+	gone      map[string]time.Duration // when servers ended
+	promised  map[string]string        // requests that were refused, which promises that they have not run, and by whom
+	disturbed map[string][]span        // unplanned troubles by machine; of the core and of all links under core
+	stops     map[string][]span        // SIGTERMs by machine, until the process has ended
+	markers   map[[2]string]seenMarker
+
+	acked     map[uint32]ack
+	newest    uint32 // of acked
+	counts    Counts
+	tolerated int // requests at closing servers while machines were disturbed
+}
+
+// core is the name under which troubles of the control machines as a group are recorded.
+const core = "core"
+
+type ack struct {
+	content string
+	at      time.Duration
+}
+
+type seenMarker struct {
+	version uint32
+	at      time.Duration
+}
+
+// Counts are what was done and seen.
+type Counts struct {
+	Requests, Served, Refused, Failed, Broken, Left int
+	Runs, Changes, Acknowledged, Reads              int
+}
+
+// NewJudge returns a judge that has seen nothing.
+func NewJudge() *Judge {
+	return &Judge{
+		runs: map[string]int{}, spoilt: map[string]bool{}, ranOn: map[string]string{}, gone: map[string]time.Duration{},
+		promised: map[string]string{}, disturbed: map[string][]span{}, stops: map[string][]span{},
+		markers: map[[2]string]seenMarker{}, acked: map[uint32]ack{},
+	}
+}
+
+// Violations returns what was broken so far.
+func (j *Judge) Violations() []Violation {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return slices.Clone(j.violations)
+}
+
+// Counts returns what was seen so far.
+func (j *Judge) Counts() Counts {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.counts
+}
+
+// Break records a violation that somebody else has found.
+func (j *Judge) Break(at time.Duration, rule, format string, args ...any) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.breaks(at, rule, format, args...)
+}
+
+func (j *Judge) breaks(at time.Duration, rule, format string, args ...any) {
+	j.violations = append(j.violations, Violation{at, rule, fmt.Sprintf(format, args...)})
+}
+
+// Disturbed records an unplanned trouble of machines.
+func (j *Judge) Disturbed(from, to time.Duration, machines ...string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, m := range machines {
+		j.disturbed[m] = append(j.disturbed[m], span{from, to})
+	}
+}
+
+// calm reports whether machines, and the core, were undisturbed from inTouch before a time until another.
+func (j *Judge) calm(from, to time.Duration, machines ...string) bool {
+	for _, m := range append(machines, core) {
+		for _, s := range j.disturbed[m] {
+			if s.from <= to && s.to >= from-inTouch-tolerance {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// stopping returns the SIGTERM of a machine during which a request was taken.
+func (j *Judge) stopping(machine string, at time.Duration) (span, bool) {
+	for _, s := range j.stops[machine] {
+		if at >= s.from && at <= s.to+time.Second {
+			return s, true
+		}
+	}
+	return span{}, false
+}
+
+// Arrived records that a server runs a request.
+func (j *Judge) Arrived(at time.Duration, machine string, a mesh.Arrival) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.counts.Runs++
+	j.runs[a.RequestID]++
+	j.ranOn[a.RequestID] = a.Server
+	if a.Spoilt {
+		j.spoilt[a.RequestID] = true
+	}
+	if a.SinceClosing <= lastPost+tolerance {
+		return
+	}
+	if !j.calm(at, at, machine) {
+		j.tolerated++
+		return
+	}
+	j.breaks(at, "DRAIN", "request %s reaches server %s %v after its closing was acknowledged", a.RequestID, a.Server, a.SinceClosing)
+}
+
+// ServerGone records the end of a server, which breaks off what it is at work on.
+func (j *Judge) ServerGone(at time.Duration, server string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.gone[server] = at
+}
+
+// Ended records the end of a request.
+func (j *Judge) Ended(x exchange) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.count(&x)
+	if x.left {
+		return
+	}
+	switch x.status {
+	case http.StatusOK:
+		j.judgeSuccess(&x)
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		if x.unsafe {
+			j.promised[x.id] = x.machine
+		}
+	case http.StatusNotFound:
+		j.judgeNotFound(&x)
+	case 0, http.StatusBadGateway, http.StatusInternalServerError, http.StatusGatewayTimeout:
+		j.judgeBroken(&x)
+	default:
+		j.breaks(x.ended, "DENIED", "request %s at %s is answered %d", x.id, x.machine, x.status)
+	}
+}
+
+func (j *Judge) count(x *exchange) {
+	j.counts.Requests++
+	switch {
+	case x.left:
+		j.counts.Left++
+	case x.status == http.StatusOK:
+		j.counts.Served++
+	case x.status == http.StatusServiceUnavailable || x.status == http.StatusTooManyRequests:
+		j.counts.Refused++
+	case x.status == 0:
+		j.counts.Broken++
+	default:
+		j.counts.Failed++
+	}
+}
+
+func (j *Judge) judgeSuccess(x *exchange) {
+	if x.wrong {
+		j.breaks(x.ended, "MIXED", "request %s at %s is answered %q", x.id, x.machine, x.body)
+	}
+	if j.runs[x.id] == 0 {
+		j.breaks(x.ended, "MIXED", "request %s at %s is answered, and no server has run it", x.id, x.machine)
+	}
+	if x.marker == 0 {
+		return
+	}
+	key := [2]string{x.machine, fmt.Sprint(x.life)}
+	if x.marker > j.markers[key].version {
+		j.markers[key] = seenMarker{x.marker, x.ended}
+	}
+}
+
+// judgeNotFound judges a 404: it is right only where no configuration has the route that may be in force.
+func (j *Judge) judgeNotFound(x *exchange) {
+	if x.marker == 0 {
+		j.breaks(x.ended, "DENIED", "request %s at %s has no route", x.id, x.machine)
+		return
+	}
+	if seen := j.markers[[2]string{x.machine, fmt.Sprint(x.life)}]; seen.version >= x.marker && x.sent > seen.at+backSlack+tolerance {
+		j.breaks(x.ended, "CONFIG", "machine %s goes back: version %d was in force at %v, and has no route at %v", x.machine, seen.version,
+			seen.at, x.sent)
+		return
+	}
+	a, acked := j.acked[x.marker]
+	if !acked || x.sent <= a.at+inForce+tolerance || !j.calm(x.sent, x.ended, x.machine) {
+		return
+	}
+	j.breaks(x.ended, "CONFIG", "machine %s does not have version %d, sent at %v, acknowledged at %v", x.machine, x.marker, x.sent, a.at)
+}
+
+// judgeBroken judges a connection that ended without an answer, and a failure, around a SIGTERM of the machine.
+func (j *Judge) judgeBroken(x *exchange) {
+	if gone, ended := j.gone[j.ranOn[x.id]]; j.spoilt[x.id] || ended && gone >= x.sent {
+		return // the server broke off
+	}
+	stop, stopping := j.stopping(x.machine, x.sent)
+	if !stopping {
+		stop, stopping = j.stopping(x.machine, x.ended)
+	}
+	inTime := x.ended-x.sent < time.Duration(cutShare*float64(x.deadline))
+	lastSixth := x.ended >= stop.from+grace-grace/6 && x.sent <= stop.from+3*time.Second
+	if !stopping || !inTime || lastSixth || x.status == http.StatusGatewayTimeout || !j.calm(x.sent, x.ended, x.machine) {
+		return
+	}
+	j.breaks(x.ended, "LOST", "request %s at %s, sent %v after its SIGTERM, ends after %v with status %d", x.id, x.machine,
+		x.sent-stop.from, x.ended-x.sent, x.status)
+}
+
+// Finish judges what only shows at the end: requests that ran more than once, or that ran though they were refused.
+func (j *Judge) Finish(at time.Duration, unsafeIDs []string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, id := range unsafeIDs {
+		if n := j.runs[id]; n > 1 {
+			j.breaks(at, "TWICE", "request %s has run %d times", id, n)
+		}
+	}
+	for id, machine := range j.promised {
+		if j.runs[id] > 0 {
+			j.breaks(at, "REFUSED", "request %s was refused at %s, and has run", id, machine)
+		}
+	}
+}
--- /dev/null
+++ b/lab/soak/operator.go
@@ -0,0 +1,231 @@
+package soak
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"firplank/lab/mesh"
+)
+
+// change is an order of an operator: a configuration under a version.
+type change struct {
+	version uint32
+	text    []byte
+	content string
+}
+
+func newChange(version uint32, comment string) change {
+	text := configuration(version, comment)
+	sum := sha256.Sum256(text)
+	return change{version, text, hex.EncodeToString(sum[:8])}
+}
+
+// operator sends changes, and keeps what may be in force.
+type operator struct {
+	run *run
+
+	mu       sync.Mutex
+	last     uint32              // the highest version that was sent
+	contents map[uint32][]change // all that was sent, by version
+	unclear  map[string]bool     // contents that were sent and not acknowledged
+}
+
+func newOperator(r *run) *operator {
+	return &operator{run: r, contents: map[uint32][]change{}, unclear: map[string]bool{}}
+}
+
+// next returns the next change, under a version of its own.
+func (o *operator) next(comment string) change {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.last++
+	return o.noteLocked(newChange(o.last, comment))
+}
+
+// rival returns another content under a version.
+func (o *operator) rival(version uint32) change {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.noteLocked(newChange(version, "rival"))
+}
+
+func (o *operator) noteLocked(c change) change {
+	o.contents[c.version] = append(o.contents[c.version], c)
+	o.unclear[c.content] = true
+	return c
+}
+
+// operatorPause is the time between two tries of one order.
+const operatorPause = 200 * time.Millisecond
+
+// send sends a change until it has a clear answer, to one control machine after the other, and reports whether it was
+// acknowledged.
+func (o *operator) send(ctx context.Context, c change, first int) bool {
+	r := o.run
+	began := r.now()
+	r.judge.sentChange()
+	for i := first; ctx.Err() == nil; i++ {
+		x := r.mesh.Core[i%len(r.mesh.Core)]
+		status, err := x.Put(c.text)
+		switch {
+		case err != nil:
+		case status == http.StatusOK:
+			o.acknowledged(c)
+			r.judge.Acknowledged(r.now(), began, c)
+			r.log.Event(r.now(), "acknowledged", "version %d content %s by %s", c.version, c.content, x.Name)
+			return true
+		case status == http.StatusConflict:
+			r.judge.Conflict(r.now(), c, x.Name)
+			return false
+		case status == http.StatusBadRequest:
+			r.judge.Break(r.now(), "CONFIG", "version %d is refused as invalid by %s", c.version, x.Name)
+			return false
+		}
+		sleep(ctx, operatorPause)
+	}
+	return false
+}
+
+func (o *operator) acknowledged(c change) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.unclear, c.content)
+}
+
+// work sends a change every now and then, until ctx ends.
+func (o *operator) work(ctx context.Context, every time.Duration) {
+	for n := 0; ctx.Err() == nil; n++ {
+		order, cancel := context.WithTimeout(ctx, recovery)
+		o.send(order, o.next(""), n)
+		cancel()
+		sleep(ctx, every)
+	}
+}
+
+// readBack reads the configuration at one control machine after the other, until ctx ends.
+func (o *operator) readBack(ctx context.Context, every time.Duration) {
+	for n := 0; ctx.Err() == nil; n++ {
+		x := o.run.mesh.Core[n%len(o.run.mesh.Core)]
+		sent := o.run.now()
+		status, body, err := x.Read()
+		if err == nil && status == http.StatusOK {
+			o.run.judge.Read(sent, o.run.now(), x.Name, versionOf(body), body)
+		}
+		sleep(ctx, every)
+	}
+}
+
+// versionOf is the version of a configuration's text; 0: it cannot be read.
+func versionOf(text []byte) uint32 {
+	var head struct {
+		Version string `json:"edition"`
+	}
+	if json.Unmarshal(text, &head) != nil {
+		return 0
+	}
+	v, err := strconv.ParseUint(head.Version, 16, 32)
+	if err != nil {
+		return 0
+	}
+	return uint32(v)
+}
+
+// known reports whether a text was ever sent under its version.
+func (o *operator) known(version uint32, text []byte) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, c := range o.contents[version] {
+		if string(c.text) == string(text) {
+			return true
+		}
+	}
+	return false
+}
+
+// sendInvalid sends what has to be rejected.
+func (o *operator) sendInvalid(x *mesh.Machine, variant int) {
+	o.mu.Lock()
+	version := o.last + 1
+	o.mu.Unlock()
+	if status, err := x.Put(invalidConfiguration(version, variant)); err == nil && status == http.StatusOK {
+		o.run.judge.Break(o.run.now(), "CONFIG", "an invalid configuration is acknowledged by %s", x.Name)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// sentChange counts a change.
+func (j *Judge) sentChange() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.counts.Changes++
+}
+
+// Acknowledged records that a change was acknowledged, which was first sent at began.
+func (j *Judge) Acknowledged(at, began time.Duration, c change) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.counts.Acknowledged++
+	if before, ok := j.acked[c.version]; ok && before.content != c.content {
+		j.breaks(at, "CONFIG", "version %d is acknowledged with two contents, %s and %s", c.version, before.content, c.content)
+	}
+	if _, ok := j.acked[c.version]; !ok {
+		j.acked[c.version] = ack{c.content, at}
+	}
+	j.newest = max(j.newest, c.version)
+	if at-began > receipt+tolerance && j.calm(began+inTouch, at) {
+		j.breaks(at, "ACKS", "version %d is acknowledged after %v", c.version, at-began)
+	}
+}
+
+// Conflict records that a change was refused as its version has another content.
+func (j *Judge) Conflict(at time.Duration, c change, machine string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if a, ok := j.acked[c.version]; ok && a.content == c.content {
+		j.breaks(at, "CONFIG", "version %d content %s was acknowledged, and is refused by %s", c.version, c.content, machine)
+	}
+}
+
+// Read records a configuration that was read back.
+func (j *Judge) Read(sent, at time.Duration, machine string, version uint32, text []byte) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.counts.Reads++
+	for v, a := range j.acked {
+		if v > version && sent > a.at+inForce {
+			j.breaks(at, "CONFIG", "machine %s reads version %d at %v, and %d was acknowledged at %v", machine, version, sent, v, a.at)
+			return
+		}
+	}
+	if a, ok := j.acked[version]; ok {
+		sum := sha256.Sum256(text)
+		if content := hex.EncodeToString(sum[:8]); content != a.content {
+			j.breaks(at, "CONFIG", "machine %s reads content %s of version %d, and %s was acknowledged", machine, content, version, a.content)
+		}
+	}
+}
+
+// Newest returns the highest version that was acknowledged.
+func (j *Judge) Newest() uint32 {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.newest
+}
+
+// String is a change in a line of the log.
+func (c change) String() string { return fmt.Sprintf("version %d content %s", c.version, c.content) }
--- /dev/null
+++ b/lab/soak/plan.go
@@ -0,0 +1,131 @@
+package soak
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Kind is a kind of trouble.
+type Kind string
+
+// The kinds of troubles: of the mesh's processes, of the links between them, of servers, clients and operators.
+const (
+	ProxyKill     Kind = "proxy_kill"    // a sidecar is killed, and started again after For
+	ProxyHerd     Kind = "proxy_herd"    // half of the sidecars are killed at once
+	ProxyPause    Kind = "proxy_pause"   // a sidecar is stopped and continued (SIGSTOP, SIGCONT)
+	ProxyTerm     Kind = "proxy_term"    // a sidecar shuts down in order (SIGTERM), and is started again
+	ProxyReload   Kind = "proxy_reload"  // a sidecar's settings change (SIGHUP)
+	ControlKill   Kind = "control_kill"  // a control machine is killed
+	ControlPause  Kind = "control_pause" // it is stopped and continued
+	ControlTerm   Kind = "control_term"  // it shuts down in order
+	ControlWipe   Kind = "control_wipe"  // as many as the tolerance are killed and lose their disks
+	ControlAll    Kind = "control_all"   // all control machines are killed at once
+	AllKill       Kind = "all_kill"      // all processes are killed at once
+	AckKill       Kind = "ack_kill"      // a control machine is killed right after it has acknowledged a configuration
+	CloseKill     Kind = "close_kill"    // a sidecar is killed right after it has acknowledged that its server closes
+	CoreHalves    Kind = "core_halves"   // the control machines are cut in two halves
+	CoreOff       Kind = "core_off"      // a control machine is cut off from all others
+	NodeCut       Kind = "node_cut"      // a sidecar is cut off from all others
+	OneWayCut     Kind = "one_way_cut"   // a machine's messages get lost, not those to it
+	LinkSlow      Kind = "link_slow"     // the links of a machine are slow
+	LinkReset     Kind = "link_reset"    // the connections of a machine are reset
+	AnswerLost    Kind = "answer_lost"   // answers of a last hop are lost with their connection
+	ServerCrash   Kind = "server_crash"  // a server ends without notice, and its successor comes
+	ServerClose   Kind = "server_close"  // a server announces its closing, leaves and is replaced
+	ServerLeave   Kind = "server_leave"  // a server leaves without announcing it, serves on, and is replaced
+	ServerSlow    Kind = "server_slow"
+	ServerDrop    Kind = "server_drop"   // a server runs requests and does not answer
+	ServerGarble  Kind = "server_garble" // a server answers with bytes that are no answer
+	ServerRefuse  Kind = "server_refuse"
+	ClientLeave   Kind = "client_leave" // clients give their requests up early
+	ConfigStorm   Kind = "config_storm" // configurations in quick succession
+	ConfigRace    Kind = "config_race"  // two contents under one version, at two control machines
+	ConfigInvalid Kind = "config_invalid"
+)
+
+// weights are how often each kind is drawn.
+var weights = []struct {
+	kind   Kind
+	weight int
+}{
+	{ProxyKill, 4}, {ProxyHerd, 1}, {ProxyPause, 3}, {ProxyTerm, 5}, {ProxyReload, 2},
+	{ControlKill, 4}, {ControlPause, 3}, {ControlTerm, 3}, {ControlWipe, 2}, {ControlAll, 1}, {AllKill, 1}, {AckKill, 2}, {CloseKill, 2},
+	{CoreHalves, 2}, {CoreOff, 2}, {NodeCut, 3}, {OneWayCut, 2}, {LinkSlow, 2}, {LinkReset, 3}, {AnswerLost, 3},
+	{ServerCrash, 2}, {ServerClose, 3}, {ServerLeave, 3}, {ServerSlow, 2}, {ServerDrop, 2}, {ServerGarble, 2}, {ServerRefuse, 1},
+	{ClientLeave, 2}, {ConfigStorm, 2}, {ConfigRace, 2}, {ConfigInvalid, 1},
+}
+
+// Trouble is one trouble of a plan.
+type Trouble struct {
+	At     time.Duration `json:"at"`  // since the start of traffic
+	For    time.Duration `json:"for"` // until it is over, or what it stopped starts again
+	Kind   Kind          `json:"kind"`
+	Target int           `json:"target"` // chooses a machine or server, as the kind has it
+	Other  int           `json:"other"`  // chooses a second one, or a variant
+}
+
+// String is a trouble in a line of the log.
+func (t Trouble) String() string {
+	return fmt.Sprintf("%s target=%d other=%d for=%v", t.Kind, t.Target, t.Other, t.For)
+}
+
+const (
+	// quietAhead and quietBehind are the times without new troubles at the start and the end of a run.
+	quietAhead  = time.Second
+	quietBehind = 2 * time.Second
+	// minGap and gapJitter are the time between the starts of two troubles, which last minFor and forJitter: two or
+	// three overlap.
+	minGap    = 200 * time.Millisecond
+	gapJitter = 1200 * time.Millisecond
+	minFor    = 200 * time.Millisecond
+	forJitter = 3 * time.Second
+	maxChoice = 1 << 16
+)
+
+// Plan draws the troubles of a run from a seed: the same ones each time.
+func Plan(seed uint64, length time.Duration, only []Kind) []Trouble {
+	random := rand.New(rand.NewPCG(seed, 1))
+	var plan []Trouble
+	for at := quietAhead; at < length-quietBehind; at += minGap + time.Duration(random.Int64N(int64(gapJitter))) {
+		plan = append(plan, Trouble{
+			At:     at,
+			For:    minFor + time.Duration(random.Int64N(int64(forJitter))),
+			Kind:   drawKind(random, only),
+			Target: random.IntN(maxChoice),
+			Other:  random.IntN(maxChoice),
+		})
+	}
+	slices.SortFunc(plan, func(a, b Trouble) int { return cmp.Compare(a.At, b.At) })
+	return plan
+}
+
+// drawKind draws a kind by its weight, of those in only, or of all if that is empty.
+func drawKind(random *rand.Rand, only []Kind) Kind {
+	total := 0
+	for _, w := range weights {
+		if len(only) == 0 || slices.Contains(only, w.kind) {
+			total += w.weight
+		}
+	}
+	drawn := random.IntN(max(total, 1))
+	for _, w := range weights {
+		if len(only) > 0 && !slices.Contains(only, w.kind) {
+			continue
+		}
+		if drawn -= w.weight; drawn < 0 {
+			return w.kind
+		}
+	}
+	return ProxyKill
+}
+
+// Kinds lists all kinds.
+func Kinds() (all []Kind) {
+	for _, w := range weights {
+		all = append(all, w.kind)
+	}
+	return all
+}
--- /dev/null
+++ b/lab/soak/soak.go
@@ -0,0 +1,397 @@
+// Package soak runs a small mesh of real processes on loopback for a while, under troubles that overlap: kills, pauses,
+// shutdowns in order, reloads, lost disks, cuts and slow links, lost answers, and servers, clients and operators that
+// misbehave. A Judge tells from what clients, servers and operators see which promises were broken, and the processes'
+// own invariants (internal/invariant) are counted with it.
+//
+// The troubles of a run come from its seed (Plan), so that a seed plays the same ones again; real processes on a real
+// machine don't repeat to the millisecond. It needs no privilege: troubles are signals, and relays of package mesh
+// between the processes.
+//
+// Start reading at Run.
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"firplank/internal/invariant"
+	"firplank/internal/telemetry"
+	"firplank/lab/mesh"
+)
+
+// Config describes a run.
+type Config struct {
+	Seed      uint64
+	Length    time.Duration // of the time in which troubles begin
+	Folder    string        // for settings, disks and logs
+	Programs  string        // folder of firplank-proxy and firplank-control
+	Net       int           // as of mesh.Config
+	Core      int
+	Tolerance int // core machines that may lose their disks at once
+	Branch    int // machines of each of the two services
+	Clients   int // of each branch machine
+	Only      []Kind
+	Log       io.Writer // gets a JSON line for each trouble, acknowledgement and violation
+}
+
+// Report is the result of a run.
+type Report struct {
+	Seed       uint64        `json:"seed"`
+	Length     time.Duration `json:"length"`
+	Troubles   int           `json:"troubles"`
+	Skipped    int           `json:"skipped"` // troubles that would have lost more than the tolerance
+	Counts     Counts        `json:"counts"`
+	Stalls     int           `json:"stalls"` // times in which this process itself did not run
+	Violations []Violation   `json:"violations"`
+}
+
+const (
+	clientsPause   = 700 * time.Millisecond // between two changes of the configuration
+	readInterval   = 150 * time.Millisecond
+	scrapeInterval = 2 * time.Second
+	readyInterval  = 500 * time.Millisecond
+	missedReady    = 2 // checks after which a machine gets no clients
+	startTimeout   = 20 * time.Second
+	stallCheck     = 50 * time.Millisecond
+	stallLimit     = 250 * time.Millisecond
+	settleTime     = 4 * time.Second // of undisturbed traffic at the end
+)
+
+// run is a run that is under way.
+type run struct {
+	cfg      Config
+	mesh     *mesh.Mesh
+	judge    *Judge
+	log      *eventLog
+	operator *operator
+	load     *load
+	troubles *troubles
+	began    time.Time
+	stalls   atomic.Int64
+	skipped  atomic.Int64
+
+	mu       sync.Mutex
+	lives    map[string]int  // of processes, by machine
+	awayFrom map[string]int  // readiness checks that were missed in a row
+	expected map[string]bool // machines whose process is about to end, or has ended, by our doing
+	counted  map[string]float64
+	machines map[string]*mesh.Machine
+	byServer map[string]string // machine by the first part of its servers' ids
+}
+
+// Run plays a run. The error is of the laboratory; what the mesh has broken is in the report.
+func Run(ctx context.Context, cfg Config) (*Report, error) {
+	r := &run{
+		cfg: cfg, judge: NewJudge(), log: &eventLog{to: cfg.Log}, lives: map[string]int{}, awayFrom: map[string]int{},
+		expected: map[string]bool{}, counted: map[string]float64{}, machines: map[string]*mesh.Machine{},
+		byServer: map[string]string{}, began: time.Now(),
+	}
+	r.operator, r.load = newOperator(r), &load{run: r}
+	var err error
+	r.mesh, err = mesh.Start(mesh.Config{
+		Folder: cfg.Folder, Programs: cfg.Programs, Net: cfg.Net, Core: cfg.Core, Tolerance: cfg.Tolerance,
+		Services: map[string]int{safeLine: cfg.Branch, unsafeLine: cfg.Branch}, Work: 15 * time.Millisecond,
+		Zones: []string{"one", "two", "three"}, Links: true, Seed: cfg.Seed, Heartbeat: time.Second, Arrived: r.arrived,
+		Bounds: []string{
+			"inTouchS=3", "receiptS=5", "syncS=4", "lastPostS=2.5", "graceS=6", "inForceS=2.5", "backSlackS=0.25", "recoveryS=15",
+			"retryRatio=0.2", "retryWindowS=10", "retrySlack=60",
+		},
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "start the mesh")
+	}
+	defer r.mesh.Stop()
+	r.nameMachines()
+	r.troubles = newTroubles(r)
+	if err := r.awaitStart(ctx); err != nil {
+		return nil, err
+	}
+	return r.play(ctx), nil
+}
+
+// nameMachines notes the machines by name and server.
+func (r *run) nameMachines() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, x := range r.mesh.All() {
+		r.machines[x.Name] = x
+		if x.Server != nil {
+			r.byServer[x.Server.ID()] = x.Name
+		}
+	}
+}
+
+// awaitStart waits until the first configuration is acknowledged and all machines are ready.
+func (r *run) awaitStart(ctx context.Context) error {
+	order, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if !r.operator.send(order, r.operator.next(""), 0) {
+		return errors.New("the first configuration is not acknowledged")
+	}
+	return mesh.Await(startTimeout, "all branch machines are ready", func() bool {
+		return !slices.ContainsFunc(r.mesh.Branch, func(x *mesh.Machine) bool { return !x.Ready() })
+	})
+}
+
+// play plays the plan with traffic, lets the mesh recover, and judges.
+func (r *run) play(ctx context.Context) *Report {
+	r.began = time.Now()
+	plan := Plan(r.cfg.Seed, r.cfg.Length, r.cfg.Only)
+	traffic, stop := context.WithCancel(ctx)
+	var tasks sync.WaitGroup
+	for i, x := range r.mesh.Branch {
+		for c := range r.cfg.Clients {
+			tasks.Go(func() { r.load.client(traffic, x, i*r.cfg.Clients+c) })
+		}
+	}
+	tasks.Go(func() { r.operator.work(traffic, clientsPause) })
+	tasks.Go(func() { r.operator.readBack(traffic, readInterval) })
+	tasks.Go(func() { r.watchReadiness(traffic) })
+	tasks.Go(func() { r.watchInvariants(traffic) })
+	tasks.Go(func() { r.watchStalls(traffic) })
+	r.troubles.play(ctx, plan)
+	r.recover(ctx)
+	sleep(ctx, settleTime)
+	stop()
+	tasks.Wait()
+	r.finish()
+	return &Report{
+		Seed: r.cfg.Seed, Length: r.cfg.Length, Troubles: len(plan), Skipped: int(r.skipped.Load()), Counts: r.judge.Counts(),
+		Stalls: int(r.stalls.Load()), Violations: r.judge.Violations(),
+	}
+}
+
+// recover waits until the mesh serves again, in the time that the rules leave it.
+func (r *run) recover(ctx context.Context) {
+	order, cancel := context.WithTimeout(ctx, recovery)
+	defer cancel()
+	if !r.operator.send(order, r.operator.next(""), 0) {
+		r.judge.Break(r.now(), "RECOVER", "no configuration is acknowledged within %v", recovery)
+	}
+	for _, x := range r.mesh.Branch {
+		if mesh.Await(recovery, "", x.Ready) != nil {
+			r.judge.Break(r.now(), "RECOVER", "%s is not ready within %v", x.Name, recovery)
+		}
+	}
+}
+
+// finish judges the end: what is read back, the requests' runs, and the processes.
+func (r *run) finish() {
+	newest := r.judge.Newest()
+	for _, x := range r.mesh.Core {
+		var version uint32
+		var text []byte
+		err := mesh.Await(recovery, "", func() bool {
+			status, body, err := x.Read()
+			version, text = versionOf(body), body
+			return err == nil && status == http.StatusOK
+		})
+		switch {
+		case err != nil:
+			r.judge.Break(r.now(), "CONFIG", "%s reads no configuration back within %v", x.Name, recovery)
+		case version < newest || !r.operator.known(version, text):
+			r.judge.Break(r.now(), "CONFIG", "%s reads version %d back, and %d was acknowledged", x.Name, version, newest)
+		}
+	}
+	r.load.mu.Lock()
+	r.judge.Finish(r.now(), r.load.unsafe)
+	r.load.mu.Unlock()
+	r.scrape()
+	r.judgeProcesses()
+	for _, v := range r.judge.Violations() {
+		r.log.Event(v.At, "violation", "%s: %s", v.Rule, v.What)
+	}
+}
+
+// judgeProcesses looks for processes that have ended by themselves, and for violated invariants and panics in the logs,
+// which have those of processes that were killed too.
+func (r *run) judgeProcesses() {
+	for _, x := range r.mesh.All() {
+		if !r.expectedEnd(x) && ended(x) {
+			r.judge.Break(r.now(), "FAULT", "%s has ended by itself", x.Name)
+		}
+		for line := range strings.Lines(x.Log()) {
+			violated := strings.Contains(line, invariant.LogMessage)
+			if violated || strings.Contains(line, "panic:") || strings.Contains(line, "DATA RACE") || strings.Contains(line, "fatal error") {
+				r.judge.Break(r.now(), "INVARIANT", "%s: %s", x.Name, strings.TrimSpace(line))
+			}
+		}
+	}
+}
+
+func ended(x *mesh.Machine) bool {
+	select {
+	case <-x.Done():
+		return true
+	default:
+		return false
+	}
+}
+
+// now is the time since the start of traffic.
+func (r *run) now() time.Duration { return time.Since(r.began) }
+
+// lifeOf is which process of a machine runs.
+func (r *run) lifeOf(x *mesh.Machine) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lives[x.Name]
+}
+
+// expectEnd notes that a machine's process ends by our doing, and expectedEnd whether it does.
+func (r *run) expectEnd(x *mesh.Machine, expected bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.expected[x.Name] = expected
+	if !expected {
+		r.lives[x.Name]++
+	}
+}
+
+func (r *run) expectedEnd(x *mesh.Machine) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.expected[x.Name]
+}
+
+// serviceOf is the service of a machine's server.
+func (r *run) serviceOf(machine string) string {
+	r.mu.Lock()
+	x := r.machines[machine]
+	r.mu.Unlock()
+	return x.Service()
+}
+
+// arrived records a request that runs at a server.
+func (r *run) arrived(a mesh.Arrival) {
+	r.mu.Lock()
+	machine := r.byServer[a.Server[:min(len(a.Server), len("i-00000000"))]]
+	r.mu.Unlock()
+	r.judge.Arrived(a.At.Sub(r.began), machine, a)
+}
+
+// wantsClients reports whether the platform sends clients to a machine: it has not missed two readiness checks.
+func (r *run) wantsClients(x *mesh.Machine) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.awayFrom[x.Name] < missedReady
+}
+
+// watchReadiness makes the platform's readiness checks.
+func (r *run) watchReadiness(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, x := range r.mesh.Branch {
+			go func() { // ends with its check's time-out
+				ready := x.Ready()
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				r.awayFrom[x.Name]++
+				if ready {
+					r.awayFrom[x.Name] = 0
+				}
+			}()
+		}
+		sleep(ctx, readyInterval)
+	}
+}
+
+// watchInvariants scrapes the figures of all machines.
+func (r *run) watchInvariants(ctx context.Context) {
+	for ctx.Err() == nil {
+		r.scrape()
+		sleep(ctx, scrapeInterval)
+	}
+}
+
+// scrape breaks a rule for each invariant whose counter is above 0. A machine that does not answer is passed over: the
+// logs are read in the end.
+func (r *run) scrape() {
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for _, x := range r.mesh.All() {
+		response, err := client.Get(x.MetricsURL())
+		if err != nil {
+			continue
+		}
+		text, err := io.ReadAll(response.Body)
+		_ = response.Body.Close() // it was read
+		if err != nil {
+			continue
+		}
+		for line := range strings.Lines(string(text)) {
+			r.countViolations(x.Name, strings.TrimSpace(line))
+		}
+	}
+}
+
+// countViolations looks at one line of a machine's figures.
+func (r *run) countViolations(machine, line string) {
+	name, figure, ok := strings.Cut(line, " ")
+	if !ok || !strings.HasPrefix(name, telemetry.ViolationsName) || figure == "0" {
+		return
+	}
+	var count float64
+	if _, err := fmt.Sscan(figure, &count); err != nil {
+		return
+	}
+	r.mu.Lock()
+	key := machine + name
+	before := r.counted[key]
+	r.counted[key] = count
+	r.mu.Unlock()
+	if count > before {
+		r.judge.Break(r.now(), "INVARIANT", "%s: %s", machine, line)
+	}
+}
+
+// watchStalls records when this process itself did not run: the machine was full. Rules with a time bound can't be
+// judged then, as all processes share it; the others are.
+func (r *run) watchStalls(ctx context.Context) {
+	last := time.Now()
+	for ctx.Err() == nil {
+		sleep(ctx, stallCheck)
+		now := time.Now()
+		if late := now.Sub(last) - stallCheck; late > stallLimit {
+			r.stalls.Add(1)
+			r.judge.Disturbed(last.Sub(r.began), now.Sub(r.began), core)
+			r.log.Event(r.now(), "stall", "this process did not run for %v", late)
+		}
+		last = now
+	}
+}
+
+// eventLog writes JSON lines. It is safe for concurrent use.
+type eventLog struct {
+	mu sync.Mutex
+	to io.Writer
+}
+
+// event is a line of the log.
+type event struct {
+	At    string `json:"at"` // since the start of traffic, in seconds
+	Event string `json:"event"`
+	What  string `json:"what"`
+}
+
+// Event writes a line.
+func (l *eventLog) Event(at time.Duration, name, format string, args ...any) {
+	if l.to == nil {
+		return
+	}
+	line, err := json.Marshal(event{fmt.Sprintf("%.3f", at.Seconds()), name, fmt.Sprintf(format, args...)})
+	if err != nil {
+		return // texts can be encoded
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, _ = l.to.Write(append(line, '\n')) // the report has the violations
+}
--- /dev/null
+++ b/lab/soak/troubles.go
@@ -0,0 +1,323 @@
+package soak
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"firplank/lab/mesh"
+)
+
+const (
+	// syncTime is how long a machine that has returned still counts as lost.
+	syncTime = 4 * time.Second
+	// restartDelay is the platform's pause before it starts a process again.
+	restartDelay = 300 * time.Millisecond
+	// slowLink is the delay of a slow link, one way.
+	slowLink = 120 * time.Millisecond
+	// lostAnswers is the share of answers that are lost on a link that loses them.
+	lostAnswers = 0.3
+	// storm is the number of configurations of a storm.
+	storm = 8
+	// killTimeout is after how long beyond graceS the platform kills a process that was to end.
+	killTimeout = grace
+)
+
+// troubles carries out a plan on a mesh.
+type troubles struct {
+	run   *run
+	tasks sync.WaitGroup
+
+	mu       sync.Mutex
+	busy     map[string]bool // machines whose process is stopped, or about to be
+	cuts     map[int]cut     // links that are not whole, by a number
+	lastCut  int             // the number of the last one
+	wiping   bool
+	lastBack time.Time // when the last core machine was back, or the core was whole again
+	away     int       // core machines that are down or stopped, and cuts of the core
+}
+
+// cut is links that are not whole.
+type cut struct {
+	from, to []string
+	link     mesh.Link
+}
+
+func newTroubles(r *run) *troubles {
+	return &troubles{run: r, busy: map[string]bool{}, cuts: map[int]cut{}, lastBack: time.Now()}
+}
+
+// play carries out a plan, and returns when all is whole again.
+func (t *troubles) play(ctx context.Context, plan []Trouble) {
+	for _, x := range plan {
+		sleep(ctx, x.At-t.run.now())
+		if ctx.Err() != nil {
+			break
+		}
+		t.run.log.Event(t.run.now(), "trouble", "%v", x)
+		t.tasks.Go(func() { t.carryOut(ctx, x) })
+	}
+	t.tasks.Wait()
+	t.run.mesh.Network.Heal()
+}
+
+// carryOut carries out one trouble, and returns when it is over.
+func (t *troubles) carryOut(ctx context.Context, x Trouble) {
+	branch, core := t.run.mesh.Branch, t.run.mesh.Core
+	proxy, control := branch[x.Target%len(branch)], core[x.Target%len(core)]
+	switch x.Kind {
+	case ProxyKill:
+		t.kill(ctx, x.For, false, proxy)
+	case ProxyHerd:
+		t.kill(ctx, restartDelay, false, every(branch, 2, x.Target)...)
+	case ProxyPause:
+		t.pause(ctx, x.For, proxy)
+	case ProxyTerm:
+		t.term(ctx, proxy)
+	case ProxyReload:
+		t.reload(proxy)
+	case ControlKill:
+		t.kill(ctx, x.For, false, control)
+	case ControlPause:
+		t.pause(ctx, x.For, control)
+	case ControlTerm:
+		t.term(ctx, control)
+	case ControlWipe:
+		t.wipe(ctx, x, restartDelay)
+	case ControlAll:
+		t.kill(ctx, restartDelay, false, core...)
+	case AllKill:
+		t.kill(ctx, restartDelay, false, t.run.mesh.All()...)
+	case AckKill:
+		t.killAfterAck(ctx, x, control)
+	case CloseKill:
+		t.killAfterClosing(ctx, x, proxy)
+	case ConfigStorm, ConfigRace, ConfigInvalid, ClientLeave:
+		t.misuse(ctx, x)
+	case ServerCrash, ServerClose, ServerLeave, ServerSlow, ServerDrop, ServerGarble, ServerRefuse:
+		t.server(ctx, x, proxy)
+	default:
+		t.link(ctx, x)
+	}
+}
+
+// every returns each nth machine.
+func every(all []*mesh.Machine, n, offset int) (some []*mesh.Machine) {
+	for i, x := range all {
+		if (i+offset)%n == 0 {
+			some = append(some, x)
+		}
+	}
+	return some
+}
+
+func names(machines []*mesh.Machine) (all []string) {
+	for _, x := range machines {
+		all = append(all, x.Name)
+	}
+	return all
+}
+
+// take marks machines as busy, and returns those that were not.
+func (t *troubles) take(machines []*mesh.Machine) (taken []*mesh.Machine) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, x := range machines {
+		if t.busy[x.Name] {
+			continue
+		}
+		t.busy[x.Name] = true
+		taken = append(taken, x)
+		if x.Server == nil {
+			t.away++
+		}
+	}
+	if len(taken) == 0 {
+		t.run.skipped.Add(1)
+	}
+	return taken
+}
+
+// release marks machines as whole again.
+func (t *troubles) release(machines []*mesh.Machine) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, x := range machines {
+		delete(t.busy, x.Name)
+		if x.Server == nil {
+			t.away--
+			t.lastBack = time.Now()
+		}
+	}
+}
+
+// kill kills machines at once, and starts them again after a while.
+func (t *troubles) kill(ctx context.Context, after time.Duration, wipe bool, machines ...*mesh.Machine) {
+	machines = t.take(machines)
+	if len(machines) == 0 {
+		return
+	}
+	defer t.release(machines)
+	end := t.run.judge.Disturb(t.run.now(), withCore(machines)...)
+	for _, x := range machines {
+		t.run.expectEnd(x, true)
+		x.Signal(syscall.SIGKILL)
+	}
+	for _, x := range machines {
+		<-x.Done()
+		if wipe {
+			if err := x.Wipe(); err != nil {
+				t.run.log.Event(t.run.now(), "laboratory", "wipe: %v", err)
+			}
+		}
+	}
+	sleep(ctx, after)
+	for _, x := range machines {
+		t.start(x)
+	}
+	end(t.run.now())
+}
+
+// start starts a machine's process again.
+func (t *troubles) start(x *mesh.Machine) {
+	if err := x.Start(false); err != nil {
+		t.run.log.Event(t.run.now(), "laboratory", "start %s: %v", x.Name, err)
+	}
+	t.run.expectEnd(x, false)
+	t.run.log.Event(t.run.now(), "started", "%s", x.Name)
+}
+
+// withCore returns the names of machines, with the core's where one is a control machine.
+func withCore(machines []*mesh.Machine) []string {
+	all := names(machines)
+	if slices.ContainsFunc(machines, func(x *mesh.Machine) bool { return x.Server == nil }) {
+		all = append(all, core)
+	}
+	return all
+}
+
+// pause stops a machine's process for a while.
+func (t *troubles) pause(ctx context.Context, length time.Duration, x *mesh.Machine) {
+	machines := t.take([]*mesh.Machine{x})
+	if len(machines) == 0 {
+		return
+	}
+	defer t.release(machines)
+	end := t.run.judge.Disturb(t.run.now(), withCore(machines)...)
+	x.Signal(syscall.SIGSTOP)
+	sleep(ctx, length)
+	x.Signal(syscall.SIGCONT)
+	end(t.run.now())
+}
+
+// term has a machine's process end in order, and starts it again.
+func (t *troubles) term(ctx context.Context, x *mesh.Machine) {
+	machines := t.take([]*mesh.Machine{x})
+	if len(machines) == 0 {
+		return
+	}
+	defer t.release(machines)
+	began := t.run.now()
+	t.run.expectEnd(x, true)
+	var end func(time.Duration)
+	if x.Server == nil {
+		end = t.run.judge.Disturb(began, withCore(machines)...)
+	} else {
+		end = t.run.judge.Stop(began, x.Name)
+	}
+	x.Signal(syscall.SIGTERM)
+	select {
+	case <-x.Done():
+	case <-time.After(killTimeout):
+		t.run.judge.Break(t.run.now(), "FAULT", "%s has not ended %v after its SIGTERM", x.Name, killTimeout)
+		x.Kill()
+	}
+	end(t.run.now())
+	t.run.log.Event(t.run.now(), "ended", "%s after %v", x.Name, t.run.now()-began)
+	sleep(ctx, restartDelay)
+	started := t.run.now()
+	t.start(x)
+	t.run.judge.Disturbed(started, t.run.now(), withCore(machines)...)
+}
+
+// reload changes a machine's settings.
+func (t *troubles) reload(x *mesh.Machine) {
+	if machines := t.take([]*mesh.Machine{x}); len(machines) > 0 {
+		defer t.release(machines)
+		if err := x.Reload(); err != nil {
+			t.run.log.Event(t.run.now(), "laboratory", "reload: %v", err)
+		}
+	}
+}
+
+// wipe kills as many control machines as the tolerance and takes their disks, unless others are lost, or were too
+// shortly before: more may be lost at a time than the mesh is to bear, but no more disks. With an odd variant all other
+// processes are killed at the same moment, whose disks remain.
+func (t *troubles) wipe(ctx context.Context, x Trouble, after time.Duration) {
+	if !t.mayWipe() {
+		t.run.skipped.Add(1)
+		t.run.log.Event(t.run.now(), "skipped", "%v: the core has not recovered", x)
+		return
+	}
+	defer t.wiped()
+	all := t.run.mesh.Core
+	var lost []*mesh.Machine
+	for i := range t.run.cfg.Tolerance {
+		lost = append(lost, all[(x.Target+i)%len(all)])
+	}
+	var tasks sync.WaitGroup
+	if x.Other%2 == 1 {
+		others := slices.DeleteFunc(t.run.mesh.All(), func(m *mesh.Machine) bool { return slices.Contains(lost, m) })
+		tasks.Go(func() { t.kill(ctx, after, false, others...) })
+	}
+	t.kill(ctx, after, true, lost...)
+	tasks.Wait()
+}
+
+// mayWipe reports whether disks may be lost now, and if so notes it.
+func (t *troubles) mayWipe() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.wiping || t.away > 0 || time.Since(t.lastBack) < syncTime {
+		return false
+	}
+	t.wiping = true
+	return true
+}
+
+func (t *troubles) wiped() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.wiping = false
+}
+
+// Disturb records an unplanned trouble of machines from a time on, until end is called.
+func (j *Judge) Disturb(from time.Duration, machines ...string) (end func(at time.Duration)) {
+	return j.open(j.disturbed, from, machines)
+}
+
+// Stop records a SIGTERM of a machine, until end is called.
+func (j *Judge) Stop(from time.Duration, machine string) (end func(at time.Duration)) {
+	return j.open(j.stops, from, []string{machine})
+}
+
+// open adds a span without an end to each machine.
+func (j *Judge) open(spans map[string][]span, from time.Duration, machines []string) (end func(at time.Duration)) {
+	const never = time.Duration(1<<63 - 1)
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	at := map[string]int{}
+	for _, m := range machines {
+		at[m] = len(spans[m])
+		spans[m] = append(spans[m], span{from, never - time.Hour})
+	}
+	return func(to time.Duration) {
+		j.mu.Lock()
+		defer j.mu.Unlock()
+		for m, i := range at {
+			spans[m][i].to = to
+		}
+	}
+}
