--- /dev/null
+++ b/lab/mesh/promises_test.go
@@ -0,0 +1,165 @@
+package mesh
+
+import (
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// startForPromises starts a mesh with the bounds of the users' pages.
+func startForPromises(t *testing.T, cfg Config) *Mesh {
+	t.Helper()
+	programs, err := built()
+	must(t, err)
+	cfg.Folder, cfg.Programs = t.TempDir(), programs
+	cfg.Services = map[string]int{"records": 2, "registry": 2}
+	cfg.Bounds = []string{"graceS=6", "syncS=4", "lastPostS=2.5", "retryRatio=0.2", "retryWindowS=10", "retrySlack=60"}
+	m, err := Start(cfg)
+	must(t, err)
+	t.Cleanup(func() {
+		m.Stop()
+		if t.Failed() {
+			for _, x := range m.All() {
+				t.Logf("%s:\n%s", x.Name, x.Log())
+			}
+		}
+	})
+	must(t, Await(10*time.Second, "the first configuration is taken", func() bool {
+		status, err := m.Core[0].Put(config(7))
+		return err == nil && status == http.StatusOK
+	}))
+	for i, x := range m.Branch {
+		must(t, Await(10*time.Second, x.Name+" is ready", x.Ready))
+		path := "/look/1"
+		if x.Service() == "registry" {
+			path = "/file/1"
+		}
+		must(t, Await(5*time.Second, x.Name+" serves", func() bool {
+			status, _, err := x.Ask(http.MethodGet, "plates.example", path, fmt.Sprintf("warm-%d", i), nil)
+			return err == nil && status == http.StatusOK
+		}))
+	}
+	return m
+}
+
+// As many disks are lost at once as the tolerance allows, while all other processes are killed: what was acknowledged is
+// read back, and a further change is acknowledged. Two of three members that vote with empty disks are no majority, so
+// that a tolerance of two needs five.
+func TestAsManyDisksAsToleratedAreLostAtOnce(t *testing.T) {
+	m := startForPromises(t, Config{Net: 48, Core: 6, Tolerance: 2})
+	must(t, Await(8*time.Second, "the members are as many as the tolerance needs", func() bool {
+		s, err := status(m, m.Core[3])
+		return err == nil && len(s.Members) == 5 && s.FullyReplicated
+	}))
+	must(t, Await(5*time.Second, "a configuration is acknowledged", func() bool {
+		status, err := m.Core[1].Put(config(8))
+		return err == nil && status == http.StatusOK
+	}))
+	for _, x := range m.All() {
+		x.Signal(syscall.SIGKILL)
+	}
+	for _, x := range m.All() {
+		<-x.Done()
+	}
+	for _, x := range m.Core[:2] { // members from the start, as they are named in the settings
+		must(t, x.Wipe())
+	}
+	for _, x := range m.All() {
+		must(t, x.Start(false))
+	}
+	for _, x := range m.Core {
+		must(t, Await(15*time.Second, "the configuration is read back from "+x.Name, func() bool {
+			status, body, err := x.Read()
+			return err == nil && status == http.StatusOK && string(body) == string(config(8))
+		}))
+	}
+	must(t, Await(5*time.Second, "a further configuration is acknowledged", func() bool {
+		status, err := m.Core[0].Put(config(9))
+		return err == nil && status == http.StatusOK
+	}))
+}
+
+// A server leaves, its sidecar acknowledges that and is killed at once: the sidecar's next process sends the server
+// nothing later than lastPostS after the acknowledgement, though the server still answers.
+func TestAcknowledgedLeaveOutlivesItsSidecar(t *testing.T) {
+	var late atomic.Int64
+	m := startForPromises(t, Config{Net: 49, Core: 3, Tolerance: 1, Heartbeat: time.Second, Arrived: func(a Arrival) {
+		if a.SinceClosing > 2500*time.Millisecond {
+			late.Add(1)
+		}
+	}})
+	for i, leave := range []func(s *Server) bool{(*Server).Leave, closeAndAwait} {
+		x := m.Branch[i]
+		if s := x.CurrentServer(); !leave(s) {
+			t.Fatalf("%s gets no acknowledgement", s.ID())
+		}
+		x.Kill()
+		must(t, x.Start(false))
+		must(t, Await(8*time.Second, x.Name+" is ready again", x.Ready))
+	}
+	for end, n := time.Now().Add(6*time.Second), 0; time.Now().Before(end); n++ {
+		_, _, _ = m.Branch[2+n%2].Ask(http.MethodGet, "plates.example", "/look/1", fmt.Sprintf("late-%d", n), nil) // what arrives counts
+		time.Sleep(10 * time.Millisecond)
+	}
+	if n := late.Load(); n > 0 {
+		t.Errorf("%d requests reached a server that had left", n)
+	}
+}
+
+// closeAndAwait has a server announce its closing, reports whether that is acknowledged, and has it send no heartbeat
+// any more.
+func closeAndAwait(s *Server) bool {
+	s.Close()
+	acked := Await(3*time.Second, "the closing is acknowledged", s.Acked) == nil
+	s.silent.Store(true)
+	return acked
+}
+
+// A sidecar that is asked to end answers what it has taken while its server is at work, until the last sixth of graceS,
+// and refuses what comes too late for that in place of cutting it off.
+func TestEndingSidecarAnswersOrRefuses(t *testing.T) {
+	m := startForPromises(t, Config{Net: 50, Core: 3, Tolerance: 1})
+	x := m.Branch[2] // its server belongs to the other service, and goes on
+	ask := func(id string, work time.Duration) (status int, after time.Duration) {
+		began := time.Now()
+		path := fmt.Sprintf("/long/x?work=%d", work.Milliseconds())
+		status, _, err := m.call(http.MethodGet, x.OutgoingURL(path),
+			map[string]string{"Host": "plates.example", "Try-Id": id, "Deadline-Ms": "6000"}, nil, 7*time.Second)
+		if err != nil {
+			status = -1
+		}
+		return status, time.Since(began)
+	}
+	must(t, Await(5*time.Second, "the long route is in force", func() bool {
+		status, err := m.Core[0].Put(longConfig(9))
+		served, _ := ask("warm-long", 0)
+		return err == nil && status == http.StatusOK && served == http.StatusOK
+	}))
+	x.Signal(syscall.SIGTERM)
+	answered := make(chan int, 1)
+	go func() {
+		status, _ := ask("taken in time", 4800*time.Millisecond)
+		answered <- status
+	}()
+	time.Sleep(1800 * time.Millisecond)
+	// The platform routes clients to the machine for about two seconds more, and those that have connections may use them longer.
+	if status, after := ask("too long", 5500*time.Millisecond); status == http.StatusBadGateway || status == http.StatusGatewayTimeout {
+		if after < 3200*time.Millisecond { // the last sixth begins at 5 s
+			t.Errorf("a request that was taken 1.8 s after SIGTERM is cut off after %v with %d", after, status)
+		}
+	}
+	if status := <-answered; status != http.StatusOK {
+		t.Errorf("a request that needs 4.8 s of the 6 is answered %d", status)
+	}
+}
+
+// longConfig has a route with a long deadline besides.
+func longConfig(edition int) []byte {
+	return fmt.Appendf(nil, `{"edition":"%08x","caps":{},"gates":[{"depot":"plates.example","regulations":[
+ {"name":"long","routeKind":"safe","targetS":0.5,"precedence":2,"sorting":{"lanePrefix":"/long/"},
+  "dispatch":{"line":"records","deadlineS":7,"attempts":1}}]}],
+ "fleets":[{"name":"records","healthPath":"/health","maxConns":100},{"name":"registry","healthPath":"/health","maxConns":100}]}`, edition)
+}
