The register's group has the members that the tolerance needs

Cause: the members were the three machines that the settings name at the first start, and a lost one was replaced, but none was ever added: with a tolerance of two, two lost disks of three leave no majority of voters, and the control plane stands still for good. Class: a constant where a setting decides; the explorer had the same constant.

Change: replacement.GroupSize is 2 x tolerance + 1; the holder of the lease adds what is missing, to an odd number, in one change. The members' explorer plays a tolerance of two, with two disks lost at once, alone or as all are killed, with the invariants on; a planted defect is the old size.

--- a/lab/explore/members/defects.go
+++ b/lab/explore/members/defects.go
@@ -11,13 +11,14 @@
 // Surroundings are what an order is played in.
 type Surroundings struct {
 	Machines, Faults int
+	Tolerance        int  // machines that may be lost at once; 0: one
 	Stalled          bool // the last machine, a stand-by, has a disk that takes nothing, and reports so
 	Blank            bool // the same, but its disk is empty, so that it is no voter, and the fault of the disk goes unnoticed
 }
 
 // Usual surroundings are those of the tests.
 var Usual = []Surroundings{{Machines: 3, Faults: 4}, {Machines: 4, Faults: 4}, {Machines: 5, Faults: 4},
-	{Machines: 5, Faults: 3, Stalled: true}, {Machines: 5, Faults: 3, Blank: true}}
+	{Machines: 5, Faults: 3, Stalled: true}, {Machines: 5, Faults: 3, Blank: true}, {Machines: 7, Faults: 3, Tolerance: 2}}
 
 // Defect is a mistake planted in the surroundings, as if the program made it.
 type Defect struct {
@@ -32,6 +33,7 @@
 	innocent bool // an emptied disk is a voter at once
 	deaf     bool // a stand-by is taken for a sound voter, whatever it reports
 	usurp    bool // a change of members is written by the new members alone
+	few      bool // the members are three, whatever the tolerance
 }
 
 // Defects are those that a search must find.
@@ -43,6 +45,7 @@
 	{Name: "a stand-by whose disk fails is taken in", In: Surroundings{Machines: 5, Faults: 6, Stalled: true}, Seed: 3, deaf: true},
 	{Name: "a stand-by that is no voter is taken in", In: Surroundings{Machines: 5, Faults: 6, Blank: true}, deaf: true},
 	{Name: "a change of members is written by the new members alone", In: Surroundings{Machines: 4, Faults: 6}, usurp: true},
+	{Name: "the members are three, whatever the tolerance", In: Surroundings{Machines: 7, Faults: 3, Tolerance: 2}, few: true},
 }
 
 // timeouts are the program's, or what they were when they were constants.
@@ -56,6 +59,14 @@
 	return t
 }
 
+// tolerance is what the machines are told of the surroundings' tolerance.
+func (d *Defect) tolerance(of int) int {
+	if d.few {
+		return 1
+	}
+	return of
+}
+
 // usurpMembers writes a change on the disks of the machine that asks for it and of the successors, and nowhere else.
 func (d *Defect) usurpMembers(m *machine, c replacement.Change) {
 	if !d.usurp || m.disk == nil {
--- a/lab/explore/members/faults.go
+++ b/lab/explore/members/faults.go
@@ -1,6 +1,7 @@
 package members
 
 import (
+	"slices"
 	"time"
 
 	"firplank/mesh/controlplane/operations"
@@ -24,9 +25,19 @@
 	{"one leaves while another is cut off, and then a third loses its disk", (*world).leaveDuringCut},
 }
 
+// faultsOfSeveral come besides where more than one machine may be lost at once.
+var faultsOfSeveral = []fault{
+	{"as many as tolerated lose their disks", (*world).wipeSeveral},
+	{"as many as tolerated lose their disks as all are killed", (*world).wipeSeveralOfAll},
+}
+
 // injectFault lets a fault come, and time pass until the next may.
 func (w *world) injectFault() {
-	f := faults[w.rng.IntN(len(faults))]
+	possible := faults
+	if w.tolerance > 1 {
+		possible = append(slices.Clone(faults), faultsOfSeveral...)
+	}
+	f := possible[w.rng.IntN(len(possible))]
 	w.log("%s", f.name)
 	if repaired := f.do(w); repaired > w.now {
 		w.pass(repaired - w.now)
@@ -120,6 +131,51 @@
 	return w.now + syncS
 }
 
+// several returns as many members as are tolerated to be lost.
+func (w *world) several() (victims []*machine) {
+	for range w.tolerance {
+		if m := w.member(victims...); m != nil {
+			victims = append(victims, m)
+		}
+	}
+	return victims
+}
+
+// lose takes machines down, and their disks.
+func (w *world) lose(victims []*machine) {
+	for _, m := range victims {
+		w.log("%s loses its disk", m.name)
+		m.down()
+		m.disk = nil
+	}
+}
+
+func (w *world) wipeSeveral() time.Duration {
+	victims := w.several()
+	w.lose(victims)
+	for _, m := range victims {
+		w.pass(w.between(200*time.Millisecond, 800*time.Millisecond))
+		m.start(false)
+	}
+	return w.now + syncS
+}
+
+func (w *world) wipeSeveralOfAll() time.Duration {
+	w.lose(w.several())
+	var all []*machine
+	for _, m := range w.machines {
+		if !m.removed {
+			m.down()
+			all = append(all, m)
+		}
+	}
+	for _, m := range all {
+		w.pass(w.between(step, 150*time.Millisecond))
+		m.start(false)
+	}
+	return w.now + syncS
+}
+
 func (w *world) kill() time.Duration {
 	m := w.member()
 	w.log("%s is killed", m.name)
@@ -205,7 +261,12 @@
 	w.log("power is lost everywhere")
 	w.closing = true
 	spared := w.rng.IntN(2) == 0
-	victim := w.member()
+	var victims []*machine
+	if w.tolerance > 1 {
+		victims = w.several()
+	} else if victim := w.member(); victim != nil {
+		victims = append(victims, victim)
+	}
 	var all []*machine
 	for _, m := range w.machines {
 		if m.up() {
@@ -213,9 +274,8 @@
 			all = append(all, m)
 		}
 	}
-	if victim != nil && !spared {
-		w.log("%s loses its disk", victim.name)
-		victim.disk = nil
+	if !spared {
+		w.lose(victims)
 	}
 	w.rng.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	for _, m := range all {
--- a/lab/explore/members/glue.go
+++ b/lab/explore/members/glue.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"github.com/go-faster/errors"
+
+	"firplank/internal/invariant"
 	"firplank/mesh/dissemination"
 	"firplank/mesh/lease"
 	"firplank/mesh/persist"
@@ -18,6 +21,13 @@
 	}
 }
 
+// Violated implements invariant.Reporter: a violation is a breach, where no defect is planted that is to be found by the operators.
+func (m *machine) Violated(name invariant.Name, explanation ...any) {
+	if m.world.history.Broken == nil {
+		m.world.history.Broken = errors.Errorf("invariant %s at %s: %v", name, m.name, explanation)
+	}
+}
+
 // Send implements persistence.Sink.
 func (m *machine) Send(msg *register.Message) { m.world.send(m.name, msg.To, *msg) }
 
--- a/lab/explore/members/machine.go
+++ b/lab/explore/members/machine.go
@@ -82,7 +82,7 @@
 		m.disk = &s
 	}
 	m.putBehindDisk()
-	config := reconcile.Config{Self: m.name, Zone: m.zone, Timeouts: m.timeouts, Tolerance: 1, Seed: m.incarnation << 32}
+	config := reconcile.Config{Self: m.name, Zone: m.zone, Timeouts: m.timeouts, Tolerance: w.defect.tolerance(w.tolerance), Seed: m.incarnation << 32}
 	m.reconciler = reconcile.New(config, m, m.peers, m, m.nextID)
 }
 
@@ -94,6 +94,10 @@
 	}
 	m.pipeline = persistence.New(m.replica, onDisk, m)
 	m.operations = operations.NewTable(m.pipeline, m.nextID)
+	if m.world.defect.Name == "" {
+		m.pipeline.SetInvariants(m)
+		m.operations.SetInvariants(m)
+	}
 }
 
 func (m *machine) nextID() uint64 {
--- a/lab/explore/members/members.go
+++ b/lab/explore/members/members.go
@@ -33,17 +33,19 @@
 
 // world is all machines, their links, and the operators.
 type world struct {
-	rng      *rand.Rand
-	defect   *Defect
-	now      time.Duration
-	machines []*machine
-	inFlight []delivery
-	history  History
-	lastID   uint64
-	version  uint32
-	nextOp   time.Duration
-	closing  bool // operators only read
-	events   []string
+	rng    *rand.Rand
+	defect *Defect
+	// tolerance is how many machines may be lost at once.
+	tolerance int
+	now       time.Duration
+	machines  []*machine
+	inFlight  []delivery
+	history   History
+	lastID    uint64
+	version   uint32
+	nextOp    time.Duration
+	closing   bool // operators only read
+	events    []string
 }
 
 // delivery is a message on its way: a register's, a lease's, or a hello.
@@ -58,7 +60,7 @@
 	if d == nil {
 		d = &Defect{}
 	}
-	w := &world{rng: rand.New(rand.NewPCG(seed, uint64(in.Machines))), defect: d}
+	w := &world{rng: rand.New(rand.NewPCG(seed, uint64(in.Machines))), defect: d, tolerance: max(1, in.Tolerance)}
 	for range in.Machines {
 		w.add()
 	}
--- a/mesh/bootstrap/settings.go
+++ b/mesh/bootstrap/settings.go
@@ -87,6 +87,10 @@
 	Regions  int `yaml:"regions"`
 }
 
+// Members returns how many members of the control plane's register may be lost at the same time. They are spread over zones, so that
+// the loss of a zone or a region takes one of them where there are enough.
+func (t Tolerance) Members() int { return max(t.Machines, t.Zones, t.Regions) }
+
 // PeerAddr returns the address at which the other processes of the mesh reach this one.
 func (s *Settings) PeerAddr() string { return s.peerAddrAt(s.IP) }
 
--- a/mesh/controlplane/reconcile.go
+++ b/mesh/controlplane/reconcile.go
@@ -26,7 +26,7 @@
 		Self:      s.self,
 		Zone:      s.settings.Zone,
 		Timeouts:  s.timeouts,
-		Tolerance: s.settings.Tolerance.Machines,
+		Tolerance: s.settings.Tolerance.Members(),
 		Seed:      uint64(s.start.UnixNano()),
 	}, s.pipeline, s.peers, reconcileSink{s}, s.nextID)
 }
--- a/mesh/replacement/group.go
+++ b/mesh/replacement/group.go
@@ -53,6 +53,6 @@
 type Change struct {
 	ExpectedMembers []string // it was decided on these, and must have no effect on others
 	Members         []string // the new members, sorted
-	Lost            []string // the members that are replaced
-	Successors      []string // the machines that replace them, in the same order
+	Lost            []string // the members that are replaced; none where the group grows
+	Successors      []string // the machines that replace them, in the same order, or that are added
 }
--- a/mesh/replacement/planner.go
+++ b/mesh/replacement/planner.go
@@ -9,18 +9,27 @@
 // never is the time of what has not happened yet.
 const never = time.Duration(-1)
 
+// minMembers is the least number of members that a group is brought to.
+const minMembers = 3
+
+// GroupSize returns how many members a group needs, so that a majority of them is left when as many are lost as the tolerance says: lost
+// with their disks, too, as a member with an empty disk has no vote until a majority of the others has replied to it.
+func GroupSize(tolerance int) int { return max(minMembers, 2*tolerance+1) }
+
 // Planner decides on changes of members, at the machine that holds the lease. It is not safe for concurrent use.
 type Planner struct {
 	timeouts  Timeouts
 	tolerance int // members that are replaced in one change at most
+	size      int // of the group, where there are as many machines
 
 	proposedAt time.Duration // of lastChange; never: there is none
 	lastChange Change
 }
 
-// NewPlanner returns a planner that replaces up to tolerance members in one change, and at least one.
+// NewPlanner returns a planner that replaces up to tolerance members in one change, and at least one, and that adds members up to the
+// GroupSize of the tolerance.
 func NewPlanner(t Timeouts, tolerance int) *Planner {
-	return &Planner{timeouts: t, tolerance: max(1, tolerance), proposedAt: never}
+	return &Planner{timeouts: t, tolerance: max(1, tolerance), size: GroupSize(tolerance), proposedAt: never}
 }
 
 // Decide returns the change of members that is to be proposed now; ok is false where there is none. The caller must hold the lease. The
@@ -30,6 +39,9 @@
 		return Change{}, false
 	}
 	c, ok = g.replace(now, &p.timeouts, p.lostMembers(now, &g))
+	if !ok {
+		c, ok = g.grow(now, &p.timeouts, p.size)
+	}
 	if !ok || !p.due(now, c) {
 		return Change{}, false
 	}
@@ -79,6 +91,31 @@
 	return c, len(c.Lost) > 0
 }
 
+// grow returns the change that adds members up to a size, or to the highest odd number below it for which there are eligible machines: an
+// even number bears no more losses than the odd one below it. Ok is false where there is nothing to add, or a change is under way.
+func (g *Group) grow(now time.Duration, t *Timeouts, size int) (c Change, ok bool) {
+	if len(g.PriorMembers) > 0 {
+		return Change{}, false
+	}
+	c.ExpectedMembers = g.Members
+	members := slices.Clone(g.Members)
+	for len(members) < size {
+		added, found := g.successor(now, t, members)
+		if !found {
+			break
+		}
+		members = append(members, added)
+		c.Successors = append(c.Successors, added)
+	}
+	if len(members)%2 == 0 && len(c.Successors) > 0 {
+		members = members[:len(members)-1]
+		c.Successors = c.Successors[:len(c.Successors)-1]
+	}
+	slices.Sort(members)
+	c.Members = members
+	return c, len(c.Successors) > 0
+}
+
 // successor returns the eligible machine that joins the remaining members; ok is false where there is none. It prefers one in the zone
 // that has the fewest of them, then one that has the committed value already.
 func (g *Group) successor(now time.Duration, t *Timeouts, remaining []string) (addr string, ok bool) {
--- a/mesh/replacement/planner_test.go
+++ b/mesh/replacement/planner_test.go
@@ -98,6 +98,32 @@
 	}
 }
 
+// A group grows to the size that the tolerance needs, by an odd number of machines that are eligible, and not while a change is under way.
+func TestGroupGrowsToItsTolerance(t *testing.T) {
+	three, seven := []string{"a", "b", "c"}, up("a", "b", "c", "d", "e", "f", "g")
+	for _, c := range []struct {
+		name      string
+		tolerance int
+		group     Group
+		want      []string
+	}{
+		{"a tolerance of one", 1, Group{Members: three, Machines: seven}, nil},
+		{"a tolerance of two", 2, Group{Members: three, Machines: seven}, []string{"a", "b", "c", "d", "e"}},
+		{"a tolerance of three", 3, Group{Members: three, Machines: seven}, []string{"a", "b", "c", "d", "e", "f", "g"}},
+		{"too few machines", 3, Group{Members: three, Machines: seven[:6]}, []string{"a", "b", "c", "d", "e"}},
+		{"one machine stands by", 2, Group{Members: three, Machines: seven[:4]}, nil},
+		{"a machine that is no voter yet", 2, Group{Members: three, Machines: with(seven[:5], "e", notVoter)}, nil},
+		{"it has its size", 2, Group{Members: []string{"a", "b", "c", "d", "e"}, Machines: seven}, nil},
+		{"a change is under way", 2, Group{Members: three, PriorMembers: []string{"a", "b", "d"}, Machines: seven}, nil},
+		{"a lost member goes first", 2, Group{Members: three, Machines: with(seven, "b", lost)}, []string{"a", "c", "d"}},
+	} {
+		got, _ := NewPlanner(timeouts, c.tolerance).Decide(now, c.group)
+		if !slices.Equal(got.Members, c.want) {
+			t.Errorf("%s: %v, want %v", c.name, got.Members, c.want)
+		}
+	}
+}
+
 // However often machines seem lost, changes keep their interval; the same one is proposed again when it has timed out.
 func TestChangesAreBounded(t *testing.T) {
 	p, g := NewPlanner(timeouts, 1), Group{Members: []string{"a", "b", "c"}}
