The end of a server is acknowledged once another process knows it

Cause: a sidecar acknowledged that its server closes or leaves before anybody else knew. Class: an acknowledgement rests on memory that dies with the process.

Change: closing and leave are acknowledged when the parent has sent the sidecar's own entry back, and answered 503 after 700 ms without that; a departed server's entry bars it from being restored or identified; a restored server has to send a heartbeat within three quarters of the heartbeat time-out, whatever it responds to; its end is taken from a later entry. The soak tells requests that expired from those whose client left or found nobody.

--- a/cmd/firplank-lab/soak.go
+++ b/cmd/firplank-lab/soak.go
@@ -107,9 +107,9 @@
 
 func printReport(printer *output.Printer, r *soak.Report) {
 	n := &r.Counts
-	printer.Printf("seed %d: %d troubles (%d skipped), %d requests: %d served, %d refused, %d failed, %d broken off, %d left; "+
+	printer.Printf("seed %d: %d troubles (%d skipped), %d requests: %d served, %d refused, %d failed, %d broken off, %d expired, %d left, %d unreached; "+
 		"%d changes, %d acknowledged, %d reads; %d stalls; %d violations\n",
-		r.Seed, r.Troubles, r.Skipped, n.Requests, n.Served, n.Refused, n.Failed, n.Broken, n.Left, n.Changes, n.Acknowledged, n.Reads,
+		r.Seed, r.Troubles, r.Skipped, n.Requests, n.Served, n.Refused, n.Failed, n.Broken, n.Expired, n.Left, n.Unreached, n.Changes, n.Acknowledged, n.Reads,
 		r.Stalls, len(r.Violations))
 	printed := map[string]int{}
 	for _, v := range r.Violations {
--- a/lab/soak/judge.go
+++ b/lab/soak/judge.go
@@ -45,9 +45,20 @@
 	ended    time.Duration
 	deadline time.Duration // how long the client waits
 	status   int           // 0: the connection ended without a complete answer
-	left     bool          // the client has left before the answer
+	ending   ending        // where there is no answer
 }
 
+// ending is why an exchange has no answer.
+type ending uint8
+
+const (
+	answered  ending = iota
+	broken           // the connection ended
+	left             // the client left early
+	unreached        // no connection was made: nobody listens
+	expired          // the client has waited for all of its time
+)
+
 // span is a time in which something was disturbed.
 type span struct{ from, to time.Duration }
 
@@ -87,8 +98,9 @@
 
 // Counts are what was done and seen.
 type Counts struct {
-	Requests, Served, Refused, Failed, Broken, Left int
-	Runs, Changes, Acknowledged, Reads              int
+	Requests, Served, Refused, Failed  int // by the status
+	Broken, Left, Unreached, Expired   int // without one
+	Runs, Changes, Acknowledged, Reads int
 }
 
 // NewJudge returns a judge that has seen nothing.
@@ -188,7 +200,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.count(&x)
-	if x.left {
+	if x.ending != answered && x.ending != broken {
 		return
 	}
 	switch x.status {
@@ -210,8 +222,12 @@
 func (j *Judge) count(x *exchange) {
 	j.counts.Requests++
 	switch {
-	case x.left:
+	case x.ending == left:
 		j.counts.Left++
+	case x.ending == unreached:
+		j.counts.Unreached++
+	case x.ending == expired:
+		j.counts.Expired++
 	case x.status == http.StatusOK:
 		j.counts.Served++
 	case x.status == http.StatusServiceUnavailable || x.status == http.StatusTooManyRequests:
--- a/lab/soak/load.go
+++ b/lab/soak/load.go
@@ -80,9 +80,8 @@
 		l.mu.Unlock()
 	}
 	patience := clientDeadline
-	if leaves := l.leaving.Load() && random.IntN(3) == 0; leaves {
+	if l.leaving.Load() && random.IntN(3) == 0 {
 		patience = earlyLeave
-		e.left = true
 	}
 	e.sent = l.run.now()
 	l.exchange(ctx, client, method, x.OutgoingURL(path), body, patience, &e)
@@ -108,16 +107,15 @@
 	r.Header.Set("Deadline-Ms", fmt.Sprint(clientDeadline.Milliseconds()))
 	response, err := client.Do(r)
 	if err != nil {
-		l.failed(err, e)
+		e.ending = endingOf(err, patience)
 		return
 	}
 	text, err := io.ReadAll(io.LimitReader(response.Body, 1<<20))
 	_ = response.Body.Close() // it was read
 	if err != nil {
-		l.failed(err, e)
+		e.ending = endingOf(err, patience)
 		return
 	}
-	e.left = false
 	e.status, e.body = response.StatusCode, string(text)
 	if e.status == http.StatusOK {
 		service := safeLine
@@ -129,12 +127,16 @@
 	}
 }
 
-// failed enters a request that has no answer. One that was never read does not count as broken: the connection was
-// refused, or the client had no time left.
-func (l *load) failed(err error, e *exchange) {
+// endingOf is why a request has no answer, whose client waits for so long.
+func endingOf(err error, patience time.Duration) ending {
 	var operation *net.OpError
-	refused := errors.As(err, &operation) && operation.Op == "dial"
-	if refused || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
-		e.left = true
+	switch {
+	case errors.As(err, &operation) && operation.Op == "dial":
+		return unreached
+	case !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, context.Canceled):
+		return broken
+	case patience < clientDeadline || errors.Is(err, context.Canceled):
+		return left
 	}
+	return expired
 }
--- a/mesh/admission/controller.go
+++ b/mesh/admission/controller.go
@@ -48,6 +48,10 @@
 	checkInterval = 500 * time.Millisecond
 )
 
+// restoredShare is the part of the heartbeat time-out in which a server that is known by Restore alone has to send a heartbeat, whatever it
+// responds to: what its sidecar knew of its end may be lost.
+const restoredShare = 0.75
+
 // maxDeparted bounds the servers that are remembered as departed.
 const maxDeparted = 64
 
@@ -64,6 +68,8 @@
 	sequence  uint64
 	warmUntil time.Duration
 	departed  map[string]bool // ids of servers that ended here, so that a late heartbeat does not bring them back
+	// confirmBy is when a server that is known by Restore alone has to have sent a heartbeat; 0: it has.
+	confirmBy time.Duration
 
 	// The server, by its requests.
 	inFlight     int
--- a/mesh/admission/server.go
+++ b/mesh/admission/server.go
@@ -31,7 +31,7 @@
 	}
 	changed = h.ServerID != c.serverID || state != c.state || h.Service != c.service || h.Slots != c.slots
 	c.serverID, c.service, c.slots = h.ServerID, h.Service, h.Slots
-	c.state, c.sequence = state, h.Sequence
+	c.state, c.sequence, c.confirmBy = state, h.Sequence, 0
 	c.warmUntil, c.lastSeen = now+h.WarmUpLeft, now
 	return changed
 }
@@ -61,18 +61,41 @@
 }
 
 // Restore takes over the entry that an earlier incarnation of this sidecar announced, unless a server has sent a heartbeat since. The
-// states that describe that sidecar, or its view, are not restored: for Unresponsive and Draining the server counts as accepting.
+// states that describe that sidecar, or its view, are not restored: for Unresponsive and Draining the server counts as accepting, until
+// restoredShare of the heartbeat time-out has passed without a heartbeat. Of a later entry only the server's end counts.
 func (c *Controller) Restore(now time.Duration, e *directory.Entry) {
-	if c.serverID != "" || e.Server == "" || e.State == directory.Departed {
+	switch {
+	case e.Server == "":
+		return
+	case e.State == directory.Departed:
+		c.restoreEnd(e)
+		c.markDeparted(e.Server)
+		return
+	case c.serverID != "":
+		c.restoreEnd(e)
+		return
+	case c.departed[e.Server]:
 		return
 	}
 	c.serverID, c.service, c.slots = e.Server, e.Service, e.Slots
 	c.state, c.warmUntil, c.lastSeen = e.State, e.WarmUntil, now
+	c.confirmBy = now + time.Duration(restoredShare*float64(c.heartbeatTimeout))
 	if c.state == directory.Unresponsive || c.state == directory.Draining {
 		c.state = directory.Accepting
 	}
 }
 
+// restoreEnd takes over the end of a server that is known by Restore alone, or its beginning.
+func (c *Controller) restoreEnd(e *directory.Entry) {
+	ends := e.State == directory.Departed || e.State == directory.Closing
+	if ends && e.Server == c.serverID && c.confirmBy > 0 {
+		c.state = e.State
+	}
+}
+
+// unconfirmed reports whether the server is known by Restore alone, for longer than that may be.
+func (c *Controller) unconfirmed(now time.Duration) bool { return c.confirmBy > 0 && now > c.confirmBy }
+
 // ConnectionRefused records that nobody listens at the server's address. It reports whether that brought a change.
 func (c *Controller) ConnectionRefused() (changed bool) {
 	if c.state != directory.Accepting {
@@ -85,16 +108,16 @@
 // ResponseReceived records that the server has responded. It reports whether that brought a change.
 func (c *Controller) ResponseReceived(now time.Duration) (changed bool) {
 	c.lastSeen, c.lastResponse = max(c.lastSeen, now), now
-	if c.state != directory.Unresponsive {
+	if c.state != directory.Unresponsive || c.unconfirmed(now) {
 		return false
 	}
 	c.state = directory.Accepting
 	return true
 }
 
-// Tick counts the server as unresponsive after its heartbeat time-out. It reports whether that brought a change.
+// Tick counts the server as unresponsive after its heartbeat time-out, or where nothing confirms what was restored. It reports whether that brought a change.
 func (c *Controller) Tick(now time.Duration) (changed bool) {
-	if c.state != directory.Accepting || now-c.lastSeen <= c.heartbeatTimeout {
+	if c.state != directory.Accepting || now-c.lastSeen <= c.heartbeatTimeout && !c.unconfirmed(now) {
 		return false
 	}
 	c.state = directory.Unresponsive
--- a/mesh/dataplane/distribution/node.go
+++ b/mesh/dataplane/distribution/node.go
@@ -50,6 +50,8 @@
 	policy *dissemination.Subscriber
 	state  *dissemination.Publisher
 	own    directory.Entry
+	// confirmed is the highest sequence of the own entry in this incarnation that a parent has sent back: it has the entry.
+	confirmed uint64
 
 	subscription *subscription.Subscription
 	subscribers  *subscribers.Subscribers
@@ -195,14 +197,16 @@
 	n.CheckReady(now)
 }
 
-// reconcileOwnEntry handles the entry of another incarnation of this sidecar. A later incarnation than the present
+// reconcileOwnEntry handles an entry of this sidecar. One of the present incarnation shows what the parent has. A later incarnation than the present
 // one is of a process that ran before the time of day was set back; the sidecar then continues as a still later one.
 func (n *Node) reconcileOwnEntry(now time.Duration, e *directory.Entry) {
 	switch {
+	case e.Incarnation == n.own.Incarnation:
+		n.confirmed = max(n.confirmed, e.Sequence)
 	case e.Incarnation < n.own.Incarnation:
 		n.host.RecallServer(now, e)
 	case e.Incarnation > n.own.Incarnation:
-		n.own.Incarnation = e.Incarnation + 1
+		n.own.Incarnation, n.confirmed = e.Incarnation+1, 0
 		n.host.IncarnationChanged(n.own.Incarnation)
 		n.host.RecallServer(now, e)
 		n.Announce(now)
@@ -248,6 +252,13 @@
 	n.perform(n.subscription.Announce(now))
 }
 
+// Announced returns the sequence of the own entry as it was announced last, and Confirmed up to which a parent has sent it back. What a
+// parent has outlives this process: its next one is told.
+func (n *Node) Announced() uint64 { return n.own.Sequence }
+
+// Confirmed returns the highest sequence of the own entry that a parent has sent back.
+func (n *Node) Confirmed() uint64 { return n.confirmed }
+
 // Drain starts the shutdown: the sidecar announces that it is draining and accepts no further subscribers.
 func (n *Node) Drain(now time.Duration) {
 	n.draining = true
--- a/mesh/dataplane/distribution/node_test.go
+++ b/mesh/dataplane/distribution/node_test.go
@@ -361,3 +361,28 @@
 		t.Error("left its parent")
 	}
 }
+
+// What a sidecar has announced of its server counts as confirmed once its parent sends it back, and not by an entry of an earlier process.
+func TestAnnouncementIsConfirmedByTheParent(t *testing.T) {
+	n, _ := newNode("c1")
+	c, _ := connect(t, n, 0)
+	n.Announce(0)
+	own, _ := n.State().Directory.Get(self)
+	update := func(e directory.Entry) *wire.FrameT {
+		return &wire.FrameT{Kind: wire.Update, Entries: []*wire.EntryT{codec.EntryToWire(&e, 0)}}
+	}
+	earlier := own
+	earlier.Incarnation, earlier.Sequence = own.Incarnation-1, own.Sequence+5
+	n.Handle(0, FrameReceived{Conn: c, Frame: update(earlier)})
+	if n.Confirmed() >= n.Announced() {
+		t.Error("the entry of an earlier process confirms")
+	}
+	n.Handle(0, FrameReceived{Conn: c, Frame: update(own)})
+	if n.Confirmed() != n.Announced() {
+		t.Errorf("confirmed %d, announced %d", n.Confirmed(), n.Announced())
+	}
+	n.Announce(time.Second)
+	if n.Confirmed() >= n.Announced() {
+		t.Error("a later announcement counts as confirmed")
+	}
+}
--- a/mesh/dataplane/heartbeats.go
+++ b/mesh/dataplane/heartbeats.go
@@ -16,6 +16,17 @@
 // maxServerIDLength bounds the ID by which a server names itself.
 const maxServerIDLength = 200
 
+// errNotAnnounced is the answer to a server's end that no other process knows yet.
+var errNotAnnounced = errors.New("no other machine knows it yet")
+
+const (
+	// confirmTimeout is how long a call of the local server waits until the announcement of its end has reached another process: below the
+	// second after which the server takes the call as failed.
+	confirmTimeout = 700 * time.Millisecond
+	// confirmRetryAfter is when it is to call again after that.
+	confirmRetryAfter = 200 * time.Millisecond
+)
+
 // errServerIDTooLong is the answer to a longer one.
 var errServerIDTooLong = errors.New("id: too long")
 
@@ -66,6 +77,8 @@
 	record  serverRecord
 	service *atomic.Pointer[string] // of the server, as its heartbeats say
 	changed func()                  // called after a change, by the goroutine of the call
+	// confirm announces the server's state if it has changed, and reports whether the announcement has reached another process.
+	confirm func(changed bool) bool
 }
 
 // router returns the routes of the calls, in the users' names.
@@ -88,23 +101,37 @@
 	if len(id) > maxServerIDLength {
 		return api.ErrorResponse(http.StatusBadRequest, errServerIDTooLong)
 	}
-	if a.record.handleHeartbeat(admission.Heartbeat{
+	changed := a.record.handleHeartbeat(admission.Heartbeat{
 		ServerID:   id,
 		Service:    r.Service,
 		Slots:      r.Slots,
 		Closing:    r.Condition == conditionDraining,
 		WarmUpLeft: time.Duration(r.WarmUpLeftS * float64(time.Second)),
 		Sequence:   r.Sequence,
-	}) {
+	})
+	if changed {
 		a.service.Store(&r.Service)
+	}
+	switch {
+	case r.Condition == conditionDraining:
+		return a.acknowledgeEnd(changed)
+	case changed:
 		a.changed()
 	}
 	return api.JSONResponse(http.StatusOK, struct{}{})
 }
 
 func (a *serverAPI) leave(c *api.Request) api.Response {
-	if a.record.serverLeft(c.Args[0]) {
-		a.changed()
+	return a.acknowledgeEnd(a.record.serverLeft(c.Args[0]))
+}
+
+// acknowledgeEnd acknowledges that a server ends, or will, once another process knows it: the acknowledgement binds this sidecar's next
+// process too, which has it from there. Until then the server is told to try again; it gets no requests either way.
+func (a *serverAPI) acknowledgeEnd(changed bool) api.Response {
+	if !a.confirm(changed) {
+		response := api.ErrorResponse(http.StatusServiceUnavailable, errNotAnnounced)
+		response.RetryAfter = confirmRetryAfter
+		return response
 	}
 	return api.JSONResponse(http.StatusOK, struct{}{})
 }
--- a/mesh/dataplane/heartbeats_test.go
+++ b/mesh/dataplane/heartbeats_test.go
@@ -17,6 +17,7 @@
 	heartbeats []admission.Heartbeat
 	left       []string
 	changes    bool
+	lonely     bool // no other process knows what is announced
 }
 
 func (r *recordedServer) handleHeartbeat(h admission.Heartbeat) bool {
@@ -34,7 +35,13 @@
 	before := "before"
 	service.Store(&before)
 	record = &recordedServer{changes: changes}
-	return &serverAPI{record: record, service: &service, changed: func() { count++ }}, record, &count
+	confirm := func(changed bool) bool {
+		if changed {
+			count++
+		}
+		return !record.lonely
+	}
+	return &serverAPI{record: record, service: &service, changed: func() { count++ }, confirm: confirm}, record, &count
 }
 
 // heartbeatBody is a valid heartbeat but for one field's text.
@@ -103,3 +110,26 @@
 		}
 	}
 }
+
+// The end of a server is acknowledged once another process knows it: until then the server is told to call again. A heartbeat of one that
+// goes on does not wait.
+func TestEndIsAcknowledgedOnceAnotherProcessKnowsIt(t *testing.T) {
+	a, record, _ := newServerAPI(true)
+	record.lonely = true
+	closing := &api.Request{Args: []string{"i-1"}, Body: heartbeatBody("condition", `"closing"`)}
+	accepting := &api.Request{Args: []string{"i-1"}, Body: heartbeatBody("condition", `"accepting"`)}
+	for _, got := range []api.Response{a.heartbeat(closing), a.leave(&api.Request{Args: []string{"i-1"}})} {
+		if got.Status != http.StatusServiceUnavailable || got.RetryAfter == 0 {
+			t.Errorf("the end that nobody knows is answered by %d, to be repeated after %v", got.Status, got.RetryAfter)
+		}
+	}
+	if got := a.heartbeat(accepting); got.Status != http.StatusOK {
+		t.Errorf("a heartbeat that changes nothing for others is answered by %d", got.Status)
+	}
+	record.lonely = false
+	for _, got := range []api.Response{a.heartbeat(closing), a.leave(&api.Request{Args: []string{"i-1"}})} {
+		if got.Status != http.StatusOK {
+			t.Errorf("the end that is known is answered by %d", got.Status)
+		}
+	}
+}
--- a/mesh/dataplane/lifecycle.go
+++ b/mesh/dataplane/lifecycle.go
@@ -199,7 +199,9 @@
 
 // serverAPI is what the local server may call.
 func (p *Proxy) serverAPI() *serverAPI {
-	return &serverAPI{record: p.lastHop, service: &p.serviceName, changed: func() { p.post(serverChanged{}) }}
+	return &serverAPI{
+		record: p.lastHop, service: &p.serviceName, changed: func() { p.post(serverChanged{}) }, confirm: p.confirmAnnouncement,
+	}
 }
 
 // logServeError logs why a listener is served no longer, where that isn't the end of the sidecar.
--- a/mesh/dataplane/loop.go
+++ b/mesh/dataplane/loop.go
@@ -92,6 +92,7 @@
 func (p *Proxy) handle(e event) {
 	e.handle(p, p.now())
 	p.links.Perform()
+	p.announcements.confirm(p.now(), p.node)
 }
 
 // tick checks for what time alone changes.
@@ -105,6 +106,7 @@
 	}
 	p.node.CheckReady(now)
 	p.node.Reparent(now)
+	p.announcements.confirm(now, p.node)
 	p.updateFigures(now)
 	if p.ready.Load() && !p.shuttingDown.Load() {
 		p.applyLiveness(now, p.liveness.Tick(now, p.node.State().Directory))
--- a/mesh/dataplane/proxy.go
+++ b/mesh/dataplane/proxy.go
@@ -100,11 +100,12 @@
 	sidecarPool upstream
 
 	// The control side, owned by the loop.
-	node      *distribution.Node
-	links     *links.Links // of node; also the handler of connections that are accepted
-	exchanges *exchanges.Set[*service]
-	liveness  *liveness.Monitor // but RecordReachable is for any goroutine
-	probes    *probeSocket      // nil: there is no socket
+	node          *distribution.Node
+	links         *links.Links // of node; also the handler of connections that are accepted
+	exchanges     *exchanges.Set[*service]
+	liveness      *liveness.Monitor // but RecordReachable is for any goroutine
+	probes        *probeSocket      // nil: there is no socket
+	announcements announcements
 }
 
 // incarnationRandomBits is how many bits of an incarnation are random, so that no two processes share one, also where
