Around a SIGTERM requests are answered or refused, and full links are no losses

Class: silence on a lossy way taken for a loss. - A service that a configuration adds during a shutdown had no end set.

Change: requests are cut at 0.87 of graceS and the fronts end at 0.92; one that comes later than 2.9 s after SIGTERM is taken if its time is over before, and refused at once otherwise. A suspect is pinged over a connection (membership.StreamPing, memberlist's fallback ping), and kept if it answers. Logs of what explained it: states of the server by cause, attempts cancelled, sidecars unreachable, and the attempts of each request not served.

--- a/internal/core/endpoints.go
+++ b/internal/core/endpoints.go
@@ -106,6 +106,7 @@
 	if !l.cfg.CancelAtGone {
 		return
 	}
+	cancelled := 0
 	for _, r := range l.requests {
 		if r.answered || !r.call.Message.Safe {
 			continue
@@ -113,9 +114,13 @@
 		for _, a := range r.attempts {
 			if a.Endpoint == e && a.TryCancel() {
 				e.backend.Cancel(a)
+				cancelled++
 			}
 		}
 	}
+	if cancelled > 0 {
+		l.log.Info("attempts cancelled: their server is gone", "server", e.name, "attempts", cancelled)
+	}
 }
 
 // removeEndpoint forgets an endpoint.
--- a/lab/mesh/mesh.go
+++ b/lab/mesh/mesh.go
@@ -13,11 +13,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -328,6 +330,9 @@
 	return x.mesh.call(http.MethodGet, fmt.Sprintf("http://%s:%d/Timetable.Read", x.IP, ports+6), nil, nil, 4*time.Second)
 }
 
+// outgoing is the address of a branch machine for its clients.
+func (x *Machine) outgoing() string { return net.JoinHostPort(x.IP, strconv.Itoa(ports+4)) }
+
 // OutgoingURL is the URL of a path at the address of a branch machine for its clients.
 func (x *Machine) OutgoingURL(path string) string {
 	return fmt.Sprintf("http://%s:%d%s", x.IP, ports+4, path)
--- a/lab/mesh/network.go
+++ b/lab/mesh/network.go
@@ -23,6 +23,8 @@
 // nothing.
 type Link struct {
 	Cut   bool
+	// LoseDatagrams loses all datagrams, as a full link does, while connections go on.
+	LoseDatagrams bool
 	Delay time.Duration
 	// LoseAnswers is the share of the answers, on connections of requests, that are lost with their connection.
 	LoseAnswers float64
@@ -182,7 +184,7 @@
 		if err != nil {
 			continue
 		}
-		if link, _ := d.network.link(frame.From, d.name); link.Cut {
+		if link, _ := d.network.link(frame.From, d.name); link.Cut || link.LoseDatagrams {
 			continue
 		}
 		_, _ = d.conn.WriteToUDP(buf[:n], d.to) // a datagram may be lost
--- a/lab/mesh/promises_test.go
+++ b/lab/mesh/promises_test.go
@@ -1,8 +1,11 @@
 package mesh
 
 import (
+	"bufio"
 	"fmt"
+	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -154,6 +157,47 @@
 	if status := <-answered; status != http.StatusOK {
 		t.Errorf("a request that needs 4.8 s of the 6 is answered %d", status)
 	}
+	select {
+	case <-x.Done():
+	case <-time.After(2 * time.Second):
+		t.Error("it has not ended within graceS")
+	}
+}
+
+// A request that comes long after SIGTERM, on a connection that is open, is refused if its time is not over before it would be cut off.
+func TestEndingSidecarRefusesWhatComesTooLate(t *testing.T) {
+	m := startForPromises(t, Config{Net: 51, Core: 3, Tolerance: 1})
+	x := m.Branch[2]
+	open := func() net.Conn {
+		c, err := net.Dial("tcp", x.outgoing())
+		must(t, err)
+		_, err = fmt.Fprint(c, "GET /look/x HTTP/1.1\r\n") // the rest of the request comes later
+		must(t, err)
+		return c
+	}
+	x.Signal(syscall.SIGTERM)
+	time.Sleep(2 * time.Second) // new connections are still accepted
+	long, short := open(), open()
+	defer func() { _, _ = long.Close(), short.Close() }()
+	time.Sleep(1500 * time.Millisecond)
+	ask := func(c net.Conn, id string, deadline time.Duration) (status int, after time.Duration) {
+		began := time.Now()
+		_, err := fmt.Fprintf(c, "Host: plates.example\r\nTry-Id: %s\r\nDeadline-Ms: %d\r\n\r\n", id, deadline.Milliseconds())
+		must(t, err)
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		must(t, err)
+		defer func() { _ = response.Body.Close() }()
+		return response.StatusCode, time.Since(began)
+	}
+	if status, after := ask(long, "long", 2*time.Second); status != http.StatusServiceUnavailable || after > 500*time.Millisecond {
+		t.Errorf("one that may last longer than the process is answered %d after %v", status, after)
+	}
+	if status, _ := ask(short, "short", time.Second); status != http.StatusOK {
+		t.Errorf("one that can't is answered %d", status)
+	}
+	if n := m.Runs("long"); n != 0 {
+		t.Errorf("the one that was refused has run %d times", n)
+	}
 }
 
 // longConfig has a route with a long deadline besides.
@@ -163,3 +207,32 @@
   "dispatch":{"line":"records","deadlineS":7,"attempts":1}}]}],
  "fleets":[{"name":"records","healthPath":"/health","maxConns":100},{"name":"registry","healthPath":"/health","maxConns":100}]}`, edition)
 }
+
+// The link of a machine is full, so that datagrams are lost on it: it is not lost by that, and what its server is at work on is not cut off.
+func TestFullLinkIsNoLoss(t *testing.T) {
+	m := startForPromises(t, Config{Net: 52, Core: 3, Tolerance: 1, Links: true})
+	must(t, Await(5*time.Second, "the long route is in force", func() bool {
+		status, err := m.Core[0].Put(longConfig(9))
+		served, _, _ := m.Branch[2].Ask(http.MethodGet, "plates.example", "/long/x", "warm-long", nil)
+		return err == nil && status == http.StatusOK && served == http.StatusOK
+	}))
+	var everybody []string
+	for _, x := range m.All() {
+		everybody = append(everybody, x.Name)
+	}
+	full := []string{m.Branch[0].Name}
+	m.Network.Set(full, everybody, Link{LoseDatagrams: true})
+	m.Network.Set(everybody, full, Link{LoseDatagrams: true})
+	var tasks sync.WaitGroup
+	for i := range 8 {
+		tasks.Go(func() {
+			id := fmt.Sprintf("long-%d", i)
+			status, _, err := m.call(http.MethodGet, m.Branch[2].OutgoingURL("/long/x?work=5000"),
+				map[string]string{"Host": "plates.example", "Try-Id": id, "Deadline-Ms": "6900"}, nil, 8*time.Second)
+			if err != nil || status != http.StatusOK || m.Runs(id) != 1 {
+				t.Errorf("%s is answered %d, %v, and has run %d times", id, status, err, m.Runs(id))
+			}
+		})
+	}
+	tasks.Wait()
+}
--- a/mesh/dataplane/figures.go
+++ b/mesh/dataplane/figures.go
@@ -150,7 +150,7 @@
 
 // RequestEnded implements core.Observer.
 func (o *observer) RequestEnded(c *core.Call, a *core.Answer, tried []*core.Attempt, cause balance.Cause) {
-	if a == nil {
+	if a == nil || a.Kind == core.Failed && a.Reason == core.ClientGone {
 		o.figures.deserted.Inc()
 		return
 	}
--- a/mesh/dataplane/lasthop.go
+++ b/mesh/dataplane/lasthop.go
@@ -161,6 +161,7 @@
 	delete(l.running, t)
 	l.mu.Unlock()
 	if done.ServerChanged {
+		l.logServerState("response or refused connection")
 		l.changed()
 	}
 	if done.HealthChanged {
@@ -245,10 +246,20 @@
 		}
 	}
 	if changed {
+		l.logServerState("no connection is accepted")
 		l.changed()
 	}
 }
 
+// logServerState logs the state of the local server after a change, and what it was changed by.
+func (l *lastHop) logServerState(by string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var e directory.Entry
+	l.gate.Admission.FillEntry(&e)
+	_ = level.Info(l.log).Log("msg", "server state changed", "server", e.Server, "state", e.State, "by", by)
+}
+
 // handleHeartbeat handles a server's heartbeat. It reports whether that brought a change.
 func (l *lastHop) handleHeartbeat(h admission.Heartbeat) bool {
 	l.mu.Lock()
--- a/mesh/dataplane/lifecycle.go
+++ b/mesh/dataplane/lifecycle.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"os"
-	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -21,13 +20,6 @@
 )
 
 const (
-	// acceptAfterShutdown is how long new connections are accepted after SIGTERM: the platform routes clients here for
-	// about two more seconds.
-	acceptAfterShutdown = 2200 * time.Millisecond
-	// shutdownMargin is the time between the end of a shutdown in order and the platform's kill of the process, and
-	// exchangeMargin the time between the end of the exchanges and that of the fronts.
-	shutdownMargin = 1500 * time.Millisecond
-	exchangeMargin = 200 * time.Millisecond
 	// controlReadTimeout bounds the reading of a request of the local server.
 	controlReadTimeout = 10 * time.Second
 	// maxOccupancy is the share of a front's connections that may be idle; beyond it connections are closed after their
@@ -155,7 +147,7 @@
 func (p *Proxy) serve(ctx context.Context, reloads <-chan os.Signal) error {
 	settings := p.settings.Load()
 	p.startUpstreams(sockets(settings))
-	out, err := p.newFront(clientDialect{config: &p.cfg, services: &p.services}, noExchange{p.ctx}, sockets(settings)/4)
+	out, err := p.newFront(clientDialect{config: &p.cfg, services: &p.services, shutdown: &p.shutdown, refused: p.figures.lateAtShutdown}, noExchange{p.ctx}, sockets(settings)/4)
 	if err != nil {
 		return err
 	}
@@ -176,7 +168,7 @@
 	_ = level.Info(p.log).Log("msg", "sidecar started", "node", settings.NodeName, "polled", p.epoll)
 	select {
 	case <-ctx.Done():
-		return p.shutDown(settings, out, in)
+		return p.shutDown(settings.Bounds.Grace, out, in)
 	case err := <-out.Failed():
 		return fmt.Errorf("serve clients: %w", err)
 	case err := <-in.Failed():
@@ -188,7 +180,7 @@
 func (p *Proxy) serveControl(l *listeners) (close func()) {
 	ready := &http.Server{Handler: http.HandlerFunc(p.serveReadiness)}
 	control := &http.Server{Handler: p.serverAPI().router(), ReadTimeout: controlReadTimeout}
-	p.background.Go(func() { p.logServeError("sidecars", transport.Serve(l.sidecars, p.links)) })
+	p.background.Go(func() { p.logServeError("sidecars", transport.Serve(l.sidecars, peerHandler{p.links, p.name})) })
 	p.background.Go(func() { p.logServeError("readiness", ready.Serve(l.readiness)) })
 	p.background.Go(func() { p.logServeError("control", control.Serve(l.control)) })
 	return func() {
@@ -241,25 +233,6 @@
 	p.links.Close()
 }
 
-// shutDown ends what was taken, in the time that the platform leaves.
-func (p *Proxy) shutDown(settings *bootstrap.Settings, fronts ...front) error {
-	within := settings.Bounds.Grace - shutdownMargin
-	_ = level.Info(p.log).Log("msg", "sidecar shutdown begins", "within", within)
-	p.shuttingDown.Store(true)
-	p.post(shutdownStarted{})
-	for _, svc := range *p.services.Load() {
-		svc.exchange.Shutdown(time.Now().Add(within - exchangeMargin))
-	}
-	var ends sync.WaitGroup
-	errs := make([]error, len(fronts))
-	for i, f := range fronts {
-		ends.Go(func() { errs[i] = f.End(within) })
-	}
-	ends.Wait()
-	_ = level.Info(p.log).Log("msg", "sidecar shutdown completed")
-	return errors.Join(errs...)
-}
-
 // serveReadiness answers the platform's readiness check.
 func (p *Proxy) serveReadiness(w http.ResponseWriter, _ *http.Request) {
 	if p.shuttingDown.Load() || !p.ready.Load() {
--- a/mesh/dataplane/liveness/liveness.go
+++ b/mesh/dataplane/liveness/liveness.go
@@ -83,6 +83,11 @@
 	return changed
 }
 
+// RecordContact records that a sidecar has answered over a connection.
+func (m *Monitor) RecordContact(now time.Duration, node string) Result {
+	return Result{EvidenceChanged: m.detector.RecordContact(now, node)}
+}
+
 // Handle applies a message of another sidecar's detector.
 func (m *Monitor) Handle(now time.Duration, message membership.Message) Result {
 	probes, changed := m.detector.Handle(now, message)
--- a/mesh/dataplane/loop.go
+++ b/mesh/dataplane/loop.go
@@ -102,6 +102,7 @@
 		p.background.Go(p.lastHop.checkServer)
 	}
 	if changed {
+		p.lastHop.logServerState("heartbeats are missing")
 		p.node.Announce(now)
 	}
 	p.node.CheckReady(now)
@@ -133,7 +134,7 @@
 // applyLiveness performs a result of the failure detector.
 func (p *Proxy) applyLiveness(now time.Duration, r liveness.Result) {
 	d := p.node.State().Directory
-	p.probes.send(r.Probes, d)
+	p.sendProbes(r.Probes)
 	if r.EvidenceChanged {
 		p.exchanges.Invalidate()
 	}
@@ -141,6 +142,7 @@
 		return
 	}
 	if lost := p.liveness.Unreachable(now, d); len(lost) > 0 {
+		_ = level.Info(p.log).Log("msg", "sidecars unreachable by own probes", "count", len(lost), "first", lost[0].Node)
 		p.node.SendEntries(now, lost)
 	}
 }
--- a/mesh/dataplane/outgoing.go
+++ b/mesh/dataplane/outgoing.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"firplank/balance"
 	"firplank/internal/core"
 	httpfront "firplank/internal/front/http"
@@ -23,6 +25,8 @@
 type clientDialect struct {
 	config   *atomic.Pointer[config.Config]       // in force; nil while there is none
 	services *atomic.Pointer[map[string]*service] // by name
+	shutdown *atomic.Pointer[shutdownSchedule]    // nil: it has not begun
+	refused  *metrics.Counter                     // of requests that come too late for it
 }
 
 // Fill implements httpfront.Dialect: it routes a request to a service's exchange, or returns the answer that rejects it.
@@ -47,6 +51,10 @@
 		left = min(left, byClient)
 	}
 	c.Received = time.Now()
+	if !d.shutdown.Load().takes(c.Received, time.Duration(left*float64(time.Millisecond))) {
+		d.refused.Inc()
+		return ownAnswer(http.StatusServiceUnavailable, "", "the sidecar shuts down", retryAfterShutdown), nil
+	}
 	c.Message = messageOf(r, body, c.Message.Stream)
 	c.Message.Safe = route.Idempotent()
 	c.Message.ConfigVersion = uint64(cfg.Version)
--- a/mesh/dataplane/probes.go
+++ b/mesh/dataplane/probes.go
@@ -54,7 +54,7 @@
 	}
 	for _, m := range probes {
 		e, ok := d.Get(m.To)
-		if !ok {
+		if !ok || m.Kind == membership.StreamPing {
 			continue
 		}
 		to, err := netip.ParseAddrPort(e.PeerAddr)
--- a/mesh/dataplane/proxy.go
+++ b/mesh/dataplane/proxy.go
@@ -88,6 +88,7 @@
 	ready       atomic.Bool
 
 	shuttingDown atomic.Bool
+	shutdown     atomic.Pointer[shutdownSchedule] // nil: it has not begun
 
 	figures    *figures
 	invariants invariant.Reporter
@@ -105,6 +106,7 @@
 	exchanges     *exchanges.Set[*service]
 	liveness      *liveness.Monitor // but RecordReachable is for any goroutine
 	probes        *probeSocket      // nil: there is no socket
+	streamPings   *streamPings
 	announcements announcements
 }
 
@@ -201,6 +203,7 @@
 	post := func(e distribution.Event) bool { return p.post(distributionEvent{e}) }
 	p.links = links.New(ctx, p.node, post, p.observe)
 	p.exchanges = exchanges.New(p.newService, (*service).setEndpoints)
+	p.streamPings = newStreamPings(ctx, settings.NodeName, func(node string) { p.post(contactMade{node}) })
 	p.liveness = liveness.New(settings.NodeName, hashSeed(settings.NodeName)^uint64(p.start.UnixNano()))
 	return p
 }
--- a/mesh/dataplane/replay_test.go
+++ b/mesh/dataplane/replay_test.go
@@ -73,7 +73,7 @@
 	p.cfg.Store(cfg)
 	return sidecarUnderTest{
 		route: func(c *core.Call, r *httpfront.Request) *core.Answer {
-			answer, err := clientDialect{config: &p.cfg, services: &p.services}.Fill(c, r, nil)
+			answer, err := clientDialect{config: &p.cfg, services: &p.services, shutdown: &p.shutdown}.Fill(c, r, nil)
 			if err != nil {
 				panic(err)
 			}
--- a/mesh/dataplane/service.go
+++ b/mesh/dataplane/service.go
@@ -105,7 +105,10 @@
 		Invariants:   p.invariants,
 		Observer:     &observer{service: name, log: p.log, figures: p.figures, limit: p.failures},
 	})
-	go s.exchange.Run() // the exchange ends with p.ctx; End waits for its requests
+	go s.exchange.Run()                                 // the exchange ends with p.ctx; End waits for its requests
+	if schedule := p.shutdown.Load(); schedule != nil { // else shutDown tells the exchanges that there are
+		s.exchange.Shutdown(schedule.cut)
+	}
 	return s
 }
 
--- a/mesh/directory/entry.go
+++ b/mesh/directory/entry.go
@@ -27,6 +27,11 @@
 	Draining
 )
 
+// String is a state's name in logs.
+func (s State) String() string {
+	return [...]string{"unregistered", "accepting", "closing", "departed", "unresponsive", "draining", "unknown"}[min(s, Draining+1)]
+}
+
 // Entry describes one machine: its sidecar and the local server. The sidecar alone writes the fields that are announced;
 // every directory derives Lost and LastSeen for itself. Copies may be shared as long as nobody changes them.
 type Entry struct {
--- a/mesh/membership/detector.go
+++ b/mesh/membership/detector.go
@@ -4,7 +4,8 @@
 // itself first, and gives the others more time.
 //
 // It differs from SWIM in what a finding means: it stays local, as a reason to send no requests to a machine, and is revoked by any sign of
-// life. There is no dissemination of findings, and no incarnation: package directory has both.
+// life. A suspect is also pinged over a connection (memberlist's fallback ping over TCP), as a full link loses datagrams first and a
+// machine behind one is not lost. There is no dissemination of findings, and no incarnation: package directory has both.
 //
 // The package has no socket and no clock: messages go in and out, times are arguments, randomness is a seed. The same calls give the same
 // results.
@@ -177,7 +178,8 @@
 	return []Message{{Kind: Ping, From: d.self, To: target, SeqNo: d.seqNo}}
 }
 
-// suspect begins a suspicion: it requests a refutation from others, and another answer from the suspect.
+// suspect begins a suspicion: it requests a refutation from others, and another answer from the suspect, by a datagram and over a
+// connection.
 func (d *Detector) suspect(now time.Duration, name string) (out []Message) {
 	d.localHealth++
 	m := d.members[name]
@@ -188,6 +190,7 @@
 	for _, other := range d.randomHealthy(name) {
 		out = append(out, Message{Kind: Suspect, From: d.self, To: other, Target: name})
 	}
+	out = append(out, Message{Kind: StreamPing, From: d.self, To: name})
 	return append(out, d.ping(now, name, "", 0)...)
 }
 
--- a/mesh/membership/detector_test.go
+++ b/mesh/membership/detector_test.go
@@ -19,7 +19,8 @@
 )
 
 // cluster runs detectors over links of linkDelay. A member that is "cut" receives and sends nothing; "deaf:x" cuts the link to x alone;
-// "slow" delays all that a member sends by slowDelay; "full" loses a member's datagrams, while it answers requests.
+// "slow" delays all that a member sends by slowDelay; "full" loses a member's datagrams, while it answers requests; "busy" loses them too,
+// and it answers no requests, but pings over connections.
 type cluster struct {
 	names    []string
 	all      []*Detector
@@ -27,6 +28,7 @@
 	deaf     map[[2]string]bool
 	slow     map[int]bool
 	full     map[int]bool
+	busy     map[int]bool
 	inFlight []delivery
 	log      []string
 	lost     string // the last line of the log
@@ -78,6 +80,10 @@
 		switch {
 		case l.at > now:
 			c.inFlight = append(c.inFlight, l)
+		case l.message.Kind == StreamPing:
+			if c.all[i] != nil && c.all[j] != nil && (c.busy[j] || !c.cut[j]) && (c.busy[i] || !c.cut[i]) && !c.deaf[[2]string{from, to}] {
+				c.all[i].RecordContact(now, to)
+			}
 		case c.all[j] == nil || c.cut[i] || c.cut[j] || c.deaf[[2]string{from, to}] || c.deaf[[2]string{to, from}]:
 		default:
 			out, _ := c.all[j].Handle(now, l.message)
@@ -119,7 +125,10 @@
 		c.cut[i] = true
 	case "full":
 		c.cut[i], c.full[i] = true, true
+	case "busy":
+		c.cut[i], c.busy[i] = true, true
 	case "heal":
+		delete(c.busy, i)
 		delete(c.full, i)
 		delete(c.cut, i)
 		delete(c.slow, i)
@@ -144,6 +153,7 @@
 			deaf:  map[[2]string]bool{},
 			slow:  map[int]bool{},
 			full:  map[int]bool{},
+			busy:  map[int]bool{},
 		}
 		drawing.Play(10*time.Millisecond, c.step, c.do)
 		if c.log == nil {
--- a/mesh/membership/message.go
+++ b/mesh/membership/message.go
@@ -15,9 +15,12 @@
 	Alive
 	// Suspect reports that the sender suspects Target to have failed, and requests a refutation.
 	Suspect
+	// StreamPing asks who carries the messages for a Ping of To over a connection, and for RecordContact once it is answered. It is no
+	// datagram: those are lost first where a link is full.
+	StreamPing
 )
 
-// Message is a datagram between two members. Any of them may be lost, delayed or duplicated.
+// Message is a datagram between two members, or a StreamPing. Any of them may be lost, delayed or duplicated.
 type Message struct {
 	Kind Kind
 	// From and To are the names of the members.
