Decoding allocates no more than a table's bytes justify

Cause: the generated code makes lists by the lengths that a table states and copies a string for each offset that leads to it, so that any process that reaches the peers' address could end a sidecar or a control machine. Class: a length from the network taken as a size.

A fuzz target with the same bound.

--- a/mesh/wire/budget_test.go
+++ b/mesh/wire/budget_test.go
@@ -98,3 +98,16 @@
 	}
 	return shared
 }
+
+// Whatever the bytes are, decoding neither panics nor allocates out of proportion.
+func FuzzDecode(f *testing.F) {
+	f.Add(EncodeDatagram(fullFrame()))
+	f.Add(EncodeDatagram(&FrameT{Kind: Probe, From: "n1", Id: 4}))
+	f.Add(EncodeState(&StateT{Promised: &BallotT{Number: 1}, Value: fullFrame().Value}))
+	f.Fuzz(func(t *testing.T, table []byte) {
+		most := uint64(2 * (budgetFactor*len(table) + budgetBase))
+		if n := allocated(func() { _, _ = Decode(table); _, _ = DecodeState(table) }); n > most {
+			t.Errorf("%d bytes are allocated for %d", n, len(table))
+		}
+	})
+}
--- a/mesh/wire/encoding.go
+++ b/mesh/wire/encoding.go
@@ -52,7 +52,11 @@
 // Decode returns the frame of a table, as in a datagram. The frame's byte fields are parts of the table, which may not
 // be changed after. The error is ErrMalformed.
 func Decode(table []byte) (*FrameT, error) {
-	return decode(table, func() *FrameT { return GetRootAsFrame(table, 0).UnPack() })
+	return decode(table, func() *FrameT {
+		f := GetRootAsFrame(table, 0)
+		newBudget(table).frame(f)
+		return f.UnPack()
+	})
 }
 
 // ReadFrame reads one frame from a stream. The error is the reader's, ErrFrameTooLarge or ErrMalformed.
@@ -82,10 +86,14 @@
 // DecodeState returns the state that EncodeState made the bytes of; its byte fields are parts of them. The error is
 // ErrMalformed.
 func DecodeState(table []byte) (*StateT, error) {
-	return decode(table, func() *StateT { return GetRootAsState(table, 0).UnPack() })
+	return decode(table, func() *StateT {
+		s := GetRootAsState(table, 0)
+		newBudget(table).state(s)
+		return s.UnPack()
+	})
 }
 
-// decode unpacks a table. The generated code panics at offsets that point out of the bytes.
+// decode unpacks a table. The generated code panics at offsets that point out of the bytes, and budget at lengths that they don't justify.
 func decode[T any](table []byte, unpack func() *T) (value *T, err error) {
 	if len(table) < minTableSize {
 		return nil, ErrMalformed
