The soak's short form runs with the tests, its judge is shown to find

Change: TestShortSoak plays two seeds of 9 s, one with a tolerance of two; TestJudge has 24 small histories, each with the rule that it breaks or none; plans are those of their seeds.

--- a/lab/mesh/network.go
+++ b/lab/mesh/network.go
@@ -22,10 +22,10 @@
 // on loopback with relays of our own between: an opening connection succeeds also where the link is cut, and then says
 // nothing.
 type Link struct {
-	Cut   bool
+	Cut bool
 	// LoseDatagrams loses all datagrams, as a full link does, while connections go on.
 	LoseDatagrams bool
-	Delay time.Duration
+	Delay         time.Duration
 	// LoseAnswers is the share of the answers, on connections of requests, that are lost with their connection.
 	LoseAnswers float64
 }
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -221,14 +221,23 @@
 			r.judge.Break(r.now(), "FAULT", "%s has ended by itself", x.Name)
 		}
 		for line := range strings.Lines(x.Log()) {
-			violated := strings.Contains(line, invariant.LogMessage)
-			if violated || strings.Contains(line, "panic:") || strings.Contains(line, "DATA RACE") || strings.Contains(line, "fatal error") {
+			if tellsOfFault(line) {
 				r.judge.Break(r.now(), "INVARIANT", "%s: %s", x.Name, strings.TrimSpace(line))
 			}
 		}
 	}
 }
 
+// tellsOfFault reports whether a line of a process's log tells of a violated invariant, a panic or a data race.
+func tellsOfFault(line string) bool {
+	for _, text := range []string{invariant.LogMessage, "panic:", "DATA RACE", "fatal error:"} {
+		if strings.Contains(line, text) {
+			return true
+		}
+	}
+	return false
+}
+
 func ended(x *mesh.Machine) bool {
 	select {
 	case <-x.Done():
--- /dev/null
+++ b/lab/soak/soak_test.go
@@ -0,0 +1,235 @@
+package soak
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"firplank/lab/mesh"
+)
+
+var programFolder string
+
+// built builds the programs, once for all tests, and returns their folder.
+var built = sync.OnceValues(func() (string, error) {
+	out, err := exec.Command("go", "build", "-o", programFolder+"/", "../../cmd/firplank-proxy", "../../cmd/firplank-control").CombinedOutput()
+	if err != nil {
+		err = fmt.Errorf("%w\n%s", err, out)
+	}
+	return programFolder, err
+})
+
+func TestMain(m *testing.M) {
+	var err error
+	if programFolder, err = os.MkdirTemp("", "firplank-soak-test"); err != nil {
+		panic(err)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(programFolder)
+	os.Exit(code)
+}
+
+// The short form of the soak: real processes under overlapping troubles, with the invariants on.
+func TestShortSoak(t *testing.T) {
+	programs, err := built()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, c := range []struct {
+		seed            uint64
+		core, tolerance int
+		only            []Kind
+	}{
+		{seed: 1, core: 4, tolerance: 1},
+		{seed: 2, core: 6, tolerance: 2, only: []Kind{ControlWipe, ProxyTerm, CloseKill, ConfigStorm, NodeCut, AnswerLost}},
+	} {
+		var events bytes.Buffer
+		report, err := Run(t.Context(), Config{
+			Seed: c.seed, Length: 9 * time.Second, Folder: t.TempDir(), Programs: programs, Net: 60 + i, Core: c.core, Tolerance: c.tolerance,
+			Branch: 2, Clients: 2, Only: c.only, Log: &events,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("seed %d: %+v", c.seed, *report)
+		if len(report.Violations) > 0 {
+			t.Errorf("seed %d broke promises; what happened:\n%s", c.seed, events.String())
+		}
+		if report.Counts.Served < 100 || report.Counts.Acknowledged < 5 {
+			t.Errorf("seed %d got nowhere: %+v", c.seed, report.Counts)
+		}
+	}
+}
+
+func TestPlanIsThatOfItsSeed(t *testing.T) {
+	first, again, other := Plan(7, time.Minute, nil), Plan(7, time.Minute, nil), Plan(8, time.Minute, nil)
+	if !slices.Equal(first, again) || slices.Equal(first, other) {
+		t.Error("a seed does not decide its plan")
+	}
+	overlaps := 0
+	for i, x := range first {
+		if i > 0 && first[i-1].At+first[i-1].For > x.At {
+			overlaps++
+		}
+	}
+	if overlaps < len(first)/2 {
+		t.Errorf("%d of %d troubles overlap", overlaps, len(first))
+	}
+	for _, x := range Plan(7, time.Minute, []Kind{ProxyKill, ConfigRace}) {
+		if x.Kind != ProxyKill && x.Kind != ConfigRace {
+			t.Errorf("%v was not asked for", x.Kind)
+		}
+	}
+}
+
+// secondsAfter is a time of the day that tests of the judge play.
+func secondsAfter(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// A judge that finds nothing has to be one that would: each broken promise is found, and what is allowed is not.
+func TestJudge(t *testing.T) {
+	ok := func(id string) exchange {
+		return exchange{id: id, machine: "branch-1", sent: secondsAfter(10), ended: secondsAfter(10.1), deadline: clientDeadline, status: http.StatusOK}
+	}
+	ran := func(j *Judge, id string, since time.Duration) {
+		j.Arrived(secondsAfter(10), "branch-1", mesh.Arrival{RequestID: id, Server: "i-1", SinceClosing: since})
+	}
+	with := func(x exchange, change func(*exchange)) exchange {
+		change(&x)
+		return x
+	}
+	acknowledge := func(j *Judge, at float64, c change) { j.Acknowledged(secondsAfter(at), secondsAfter(at-0.1), c) }
+	seven := newChange(7, "")
+	for _, c := range []struct {
+		name, want string // the rule that is broken; empty: none
+		do         func(j *Judge)
+	}{
+		{"a request is served", "", func(j *Judge) { ran(j, "a", 0); j.Ended(ok("a")) }},
+		{"an answer that no server gave", "MIXED", func(j *Judge) { j.Ended(ok("a")) }},
+		{"another's answer", "MIXED", func(j *Judge) {
+			ran(j, "a", 0)
+			j.Ended(with(ok("a"), func(x *exchange) { x.wrong = true }))
+		}},
+		{"one that may run once runs twice", "TWICE", func(j *Judge) { ran(j, "u", 0); ran(j, "u", 0) }},
+		{"a refused one has run", "REFUSED", func(j *Judge) {
+			ran(j, "u", 0)
+			j.Ended(with(ok("u"), func(x *exchange) { x.unsafe, x.status = true, 503 }))
+		}},
+		{"no route", "DENIED", func(j *Judge) { j.Ended(with(ok("a"), func(x *exchange) { x.status = 404 })) }},
+		{"a closing server is sent something", "DRAIN", func(j *Judge) { ran(j, "a", lastPost+time.Second) }},
+		{"a closing server is sent something in time", "", func(j *Judge) { ran(j, "a", lastPost-time.Second) }},
+		{"... by a machine in trouble", "", func(j *Judge) {
+			j.Disturbed(secondsAfter(8), secondsAfter(9), "branch-1")
+			ran(j, "a", lastPost+time.Second)
+		}},
+		{"an acknowledged version is not in force", "CONFIG", func(j *Judge) {
+			acknowledge(j, 5, seven)
+			j.Ended(with(ok("a"), func(x *exchange) { x.marker, x.status = 7, 404 }))
+		}},
+		{"... and the machine is not in touch", "", func(j *Judge) {
+			acknowledge(j, 5, seven)
+			j.Disturbed(secondsAfter(8), secondsAfter(9), "branch-1")
+			j.Ended(with(ok("a"), func(x *exchange) { x.marker, x.status = 7, 404 }))
+		}},
+		{"... and there was no time for it", "", func(j *Judge) {
+			acknowledge(j, 9, seven)
+			j.Ended(with(ok("a"), func(x *exchange) { x.marker, x.status = 7, 404 }))
+		}},
+		{"a machine goes back, in touch or not", "CONFIG", func(j *Judge) {
+			j.Disturbed(secondsAfter(8), secondsAfter(20), "branch-1")
+			ran(j, "a", 0)
+			j.Ended(with(ok("a"), func(x *exchange) { x.marker = 7 }))
+			j.Ended(with(ok("b"), func(x *exchange) { x.marker, x.status, x.sent, x.ended = 6, 404, secondsAfter(12), secondsAfter(12.1) }))
+		}},
+		{"a new process may be behind", "", func(j *Judge) {
+			ran(j, "a", 0)
+			j.Ended(with(ok("a"), func(x *exchange) { x.marker = 7 }))
+			j.Ended(with(ok("b"), func(x *exchange) { x.marker, x.status, x.life, x.sent = 6, 404, 1, secondsAfter(12) }))
+		}},
+		{"two contents of a version", "CONFIG", func(j *Judge) { acknowledge(j, 5, seven); acknowledge(j, 6, newChange(7, "rival")) }},
+		{"what was acknowledged is refused", "CONFIG", func(j *Judge) { acknowledge(j, 5, seven); j.Conflict(secondsAfter(6), seven, "core-1") }},
+		{"an old configuration is read", "CONFIG", func(j *Judge) {
+			acknowledge(j, 5, seven)
+			old := newChange(6, "")
+			j.Read(secondsAfter(8), secondsAfter(8.1), "core-1", 6, old.text)
+		}},
+		{"the newest is read", "", func(j *Judge) {
+			acknowledge(j, 5, seven)
+			j.Read(secondsAfter(8), secondsAfter(8.1), "core-1", 7, seven.text)
+		}},
+		{"an order waits too long", "ACKS", func(j *Judge) { j.Acknowledged(secondsAfter(20), secondsAfter(10), seven) }},
+		{"... in a partition", "", func(j *Judge) {
+			j.Disturbed(secondsAfter(11), secondsAfter(15), core)
+			j.Acknowledged(secondsAfter(20), secondsAfter(10), seven)
+		}},
+		{"a request is cut off around a SIGTERM", "LOST", func(j *Judge) {
+			j.Stop(secondsAfter(9), "branch-1")(secondsAfter(14))
+			j.Ended(with(ok("a"), func(x *exchange) { x.status = http.StatusBadGateway }))
+		}},
+		{"... by its server", "", func(j *Judge) {
+			j.Stop(secondsAfter(9), "branch-1")(secondsAfter(14))
+			j.Arrived(secondsAfter(10), "branch-1", mesh.Arrival{RequestID: "a", Server: "i-1", Spoilt: true})
+			j.Ended(with(ok("a"), func(x *exchange) { x.status = http.StatusBadGateway }))
+		}},
+		{"... in the last sixth of its time", "", func(j *Judge) {
+			j.Stop(secondsAfter(9), "branch-1")(secondsAfter(14.5))
+			j.Ended(with(ok("a"), func(x *exchange) {
+				x.ending, x.status, x.ended, x.deadline = broken, 0, secondsAfter(14.2), time.Minute
+			}))
+		}},
+		{"... long after the SIGTERM", "LOST", func(j *Judge) {
+			j.Stop(secondsAfter(5), "branch-1")(secondsAfter(10.5))
+			j.Ended(with(ok("a"), func(x *exchange) { x.ending, x.status = broken, 0 }))
+		}},
+	} {
+		j := NewJudge()
+		c.do(j)
+		j.Finish(secondsAfter(30), []string{"u"})
+		var rules []string
+		for _, v := range j.Violations() {
+			rules = append(rules, v.Rule)
+		}
+		if got := strings.Join(rules, " "); got != c.want {
+			t.Errorf("%s: broken %q, want %q", c.name, got, c.want)
+		}
+	}
+}
+
+// What the processes count and log as violated is found, also of processes that have ended.
+func TestViolatedInvariantsAreFound(t *testing.T) {
+	r := &run{judge: NewJudge(), counted: map[string]float64{}}
+	for _, line := range []string{
+		`firplank_invariant_violations_total{invariant="started_once"} 0`, `firplank_requests_total{outcome="served"} 9`,
+		`firplank_invariant_violations_total{invariant="started_once"} 2`, `firplank_invariant_violations_total{invariant="started_once"} 2`,
+	} {
+		r.countViolations("branch-1", line)
+	}
+	if v := r.judge.Violations(); len(v) != 1 || !strings.Contains(v[0].What, "started_once") {
+		t.Errorf("found %v", v)
+	}
+	for line, want := range map[string]bool{
+		`{"level":"error","msg":"invariant violated","invariant":"started_once"}`: true, "panic: runtime error": true,
+		"WARNING: DATA RACE": true, `{"level":"info","msg":"sidecar started"}`: false,
+	} {
+		if tellsOfFault(line) != want {
+			t.Errorf("%q: %v", line, !want)
+		}
+	}
+}
+
+// The laboratory itself needs its programs: without them it says so.
+func TestRunWithoutProgramsFails(t *testing.T) {
+	_, err := Run(t.Context(), Config{
+		Folder: t.TempDir(), Programs: filepath.Join(t.TempDir(), "none"), Net: 63, Core: 1, Branch: 1, Length: time.Second,
+	})
+	if err == nil {
+		t.Error("it runs without programs")
+	}
+}
