Soak: further promises are judged: unasked, gone, deadlines, attempts, retry budgets

Cause: the judge left out what is counted over many requests. Change: it knows each request from its sending on; five histories more that it must find. Measured: go test ./lab/soak -run Judge passes.

--- a/lab/mesh/server.go
+++ b/lab/mesh/server.go
@@ -25,6 +25,8 @@
 type Arrival struct {
 	RequestID, Server, Service, Sender string
 	At                                 time.Time
+	// Remaining is the time that the request has left by its header; 0: it names none.
+	Remaining time.Duration
 	// Spoilt: the server will break the connection off.
 	Spoilt bool
 	// SinceClosing is how long ago the closing of the server was acknowledged; 0: it was not.
@@ -185,7 +187,9 @@
 	}
 	_, _ = io.Copy(io.Discard, r.Body) // read only to be dropped
 	dropped, garbled := rand.Float64() < b.Drop, rand.Float64() < b.Garble
-	s.record(Arrival{RequestID: id, Sender: r.Header.Get("Sender-Line"), Spoilt: dropped || garbled})
+	s.record(Arrival{
+		RequestID: id, Sender: r.Header.Get("Sender-Line"), Remaining: remaining(r), Spoilt: dropped || garbled,
+	})
 	select {
 	case <-time.After(s.machine.mesh.cfg.Work + b.Delay + workOf(r)):
 	case <-r.Context().Done():
@@ -236,6 +240,15 @@
 	return time.Duration(millis) * time.Millisecond
 }
 
+// remaining is the time that a request has left; 0: it names none.
+func remaining(r *http.Request) time.Duration {
+	millis, err := strconv.ParseFloat(r.Header.Get("Deadline-Ms"), 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(millis * float64(time.Millisecond))
+}
+
 // breakOff writes bytes to a request's connection, and closes it.
 func breakOff(w http.ResponseWriter, text string) {
 	conn, _, err := w.(http.Hijacker).Hijack()
--- a/lab/soak/judge.go
+++ b/lab/soak/judge.go
@@ -68,6 +68,8 @@
 	mu         sync.Mutex
 	violations []Violation
 
+	requests  map[string]*request
+	arrivals  map[string][]arrival     // by service
 	runs      map[string]int           // by request
 	spoilt    map[string]bool          // requests whose server broke off
 	ranOn     map[string]string        // the last server of each request
@@ -101,12 +103,14 @@
 	Requests, Served, Refused, Failed  int // by the status
 	Broken, Left, Unreached, Expired   int // without one
 	Runs, Changes, Acknowledged, Reads int
+	// AfterLeaving are arrivals long after the client had left, ExtraTime those with more time than is left.
+	AfterLeaving, ExtraTime int
 }
 
 // NewJudge returns a judge that has seen nothing.
 func NewJudge() *Judge {
 	return &Judge{
-		runs: map[string]int{}, spoilt: map[string]bool{}, ranOn: map[string]string{}, gone: map[string]time.Duration{},
+		requests: map[string]*request{}, arrivals: map[string][]arrival{}, runs: map[string]int{}, spoilt: map[string]bool{}, ranOn: map[string]string{}, gone: map[string]time.Duration{},
 		promised: map[string]string{}, disturbed: map[string][]span{}, stops: map[string][]span{},
 		markers: map[[2]string]seenMarker{}, acked: map[uint32]ack{},
 	}
@@ -173,6 +177,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.counts.Runs++
+	j.arrivedFor(at, machine, &a)
 	j.runs[a.RequestID]++
 	j.ranOn[a.RequestID] = a.Server
 	if a.Spoilt {
@@ -200,6 +205,9 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.count(&x)
+	if r := j.requests[x.id]; r != nil && x.ending == left {
+		r.leftAt = x.ended
+	}
 	if x.ending != answered && x.ending != broken {
 		return
 	}
@@ -300,6 +308,7 @@
 			j.breaks(at, "TWICE", "request %s has run %d times", id, n)
 		}
 	}
+	j.finishBudgets(at)
 	for id, machine := range j.promised {
 		if j.runs[id] > 0 {
 			j.breaks(at, "REFUSED", "request %s was refused at %s, and has run", id, machine)
--- a/lab/soak/load.go
+++ b/lab/soak/load.go
@@ -84,6 +84,7 @@
 		patience = earlyLeave
 	}
 	e.sent = l.run.now()
+	l.run.judge.Sent(e.sent, e.id, x.Name, clientDeadline)
 	l.exchange(ctx, client, method, x.OutgoingURL(path), body, patience, &e)
 	e.ended = l.run.now()
 	l.run.judge.Ended(e)
--- a/lab/soak/misbehave.go
+++ b/lab/soak/misbehave.go
@@ -120,6 +120,7 @@
 	order, cancel := context.WithTimeout(ctx, receipt)
 	defer cancel()
 	c := t.run.operator.next("")
+	t.run.judge.sentChange()
 	if status, err := control.Put(c.text); err != nil || status != 200 {
 		t.order(order, c, x.Target)
 		return
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -99,7 +99,15 @@
 		return exchange{id: id, machine: "branch-1", sent: secondsAfter(10), ended: secondsAfter(10.1), deadline: clientDeadline, status: http.StatusOK}
 	}
 	ran := func(j *Judge, id string, since time.Duration) {
-		j.Arrived(secondsAfter(10), "branch-1", mesh.Arrival{RequestID: id, Server: "i-1", SinceClosing: since})
+		if j.requests[id] == nil {
+			j.Sent(secondsAfter(9.9), id, "branch-1", clientDeadline)
+		}
+		j.Arrived(secondsAfter(10), "branch-1", mesh.Arrival{
+			RequestID: id, Server: "i-1", Service: safeLine, SinceClosing: since, Remaining: time.Second,
+		})
+	}
+	ranOn := func(j *Judge, id, server string, at float64, remaining time.Duration) {
+		j.Arrived(secondsAfter(at), "branch-1", mesh.Arrival{RequestID: id, Server: server, Service: safeLine, Remaining: remaining})
 	}
 	with := func(x exchange, change func(*exchange)) exchange {
 		change(&x)
@@ -175,7 +183,8 @@
 		}},
 		{"... by its server", "", func(j *Judge) {
 			j.Stop(secondsAfter(9), "branch-1")(secondsAfter(14))
-			j.Arrived(secondsAfter(10), "branch-1", mesh.Arrival{RequestID: "a", Server: "i-1", Spoilt: true})
+			j.Sent(secondsAfter(9.9), "a", "branch-1", clientDeadline)
+			j.Arrived(secondsAfter(10), "branch-1", mesh.Arrival{RequestID: "a", Server: "i-1", Remaining: time.Second, Spoilt: true})
 			j.Ended(with(ok("a"), func(x *exchange) { x.status = http.StatusBadGateway }))
 		}},
 		{"... in the last sixth of its time", "", func(j *Judge) {
@@ -184,6 +193,36 @@
 				x.ending, x.status, x.ended, x.deadline = broken, 0, secondsAfter(14.2), time.Minute
 			}))
 		}},
+		{"a request that nobody has sent", "UNASKED", func(j *Judge) { ranOn(j, "nobody's", "i-1", 10, time.Second) }},
+		{"requests reach servers long after their clients have left", "GONE", func(j *Judge) {
+			for i := range 2 * maxGone {
+				id := fmt.Sprint(i)
+				j.Sent(secondsAfter(9), id, "branch-1", clientDeadline)
+				j.Ended(exchange{id: id, machine: "branch-1", sent: secondsAfter(9), ended: secondsAfter(9.1), ending: left})
+				ranOn(j, id, "i-1", 10.2, time.Second)
+			}
+		}},
+		{"servers are handed more time than is left", "BUDGET", func(j *Judge) {
+			for i := range 2 * maxExtraTime {
+				j.Sent(secondsAfter(9), fmt.Sprint(i), "branch-1", time.Second)
+				ranOn(j, fmt.Sprint(i), "i-1", 9.5, 2*time.Second)
+			}
+		}},
+		{"requests run on more servers than their attempts", "BUDGET", func(j *Judge) {
+			for i := range 2 * exceptions {
+				j.Sent(secondsAfter(9), fmt.Sprint(i), "branch-1", clientDeadline)
+				for server := range routeTries + 1 {
+					ranOn(j, fmt.Sprint(i), fmt.Sprint("i-", server), 9.5, time.Second)
+				}
+			}
+		}},
+		{"a service gets too many repeats", "BUDGET", func(j *Judge) {
+			for i := range 2 * retrySlack {
+				j.Sent(secondsAfter(9), fmt.Sprint(i), "branch-1", clientDeadline)
+				ranOn(j, fmt.Sprint(i), "i-1", 9.5, time.Second)
+				ranOn(j, fmt.Sprint(i), "i-2", 9.6, time.Second)
+			}
+		}},
 		{"... long after the SIGTERM", "LOST", func(j *Judge) {
 			j.Stop(secondsAfter(5), "branch-1")(secondsAfter(10.5))
 			j.Ended(with(ok("a"), func(x *exchange) { x.ending, x.status = broken, 0 }))
