--- a/cmd/firplank-lab/mesh.go
+++ b/cmd/firplank-lab/mesh.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"time"
 
@@ -36,10 +34,8 @@
 		return err
 	}
 	defer func() { _ = os.RemoveAll(folder) }() // a temporary folder, which may stay
-	build := exec.CommandContext(ctx, "go", "build", "-o", folder+"/", "./cmd/firplank-proxy", "./cmd/firplank-control", "./cmd/firplankctl")
-	build.Stderr = os.Stderr
-	if err := build.Run(); err != nil {
-		return fmt.Errorf("build: %w", err)
+	if err := mesh.Build(ctx, folder, false, "firplank/cmd/firplankctl"); err != nil {
+		return err
 	}
 	m, err := mesh.Start(mesh.Config{
 		Folder: folder, Programs: folder, Net: 77, Core: c.Core,
--- a/cmd/firplank-lab/soak.go
+++ b/cmd/firplank-lab/soak.go
@@ -5,13 +5,13 @@
 	"fmt"
 	"io"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"firplank/internal/output"
+	"firplank/lab/mesh"
 	"firplank/lab/soak"
 )
 
@@ -41,7 +41,7 @@
 	}
 	defer func() { _ = os.RemoveAll(folder) }() // a temporary folder, which may stay
 	programs := filepath.Join(folder, "bin")
-	if err := c.build(ctx, programs); err != nil {
+	if err := mesh.Build(ctx, programs, c.Race); err != nil {
 		return err
 	}
 	broken := 0
@@ -65,20 +65,6 @@
 	return nil
 }
 
-// build builds the mesh's programs.
-func (c *soakCommand) build(ctx context.Context, programs string) error {
-	args := []string{"build", "-o", programs + "/"}
-	if c.Race {
-		args = append(args, "-race")
-	}
-	build := exec.CommandContext(ctx, "go", append(args, "./cmd/firplank-proxy", "./cmd/firplank-control")...)
-	build.Stderr = os.Stderr
-	if err := build.Run(); err != nil {
-		return fmt.Errorf("build: %w", err)
-	}
-	return nil
-}
-
 // play plays one seed in a folder, which is kept elsewhere if promises were broken.
 func (c *soakCommand) play(ctx context.Context, folder, programs string, seed uint64) (*soak.Report, error) {
 	if err := os.MkdirAll(folder, 0o755); err != nil {
@@ -107,9 +93,11 @@
 
 func printReport(printer *output.Printer, r *soak.Report) {
 	n := &r.Counts
-	printer.Printf("seed %d: %d troubles (%d skipped), %d requests: %d served, %d refused, %d failed, %d broken off, %d expired, %d left, %d unreached; "+
+	printer.Printf("seed %d: %d troubles (%d skipped), %d requests: %d served, %d refused, %d failed, "+
+		"%d broken off, %d expired, %d left, %d unreached; "+
 		"%d changes, %d acknowledged, %d reads; %d stalls; %d violations\n",
-		r.Seed, r.Troubles, r.Skipped, n.Requests, n.Served, n.Refused, n.Failed, n.Broken, n.Expired, n.Left, n.Unreached, n.Changes, n.Acknowledged, n.Reads,
+		r.Seed, r.Troubles, r.Skipped, n.Requests, n.Served, n.Refused, n.Failed,
+		n.Broken, n.Expired, n.Left, n.Unreached, n.Changes, n.Acknowledged, n.Reads,
 		r.Stalls, len(r.Violations))
 	printed := map[string]int{}
 	for _, v := range r.Violations {
--- a/lab/explore/members/faults.go
+++ b/lab/explore/members/faults.go
@@ -161,19 +161,25 @@
 }
 
 func (w *world) wipeSeveralOfAll() time.Duration {
-	w.lose(w.several())
-	var all []*machine
+	victims := w.several()
+	w.lose(victims)
+	w.restartAll(victims, 150*time.Millisecond)
+	return w.now + syncS
+}
+
+// restartAll kills all machines that are up, and starts them and others that are down, with some time between.
+func (w *world) restartAll(down []*machine, most time.Duration) {
+	all := slices.Clone(down)
 	for _, m := range w.machines {
-		if !m.removed {
+		if m.up() {
 			m.down()
 			all = append(all, m)
 		}
 	}
 	for _, m := range all {
-		w.pass(w.between(step, 150*time.Millisecond))
+		w.pass(w.between(step, most))
 		m.start(false)
 	}
-	return w.now + syncS
 }
 
 func (w *world) kill() time.Duration {
@@ -212,17 +218,7 @@
 }
 
 func (w *world) killAll() time.Duration {
-	var all []*machine
-	for _, m := range w.machines {
-		if m.up() {
-			m.down()
-			all = append(all, m)
-		}
-	}
-	for _, m := range all {
-		w.pass(w.between(step, 300*time.Millisecond))
-		m.start(false)
-	}
+	w.restartAll(nil, 300*time.Millisecond)
 	return w.now + syncS
 }
 
--- a/lab/explore/members/machine.go
+++ b/lab/explore/members/machine.go
@@ -82,7 +82,9 @@
 		m.disk = &s
 	}
 	m.putBehindDisk()
-	config := reconcile.Config{Self: m.name, Zone: m.zone, Timeouts: m.timeouts, Tolerance: w.defect.tolerance(w.tolerance), Seed: m.incarnation << 32}
+	config := reconcile.Config{
+		Self: m.name, Zone: m.zone, Timeouts: m.timeouts, Tolerance: w.defect.tolerance(w.tolerance), Seed: m.incarnation << 32,
+	}
 	m.reconciler = reconcile.New(config, m, m.peers, m, m.nextID)
 }
 
--- a/lab/mesh/mesh_test.go
+++ b/lab/mesh/mesh_test.go
@@ -1,10 +1,10 @@
 package mesh
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"os"
-	"os/exec"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -33,11 +33,7 @@
 
 // built builds the programs, once for all tests, and returns their folder.
 var built = sync.OnceValues(func() (string, error) {
-	out, err := exec.Command("go", "build", "-o", programFolder+"/", "../../cmd/firplank-proxy", "../../cmd/firplank-control").CombinedOutput()
-	if err != nil {
-		err = fmt.Errorf("%w\n%s", err, out)
-	}
-	return programFolder, err
+	return programFolder, Build(context.Background(), programFolder, false)
 })
 
 func TestMain(m *testing.M) {
@@ -52,6 +48,18 @@
 
 func start(t *testing.T, number int) *Mesh { return startWith(t, number, false) }
 
+// stopAtEnd stops a mesh at the test's end, and shows the logs of one that failed.
+func stopAtEnd(t *testing.T, m *Mesh) {
+	t.Cleanup(func() {
+		m.Stop()
+		if t.Failed() {
+			for _, x := range m.All() {
+				t.Logf("%s:\n%s", x.Name, x.Log())
+			}
+		}
+	})
+}
+
 func startWith(t *testing.T, number int, between bool) *Mesh {
 	t.Helper()
 	programs, err := built()
@@ -61,14 +69,7 @@
 		Services: map[string]int{"records": 3, "registry": 2}, Work: 20 * time.Millisecond, Between: between,
 	})
 	must(t, err)
-	t.Cleanup(func() {
-		m.Stop()
-		if t.Failed() {
-			for _, x := range m.All() {
-				t.Logf("%s:\n%s", x.Name, x.Log())
-			}
-		}
-	})
+	stopAtEnd(t, m)
 	must(t, Await(10*time.Second, "the first configuration is taken", func() bool {
 		status, err := m.Core[0].Put(config(7))
 		return err == nil && status == http.StatusOK
--- a/lab/mesh/promises_test.go
+++ b/lab/mesh/promises_test.go
@@ -22,14 +22,7 @@
 	cfg.Bounds = []string{"graceS=6", "syncS=4", "lastPostS=2.5", "retryRatio=0.2", "retryWindowS=10", "retrySlack=60"}
 	m, err := Start(cfg)
 	must(t, err)
-	t.Cleanup(func() {
-		m.Stop()
-		if t.Failed() {
-			for _, x := range m.All() {
-				t.Logf("%s:\n%s", x.Name, x.Log())
-			}
-		}
-	})
+	stopAtEnd(t, m)
 	must(t, Await(10*time.Second, "the first configuration is taken", func() bool {
 		status, err := m.Core[0].Put(config(7))
 		return err == nil && status == http.StatusOK
@@ -208,7 +201,8 @@
  "fleets":[{"name":"records","healthPath":"/health","maxConns":100},{"name":"registry","healthPath":"/health","maxConns":100}]}`, edition)
 }
 
-// The link of a machine is full, so that datagrams are lost on it: it is not lost by that, and what its server is at work on is not cut off.
+// The link of a machine is full, so that datagrams are lost on it: it is not lost by that, and what its server is at work on is not cut
+// off.
 func TestFullLinkIsNoLoss(t *testing.T) {
 	m := startForPromises(t, Config{Net: 52, Core: 3, Tolerance: 1, Links: true})
 	must(t, Await(5*time.Second, "the long route is in force", func() bool {
--- a/lab/soak/budgets.go
+++ b/lab/soak/budgets.go
@@ -27,7 +27,6 @@
 	patient time.Duration // how long its client says that it waits
 	leftAt  time.Duration // when its client left early; 0: it did not
 	servers []string      // that ran it, without those that ended meanwhile
-	late    bool          // a server got it long after its client had left
 }
 
 // arrival is a request that reached a server.
--- a/lab/soak/judge.go
+++ b/lab/soak/judge.go
@@ -110,9 +110,9 @@
 // NewJudge returns a judge that has seen nothing.
 func NewJudge() *Judge {
 	return &Judge{
-		requests: map[string]*request{}, arrivals: map[string][]arrival{}, runs: map[string]int{}, spoilt: map[string]bool{}, ranOn: map[string]string{}, gone: map[string]time.Duration{},
-		promised: map[string]string{}, disturbed: map[string][]span{}, stops: map[string][]span{},
-		markers: map[[2]string]seenMarker{}, acked: map[uint32]ack{},
+		requests: map[string]*request{}, arrivals: map[string][]arrival{}, runs: map[string]int{}, spoilt: map[string]bool{},
+		ranOn: map[string]string{}, gone: map[string]time.Duration{}, promised: map[string]string{}, disturbed: map[string][]span{},
+		stops: map[string][]span{}, markers: map[[2]string]seenMarker{}, acked: map[uint32]ack{},
 	}
 }
 
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -2,10 +2,10 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -20,11 +20,7 @@
 
 // built builds the programs, once for all tests, and returns their folder.
 var built = sync.OnceValues(func() (string, error) {
-	out, err := exec.Command("go", "build", "-o", programFolder+"/", "../../cmd/firplank-proxy", "../../cmd/firplank-control").CombinedOutput()
-	if err != nil {
-		err = fmt.Errorf("%w\n%s", err, out)
-	}
-	return programFolder, err
+	return programFolder, mesh.Build(context.Background(), programFolder, false)
 })
 
 func TestMain(m *testing.M) {
@@ -93,141 +89,156 @@
 // secondsAfter is a time of the day that tests of the judge play.
 func secondsAfter(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-// A judge that finds nothing has to be one that would: each broken promise is found, and what is allowed is not.
-func TestJudge(t *testing.T) {
-	ok := func(id string) exchange {
-		return exchange{id: id, machine: "branch-1", sent: secondsAfter(10), ended: secondsAfter(10.1), deadline: clientDeadline, status: http.StatusOK}
-	}
-	ran := func(j *Judge, id string, since time.Duration) {
-		if j.requests[id] == nil {
-			j.Sent(secondsAfter(9.9), id, "branch-1", clientDeadline)
-		}
-		j.Arrived(secondsAfter(10), "branch-1", mesh.Arrival{
-			RequestID: id, Server: "i-1", Service: safeLine, SinceClosing: since, Remaining: time.Second,
-		})
-	}
-	ranOn := func(j *Judge, id, server string, at float64, remaining time.Duration) {
-		j.Arrived(secondsAfter(at), "branch-1", mesh.Arrival{RequestID: id, Server: server, Service: safeLine, Remaining: remaining})
+// Helpers of the judge's histories: a request of branch-1 that is served, a change of it, its run, and an acknowledgement.
+
+func ok(id string) exchange {
+	return exchange{
+		id: id, machine: "branch-1", sent: secondsAfter(10), ended: secondsAfter(10.1), deadline: clientDeadline, status: http.StatusOK,
 	}
-	with := func(x exchange, change func(*exchange)) exchange {
-		change(&x)
-		return x
+}
+
+func with(x exchange, change func(*exchange)) exchange {
+	change(&x)
+	return x
+}
+
+func ran(j *Judge, id string, since time.Duration) {
+	if j.requests[id] == nil {
+		j.Sent(secondsAfter(9.9), id, "branch-1", clientDeadline)
 	}
-	acknowledge := func(j *Judge, at float64, c change) { j.Acknowledged(secondsAfter(at), secondsAfter(at-0.1), c) }
-	seven := newChange(7, "")
-	for _, c := range []struct {
-		name, want string // the rule that is broken; empty: none
-		do         func(j *Judge)
-	}{
-		{"a request is served", "", func(j *Judge) { ran(j, "a", 0); j.Ended(ok("a")) }},
-		{"an answer that no server gave", "MIXED", func(j *Judge) { j.Ended(ok("a")) }},
-		{"another's answer", "MIXED", func(j *Judge) {
-			ran(j, "a", 0)
-			j.Ended(with(ok("a"), func(x *exchange) { x.wrong = true }))
-		}},
-		{"one that may run once runs twice", "TWICE", func(j *Judge) { ran(j, "u", 0); ran(j, "u", 0) }},
-		{"a refused one has run", "REFUSED", func(j *Judge) {
-			ran(j, "u", 0)
-			j.Ended(with(ok("u"), func(x *exchange) { x.unsafe, x.status = true, 503 }))
-		}},
-		{"no route", "DENIED", func(j *Judge) { j.Ended(with(ok("a"), func(x *exchange) { x.status = 404 })) }},
-		{"a closing server is sent something", "DRAIN", func(j *Judge) { ran(j, "a", lastPost+time.Second) }},
-		{"a closing server is sent something in time", "", func(j *Judge) { ran(j, "a", lastPost-time.Second) }},
-		{"... by a machine in trouble", "", func(j *Judge) {
-			j.Disturbed(secondsAfter(8), secondsAfter(9), "branch-1")
-			ran(j, "a", lastPost+time.Second)
-		}},
-		{"an acknowledged version is not in force", "CONFIG", func(j *Judge) {
-			acknowledge(j, 5, seven)
-			j.Ended(with(ok("a"), func(x *exchange) { x.marker, x.status = 7, 404 }))
-		}},
-		{"... and the machine is not in touch", "", func(j *Judge) {
-			acknowledge(j, 5, seven)
-			j.Disturbed(secondsAfter(8), secondsAfter(9), "branch-1")
-			j.Ended(with(ok("a"), func(x *exchange) { x.marker, x.status = 7, 404 }))
-		}},
-		{"... and there was no time for it", "", func(j *Judge) {
-			acknowledge(j, 9, seven)
-			j.Ended(with(ok("a"), func(x *exchange) { x.marker, x.status = 7, 404 }))
-		}},
-		{"a machine goes back, in touch or not", "CONFIG", func(j *Judge) {
-			j.Disturbed(secondsAfter(8), secondsAfter(20), "branch-1")
-			ran(j, "a", 0)
-			j.Ended(with(ok("a"), func(x *exchange) { x.marker = 7 }))
-			j.Ended(with(ok("b"), func(x *exchange) { x.marker, x.status, x.sent, x.ended = 6, 404, secondsAfter(12), secondsAfter(12.1) }))
-		}},
-		{"a new process may be behind", "", func(j *Judge) {
-			ran(j, "a", 0)
-			j.Ended(with(ok("a"), func(x *exchange) { x.marker = 7 }))
-			j.Ended(with(ok("b"), func(x *exchange) { x.marker, x.status, x.life, x.sent = 6, 404, 1, secondsAfter(12) }))
-		}},
-		{"two contents of a version", "CONFIG", func(j *Judge) { acknowledge(j, 5, seven); acknowledge(j, 6, newChange(7, "rival")) }},
-		{"what was acknowledged is refused", "CONFIG", func(j *Judge) { acknowledge(j, 5, seven); j.Conflict(secondsAfter(6), seven, "core-1") }},
-		{"an old configuration is read", "CONFIG", func(j *Judge) {
-			acknowledge(j, 5, seven)
-			old := newChange(6, "")
-			j.Read(secondsAfter(8), secondsAfter(8.1), "core-1", 6, old.text)
-		}},
-		{"the newest is read", "", func(j *Judge) {
-			acknowledge(j, 5, seven)
-			j.Read(secondsAfter(8), secondsAfter(8.1), "core-1", 7, seven.text)
-		}},
-		{"an order waits too long", "ACKS", func(j *Judge) { j.Acknowledged(secondsAfter(20), secondsAfter(10), seven) }},
-		{"... in a partition", "", func(j *Judge) {
-			j.Disturbed(secondsAfter(11), secondsAfter(15), core)
-			j.Acknowledged(secondsAfter(20), secondsAfter(10), seven)
-		}},
-		{"a request is cut off around a SIGTERM", "LOST", func(j *Judge) {
-			j.Stop(secondsAfter(9), "branch-1")(secondsAfter(14))
-			j.Ended(with(ok("a"), func(x *exchange) { x.status = http.StatusBadGateway }))
-		}},
-		{"... by its server", "", func(j *Judge) {
-			j.Stop(secondsAfter(9), "branch-1")(secondsAfter(14))
-			j.Sent(secondsAfter(9.9), "a", "branch-1", clientDeadline)
-			j.Arrived(secondsAfter(10), "branch-1", mesh.Arrival{RequestID: "a", Server: "i-1", Remaining: time.Second, Spoilt: true})
-			j.Ended(with(ok("a"), func(x *exchange) { x.status = http.StatusBadGateway }))
-		}},
-		{"... in the last sixth of its time", "", func(j *Judge) {
-			j.Stop(secondsAfter(9), "branch-1")(secondsAfter(14.5))
-			j.Ended(with(ok("a"), func(x *exchange) {
-				x.ending, x.status, x.ended, x.deadline = broken, 0, secondsAfter(14.2), time.Minute
-			}))
-		}},
-		{"a request that nobody has sent", "UNASKED", func(j *Judge) { ranOn(j, "nobody's", "i-1", 10, time.Second) }},
-		{"requests reach servers long after their clients have left", "GONE", func(j *Judge) {
-			for i := range 2 * maxGone {
-				id := fmt.Sprint(i)
-				j.Sent(secondsAfter(9), id, "branch-1", clientDeadline)
-				j.Ended(exchange{id: id, machine: "branch-1", sent: secondsAfter(9), ended: secondsAfter(9.1), ending: left})
-				ranOn(j, id, "i-1", 10.2, time.Second)
-			}
-		}},
-		{"servers are handed more time than is left", "BUDGET", func(j *Judge) {
-			for i := range 2 * maxExtraTime {
-				j.Sent(secondsAfter(9), fmt.Sprint(i), "branch-1", time.Second)
-				ranOn(j, fmt.Sprint(i), "i-1", 9.5, 2*time.Second)
-			}
-		}},
-		{"requests run on more servers than their attempts", "BUDGET", func(j *Judge) {
-			for i := range 2 * exceptions {
-				j.Sent(secondsAfter(9), fmt.Sprint(i), "branch-1", clientDeadline)
-				for server := range routeTries + 1 {
-					ranOn(j, fmt.Sprint(i), fmt.Sprint("i-", server), 9.5, time.Second)
-				}
-			}
-		}},
-		{"a service gets too many repeats", "BUDGET", func(j *Judge) {
-			for i := range 2 * retrySlack {
-				j.Sent(secondsAfter(9), fmt.Sprint(i), "branch-1", clientDeadline)
-				ranOn(j, fmt.Sprint(i), "i-1", 9.5, time.Second)
-				ranOn(j, fmt.Sprint(i), "i-2", 9.6, time.Second)
+	j.Arrived(secondsAfter(10), "branch-1", mesh.Arrival{
+		RequestID: id, Server: "i-1", Service: safeLine, SinceClosing: since, Remaining: time.Second,
+	})
+}
+
+func ranOn(j *Judge, id, server string, at float64, remaining time.Duration) {
+	j.Arrived(secondsAfter(at), "branch-1", mesh.Arrival{RequestID: id, Server: server, Service: safeLine, Remaining: remaining})
+}
+
+func acknowledge(j *Judge, at float64, c change) {
+	j.Acknowledged(secondsAfter(at), secondsAfter(at-0.1), c)
+}
+
+var seven = newChange(7, "")
+
+// judgeCases are small histories, each with the rule that it breaks.
+var judgeCases = []struct {
+	name, want string // the rule that is broken; empty: none
+	do         func(j *Judge)
+}{
+	{"a request is served", "", func(j *Judge) { ran(j, "a", 0); j.Ended(ok("a")) }},
+	{"an answer that no server gave", "MIXED", func(j *Judge) { j.Ended(ok("a")) }},
+	{"another's answer", "MIXED", func(j *Judge) {
+		ran(j, "a", 0)
+		j.Ended(with(ok("a"), func(x *exchange) { x.wrong = true }))
+	}},
+	{"one that may run once runs twice", "TWICE", func(j *Judge) { ran(j, "u", 0); ran(j, "u", 0) }},
+	{"a refused one has run", "REFUSED", func(j *Judge) {
+		ran(j, "u", 0)
+		j.Ended(with(ok("u"), func(x *exchange) { x.unsafe, x.status = true, 503 }))
+	}},
+	{"no route", "DENIED", func(j *Judge) { j.Ended(with(ok("a"), func(x *exchange) { x.status = 404 })) }},
+	{"a closing server is sent something", "DRAIN", func(j *Judge) { ran(j, "a", lastPost+time.Second) }},
+	{"a closing server is sent something in time", "", func(j *Judge) { ran(j, "a", lastPost-time.Second) }},
+	{"... by a machine in trouble", "", func(j *Judge) {
+		j.Disturbed(secondsAfter(8), secondsAfter(9), "branch-1")
+		ran(j, "a", lastPost+time.Second)
+	}},
+	{"an acknowledged version is not in force", "CONFIG", func(j *Judge) {
+		acknowledge(j, 5, seven)
+		j.Ended(with(ok("a"), func(x *exchange) { x.marker, x.status = 7, 404 }))
+	}},
+	{"... and the machine is not in touch", "", func(j *Judge) {
+		acknowledge(j, 5, seven)
+		j.Disturbed(secondsAfter(8), secondsAfter(9), "branch-1")
+		j.Ended(with(ok("a"), func(x *exchange) { x.marker, x.status = 7, 404 }))
+	}},
+	{"... and there was no time for it", "", func(j *Judge) {
+		acknowledge(j, 9, seven)
+		j.Ended(with(ok("a"), func(x *exchange) { x.marker, x.status = 7, 404 }))
+	}},
+	{"a machine goes back, in touch or not", "CONFIG", func(j *Judge) {
+		j.Disturbed(secondsAfter(8), secondsAfter(20), "branch-1")
+		ran(j, "a", 0)
+		j.Ended(with(ok("a"), func(x *exchange) { x.marker = 7 }))
+		j.Ended(with(ok("b"), func(x *exchange) { x.marker, x.status, x.sent, x.ended = 6, 404, secondsAfter(12), secondsAfter(12.1) }))
+	}},
+	{"a new process may be behind", "", func(j *Judge) {
+		ran(j, "a", 0)
+		j.Ended(with(ok("a"), func(x *exchange) { x.marker = 7 }))
+		j.Ended(with(ok("b"), func(x *exchange) { x.marker, x.status, x.life, x.sent = 6, 404, 1, secondsAfter(12) }))
+	}},
+	{"two contents of a version", "CONFIG", func(j *Judge) { acknowledge(j, 5, seven); acknowledge(j, 6, newChange(7, "rival")) }},
+	{"what was acknowledged is refused", "CONFIG", func(j *Judge) { acknowledge(j, 5, seven); j.Conflict(secondsAfter(6), seven, "core-1") }},
+	{"an old configuration is read", "CONFIG", func(j *Judge) {
+		acknowledge(j, 5, seven)
+		old := newChange(6, "")
+		j.Read(secondsAfter(8), secondsAfter(8.1), "core-1", 6, old.text)
+	}},
+	{"the newest is read", "", func(j *Judge) {
+		acknowledge(j, 5, seven)
+		j.Read(secondsAfter(8), secondsAfter(8.1), "core-1", 7, seven.text)
+	}},
+	{"an order waits too long", "ACKS", func(j *Judge) { j.Acknowledged(secondsAfter(20), secondsAfter(10), seven) }},
+	{"... in a partition", "", func(j *Judge) {
+		j.Disturbed(secondsAfter(11), secondsAfter(15), core)
+		j.Acknowledged(secondsAfter(20), secondsAfter(10), seven)
+	}},
+	{"a request is cut off around a SIGTERM", "LOST", func(j *Judge) {
+		j.Stop(secondsAfter(9), "branch-1")(secondsAfter(14))
+		j.Ended(with(ok("a"), func(x *exchange) { x.status = http.StatusBadGateway }))
+	}},
+	{"... by its server", "", func(j *Judge) {
+		j.Stop(secondsAfter(9), "branch-1")(secondsAfter(14))
+		j.Sent(secondsAfter(9.9), "a", "branch-1", clientDeadline)
+		j.Arrived(secondsAfter(10), "branch-1", mesh.Arrival{RequestID: "a", Server: "i-1", Remaining: time.Second, Spoilt: true})
+		j.Ended(with(ok("a"), func(x *exchange) { x.status = http.StatusBadGateway }))
+	}},
+	{"... in the last sixth of its time", "", func(j *Judge) {
+		j.Stop(secondsAfter(9), "branch-1")(secondsAfter(14.5))
+		j.Ended(with(ok("a"), func(x *exchange) {
+			x.ending, x.status, x.ended, x.deadline = broken, 0, secondsAfter(14.2), time.Minute
+		}))
+	}},
+	{"a request that nobody has sent", "UNASKED", func(j *Judge) { ranOn(j, "nobody's", "i-1", 10, time.Second) }},
+	{"requests reach servers long after their clients have left", "GONE", func(j *Judge) {
+		for i := range 2 * maxGone {
+			id := fmt.Sprint(i)
+			j.Sent(secondsAfter(9), id, "branch-1", clientDeadline)
+			j.Ended(exchange{id: id, machine: "branch-1", sent: secondsAfter(9), ended: secondsAfter(9.1), ending: left})
+			ranOn(j, id, "i-1", 10.2, time.Second)
+		}
+	}},
+	{"servers are handed more time than is left", "BUDGET", func(j *Judge) {
+		for i := range 2 * maxExtraTime {
+			j.Sent(secondsAfter(9), fmt.Sprint(i), "branch-1", time.Second)
+			ranOn(j, fmt.Sprint(i), "i-1", 9.5, 2*time.Second)
+		}
+	}},
+	{"requests run on more servers than their attempts", "BUDGET", func(j *Judge) {
+		for i := range 2 * exceptions {
+			j.Sent(secondsAfter(9), fmt.Sprint(i), "branch-1", clientDeadline)
+			for server := range routeTries + 1 {
+				ranOn(j, fmt.Sprint(i), fmt.Sprint("i-", server), 9.5, time.Second)
 			}
-		}},
-		{"... long after the SIGTERM", "LOST", func(j *Judge) {
-			j.Stop(secondsAfter(5), "branch-1")(secondsAfter(10.5))
-			j.Ended(with(ok("a"), func(x *exchange) { x.ending, x.status = broken, 0 }))
-		}},
-	} {
+		}
+	}},
+	{"a service gets too many repeats", "BUDGET", func(j *Judge) {
+		for i := range 2 * retrySlack {
+			j.Sent(secondsAfter(9), fmt.Sprint(i), "branch-1", clientDeadline)
+			ranOn(j, fmt.Sprint(i), "i-1", 9.5, time.Second)
+			ranOn(j, fmt.Sprint(i), "i-2", 9.6, time.Second)
+		}
+	}},
+	{"... long after the SIGTERM", "LOST", func(j *Judge) {
+		j.Stop(secondsAfter(5), "branch-1")(secondsAfter(10.5))
+		j.Ended(with(ok("a"), func(x *exchange) { x.ending, x.status = broken, 0 }))
+	}},
+}
+
+// A judge that finds nothing has to be one that would: each broken promise is found, and what is allowed is not.
+func TestJudge(t *testing.T) {
+	for _, c := range judgeCases {
 		j := NewJudge()
 		c.do(j)
 		j.Finish(secondsAfter(30), []string{"u"})
--- a/mesh/admission/controller_test.go
+++ b/mesh/admission/controller_test.go
@@ -52,7 +52,9 @@
 		c.Release(arg)
 	case "recall":
 		id, state, _ := strings.Cut(arg, ":")
-		was := map[string]directory.State{"": directory.Accepting, "closing": directory.Closing, "ending": directory.Draining, "left": directory.Departed}[state]
+		was := map[string]directory.State{
+			"": directory.Accepting, "closing": directory.Closing, "ending": directory.Draining, "left": directory.Departed,
+		}[state]
 		c.Restore(now, &directory.Entry{Server: id, Service: "records", Slots: 2, State: was})
 	case "ask": // for whom, of what rank, forwarded how often
 		parts := strings.Split(arg+":0:0", ":")
--- a/mesh/admission/server.go
+++ b/mesh/admission/server.go
@@ -115,7 +115,8 @@
 	return true
 }
 
-// Tick counts the server as unresponsive after its heartbeat time-out, or where nothing confirms what was restored. It reports whether that brought a change.
+// Tick counts the server as unresponsive after its heartbeat time-out, or where nothing confirms what was restored. It reports whether that
+// brought a change.
 func (c *Controller) Tick(now time.Duration) (changed bool) {
 	if c.state != directory.Accepting || now-c.lastSeen <= c.heartbeatTimeout && !c.unconfirmed(now) {
 		return false
--- a/mesh/dataplane/announcement.go
+++ b/mesh/dataplane/announcement.go
@@ -20,8 +20,8 @@
 	p.announcements.await(now, p.node.Announced(), e.done)
 }
 
-// announcements are those that wait, by the sequence of this sidecar's entry. It belongs to the loop. Its size is bounded by the calls of the
-// local server that wait, each for confirmTimeout.
+// announcements are those that wait, by the sequence of this sidecar's entry. It belongs to the loop. Its size is bounded by the calls of
+// the local server that wait, each for confirmTimeout.
 type announcements struct{ waiting []waitingAnnouncement }
 
 type waitingAnnouncement struct {
@@ -48,8 +48,8 @@
 	a.waiting = remaining
 }
 
-// confirmAnnouncement has the loop announce the server's state, if it has changed, and waits for confirmTimeout at most until another process
-// has it. It is called by the goroutine of a call of the local server.
+// confirmAnnouncement has the loop announce the server's state, if it has changed, and waits for confirmTimeout at most until another
+// process has it. It is called by the goroutine of a call of the local server.
 func (p *Proxy) confirmAnnouncement(changed bool) bool {
 	e := announcement{announce: changed, done: make(chan struct{})}
 	if !p.post(e) {
--- a/mesh/dataplane/distribution/node.go
+++ b/mesh/dataplane/distribution/node.go
@@ -197,8 +197,8 @@
 	n.CheckReady(now)
 }
 
-// reconcileOwnEntry handles an entry of this sidecar. One of the present incarnation shows what the parent has. A later incarnation than the present
-// one is of a process that ran before the time of day was set back; the sidecar then continues as a still later one.
+// reconcileOwnEntry handles an entry of this sidecar. One of the present incarnation shows what the parent has. A later incarnation
+// than the present one is of a process that ran before the time of day was set back; the sidecar then continues as a still later one.
 func (n *Node) reconcileOwnEntry(now time.Duration, e *directory.Entry) {
 	switch {
 	case e.Incarnation == n.own.Incarnation:
--- a/mesh/dataplane/lifecycle.go
+++ b/mesh/dataplane/lifecycle.go
@@ -147,7 +147,8 @@
 func (p *Proxy) serve(ctx context.Context, reloads <-chan os.Signal) error {
 	settings := p.settings.Load()
 	p.startUpstreams(sockets(settings))
-	out, err := p.newFront(clientDialect{config: &p.cfg, services: &p.services, shutdown: &p.shutdown, refused: p.figures.lateAtShutdown}, noExchange{p.ctx}, sockets(settings)/4)
+	clients := clientDialect{config: &p.cfg, services: &p.services, shutdown: &p.shutdown, refused: p.figures.lateAtShutdown}
+	out, err := p.newFront(clients, noExchange{p.ctx}, sockets(settings)/4)
 	if err != nil {
 		return err
 	}
--- a/mesh/wire/budget_test.go
+++ b/mesh/wire/budget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"runtime"
 	"testing"
 )
@@ -94,7 +95,7 @@
 		if distance <= 0 {
 			t.Fatal("the string lies ahead of the entries, which an offset can't point to")
 		}
-		shared[field], shared[field+1], shared[field+2], shared[field+3] = byte(distance), byte(distance>>8), byte(distance>>16), byte(distance>>24)
+		binary.LittleEndian.PutUint32(shared[field:], uint32(distance))
 	}
 	return shared
 }
