--- a/cmd/firplank-lab/explore.go
+++ b/cmd/firplank-lab/explore.go
@@ -26,6 +26,33 @@
 	Roster   exploreRosterCommand   `cmd:"" help:"${rosterHelp}"`
 }
 
+// defectsFlag is the flag that all explorers have.
+type defectsFlag struct {
+	Defects bool `help:"Plant each known defect and search until it is found, in place of the program as it is."`
+}
+
+// plantedDefect is the search for one planted defect: where it was found, in the explorer's units, and as what; a nil breach: it was not.
+type plantedDefect struct {
+	name   string
+	at     any
+	breach error
+}
+
+// reportDefects prints what became of each of count planted defects. It is an error that one was not found.
+func reportDefects(printer *output.Printer, unit string, count int, search func(i int) plantedDefect) error {
+	missed := 0
+	for i := range count {
+		d := search(i)
+		if d.breach == nil {
+			missed++
+			printer.Printf("%-70s NOT FOUND\n", d.name)
+			continue
+		}
+		printer.Printf("%-70s %s %v: %v\n", d.name, unit, d.at, d.breach)
+	}
+	return missing(printer, missed)
+}
+
 type exploreRosterCommand struct {
 	Depth   int    `help:"Choices in a row of which every order is played." default:"10"`
 	States  int    `help:"States that are told apart at most." default:"2000000"`
@@ -34,7 +61,7 @@
 	Runs    int    `help:"Deep orders drawn at random besides." default:"20000"`
 	Deep    int    `help:"Choices in each of those." default:"120"`
 	Seed    uint64 `help:"Of the deep orders." default:"1"`
-	Defects bool   `help:"Plant each known defect and search until it is found, in place of the program as it is."`
+	defectsFlag
 }
 
 type exploreFleetCommand struct {
@@ -45,14 +72,14 @@
 	Runs    int    `help:"Deep orders drawn at random besides." default:"5000"`
 	Deep    int    `help:"Choices in each of those." default:"80"`
 	Seed    uint64 `help:"Of the deep orders." default:"1"`
-	Defects bool   `help:"Plant each known defect and search until it is found, in place of the program as it is."`
+	defectsFlag
 }
 
 type exploreRegisterCommand struct {
-	Orders  uint64 `help:"Deep orders drawn at random." default:"20000"`
-	Deep    int    `help:"Choices in each." default:"200"`
-	Seed    uint64 `help:"Of the first order; each has one more." default:"1"`
-	Defects bool   `help:"Plant each known defect and search until it is found, in place of the program as it is."`
+	Orders uint64 `help:"Deep orders drawn at random." default:"20000"`
+	Deep   int    `help:"Choices in each." default:"200"`
+	Seed   uint64 `help:"Of the first order; each has one more." default:"1"`
+	defectsFlag
 }
 
 func (c *exploreRegisterCommand) Run(_ context.Context, out io.Writer) error {
@@ -66,26 +93,19 @@
 		printer.Printf("%d deep orders of up to %d steps, no breach\n", c.Orders, c.Deep)
 		return printer.Err()
 	}
-	missed := 0
-	for i := range register.Defects {
+	return reportDefects(printer, "order", len(register.Defects), func(i int) plantedDefect {
 		d := &register.Defects[i]
 		seed, breach := register.Search(d.Bounds, d, c.Seed, c.Orders, c.Deep)
-		if breach == nil {
-			missed++
-			printer.Printf("%-70s NOT FOUND in %d orders\n", d.Name, c.Orders)
-			continue
-		}
-		printer.Printf("%-70s order %d: %v\n", d.Name, seed, breach)
-	}
-	return missing(printer, missed)
+		return plantedDefect{d.Name, seed, breach}
+	})
 }
 
 type exploreLeaseCommand struct {
-	Depth   int    `help:"Choices in a row of which every order is played." default:"4"`
-	Runs    int    `help:"Deep orders drawn at random besides." default:"20000"`
-	Deep    int    `help:"Choices in each of those." default:"80"`
-	Seed    uint64 `help:"Of the deep orders." default:"1"`
-	Defects bool   `help:"Plant each known defect and search until it is found, in place of the program as it is."`
+	Depth int    `help:"Choices in a row of which every order is played." default:"4"`
+	Runs  int    `help:"Deep orders drawn at random besides." default:"20000"`
+	Deep  int    `help:"Choices in each of those." default:"80"`
+	Seed  uint64 `help:"Of the deep orders." default:"1"`
+	defectsFlag
 }
 
 func (c *exploreLeaseCommand) Run(_ context.Context, out io.Writer) error {
--- a/cmd/firplank-lab/explore_calls.go
+++ b/cmd/firplank-lab/explore_calls.go
@@ -9,10 +9,10 @@
 )
 
 type exploreCallsCommand struct {
-	Orders  uint64 `help:"Deep orders drawn at random." default:"100000"`
-	Deep    int    `help:"Choices in each." default:"50"`
-	Seed    uint64 `help:"Of the first order; each has one more." default:"1"`
-	Defects bool   `help:"Plant each known defect and search until it is found, in place of the program as it is."`
+	Orders uint64 `help:"Deep orders drawn at random." default:"100000"`
+	Deep   int    `help:"Choices in each." default:"50"`
+	Seed   uint64 `help:"Of the first order; each has one more." default:"1"`
+	defectsFlag
 }
 
 // Run searches, for a breach or for each planted defect.
@@ -27,16 +27,9 @@
 		printer.Printf("%d deep orders of up to %d steps, no breach\n", c.Orders, c.Deep)
 		return printer.Err()
 	}
-	missed := 0
-	for i := range calls.Defects {
+	return reportDefects(printer, "order", len(calls.Defects), func(i int) plantedDefect {
 		d := &calls.Defects[i]
 		seed, breach := calls.Search(calls.Usual, d, c.Seed, c.Orders, c.Deep)
-		if breach == nil {
-			missed++
-			printer.Printf("%-70s NOT FOUND in %d orders\n", d.Name, c.Orders)
-			continue
-		}
-		printer.Printf("%-70s order %d: %v\n", d.Name, seed, breach)
-	}
-	return missing(printer, missed)
+		return plantedDefect{d.Name, seed, breach}
+	})
 }
--- a/cmd/firplank-lab/explore_cutoff.go
+++ b/cmd/firplank-lab/explore_cutoff.go
@@ -9,8 +9,8 @@
 )
 
 type exploreCutoffCommand struct {
-	Seeds   uint64 `help:"Days of each kind." default:"4"`
-	Defects bool   `help:"Plant each known defect and search until it is found, in place of the program as it is."`
+	Seeds uint64 `help:"Days of each kind." default:"4"`
+	defectsFlag
 }
 
 // Run carries it out.
@@ -26,15 +26,9 @@
 		printer.Printf("%d days, no breach\n", played)
 		return printer.Err()
 	}
-	missed := 0
-	for i := range cutoff.Defects {
-		played, day, breach := cutoff.Search(days, &cutoff.Defects[i])
-		if breach == nil {
-			missed++
-			printer.Printf("%-70s NOT FOUND in %d days\n", cutoff.Defects[i].Name, played)
-			continue
-		}
-		printer.Printf("%-70s day %d (%v): %v\n", cutoff.Defects[i].Name, played, day, breach)
-	}
-	return missing(printer, missed)
+	return reportDefects(printer, "day", len(cutoff.Defects), func(i int) plantedDefect {
+		d := &cutoff.Defects[i]
+		_, day, breach := cutoff.Search(days, d)
+		return plantedDefect{d.Name, day, breach}
+	})
 }
--- a/cmd/firplank-lab/explore_members.go
+++ b/cmd/firplank-lab/explore_members.go
@@ -10,26 +10,21 @@
 )
 
 type exploreMembersCommand struct {
-	Orders  uint64 `help:"Orders in each of the usual surroundings." default:"400"`
-	Faults  int    `help:"Faults in each order." default:"6"`
-	Seed    uint64 `help:"Of the first order; each has one more." default:"1"`
-	Defects bool   `help:"Plant each known defect and search until it is found, in place of the program as it is."`
+	Orders uint64 `help:"Orders in each of the usual surroundings." default:"400"`
+	Faults int    `help:"Faults in each order." default:"6"`
+	Seed   uint64 `help:"Of the first order; each has one more." default:"1"`
+	defectsFlag
 }
 
 // Run carries it out.
 func (c *exploreMembersCommand) Run(_ context.Context, out io.Writer) error {
 	printer := output.New(out)
 	if c.Defects {
-		missed := 0
-		for i := range members.Defects {
+		return reportDefects(printer, "order", len(members.Defects), func(i int) plantedDefect {
 			d := &members.Defects[i]
 			seed, breach := members.Search(d.In, d, c.Seed, c.Orders)
-			if breach == nil {
-				missed++
-			}
-			printer.Printf("%-60s order %d: %v\n", d.Name, seed, breach)
-		}
-		return missing(printer, missed)
+			return plantedDefect{d.Name, seed, breach}
+		})
 	}
 	for _, in := range members.Usual {
 		in.Faults = c.Faults
--- a/cmd/firplank-lab/explore_numbers.go
+++ b/cmd/firplank-lab/explore_numbers.go
@@ -14,7 +14,7 @@
 	Histories uint64 `help:"Histories drawn at random." default:"5000"`
 	Steps     int    `help:"Steps in each, before all is well." default:"400"`
 	Seed      uint64 `help:"Of the first history; each has one more." default:"1"`
-	Defects   bool   `help:"Plant each known defect and search until it is found, in place of the program as it is."`
+	defectsFlag
 }
 
 // Validate checks the flags.
@@ -43,16 +43,9 @@
 }
 
 func (c *exploreNumbersCommand) runDefects(printer *output.Printer) error {
-	missed := 0
-	for i := range numbers.Defects {
+	return reportDefects(printer, "history", len(numbers.Defects), func(i int) plantedDefect {
 		d := &numbers.Defects[i]
 		seed, breach := numbers.Search(d.Bounds, d, c.Seed, c.Histories, c.Steps)
-		if breach == nil {
-			missed++
-			printer.Printf("%-70s NOT FOUND in %d histories\n", d.Name, c.Histories)
-			continue
-		}
-		printer.Printf("%-70s history %d: %v\n", d.Name, seed, breach)
-	}
-	return missing(printer, missed)
+		return plantedDefect{d.Name, seed, breach}
+	})
 }
--- a/lab/explore/cutoff/control.go
+++ b/lab/explore/cutoff/control.go
@@ -227,7 +227,7 @@
 func (c *controlMachine) propose(call *operation, text []byte) {
 	v, _, _ := c.replica.Committed()
 	switch {
-	case c.w.defect.refuses && c.pipeline.Health(c.now()).Accepting(c.now()) != nil:
+	case c.w.defect.refuses && c.pipeline.Health(c.now()).CheckAccepting(c.now()) != nil:
 		c.w.answer(call.call, c.id, 409, call.version)
 		return
 	case call.put && c.w.defect.alone, !call.put && c.w.defect.localRead:
--- a/lab/soak/budgets.go
+++ b/lab/soak/budgets.go
@@ -13,6 +13,7 @@
 	retrySlack   = 60
 	retryWindow  = 10 * time.Second
 	routeTries   = 2 // attempts of the routes
+	heldFor      = 500 * time.Millisecond
 	goneAfter    = 500 * time.Millisecond
 	extraTime    = 500 * time.Millisecond
 	exceptions   = 3
@@ -26,7 +27,8 @@
 	sent    time.Duration
 	patient time.Duration // how long its client says that it waits
 	leftAt  time.Duration // when its client left early; 0: it did not
-	servers []string      // that ran it, without those that ended meanwhile
+	servers []string      // that ran it
+	ranAt   []string      // their machines
 }
 
 // arrival is a request that reached a server.
@@ -50,7 +52,7 @@
 		return
 	}
 	j.arrivals[a.Service] = append(j.arrivals[a.Service], arrival{at, len(r.servers) > 0})
-	r.servers = append(r.servers, a.Server)
+	r.servers, r.ranAt = append(r.servers, a.Server), append(r.ranAt, machine)
 	if !j.calm(at, at, machine, r.machine) {
 		return
 	}
@@ -67,6 +69,12 @@
 	if n := j.counts.AfterLeaving; n > maxGone {
 		j.breaks(at, "GONE", "%d requests reached servers over %v after their clients had left", n, goneAfter)
 	}
+	if n := j.counts.Held; n > exceptions {
+		j.breaks(at, "CONFIG", "%d requests had no answer %v after their deadline", n, heldFor)
+	}
+	if n := j.counts.Dropped; n > exceptions {
+		j.breaks(at, "LOST", "%d requests that servers had run ended without an answer", n)
+	}
 	if n := j.counts.ExtraTime; n > maxExtraTime {
 		j.breaks(at, "BUDGET", "servers were handed %d requests with more time than was left", n)
 	}
--- a/lab/soak/judge.go
+++ b/lab/soak/judge.go
@@ -105,6 +105,9 @@
 	Runs, Changes, Acknowledged, Reads int
 	// AfterLeaving are arrivals long after the client had left, ExtraTime those with more time than is left.
 	AfterLeaving, ExtraTime int
+	// Held are requests without an answer heldFor after their client's deadline, Dropped those that a server has run and whose connection
+	// ended without an answer, both at machines in touch.
+	Held, Dropped int
 }
 
 // NewJudge returns a judge that has seen nothing.
@@ -208,6 +211,9 @@
 	if r := j.requests[x.id]; r != nil && x.ending == left {
 		r.leftAt = x.ended
 	}
+	if x.ending == expired && j.calm(x.sent, x.ended, x.machine) {
+		j.counts.Held++
+	}
 	if x.ending != answered && x.ending != broken {
 		return
 	}
@@ -286,6 +292,10 @@
 	if gone, ended := j.gone[j.ranOn[x.id]]; j.spoilt[x.id] || ended && gone >= x.sent {
 		return // the server broke off
 	}
+	r := j.requests[x.id]
+	if x.ending == broken && r != nil && len(r.servers) > 0 && j.calm(x.sent, x.ended, append(r.ranAt, x.machine)...) {
+		j.counts.Dropped++
+	}
 	stop, stopping := j.stopping(x.machine, x.sent)
 	if !stopping {
 		stop, stopping = j.stopping(x.machine, x.ended)
--- a/lab/soak/load.go
+++ b/lab/soak/load.go
@@ -79,7 +79,7 @@
 		l.unsafe = append(l.unsafe, e.id)
 		l.mu.Unlock()
 	}
-	patience := clientDeadline
+	patience := clientDeadline + heldFor // by its own deadline the client has an answer
 	if l.leaving.Load() && random.IntN(3) == 0 {
 		patience = earlyLeave
 	}
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -209,6 +209,24 @@
 			ranOn(j, id, "i-1", 10.2, time.Second)
 		}
 	}},
+	{"requests have no answer after their deadline", "CONFIG", func(j *Judge) {
+		for i := range 2 * exceptions {
+			j.Ended(with(ok(fmt.Sprint(i)), func(x *exchange) { x.ending, x.status = expired, 0 }))
+		}
+	}},
+	{"requests that have run get no answer", "LOST", func(j *Judge) {
+		for i := range 2 * exceptions {
+			ran(j, fmt.Sprint(i), 0)
+			j.Ended(with(ok(fmt.Sprint(i)), func(x *exchange) { x.ending, x.status = broken, 0 }))
+		}
+	}},
+	{"... from a server in trouble", "", func(j *Judge) {
+		for i := range 2 * exceptions {
+			ran(j, fmt.Sprint(i), 0)
+			j.ServerGone(secondsAfter(10.05), "i-1")
+			j.Ended(with(ok(fmt.Sprint(i)), func(x *exchange) { x.ending, x.status = broken, 0 }))
+		}
+	}},
 	{"servers are handed more time than is left", "BUDGET", func(j *Judge) {
 		for i := range 2 * maxExtraTime {
 			j.Sent(secondsAfter(9), fmt.Sprint(i), "branch-1", time.Second)
--- a/mesh/controlplane/operations/operations.go
+++ b/mesh/controlplane/operations/operations.go
@@ -67,8 +67,8 @@
 	QueueFull   bool // too much waits for the disk
 }
 
-// serving returns the error with which pending operations fail, as they cannot be committed any more; nil where they can.
-func (h Health) serving(now time.Duration) error {
+// checkServing returns the error with which pending operations fail, as they cannot be committed any more; nil where they can.
+func (h Health) checkServing(now time.Duration) error {
 	switch {
 	case dissemination.QuorumLost(now, h.LastCommit):
 		return ErrNoQuorum
@@ -78,10 +78,10 @@
 	return nil
 }
 
-// Accepting returns the error with which new operations are refused: ErrNoQuorum, ErrDiskFailing or ErrQueueFull; nil where they are
+// CheckAccepting returns the error with which new operations are refused: ErrNoQuorum, ErrDiskFailing or ErrQueueFull; nil where they are
 // accepted.
-func (h Health) Accepting(now time.Duration) error {
-	if err := h.serving(now); err != nil {
+func (h Health) CheckAccepting(now time.Duration) error {
+	if err := h.checkServing(now); err != nil {
 		return err
 	}
 	if h.QueueFull {
@@ -120,7 +120,7 @@
 // Propose hands an operation to the register and returns the number to cancel it by. Where this machine cannot commit it now, it is not
 // proposed: the responder gets ErrNoQuorum, ErrDiskFailing or ErrQueueFull at once. Another machine may be able to commit it.
 func (t *Table) Propose(now time.Duration, request Request, responder Responder) (id uint64) {
-	if err := t.register.Health(now).Accepting(now); err != nil {
+	if err := t.register.Health(now).CheckAccepting(now); err != nil {
 		responder.Respond(Result{Err: err})
 		return 0
 	}
@@ -170,7 +170,7 @@
 // FailPending fails all operations, in the order of their requests, where this machine has lost the quorum or its disk fails. They may have
 // been committed or not: a client may send the same operation again, to this machine or another.
 func (t *Table) FailPending(now time.Duration) {
-	err := t.register.Health(now).serving(now)
+	err := t.register.Health(now).checkServing(now)
 	if err == nil {
 		return
 	}
--- a/mesh/controlplane/persistence/pipeline_test.go
+++ b/mesh/controlplane/persistence/pipeline_test.go
@@ -150,7 +150,7 @@
 		t.Errorf("at the start: %+v", h)
 	}
 	now := w.settle(0, 40)
-	if h := w.pipeline.Health(now); h.LastCommit < now-time.Second || h.Accepting(now) != nil {
+	if h := w.pipeline.Health(now); h.LastCommit < now-time.Second || h.CheckAccepting(now) != nil {
 		t.Errorf("at %v, with a disk that works: %+v", now, h)
 	}
 	w.pipeline.Apply(now, register.Put{ID: 7, Version: 1, Body: []byte("x")})
@@ -159,12 +159,12 @@
 	for at := now; at < stalled; at += 50 * ms {
 		w.pipeline.Tick(at)
 	}
-	if h := w.pipeline.Health(stalled); h.LastCommit != last || !h.DiskFailing || !errors.Is(h.Accepting(stalled), operations.ErrNoQuorum) {
+	if h := w.pipeline.Health(stalled); h.LastCommit != last || !h.DiskFailing || !errors.Is(h.CheckAccepting(stalled), operations.ErrNoQuorum) {
 		t.Errorf("with a disk that stalls: %+v, it was %v", h, last)
 	}
 	w.end(stalled, nil)
 	now = w.settle(stalled, 40)
-	if h := w.pipeline.Health(now); h.Accepting(now) != nil {
+	if h := w.pipeline.Health(now); h.CheckAccepting(now) != nil {
 		t.Errorf("with a disk that works again: %+v", h)
 	}
 }
--- a/mesh/controlplane/persistence_test.go
+++ b/mesh/controlplane/persistence_test.go
@@ -80,7 +80,7 @@
 	}
 	s.handle(writeCompleted{number: w.Number})
 	s.work(20)
-	if s.pipeline.DiskFailing(s.now()) || s.pipeline.Health(s.now()).Accepting(s.now()) != nil {
+	if s.pipeline.DiskFailing(s.now()) || s.pipeline.Health(s.now()).CheckAccepting(s.now()) != nil {
 		t.Error("the disk is well, and the node is not")
 	}
 	last := s.put(3)
--- a/mesh/dataplane/figures.go
+++ b/mesh/dataplane/figures.go
@@ -17,6 +17,7 @@
 	"firplank/mesh/admission"
 	"firplank/mesh/attempts"
 	"firplank/mesh/dataplane/subscription"
+	"firplank/mesh/dissemination"
 )
 
 // Bounds of what is logged of requests that fail; all are counted.
@@ -111,7 +112,10 @@
 	if cfg := p.cfg.Load(); cfg != nil {
 		f.version.Store(int64(cfg.Version))
 	}
-	f.ageMillis.Store((now - state.AsOf).Milliseconds())
+	f.ageMillis.Store(-1)
+	if state.AsOf != dissemination.TimeUnknown {
+		f.ageMillis.Store((now - state.AsOf).Milliseconds())
+	}
 	f.machines.Store(int64(state.Directory.Len()))
 	f.subscribers.Store(int64(p.node.Subscribers()))
 	f.ready.Store(0)
--- a/mesh/dataplane/loop.go
+++ b/mesh/dataplane/loop.go
@@ -12,6 +12,7 @@
 	"firplank/mesh/dataplane/subscription"
 	"firplank/mesh/dataplane/updates"
 	"firplank/mesh/directory"
+	"firplank/mesh/dissemination"
 	"firplank/mesh/membership"
 )
 
@@ -161,10 +162,18 @@
 func (p *Proxy) logParentLeft(a distribution.Close) {
 	p.figures.reasons[a.Reason].Inc()
 	if a.Reason == subscription.Stale {
-		_ = level.Info(p.log).Log("msg", "parent stale: switching to another", "parent", a.Addr, "age", p.now()-p.node.State().AsOf)
+		_ = level.Info(p.log).Log("msg", "parent stale: switching to another", "parent", a.Addr, "age", ageText(p.now(), p.node.State().AsOf))
 	}
 }
 
+// ageText is how old knowledge is that was the newest at a time, for logs.
+func ageText(now, asOf time.Duration) string {
+	if asOf == dissemination.TimeUnknown {
+		return "unknown"
+	}
+	return (now - asOf).String()
+}
+
 func (p *Proxy) logUpdateRejected(a distribution.UpdateRejected) {
 	if errors.Is(a.Err, updates.ErrCorrupt) {
 		_ = level.Error(p.log).Log("msg", "decompression of a configuration failed: requesting it again", "edition", a.Version, "error", a.Err)
