--- a/mesh/controlplane/persistence/pipeline_test.go
+++ b/mesh/controlplane/persistence/pipeline_test.go
@@ -159,7 +159,8 @@
 	for at := now; at < stalled; at += 50 * ms {
 		w.pipeline.Tick(at)
 	}
-	if h := w.pipeline.Health(stalled); h.LastCommit != last || !h.DiskFailing || !errors.Is(h.CheckAccepting(stalled), operations.ErrNoQuorum) {
+	h := w.pipeline.Health(stalled)
+	if h.LastCommit != last || !h.DiskFailing || !errors.Is(h.CheckAccepting(stalled), operations.ErrNoQuorum) {
 		t.Errorf("with a disk that stalls: %+v, it was %v", h, last)
 	}
 	w.end(stalled, nil)
