--- /dev/null
+++ b/lab/soak/eventlog.go
@@ -0,0 +1,36 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+)
+
+// eventLog writes JSON lines. It is safe for concurrent use.
+type eventLog struct {
+	mu sync.Mutex
+	to io.Writer
+}
+
+// event is a line of the log.
+type event struct {
+	At    string `json:"at"` // since the start of traffic, in seconds
+	Event string `json:"event"`
+	What  string `json:"what"`
+}
+
+// Event writes a line.
+func (l *eventLog) Event(at time.Duration, name, format string, args ...any) {
+	if l.to == nil {
+		return
+	}
+	line, err := json.Marshal(event{fmt.Sprintf("%.3f", at.Seconds()), name, fmt.Sprintf(format, args...)})
+	if err != nil {
+		return // texts can be encoded
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_, _ = l.to.Write(append(line, '\n')) // the report has the violations
+}
--- a/lab/soak/judge.go
+++ b/lab/soak/judge.go
@@ -153,6 +153,35 @@
 	}
 }
 
+// Disturb records an unplanned trouble of machines from a time on, until end is called.
+func (j *Judge) Disturb(from time.Duration, machines ...string) (end func(at time.Duration)) {
+	return j.open(j.disturbed, from, machines)
+}
+
+// Stop records a SIGTERM of a machine, until end is called.
+func (j *Judge) Stop(from time.Duration, machine string) (end func(at time.Duration)) {
+	return j.open(j.stops, from, []string{machine})
+}
+
+// open adds a span without an end to each machine.
+func (j *Judge) open(spans map[string][]span, from time.Duration, machines []string) (end func(at time.Duration)) {
+	const never = time.Duration(1<<63 - 1)
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	at := map[string]int{}
+	for _, m := range machines {
+		at[m] = len(spans[m])
+		spans[m] = append(spans[m], span{from, never - time.Hour})
+	}
+	return func(to time.Duration) {
+		j.mu.Lock()
+		defer j.mu.Unlock()
+		for m, i := range at {
+			spans[m][i].to = to
+		}
+	}
+}
+
 // calm reports whether machines, and the core, were undisturbed from inTouch before a time until another.
 func (j *Judge) calm(from, to time.Duration, machines ...string) bool {
 	for _, m := range append(machines, core) {
--- /dev/null
+++ b/lab/soak/judgeconfig.go
@@ -0,0 +1,68 @@
+package soak
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+)
+
+// This file has what the judge makes of configurations: acknowledgements, refusals and reads.
+
+// sentChange counts a change.
+func (j *Judge) sentChange() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.counts.Changes++
+}
+
+// Acknowledged records that a change was acknowledged, which was first sent at began.
+func (j *Judge) Acknowledged(at, began time.Duration, c change) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.counts.Acknowledged++
+	if before, ok := j.acked[c.version]; ok && before.content != c.content {
+		j.breaks(at, "CONFIG", "version %d is acknowledged with two contents, %s and %s", c.version, before.content, c.content)
+	}
+	if _, ok := j.acked[c.version]; !ok {
+		j.acked[c.version] = ack{c.content, at}
+	}
+	j.newest = max(j.newest, c.version)
+	if at-began > receipt+tolerance && j.calm(began+inTouch, at) {
+		j.breaks(at, "ACKS", "version %d is acknowledged after %v", c.version, at-began)
+	}
+}
+
+// Conflict records that a change was refused as its version has another content.
+func (j *Judge) Conflict(at time.Duration, c change, machine string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if a, ok := j.acked[c.version]; ok && a.content == c.content {
+		j.breaks(at, "CONFIG", "version %d content %s was acknowledged, and is refused by %s", c.version, c.content, machine)
+	}
+}
+
+// Read records a configuration that was read back.
+func (j *Judge) Read(sent, at time.Duration, machine string, version uint32, text []byte) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.counts.Reads++
+	for v, a := range j.acked {
+		if v > version && sent > a.at+inForce {
+			j.breaks(at, "CONFIG", "machine %s reads version %d at %v, and %d was acknowledged at %v", machine, version, sent, v, a.at)
+			return
+		}
+	}
+	if a, ok := j.acked[version]; ok {
+		sum := sha256.Sum256(text)
+		if content := hex.EncodeToString(sum[:8]); content != a.content {
+			j.breaks(at, "CONFIG", "machine %s reads content %s of version %d, and %s was acknowledged", machine, content, version, a.content)
+		}
+	}
+}
+
+// Newest returns the highest version that was acknowledged.
+func (j *Judge) Newest() uint32 {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.newest
+}
