--- a/lab/explore/calls/lasthop.go
+++ b/lab/explore/calls/lasthop.go
@@ -11,6 +11,7 @@
 	"firplank/mesh/attempts"
 	"firplank/mesh/dataplane/lasthop"
 	"firplank/mesh/directory"
+	"firplank/mesh/timing"
 )
 
 // serverSlots is more than all requests need, and heartbeatTimeout longer than any order takes: neither is explored here.
@@ -42,7 +43,7 @@
 // start begins a process, which knows its server by that server's next heartbeat.
 func (h *lastHop) start() {
 	h.gate = lasthop.Gate[*link, response]{
-		Admission: admission.New(heartbeatTimeout),
+		Admission: admission.New(timing.Server{HeartbeatTimeout: heartbeatTimeout}),
 		Link:      admission.NewLink(0),
 		Outcomes:  newLog(h.incarnation),
 	}
--- /dev/null
+++ b/lab/explore/liveness/liveness.go
@@ -0,0 +1,220 @@
+// Package liveness explores whether the control machines come to an end on machines that are slow: every message and every sync of a disk
+// takes some time up to a bound, which the program is not told and which may be far above what it expects. Operators write at several
+// machines at once, so that proposers compete, and nothing else goes wrong. It plays the shipped register behind the shipped queue of what
+// waits for the disk (package persistence), and the shipped lease, each in virtual time.
+//
+// The checks are that every change is answered, and that the lease is granted, within a stated number of the slowest round-trips. Safety is
+// explored elsewhere (lab/explore/register, lab/explore/lease).
+//
+// Start reading at Rounds and Leases.
+package liveness
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"firplank/mesh/controlplane/persistence"
+	"firplank/mesh/lease"
+	"firplank/mesh/persist"
+	"firplank/mesh/register"
+	"firplank/mesh/timing"
+)
+
+// Surroundings bound how slow a run is.
+type Surroundings struct {
+	Machines int
+	Writers  int           // machines at which operators write, all at once
+	Link     time.Duration // a message takes so long at most
+	Sync     time.Duration // a sync of a disk does
+	// SlowDisks is how many disks are that slow; 0: all are. The others take a hundredth of it.
+	SlowDisks int
+	// Steady: messages and syncs take just as long as they may, always.
+	Steady bool
+}
+
+const (
+	// step is the resolution of virtual time.
+	step = 5 * time.Millisecond
+	// changes is how many changes each operator writes, one after the other.
+	changes = 4
+	// fastDisk is the part of Surroundings.Sync that other disks take.
+	fastDisk = 100
+	// roundsPerChange is how many undisturbed rounds of the slowest kind one change may take for each operator.
+	roundsPerChange = 12
+	// leaseLimit is how many vote durations it may take until the lease is granted.
+	leaseLimit = 12
+	// stream is the second half of the seeds.
+	stream = 11
+)
+
+// round is how long the slowest round takes that nobody disturbs: two phases that are written and one that is not. A write may have to wait
+// for the one before it.
+func (s Surroundings) round() time.Duration { return 3*2*s.Link + 2*2*s.Sync }
+
+// limit is the time in which a run has to end.
+func (s Surroundings) limit() time.Duration {
+	return time.Second + time.Duration(changes*s.Writers*roundsPerChange)*(s.round()+timing.Default().Register.MinPhase)
+}
+
+// delivery is something that happens at a time.
+type delivery struct {
+	at time.Duration
+	do func()
+}
+
+// world is virtual time and what is to happen in it.
+type world struct {
+	in     Surroundings
+	random *rand.Rand
+	now    time.Duration
+	queue  []delivery
+}
+
+// delay is a random time up to a bound; half of all take the bound, or all of them in steady surroundings.
+func (w *world) delay(most time.Duration) time.Duration {
+	if most <= 0 || w.in.Steady || w.random.IntN(2) == 0 {
+		return most
+	}
+	return time.Duration(w.random.Int64N(int64(most)))
+}
+
+func (w *world) after(delay time.Duration, do func()) {
+	w.queue = append(w.queue, delivery{w.now + delay, do})
+}
+
+// advance lets a step of time pass.
+func (w *world) advance() {
+	w.now += step
+	due := w.queue
+	w.queue = nil
+	for _, d := range due {
+		if d.at > w.now {
+			w.queue = append(w.queue, d)
+			continue
+		}
+		d.do()
+	}
+}
+
+// machine is a control machine: the register behind its disk. It implements persistence.Sink.
+type machine struct {
+	world    *world
+	number   int
+	all      *[]*machine
+	pipeline *persistence.Pipeline
+	writes   bool // an operator writes here
+	left     int  // changes of that operator that are not answered
+	version  uint32
+}
+
+func name(number int) string { return fmt.Sprintf("m%02d", number) }
+
+// Write implements persistence.Sink.
+func (m *machine) Write(w persist.Write) {
+	sync := m.world.in.Sync
+	if slow := m.world.in.SlowDisks; slow > 0 && m.number >= slow {
+		sync /= fastDisk
+	}
+	m.world.after(m.world.delay(sync), func() { m.pipeline.WriteCompleted(m.world.now, w.Number, nil) })
+}
+
+// Send implements persistence.Sink.
+func (m *machine) Send(message *register.Message) {
+	for _, to := range *m.all {
+		if name(to.number) != message.To {
+			continue
+		}
+		sent := *message
+		m.world.after(m.world.delay(m.world.in.Link), func() { to.pipeline.Apply(m.world.now, register.MessageReceived{Message: sent}) })
+	}
+}
+
+// Publish implements persistence.Sink.
+func (m *machine) Publish(persist.Committed) {}
+
+// Complete implements persistence.Sink: the operator writes the next change.
+func (m *machine) Complete(register.Outcome) {
+	if m.left--; m.left > 0 {
+		m.world.after(0, m.put)
+	}
+}
+
+// put has the operator write its next change.
+func (m *machine) put() {
+	m.version += uint32(m.world.in.Machines)
+	body := fmt.Appendf(nil, "change %d", m.version)
+	m.pipeline.Apply(m.world.now, register.Put{ID: uint64(m.left), Version: m.version, Content: register.ContentOf(body), Body: body})
+}
+
+// Rounds plays a run of the register with its timing, drawn from a seed, and returns how long it took until every change was answered. An
+// error says that it did not end in time.
+func Rounds(in Surroundings, t timing.Register, seed uint64) (took time.Duration, err error) {
+	w := &world{in: in, random: rand.New(rand.NewPCG(seed, stream))}
+	var all []*machine
+	var members []string
+	for i := range in.Machines {
+		members = append(members, name(i))
+	}
+	for i := range in.Machines {
+		m := &machine{world: w, number: i, all: &all, version: uint32(i + 1), writes: i < in.Writers}
+		replica := register.New(name(i), members, true, nil, seed<<8+uint64(i))
+		replica.SetTiming(t)
+		m.pipeline = persistence.New(replica, replica.State(), m)
+		all = append(all, m)
+	}
+	for _, m := range all {
+		if m.writes {
+			m.left = changes
+			m.put()
+		}
+	}
+	for w.now < in.limit() {
+		w.advance()
+		left := 0
+		for _, m := range all {
+			m.pipeline.Tick(w.now)
+			left += max(0, m.left)
+		}
+		if left == 0 {
+			return w.now, nil
+		}
+	}
+	return w.now, errors.Errorf("%+v: not every change is answered after %v", in, w.now)
+}
+
+// Leases plays a run of the lease, and returns how long it took until it was granted for the first time.
+func Leases(in Surroundings, t timing.Lease, seed uint64) (took time.Duration, err error) {
+	w := &world{in: in, random: rand.New(rand.NewPCG(seed, stream))}
+	leases := map[string]*lease.Lease{}
+	var members []string
+	for i := range in.Machines {
+		members = append(members, name(i))
+	}
+	for _, self := range members {
+		leases[self] = lease.New(self, 0, 0, t)
+		leases[self].SetMembers(members)
+	}
+	var send func(lease.Message)
+	send = func(m lease.Message) {
+		w.after(w.delay(in.Link), func() {
+			if response, ok := leases[m.To].Handle(w.now, m); ok {
+				send(response)
+			}
+		})
+	}
+	for w.now < leaseLimit*t.VoteDuration {
+		w.advance()
+		for _, self := range members {
+			for _, m := range leases[self].Tick(w.now) {
+				send(m)
+			}
+			if leases[self].HeldAt(w.now) {
+				return w.now, nil
+			}
+		}
+	}
+	return w.now, errors.Errorf("%+v: the lease is not granted after %v", in, w.now)
+}
--- a/lab/explore/members/machine.go
+++ b/lab/explore/members/machine.go
@@ -11,7 +11,7 @@
 	"firplank/mesh/lease"
 	"firplank/mesh/persist"
 	"firplank/mesh/register"
-	"firplank/mesh/replacement"
+	"firplank/mesh/timing"
 )
 
 // machine is a control machine: the shipped decisions, driven as the control plane drives them, with a clock and a disk of its own.
@@ -36,7 +36,7 @@
 	peers      *peers.Table[string] // a connection is the other machine's name
 	reconciler *reconcile.Reconciler
 
-	timeouts  replacement.Timeouts
+	timeouts  timing.Replacement
 	lastID    uint64
 	nextHello time.Duration
 	inbox     []delivery
@@ -76,7 +76,7 @@
 		members = append(members, x.name)
 	}
 	m.replica = register.New(m.name, members, first || w.defect.innocent && m.disk == nil, m.disk, m.incarnation<<16+uint64(len(w.inFlight))+1)
-	m.replica.SetPhaseTimeout(m.timeouts.PhaseTimeout)
+	m.replica.SetTiming(w.defect.rounds())
 	if first {
 		s := m.replica.State()
 		m.disk = &s
@@ -95,7 +95,7 @@
 		onDisk = *m.disk
 	}
 	m.pipeline = persistence.New(m.replica, onDisk, m)
-	m.operations = operations.NewTable(m.pipeline, m.nextID)
+	m.operations = operations.NewTable(m.pipeline, m.nextID, durations)
 	if m.world.defect.Name == "" {
 		m.pipeline.SetInvariants(m)
 		m.operations.SetInvariants(m)
--- a/lab/explore/numbers/machines.go
+++ b/lab/explore/numbers/machines.go
@@ -12,6 +12,7 @@
 	"firplank/mesh/dissemination"
 	"firplank/mesh/persist"
 	"firplank/mesh/register"
+	"firplank/mesh/timing"
 )
 
 // othersAreWhole reports whether all machines but one are up and have their disks: no more than one disk is lost at a time.
@@ -39,7 +40,7 @@
 	m.replica = r
 	m.completedAt = -1
 	m.pipeline = persistence.New(r, onDisk, sink{s, m})
-	m.operations = operations.NewTable(alwaysInContact{m.pipeline}, func() uint64 { return s.proposing })
+	m.operations = operations.NewTable(alwaysInContact{m.pipeline}, func() uint64 { return s.proposing }, timing.Default())
 }
 
 // alwaysInContact is a pipeline in whose surroundings time is no measure of contact with a quorum: it passes when a
--- a/lab/scale/control.go
+++ b/lab/scale/control.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
-	"firplank/mesh/dataplane/subscription"
 	"firplank/mesh/dissemination"
+	"firplank/mesh/timing"
 	"firplank/mesh/transport"
 	"firplank/mesh/wire"
 )
@@ -48,7 +48,7 @@
 	var conn *transport.Conn
 	for ctx.Err() == nil {
 		if conn == nil {
-			conn, _ = transport.Dial(ctx, addr, subscription.DialTimeout, l)
+			conn, _ = transport.Dial(ctx, addr, timing.Default().Subscription.DialTimeout, l)
 		}
 		if conn != nil && !conn.Send(&wire.FrameT{Kind: wire.Hello, From: l.addr, Text: "listener", LowestVersion: dissemination.Unconstrained}) {
 			conn = nil
--- a/mesh/admission/controller.go
+++ b/mesh/admission/controller.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"firplank/mesh/directory"
+	"firplank/mesh/timing"
 )
 
 // Verdict is admission control's decision on a request.
@@ -48,17 +49,13 @@
 	checkInterval = 500 * time.Millisecond
 )
 
-// restoredShare is the part of the heartbeat time-out in which a server that is known by Restore alone has to send a heartbeat, whatever it
-// responds to: what its sidecar knew of its end may be lost.
-const restoredShare = 0.75
-
 // maxDeparted bounds the servers that are remembered as departed.
 const maxDeparted = 64
 
 // Controller is admission control of one local server. Times are those of one clock that does not go back. It is not safe for concurrent
 // use.
 type Controller struct {
-	heartbeatTimeout time.Duration
+	durations timing.Server
 
 	// The server, by its heartbeats.
 	serverID  string // empty: none is known
@@ -68,7 +65,8 @@
 	sequence  uint64
 	warmUntil time.Duration
 	departed  map[string]bool // ids of servers that ended here, so that a late heartbeat does not bring them back
-	// confirmBy is when a server that is known by Restore alone has to have sent a heartbeat; 0: it has.
+	// confirmBy is when a server that is known by Restore or Identify alone has to have sent a heartbeat, whatever it responds to: what its
+	// sidecar knew of its end may be lost. 0: it has.
 	confirmBy time.Duration
 
 	// The server, by its requests.
@@ -80,8 +78,8 @@
 }
 
 // New returns admission control without a server. A server counts as unresponsive after a time without heartbeats or responses.
-func New(heartbeatTimeout time.Duration) *Controller {
-	return &Controller{heartbeatTimeout: heartbeatTimeout, departed: map[string]bool{}}
+func New(t timing.Server) *Controller {
+	return &Controller{durations: t, departed: map[string]bool{}}
 }
 
 // Admit decides on a request for a server, of a rank (0 is the most urgent), that was forwarded so often before. Where the
--- a/mesh/admission/server.go
+++ b/mesh/admission/server.go
@@ -62,8 +62,19 @@
 
 // Restore takes over the entry that an earlier incarnation of this sidecar announced, unless a server has sent a heartbeat since. The
 // states that describe that sidecar, or its view, are not restored: for Unresponsive and Draining the server counts as accepting, until
-// restoredShare of the heartbeat time-out has passed without a heartbeat. Of a later entry only the server's end counts.
+// timing.Server.RestoredTimeout has passed without a heartbeat. Of a later entry only the server's end counts.
 func (c *Controller) Restore(now time.Duration, e *directory.Entry) {
+	c.restore(now, e, c.durations.RestoredTimeout)
+}
+
+// Identify takes over a server that nothing is known of but what its health check says, as Restore does. The server may have announced its
+// end to an earlier incarnation of this sidecar, with nobody left that knows; so it has to send a heartbeat before this machine is in touch
+// (timing.Server.IdentifiedTimeout).
+func (c *Controller) Identify(now time.Duration, e *directory.Entry) {
+	c.restore(now, e, c.durations.IdentifiedTimeout)
+}
+
+func (c *Controller) restore(now time.Duration, e *directory.Entry, confirmWithin time.Duration) {
 	switch {
 	case e.Server == "":
 		return
@@ -79,13 +90,13 @@
 	}
 	c.serverID, c.service, c.slots = e.Server, e.Service, e.Slots
 	c.state, c.warmUntil, c.lastSeen = e.State, e.WarmUntil, now
-	c.confirmBy = now + time.Duration(restoredShare*float64(c.heartbeatTimeout))
+	c.confirmBy = now + confirmWithin
 	if c.state == directory.Unresponsive || c.state == directory.Draining {
 		c.state = directory.Accepting
 	}
 }
 
-// restoreEnd takes over the end of a server that is known by Restore alone, or its beginning.
+// restoreEnd takes over the end of a server that no heartbeat has confirmed, or its beginning.
 func (c *Controller) restoreEnd(e *directory.Entry) {
 	ends := e.State == directory.Departed || e.State == directory.Closing
 	if ends && e.Server == c.serverID && c.confirmBy > 0 {
@@ -93,7 +104,7 @@
 	}
 }
 
-// unconfirmed reports whether the server is known by Restore alone, for longer than that may be.
+// unconfirmed reports whether the server is known by Restore or Identify alone, for longer than that may be.
 func (c *Controller) unconfirmed(now time.Duration) bool { return c.confirmBy > 0 && now > c.confirmBy }
 
 // ConnectionRefused records that nobody listens at the server's address. It reports whether that brought a change.
@@ -118,7 +129,7 @@
 // Tick counts the server as unresponsive after its heartbeat time-out, or where nothing confirms what was restored. It reports whether that
 // brought a change.
 func (c *Controller) Tick(now time.Duration) (changed bool) {
-	if c.state != directory.Accepting || now-c.lastSeen <= c.heartbeatTimeout && !c.unconfirmed(now) {
+	if c.state != directory.Accepting || now-c.lastSeen <= c.durations.HeartbeatTimeout && !c.unconfirmed(now) {
 		return false
 	}
 	c.state = directory.Unresponsive
--- a/mesh/bootstrap/bounds.go
+++ b/mesh/bootstrap/bounds.go
@@ -8,7 +8,7 @@
 	"github.com/go-faster/errors"
 )
 
-// Bounds are the figures of the users' rules, by their names there. Those that the settings leave out have the values of defaultBounds.
+// Bounds are the figures of the users' rules, by their names there. Those that the settings leave out have the values of DefaultBounds.
 type Bounds struct {
 	// InTouch is how long a machine has to be undisturbed until rules with a time bound hold for it.
 	InTouch time.Duration
@@ -36,7 +36,8 @@
 // maxBound is above each figure that a bound may have.
 const maxBound = 1e6
 
-func defaultBounds() Bounds {
+// DefaultBounds returns the bounds of settings that state none.
+func DefaultBounds() Bounds {
 	return Bounds{
 		InTouch:      3 * time.Second,
 		Receipt:      5 * time.Second,
@@ -55,7 +56,7 @@
 
 // parseBounds reads bounds as "name=figure", times in seconds. Unknown names are ignored.
 func parseBounds(texts []string) (Bounds, error) {
-	b := defaultBounds()
+	b := DefaultBounds()
 	durations := map[string]*time.Duration{
 		"inTouchS":      &b.InTouch,
 		"receiptS":      &b.Receipt,
--- a/mesh/controlplane/operations/call.go
+++ b/mesh/controlplane/operations/call.go
@@ -7,9 +7,6 @@
 	"firplank/mesh/register"
 )
 
-// Timeout is how long a client's call waits for its operation. It is above the second after which an operator asks another machine.
-const Timeout = 2500 * time.Millisecond
-
 // Call is the client's side of one operation. The event loop proposes it and sets ID; the goroutine that serves the client waits for it.
 type Call struct {
 	Request Request
@@ -23,10 +20,10 @@
 // Respond implements Responder.
 func (c *Call) Respond(r Result) { c.result <- r }
 
-// Wait returns the operation's outcome. The error is that of its Result, ErrTimeout after Timeout, or the context's. After ErrTimeout the
+// Wait returns the operation's outcome. The error is that of its Result, ErrTimeout after a timeout (timing.Operations.Timeout), or the context's. After ErrTimeout the
 // operation is to be cancelled.
-func (c *Call) Wait(ctx context.Context) (register.Outcome, error) {
-	timer := time.NewTimer(Timeout)
+func (c *Call) Wait(ctx context.Context, timeout time.Duration) (register.Outcome, error) {
+	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
 	case r := <-c.result:
--- a/mesh/controlplane/operations/operations.go
+++ b/mesh/controlplane/operations/operations.go
@@ -17,6 +17,7 @@
 	"firplank/internal/invariant"
 	"firplank/mesh/dissemination"
 	"firplank/mesh/register"
+	"firplank/mesh/timing"
 )
 
 // Request is what a client asks for: a Write or a Read.
@@ -68,9 +69,9 @@
 }
 
 // checkServing returns the error with which pending operations fail, as they cannot be committed any more; nil where they can.
-func (h Health) checkServing(now time.Duration) error {
+func (h Health) checkServing(now, quorumTimeout time.Duration) error {
 	switch {
-	case dissemination.QuorumLost(now, h.LastCommit):
+	case dissemination.QuorumLost(now, h.LastCommit, quorumTimeout):
 		return ErrNoQuorum
 	case h.DiskFailing:
 		return ErrDiskFailing
@@ -80,8 +81,8 @@
 
 // CheckAccepting returns the error with which new operations are refused: ErrNoQuorum, ErrDiskFailing or ErrQueueFull; nil where they are
 // accepted.
-func (h Health) CheckAccepting(now time.Duration) error {
-	if err := h.checkServing(now); err != nil {
+func (h Health) CheckAccepting(now, quorumTimeout time.Duration) error {
+	if err := h.checkServing(now, quorumTimeout); err != nil {
 		return err
 	}
 	if h.QueueFull {
@@ -104,14 +105,22 @@
 	register      Register
 	nextID        func() uint64
 	pending       map[uint64]*operation
-	confirmations dissemination.Confirmations
+	durations     timing.Durations
+	confirmations *dissemination.Confirmations
 	invariants    invariant.Reporter
 	acknowledged  uint32 // the highest version that was acknowledged here
 }
 
 // NewTable returns an empty table over a register. nextID returns a number that no other operation of this replica has.
-func NewTable(r Register, nextID func() uint64) *Table {
-	return &Table{register: r, nextID: nextID, pending: map[uint64]*operation{}, invariants: invariant.Ignored{}}
+func NewTable(r Register, nextID func() uint64, t timing.Durations) *Table {
+	return &Table{
+		register:      r,
+		nextID:        nextID,
+		pending:       map[uint64]*operation{},
+		durations:     t,
+		confirmations: dissemination.NewConfirmations(t.Dissemination),
+		invariants:    invariant.Ignored{},
+	}
 }
 
 // Len returns how many operations wait.
@@ -120,7 +129,7 @@
 // Propose hands an operation to the register and returns the number to cancel it by. Where this machine cannot commit it now, it is not
 // proposed: the responder gets ErrNoQuorum, ErrDiskFailing or ErrQueueFull at once. Another machine may be able to commit it.
 func (t *Table) Propose(now time.Duration, request Request, responder Responder) (id uint64) {
-	if err := t.register.Health(now).CheckAccepting(now); err != nil {
+	if err := t.register.Health(now).CheckAccepting(now, t.durations.Dissemination.QuorumTimeout); err != nil {
 		responder.Respond(Result{Err: err})
 		return 0
 	}
@@ -170,7 +179,7 @@
 // FailPending fails all operations, in the order of their requests, where this machine has lost the quorum or its disk fails. They may have
 // been committed or not: a client may send the same operation again, to this machine or another.
 func (t *Table) FailPending(now time.Duration) {
-	err := t.register.Health(now).checkServing(now)
+	err := t.register.Health(now).checkServing(now, t.durations.Dissemination.QuorumTimeout)
 	if err == nil {
 		return
 	}
--- a/mesh/controlplane/operators.go
+++ b/mesh/controlplane/operators.go
@@ -47,7 +47,7 @@
 func (s *Server) commit(r operations.Request) (register.Outcome, error) {
 	call := operations.NewCall(r)
 	s.post(operationRequested{call})
-	o, err := call.Wait(s.ctx)
+	o, err := call.Wait(s.ctx, s.durations.Operations.Timeout)
 	if errors.Is(err, operations.ErrTimeout) {
 		s.post(operationCancelled{call})
 	}
--- a/mesh/controlplane/peers.go
+++ b/mesh/controlplane/peers.go
@@ -11,12 +11,6 @@
 	"firplank/mesh/wire"
 )
 
-const (
-	// redialInterval is the pause between two attempts to connect to a peer, and dialTimeout that of one attempt.
-	redialInterval = 120 * time.Millisecond
-	dialTimeout    = 600 * time.Millisecond
-)
-
 // recordPeer records that a control machine was seen at a time, and maintains a connection to it from then on.
 func (s *Server) recordPeer(addr, zone string, seen time.Duration) {
 	if s.peers.Record(addr, zone, seen) {
@@ -27,7 +21,7 @@
 // maintainConn connects to a peer, again and again, until the server ends.
 func (s *Server) maintainConn(addr string) {
 	for s.ctx.Err() == nil {
-		c, err := transport.Dial(s.ctx, addr, dialTimeout, s)
+		c, err := transport.Dial(s.ctx, addr, s.durations.Peers.DialTimeout, s)
 		if err == nil {
 			s.post(peerConnChanged{addr, c})
 			select {
@@ -39,7 +33,7 @@
 			s.post(peerConnChanged{addr, nil})
 		}
 		select {
-		case <-time.After(redialInterval):
+		case <-time.After(s.durations.Peers.RedialInterval):
 		case <-s.ctx.Done():
 			return
 		}
--- a/mesh/controlplane/publishing/hub.go
+++ b/mesh/controlplane/publishing/hub.go
@@ -15,16 +15,11 @@
 	"firplank/mesh/directory"
 	"firplank/mesh/dissemination"
 	"firplank/mesh/persist"
+	"firplank/mesh/timing"
 )
 
-const (
-	// SidecarTimeout is how long a sidecar may be silent before it counts as lost.
-	SidecarTimeout = 3 * time.Second
-	// SidecarRetention is how long a sidecar may be silent before its entry is deleted.
-	SidecarRetention = 10 * time.Minute
-	// MinSilence is for how long this machine must not have seen a sidecar that others report lost, for it to count as lost at once.
-	MinSilence = 1200 * time.Millisecond
-)
+// SidecarRetention is how long a sidecar may be silent before its entry is deleted.
+const SidecarRetention = 10 * time.Minute
 
 // Update is an update and the connection of the subscriber that it is for.
 type Update[C comparable] struct {
@@ -38,6 +33,7 @@
 	// Publisher is for reading, for its Directory and for replacing its ControlMachines.
 	Publisher *dissemination.Publisher
 
+	durations    timing.Sidecars
 	unpack       func(packed []byte) (text []byte, err error)
 	packed       []byte // the published text, compressed
 	ids          map[C]uint64
@@ -48,9 +44,10 @@
 }
 
 // New returns a hub that publishes nothing yet. unpack decompresses a committed configuration.
-func New[C comparable](unpack func(packed []byte) (text []byte, err error)) *Hub[C] {
+func New[C comparable](unpack func(packed []byte) (text []byte, err error), t timing.Durations) *Hub[C] {
 	return &Hub[C]{
-		Publisher:    dissemination.NewPublisher(),
+		Publisher:    dissemination.NewPublisher(t.Dissemination),
+		durations:    t.Sidecars,
 		unpack:       unpack,
 		ids:          map[C]uint64{},
 		conns:        map[uint64]C{},
@@ -145,7 +142,7 @@
 // HandleEntry merges an entry of the directory. One that isn't complete is evidence of life and no more. A direct one
 // comes from the sidecar itself or the relay above it, others from control machines, whose judgement on who is lost
 // does not count here. It reports whether a sidecar counts as lost by that: a relay reports so, and this machine has
-// not seen it for more than MinSilence.
+// not seen it for more than timing.Sidecars.MinSilence.
 func (h *Hub[C]) HandleEntry(e directory.Entry, complete, direct bool, now time.Duration) (lost bool) {
 	if direct && !e.Lost {
 		h.seenDirectly[e.Node] = e.Incarnation
@@ -154,7 +151,7 @@
 	case !complete:
 		d.MarkAlive(e.Node, e.Incarnation, e.LastSeen)
 	case e.Lost && direct:
-		return now-e.LastSeen >= 0 && d.MarkLost(e.Node, e.Incarnation, now, MinSilence)
+		return now-e.LastSeen >= 0 && d.MarkLost(e.Node, e.Incarnation, now, h.durations.MinSilence)
 	default:
 		d.Merge(e, e.LastSeen)
 	}
@@ -163,7 +160,7 @@
 
 // Expire marks and then deletes the entries of silent sidecars.
 func (h *Hub[C]) Expire(now time.Duration) {
-	h.Publisher.Directory.Expire(now, SidecarTimeout, SidecarRetention)
+	h.Publisher.Directory.Expire(now, h.durations.Timeout, SidecarRetention)
 }
 
 // Report is what of the directory a peer gets with a hello.
--- a/mesh/controlplane/reconcile.go
+++ b/mesh/controlplane/reconcile.go
@@ -10,22 +10,16 @@
 	"firplank/mesh/controlplane/reconcile"
 	"firplank/mesh/lease"
 	"firplank/mesh/replacement"
+	"firplank/mesh/timing"
 	"firplank/mesh/wire"
 )
 
-const (
-	// flushDelay is how long a machine that departs lets its last frames and answers go out.
-	flushDelay = 100 * time.Millisecond
-	// httpShutdownTimeout is how long it waits for calls that are under way to be answered.
-	httpShutdownTimeout = 500 * time.Millisecond
-)
-
 // newReconciler returns the reconciler of a server that has its replica.
 func newReconciler(s *Server) *reconcile.Reconciler {
 	return reconcile.New(reconcile.Config{
 		Self:      s.self,
 		Zone:      s.settings.Zone,
-		Timeouts:  s.timeouts,
+		Timeouts:  s.durations.Replacement,
 		Tolerance: s.settings.Tolerance.Members(),
 		Seed:      uint64(s.start.UnixNano()),
 	}, s.pipeline, s.peers, reconcileSink{s}, s.nextID)
@@ -33,7 +27,7 @@
 
 // reconcileMembers closes silent connections to peers, and then looks at the members and at the lease under which they are replaced.
 func (s *Server) reconcileMembers(now time.Duration) {
-	for _, p := range s.peers.Silent(now, s.timeouts.DetectionTimeout/2) {
+	for _, p := range s.peers.Silent(now, s.durations.Replacement.DetectionTimeout/2) {
 		p.Conn.Close()
 	}
 	s.reconciler.Tick(now)
@@ -41,7 +35,7 @@
 
 // beginShutdown begins to leave the core in order. The server goes on serving until the reconciler lets it depart.
 func (s *Server) beginShutdown(now time.Duration) {
-	_ = level.Info(s.log).Log("msg", "shutdown begins", "within", s.timeouts.DepartureTimeout)
+	_ = level.Info(s.log).Log("msg", "shutdown begins", "within", s.durations.Replacement.DepartureTimeout)
 	s.reconciler.BeginDeparture(now)
 	s.broadcastHello(now)
 	s.reconcileMembers(now)
@@ -112,11 +106,11 @@
 
 // stopServing ends the server's work.
 func (s *Server) stopServing() {
-	ctx, cancel := context.WithTimeout(s.ctx, httpShutdownTimeout)
+	ctx, cancel := context.WithTimeout(s.ctx, timing.HTTPShutdownTimeout)
 	defer cancel()
 	if err := s.server.Shutdown(ctx); err != nil {
 		_ = level.Warn(s.log).Log("msg", "calls under way were cut off by the shutdown", "error", err)
 	}
-	time.Sleep(flushDelay)
+	time.Sleep(timing.FlushDelay)
 	s.stop()
 }
--- a/mesh/controlplane/reconcile/reconcile.go
+++ b/mesh/controlplane/reconcile/reconcile.go
@@ -16,6 +16,7 @@
 	"firplank/mesh/lease"
 	"firplank/mesh/register"
 	"firplank/mesh/replacement"
+	"firplank/mesh/timing"
 )
 
 // Register is this machine's replica behind its disk.
@@ -53,7 +54,7 @@
 // Config describes the machine.
 type Config struct {
 	Self, Zone string
-	Timeouts   replacement.Timeouts
+	Timeouts   timing.Replacement
 	Tolerance  int    // how many members may be lost at a time
 	Seed       uint64 // the first number of this process's lease requests: above those of earlier processes
 }
--- a/mesh/controlplane/server.go
+++ b/mesh/controlplane/server.go
@@ -36,18 +36,18 @@
 	"firplank/mesh/controlplane/reconcile"
 	"firplank/mesh/persist"
 	"firplank/mesh/register"
-	"firplank/mesh/replacement"
 	"firplank/mesh/storage"
+	"firplank/mesh/timing"
 	"firplank/mesh/transport"
 )
 
 // Server is one control machine. All but post, commit and the methods of transport.Handler belong to the event loop.
 type Server struct {
-	settings *bootstrap.Settings
-	timeouts replacement.Timeouts
-	log      kitlog.Logger
-	self     string    // the address for peers and subscribers
-	start    time.Time // the zero of this machine's clock
+	settings  *bootstrap.Settings
+	durations timing.Durations
+	log       kitlog.Logger
+	self      string    // the address for peers and subscribers
+	start     time.Time // the zero of this machine's clock
 
 	ctx        context.Context // of the process's work
 	stop       context.CancelFunc
@@ -69,24 +69,25 @@
 
 // newServer returns a server without a replica, store and listeners.
 func newServer(settings *bootstrap.Settings, self string, log kitlog.Logger) *Server {
+	durations := timing.FromSettings(settings)
 	return &Server{
-		settings: settings,
-		log:      log,
-		self:     self,
-		start:    time.Now(),
-		figures:  newFigures(),
-		events:   make(chan event, maxQueuedEvents),
-		writes:   make(chan persist.Write, 1),
-		hub:      publishing.New[*transport.Conn](config.Unpack),
-		peers:    peers.New[*transport.Conn](self, settings.Zone),
-		timeouts: replacement.NewTimeouts(settings.Bounds.Sync, settings.Bounds.Grace),
+		settings:  settings,
+		log:       log,
+		self:      self,
+		start:     time.Now(),
+		figures:   newFigures(),
+		events:    make(chan event, maxQueuedEvents),
+		writes:    make(chan persist.Write, 1),
+		hub:       publishing.New[*transport.Conn](config.Unpack, durations),
+		peers:     peers.New[*transport.Conn](self, settings.Zone),
+		durations: durations,
 	}
 }
 
 // setReplica puts a replica behind the disk, which has onDisk already.
 func (s *Server) setReplica(r *register.Replica, onDisk register.State) {
 	s.pipeline = persistence.New(r, onDisk, sink{s})
-	s.operations = operations.NewTable(s.pipeline, s.nextID)
+	s.operations = operations.NewTable(s.pipeline, s.nextID, s.durations)
 	monitor := s.figures.registry.NewMonitor(s.log)
 	s.pipeline.SetInvariants(monitor)
 	s.operations.SetInvariants(monitor)
@@ -140,7 +141,7 @@
 // newReplica makes the replica of the register over what was found on disk.
 func (s *Server) newReplica(voteAtOnce bool, onDisk *register.State) *register.Replica {
 	r := register.New(s.self, s.settings.SeedPeerAddrs(), voteAtOnce, onDisk, uint64(s.start.UnixNano()))
-	r.SetPhaseTimeout(s.timeouts.PhaseTimeout)
+	r.SetTiming(s.durations.Register)
 	return r
 }
 
@@ -159,7 +160,7 @@
 	s.background.Go(func() { s.logServeEnd("operators", s.server.Serve(operatorListener)) })
 	s.background.Go(func() { s.logServeEnd("peers", transport.Serve(peerListener, s)) })
 	return func() {
-		_ = s.server.Close()     // calls that are cut off here were given httpShutdownTimeout before
+		_ = s.server.Close()     // calls that are cut off here were given timing.HTTPShutdownTimeout before
 		_ = peerListener.Close() // the process ends
 	}, nil
 }
@@ -201,7 +202,7 @@
 func (s *Server) tick() (next time.Duration) {
 	now := s.now()
 	if now >= s.nextHello {
-		s.nextHello = now + s.timeouts.HelloInterval
+		s.nextHello = now + s.durations.Replacement.HelloInterval
 		s.broadcastHello(now)
 		s.hub.Expire(now)
 	}
--- a/mesh/controlplane/status.go
+++ b/mesh/controlplane/status.go
@@ -19,7 +19,7 @@
 	select {
 	case status := <-e.done:
 		return api.JSONResponse(http.StatusOK, status)
-	case <-time.After(operations.Timeout):
+	case <-time.After(s.durations.Operations.Timeout):
 	case <-s.ctx.Done():
 	}
 	return api.ErrorResponse(http.StatusServiceUnavailable, operations.ErrNoQuorum)
--- a/mesh/dataplane/distribution/event.go
+++ b/mesh/dataplane/distribution/event.go
@@ -1,6 +1,8 @@
 package distribution
 
 import (
+	"time"
+
 	"firplank/mesh/dataplane/subscribers"
 	"firplank/mesh/dataplane/subscription"
 	"firplank/mesh/wire"
@@ -36,10 +38,11 @@
 type Action interface{ action() }
 
 // Dial asks for a connection to a parent. The caller reports the outcome by ParentDialed, within
-// subscription.DialTimeout.
+// Timeout.
 type Dial struct {
-	Addr  string
-	Relay bool // the parent is a sidecar
+	Addr    string
+	Relay   bool // the parent is a sidecar
+	Timeout time.Duration
 }
 
 // Send is a frame for a connection. A failure ends the connection, which ConnClosed reports.
--- a/mesh/dataplane/distribution/node.go
+++ b/mesh/dataplane/distribution/node.go
@@ -18,6 +18,7 @@
 	"firplank/mesh/dataplane/updates"
 	"firplank/mesh/directory"
 	"firplank/mesh/dissemination"
+	"firplank/mesh/timing"
 	"firplank/mesh/wire"
 )
 
@@ -64,14 +65,14 @@
 }
 
 // New returns a node that knows only its own entry. The policy chooses its parents.
-func New(own directory.Entry, policy *dissemination.Subscriber, host Host) *Node {
+func New(own directory.Entry, policy *dissemination.Subscriber, host Host, t timing.Durations) *Node {
 	n := &Node{
 		host:   host,
 		policy: policy,
-		state:  dissemination.NewPublisher(),
+		state:  dissemination.NewPublisher(t.Dissemination),
 		own:    own,
 	}
-	n.subscription = subscription.New(policy, n.state, &n.own)
+	n.subscription = subscription.New(policy, n.state, &n.own, t.Subscription)
 	n.subscribers = subscribers.New(n.state, host)
 	return n
 }
@@ -297,7 +298,7 @@
 			if a.Relay {
 				n.publish(n.subscribers.Dismiss())
 			}
-			n.actions = append(n.actions, Dial{Addr: a.Addr, Relay: a.Relay})
+			n.actions = append(n.actions, Dial{Addr: a.Addr, Relay: a.Relay, Timeout: a.Timeout})
 		case subscription.Send:
 			n.actions = append(n.actions, Send{To: n.parent, Frame: a.Frame})
 		case subscription.Disconnect:
--- a/mesh/dataplane/identify.go
+++ b/mesh/dataplane/identify.go
@@ -37,7 +37,7 @@
 			return
 		}
 		if id := requestServerID(p.ctx, &client, "http://"+settings.AppAddr+service.HealthPath); id != "" {
-			p.lastHop.restore(p.now(), &directory.Entry{Server: id, Service: name, Slots: assumedSlots, State: directory.Accepting})
+			p.lastHop.identify(p.now(), &directory.Entry{Server: id, Service: name, Slots: assumedSlots, State: directory.Accepting})
 			p.post(serverChanged{})
 			return
 		}
--- a/mesh/dataplane/lasthop.go
+++ b/mesh/dataplane/lasthop.go
@@ -5,10 +5,12 @@
 	"maps"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	kitlog "github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"golang.org/x/time/rate"
@@ -229,13 +231,18 @@
 	return l.gate.Admission.Tick(now), l.gate.Admission.CheckDue(now)
 }
 
-// checkServer finds out whether a server that holds requests and responds to none accepts connections. If not, its requests are cancelled:
-// senders retry the idempotent ones elsewhere while they have time.
+// checkServer finds out whether a server that holds requests and responds to none accepts connections. If it refuses them, its requests are
+// cancelled: senders retry the idempotent ones elsewhere while they have time. A check that times out shows no more than that its queue of
+// connections is full, as that of a busy server may be; its heartbeats tell whether it is up.
 func (l *lastHop) checkServer() {
-	if c, err := net.DialTimeout("tcp", l.server.Addr(), checkConnectTimeout); err == nil {
+	c, err := net.DialTimeout("tcp", l.server.Addr(), checkConnectTimeout)
+	if err == nil {
 		_ = c.Close() // nothing was written to it
 		return
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return
+	}
 	l.mu.Lock()
 	changed := l.gate.Admission.ConnectionRefused()
 	running := slices.Collect(maps.Keys(l.running))
@@ -292,6 +299,13 @@
 	l.gate.Admission.Restore(now, e)
 }
 
+// identify takes over a server of which only its health check has told, unless a server has sent a heartbeat since.
+func (l *lastHop) identify(now time.Duration, e *directory.Entry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.gate.Admission.Identify(now, e)
+}
+
 // fillEntry writes what the directory announces of the server into this sidecar's entry.
 func (l *lastHop) fillEntry(e *directory.Entry) {
 	l.mu.Lock()
--- a/mesh/dataplane/lifecycle.go
+++ b/mesh/dataplane/lifecycle.go
@@ -91,7 +91,7 @@
 	cfg := httpfront.Config{
 		Catalog:     &core.Catalog{},
 		Connections: connections,
-		LastCalls:   acceptAfterShutdown,
+		LastCalls:   p.durations.Shutdown.Accept,
 		Idle:        frontIdleTimeout,
 		Waiting:     maxOccupancy,
 		Evict:       func() bool { return false },
@@ -169,7 +169,7 @@
 	_ = level.Info(p.log).Log("msg", "sidecar started", "node", settings.NodeName, "polled", p.epoll)
 	select {
 	case <-ctx.Done():
-		return p.shutDown(settings.Bounds.Grace, out, in)
+		return p.shutDown(out, in)
 	case err := <-out.Failed():
 		return fmt.Errorf("serve clients: %w", err)
 	case err := <-in.Failed():
--- a/mesh/dataplane/links/links.go
+++ b/mesh/dataplane/links/links.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"firplank/mesh/dataplane/distribution"
-	"firplank/mesh/dataplane/subscription"
 	"firplank/mesh/transport"
 	"firplank/mesh/wire"
 )
@@ -65,7 +64,7 @@
 		l.observe(a)
 		switch a := a.(type) {
 		case distribution.Dial:
-			l.dials.Go(func() { l.dial(a.Addr) })
+			l.dials.Go(func() { l.dial(a.Addr, a.Timeout) })
 		case distribution.Send:
 			a.To.Send(a.Frame) // a failure closes the connection
 		case distribution.Close:
@@ -75,8 +74,8 @@
 	}
 }
 
-func (l *Links) dial(addr string) {
-	c, err := transport.Dial(l.ctx, addr, subscription.DialTimeout, l)
+func (l *Links) dial(addr string, timeout time.Duration) {
+	c, err := transport.Dial(l.ctx, addr, timeout, l)
 	if err != nil {
 		l.post(distribution.ParentDialed{Err: err})
 		return
--- a/mesh/dataplane/loop.go
+++ b/mesh/dataplane/loop.go
@@ -17,8 +17,6 @@
 )
 
 const (
-	// tickInterval is how often the loop checks for what time alone changes.
-	tickInterval = 200 * time.Millisecond
 	// settingsPollInterval is how often the settings file is checked for changes that come without a signal.
 	settingsPollInterval = 2 * time.Second
 	// eventQueueSize bounds the events that wait for the loop.
@@ -61,12 +59,12 @@
 // loop owns the desired state, and the parts that reconcile this sidecar with it, until the context ends.
 func (p *Proxy) loop(reloads <-chan os.Signal) {
 	var tickAt, settingsAt time.Duration
-	timer := time.NewTimer(tickInterval)
+	timer := time.NewTimer(p.durations.Subscription.TickInterval)
 	defer timer.Stop()
 	for {
 		now := p.now()
 		if now >= tickAt {
-			tickAt = now + tickInterval
+			tickAt = now + p.durations.Subscription.TickInterval
 			p.tick(now)
 			if now >= settingsAt {
 				settingsAt = now + settingsPollInterval
--- a/mesh/dataplane/proxy.go
+++ b/mesh/dataplane/proxy.go
@@ -43,6 +43,7 @@
 	"firplank/mesh/dataplane/liveness"
 	"firplank/mesh/directory"
 	"firplank/mesh/dissemination"
+	"firplank/mesh/timing"
 )
 
 const (
@@ -64,15 +65,14 @@
 	serverSilenceTimeout = 2500 * time.Millisecond
 	// serverPoolRest is the pause between two requests on a connection to the server.
 	serverPoolRest = 2 * time.Millisecond
-	// heartbeatsMissed is how many heartbeat intervals a server may be silent before it counts as unresponsive.
-	heartbeatsMissed = 2.6
 )
 
 // Proxy is the sidecar of one machine. It puts the parts together; each has its own state and owner.
 type Proxy struct {
 	settingsFile bootstrap.File
 	settings     atomic.Pointer[bootstrap.Settings]
-	name         string // of this machine's node
+	durations    timing.Durations // as derived from the settings at the start
+	name         string           // of this machine's node
 	log          kitlog.Logger
 	slog         *slog.Logger
 	start        time.Time
@@ -120,9 +120,6 @@
 	return uint64(time.Now().UnixMilli())<<incarnationRandomBits | rand.Uint64N(1<<incarnationRandomBits)
 }
 
-// minHeartbeatInterval is the least heartbeat interval, in seconds, that the timeout for a silent server is based on.
-const minHeartbeatInterval = 0.2
-
 // Run runs a sidecar with the settings file at path until ctx ends, and then shuts it down in order: requests that were
 // accepted are answered first. Each signal on reloads has the settings read again, which are also polled. The error is
 // that of the settings, of a listener, or of a front that failed.
@@ -169,8 +166,9 @@
 
 // newProxy returns a sidecar that is not running yet.
 func newProxy(ctx context.Context, file bootstrap.File, settings *bootstrap.Settings, log kitlog.Logger, shared *slog.Logger) *Proxy {
-	heartbeat := max(settings.HeartbeatIntervalS, minHeartbeatInterval) * float64(time.Second)
+	durations := timing.FromSettings(settings)
 	p := &Proxy{
+		durations:    durations,
 		settingsFile: file,
 		name:         settings.NodeName,
 		log:          log,
@@ -188,7 +186,7 @@
 	p.services.Store(&map[string]*service{})
 	own := ownEntry(settings)
 	p.lastHop = newLastHop(ctx, log, p.now, settings.AppAddr, lasthop.Gate[*core.Call, *core.Answer]{
-		Admission: admission.New(time.Duration(heartbeatsMissed * heartbeat)),
+		Admission: admission.New(durations.Server),
 		Link:      admission.NewLink(settings.Resources.LinkMbps),
 		Outcomes:  attempts.New[*core.Call, *core.Answer](own.Incarnation),
 	})
@@ -197,9 +195,9 @@
 	p.lastHop.changed = func() { p.post(serverChanged{}) }
 	p.inFlight = inflight.New[*core.Attempt](settings.NodeName + "." + strconv.FormatUint(rand.Uint64(), 16))
 	p.queries = newOutcomeQueries(ctx, log, p.inFlight)
-	policy := dissemination.NewSubscriber(settings.NodeName, settings.Zone, settings.Bounds.InForce, p.now())
+	policy := dissemination.NewSubscriber(settings.NodeName, settings.Zone, durations.Dissemination, p.now())
 	policy.Seeds = settings.SeedPeerAddrs()
-	p.node = distribution.New(own, policy, &host{p: p})
+	p.node = distribution.New(own, policy, &host{p: p}, durations)
 	post := func(e distribution.Event) bool { return p.post(distributionEvent{e}) }
 	p.links = links.New(ctx, p.node, post, p.observe)
 	p.exchanges = exchanges.New(p.newService, (*service).setEndpoints)
--- a/mesh/dataplane/subscription/subscription.go
+++ b/mesh/dataplane/subscription/subscription.go
@@ -14,28 +14,21 @@
 	"firplank/mesh/codec"
 	"firplank/mesh/directory"
 	"firplank/mesh/dissemination"
+	"firplank/mesh/timing"
 	"firplank/mesh/wire"
 )
 
-const (
-	// HeartbeatInterval is the longest time without a heartbeat to the parent, once the sidecar is ready.
-	HeartbeatInterval = 700 * time.Millisecond
-	// DialTimeout bounds the wait for a connection to a parent.
-	DialTimeout = 500 * time.Millisecond
-	// redialDelay is the delay before the next dial after a failed or lost connection.
-	redialDelay = 60 * time.Millisecond
-	// reparentInterval is how often a sidecar whose parent is a control machine checks whether the tree has a relay
-	// for it.
-	reparentInterval = 5 * time.Second
-)
+// reparentInterval is how often a sidecar whose parent is a control machine checks whether the tree has a relay for it.
+const reparentInterval = 5 * time.Second
 
 // Action is what the owner of the connection must do: Dial, Send or Disconnect.
 type Action interface{ action() }
 
 // Dial asks for a connection to a parent. The owner reports the outcome by Dialed or DialFailed.
 type Dial struct {
-	Addr  string
-	Relay bool // the parent is a sidecar; a sidecar below a relay must not relay itself
+	Addr    string
+	Relay   bool // the parent is a sidecar; a sidecar below a relay must not relay itself
+	Timeout time.Duration
 }
 
 // Send is a frame for the parent.
@@ -72,6 +65,8 @@
 
 // Subscription is a sidecar's subscription to a parent. It is not safe for concurrent use.
 type Subscription struct {
+	durations timing.Subscription
+
 	policy *dissemination.Subscriber
 	state  *dissemination.Publisher // the wanted state and the subscribers' versions; read only
 	self   *directory.Entry         // the sidecar's own entry; read only
@@ -95,8 +90,8 @@
 
 // New returns a subscription without a parent. The policy chooses parents. State and self are read on each call and
 // never written.
-func New(policy *dissemination.Subscriber, state *dissemination.Publisher, self *directory.Entry) *Subscription {
-	return &Subscription{policy: policy, state: state, self: self}
+func New(policy *dissemination.Subscriber, state *dissemination.Publisher, self *directory.Entry, t timing.Subscription) *Subscription {
+	return &Subscription{durations: t, policy: policy, state: state, self: self}
 }
 
 // Connected reports whether there is a connection to a parent.
@@ -113,7 +108,7 @@
 
 // Dialed reports that the connection to the parent is established. It returns the subscription request.
 func (s *Subscription) Dialed(now time.Duration) []Action {
-	s.phase, s.heartbeatAt, s.nonce, s.needsFullState = connected, now+HeartbeatInterval, 0, false
+	s.phase, s.heartbeatAt, s.nonce, s.needsFullState = connected, now+s.durations.ReportInterval, 0, false
 	s.link = dissemination.ParentLink{ConnectedAt: now, LastByteAt: now}
 	f := &wire.FrameT{Kind: wire.Subscribe, From: s.self.Node}
 	if s.self.Sequence > 1 { // else nothing was announced yet
@@ -125,13 +120,13 @@
 
 // DialFailed reports that the parent could not be reached.
 func (s *Subscription) DialFailed(now time.Duration) {
-	s.phase, s.redialAt = idle, now+redialDelay
+	s.phase, s.redialAt = idle, now+s.durations.RedialDelay
 	s.policy.RecordFailure(s.addr, now)
 }
 
 // Lost reports that the connection to the parent has ended. A parent that never sent an update counts as failed.
 func (s *Subscription) Lost(now time.Duration) {
-	s.phase, s.redialAt = idle, now+redialDelay
+	s.phase, s.redialAt = idle, now+s.durations.RedialDelay
 	if !s.link.Received {
 		s.policy.RecordFailure(s.addr, now)
 	}
@@ -176,7 +171,7 @@
 	}
 	s.addr, s.relay = s.chooseParent(now)
 	s.phase = dialing
-	return append(actions, Dial{Addr: s.addr, Relay: s.relay})
+	return append(actions, Dial{Addr: s.addr, Relay: s.relay, Timeout: s.durations.DialTimeout})
 }
 
 // checkParent leaves a stale parent, or sends it a heartbeat when one is due.
@@ -190,7 +185,7 @@
 	if now < s.heartbeatAt || !s.ready {
 		return nil
 	}
-	s.heartbeatAt = now + HeartbeatInterval
+	s.heartbeatAt = now + s.durations.ReportInterval
 	own := *s.self
 	own.LastSeen = now
 	return s.Report(now, []*wire.EntryT{codec.LivenessToWire(&own, now)})
@@ -224,7 +219,7 @@
 	if s.phase != connected || !s.ready {
 		return nil
 	}
-	s.heartbeatAt = now + HeartbeatInterval
+	s.heartbeatAt = now + s.durations.ReportInterval
 	return s.Report(now, []*wire.EntryT{s.ownEntry(now)})
 }
 
@@ -269,5 +264,5 @@
 			}
 		}
 	}
-	return s.policy.ChooseParent(now, candidates, s.state.ControlMachines)
+	return s.policy.ChooseParent(now, s.state.AsOf, candidates, s.state.ControlMachines)
 }
--- a/mesh/dissemination/confirmations.go
+++ b/mesh/dissemination/confirmations.go
@@ -1,32 +1,32 @@
 package dissemination
 
-import "time"
+import (
+	"time"
 
-const (
-	// AckTimeout bounds how long after its arrival an operator's change may wait until its version is in force everywhere. It is below
-	// the second after which an operator asks another control machine, and far below the time in which a change has to be acknowledged.
-	AckTimeout = 650 * time.Millisecond
-	// maxPending bounds the operations that wait; beyond it none does.
-	maxPending = 256
-	// peerReportTTL is how long another control machine's report counts; it repeats it at least each 300 ms.
-	peerReportTTL = time.Second
-	// quorumTimeout is how long a control machine may be without a committed round before it counts as having lost the quorum: four
-	// rounds.
-	quorumTimeout = 1500 * time.Millisecond
+	"firplank/mesh/timing"
 )
 
+// maxPending bounds the operations that wait; beyond it none does.
+const maxPending = 256
+
 // QuorumLost reports whether a control machine counts as out of contact with a majority: a majority last confirmed its value as of asOf
-// (below 0: never), more than quorumTimeout ago. Times count from the machine's start, so that a machine that has just started has
-// quorumTimeout to commit its first round. The control plane refuses operations by it (operations.Health).
-func QuorumLost(now, asOf time.Duration) bool { return now-max(asOf, 0) > quorumTimeout }
+// (below 0: never), more than timeout ago (timing.Dissemination.QuorumTimeout). Times count from the machine's start, so that a machine
+// that has just started has that time to commit its first round. The control plane refuses operations by it (operations.Health).
+func QuorumLost(now, asOf, timeout time.Duration) bool { return now-max(asOf, 0) > timeout }
 
 // Confirmations decides when a control machine confirms an operation that the register has committed: when the version is in force at all
-// sidecars that subscribe to this machine or, directly or not, to the others in contact, at the latest AckTimeout after the operation
-// arrived. So a sidecar that is cut off or slow delays each change by that time at most, and only while it counts as a subscriber. The zero
-// value is ready for use; it is not safe for concurrent use.
+// sidecars that subscribe to this machine or, directly or not, to the others in contact, at the latest timing.Dissemination.AckTimeout after
+// the operation arrived. So a sidecar that is cut off or slow delays each change by that time at most, and only while it counts as a
+// subscriber. It is not safe for concurrent use.
 type Confirmations struct {
-	peers   map[string]peerReport
-	pending []pendingOperation
+	durations timing.Dissemination
+	peers     map[string]peerReport
+	pending   []pendingOperation
+}
+
+// NewConfirmations returns confirmations for which no operation waits.
+func NewConfirmations(t timing.Dissemination) *Confirmations {
+	return &Confirmations{durations: t, peers: map[string]peerReport{}}
 }
 
 // peerReport is the lowest version in force below another control machine, and when it was reported.
@@ -43,16 +43,13 @@
 
 // RecordPeer records the lowest version in force below another control machine.
 func (c *Confirmations) RecordPeer(peer string, lowest uint32, now time.Duration) {
-	if c.peers == nil {
-		c.peers = map[string]peerReport{}
-	}
 	c.peers[peer] = peerReport{lowestInForce: lowest, receivedAt: now}
 }
 
 // lowestInForce returns the lowest version in force anywhere, where lowest is that below this machine. It drops reports that have expired.
 func (c *Confirmations) lowestInForce(lowest uint32, now time.Duration) uint32 {
 	for peer, report := range c.peers {
-		if now-report.receivedAt > peerReportTTL {
+		if now-report.receivedAt > c.durations.PeerReportTTL {
 			delete(c.peers, peer)
 			continue
 		}
@@ -64,7 +61,7 @@
 // Defer makes an operation wait whose request arrived at arrivedAt; lowest is the lowest version in force below this machine. It reports
 // false where the operation is to be confirmed at once.
 func (c *Confirmations) Defer(id uint64, version, lowest uint32, arrivedAt, now time.Duration) bool {
-	deadline := arrivedAt + AckTimeout
+	deadline := arrivedAt + c.durations.AckTimeout
 	if len(c.pending) >= maxPending || now >= deadline || c.lowestInForce(lowest, now) >= version {
 		return false
 	}
@@ -74,7 +71,7 @@
 
 // Release returns the operations to be confirmed now, which don't wait any longer, and when to call it again if no report comes before.
 func (c *Confirmations) Release(lowest uint32, now time.Duration) (confirmed []uint64, next time.Duration) {
-	next = now + AckTimeout
+	next = now + c.durations.AckTimeout
 	if len(c.pending) == 0 {
 		return nil, next
 	}
--- a/mesh/dissemination/parentlink.go
+++ b/mesh/dissemination/parentlink.go
@@ -1,14 +1,9 @@
 package dissemination
 
-import "time"
+import (
+	"time"
 
-const (
-	// staleAfter is the age of what a parent last confirmed at which a sidecar switches to another one.
-	staleAfter = 1350 * time.Millisecond
-	// maxTransferAge is the age at which it does so although a large frame is still arriving.
-	maxTransferAge = 4 * time.Second
-	// firstUpdateTimeout is how long a parent may take to send anything at all to a sidecar without a configuration.
-	firstUpdateTimeout = 450 * time.Millisecond
+	"firplank/mesh/timing"
 )
 
 // ParentLink is the state of the connection to the publisher that a sidecar subscribes to.
@@ -21,16 +16,16 @@
 
 // Stale reports whether the sidecar has to look for another parent; asOf is when its configuration was last confirmed, or TimeUnknown.
 // Complete frames are no reason to stay, as a parent that is cut off from the majority sends them, too; only a confirmation is.
-func (l *ParentLink) Stale(now, asOf time.Duration) bool {
+func (l *ParentLink) Stale(now, asOf time.Duration, t *timing.Dissemination) bool {
 	connected := now - l.ConnectedAt
 	if asOf == TimeUnknown { // without any configuration no time is to be lost
-		return connected > maxTransferAge || connected > firstUpdateTimeout && !l.arriving(now, firstUpdateTimeout)
+		return connected > t.MaxTransferAge || connected > t.FirstUpdateTimeout && !l.arriving(now, t.FirstUpdateTimeout)
 	}
 	age := now - asOf
-	if age <= staleAfter || connected <= staleAfter {
+	if age <= t.StaleAfter || connected <= t.StaleAfter {
 		return false
 	}
-	return age > maxTransferAge || !l.arriving(now, staleAfter)
+	return age > t.MaxTransferAge || !l.arriving(now, t.StaleAfter)
 }
 
 // arriving reports whether a frame is on its way, of which something came within timeout.
--- a/mesh/dissemination/publisher.go
+++ b/mesh/dissemination/publisher.go
@@ -17,19 +17,16 @@
 
 	"firplank/mesh/delta"
 	"firplank/mesh/directory"
+	"firplank/mesh/timing"
 )
 
 const (
-	// HeartbeatInterval is the longest time between two pushes to a subscriber. One without changes confirms that its version is fresh.
-	HeartbeatInterval = 350 * time.Millisecond
 	// MaxSubscribers bounds the subscribers of a publisher; more are refused, and turn to another one.
 	MaxSubscribers = 512
 	// batchDelay is how long a change waits for further ones, so that changes which come together share a push.
 	batchDelay = 15 * time.Millisecond
 	// maxDiffBytes bounds the texts that deltas are computed of, for the processor time that takes.
 	maxDiffBytes = 2 << 20
-	// subscriberTimeout is how long after its last acknowledgement a subscriber still counts for LowestInForce.
-	subscriberTimeout = 1500 * time.Millisecond
 )
 
 // Publisher holds what is published and what each subscriber has of it. The exported fields are for reading, but for ControlMachines, which
@@ -46,13 +43,14 @@
 	// ControlMachines are the control machines that subscribers may turn to.
 	ControlMachines []ControlMachine
 
+	durations     timing.Dissemination
 	history       deltaHistory
 	subscriptions map[uint64]*subscription
 }
 
 // NewPublisher returns a publisher with an empty directory and no configuration.
-func NewPublisher() *Publisher {
-	return &Publisher{Directory: directory.New(), AsOf: TimeUnknown, subscriptions: map[uint64]*subscription{}}
+func NewPublisher(t timing.Dissemination) *Publisher {
+	return &Publisher{Directory: directory.New(), AsOf: TimeUnknown, durations: t, subscriptions: map[uint64]*subscription{}}
 }
 
 // SetConfig records that a version was the newest at asOf. Text may be nil where the version is the present one. The deltas are those that
@@ -106,7 +104,7 @@
 	if len(p.subscriptions) >= MaxSubscribers {
 		return false
 	}
-	p.subscriptions[id] = newSubscription(version, now)
+	p.subscriptions[id] = newSubscription(version, now-p.durations.HeartbeatInterval, now)
 	return true
 }
 
@@ -127,7 +125,7 @@
 func (p *Publisher) LowestInForce(now time.Duration) uint32 {
 	lowest := uint32(Unconstrained)
 	for _, s := range p.subscriptions {
-		if now-s.lastAck <= subscriberTimeout {
+		if now-s.lastAck <= p.durations.SubscriberTimeout {
 			lowest = min(lowest, s.lowestInForce)
 		}
 	}
@@ -137,12 +135,12 @@
 // Tick returns the updates that are due, in no particular order, and when to call it again at the latest. A subscriber that has yet to
 // acknowledge an update gets heartbeats only, so that versions which are superseded meanwhile are never sent to it.
 func (p *Publisher) Tick(now time.Duration) (updates []Update, next time.Duration) {
-	next = now + HeartbeatInterval
+	next = now + p.durations.HeartbeatInterval
 	for id, s := range p.subscriptions {
 		if s.changedAt < 0 && s.hasChanges(p) {
 			s.changedAt = now
 		}
-		if due := s.dueAt(); now < due {
+		if due := s.dueAt(p.durations.HeartbeatInterval); now < due {
 			next = min(next, due)
 			continue
 		}
--- a/mesh/dissemination/subscriber.go
+++ b/mesh/dissemination/subscriber.go
@@ -1,6 +1,10 @@
 package dissemination
 
-import "time"
+import (
+	"time"
+
+	"firplank/mesh/timing"
+)
 
 const (
 	// relayBackoff is how long a relay that failed is left alone.
@@ -12,6 +16,8 @@
 	exhaustedFactor = 3
 	// maxTrackedFailures bounds the parents whose failures are remembered; beyond it all are forgotten, and tried again.
 	maxTrackedFailures = 256
+	// unseenOrder is the order of one that the others have not heard of lately: after all that never failed, before all that did.
+	unseenOrder = -time.Minute
 	// neverFailed is subtracted from the order of a control machine that never failed, so that it comes before all that did.
 	neverFailed = time.Hour
 	// zonePreference is subtracted from that of one of the own zone.
@@ -20,7 +26,7 @@
 
 // Subscriber decides for one sidecar which publisher it subscribes to, and when it is ready. It is not safe for concurrent use.
 //
-// A sidecar becomes ready with a configuration that was the newest at most MaxAge ago. What is older comes from a control machine that has
+// A sidecar becomes ready with a configuration that was the newest at most timing.Dissemination.MaxReadyAge ago. What is older comes from a control machine that has
 // lost its quorum: the sidecar then goes on to the other control machines, and is ready with what it has only when all that it has
 // learned of have failed, and has looked for LastResort (exhaustedFactor times that, where it never gets through them all). By then it
 // is cut off from every majority that there may be, and serving by an old configuration is better than not serving.
@@ -28,25 +34,21 @@
 	Node, Zone string
 	// Seeds are the control machines that the settings name.
 	Seeds []string
-	// MaxAge is the age up to which a configuration makes the sidecar ready at once.
-	MaxAge time.Duration
-	// LastResort is how long after StartedAt an older one does.
-	LastResort time.Duration
 	// StartedAt is when the sidecar began to look for its first configuration.
 	StartedAt time.Duration
 
+	durations   timing.Dissemination
 	ready       bool
 	lastFailure map[string]time.Duration // by address of the parent
 }
 
-// NewSubscriber returns the subscriber of a sidecar that starts now; inForce bounds the time until a change is in force everywhere.
-func NewSubscriber(node, zone string, inForce, now time.Duration) *Subscriber {
+// NewSubscriber returns the subscriber of a sidecar that starts now.
+func NewSubscriber(node, zone string, t timing.Dissemination, now time.Duration) *Subscriber {
 	return &Subscriber{
 		Node:        node,
 		Zone:        zone,
-		MaxAge:      inForce / 2,
-		LastResort:  inForce,
 		StartedAt:   now,
+		durations:   t,
 		lastFailure: map[string]time.Duration{},
 	}
 }
@@ -66,12 +68,12 @@
 	switch {
 	case s.ready:
 	case version == 0 || asOf == TimeUnknown:
-	case now-asOf <= s.MaxAge:
+	case now-asOf <= s.durations.MaxReadyAge:
 		s.ready = true
-	case waited >= exhaustedFactor*s.LastResort:
+	case waited >= exhaustedFactor*s.durations.LastResort:
 		s.ready = true
 	default:
-		s.ready = waited >= s.LastResort && s.allControlMachinesFailed(machines)
+		s.ready = waited >= s.durations.LastResort && s.allControlMachinesFailed(machines)
 	}
 	return s.ready
 }
@@ -104,39 +106,60 @@
 // ShouldSwitch reports whether to look for another parent. The configuration was last confirmed at asOf. A sidecar that is not ready leaves
 // a parent at once whose configuration is too old.
 func (s *Subscriber) ShouldSwitch(now, asOf time.Duration, link ParentLink) bool {
-	if !s.ready && link.Received && link.PartialBytes == 0 && asOf != TimeUnknown && now-asOf > s.MaxAge {
+	if !s.ready && link.Received && link.PartialBytes == 0 && asOf != TimeUnknown && now-asOf > s.durations.MaxReadyAge {
 		return true
 	}
-	return link.Stale(now, asOf)
+	return link.Stale(now, asOf, &s.durations)
 }
 
 // ChooseParent returns the address to subscribe to: a relay, once the sidecar is ready and has a candidate that is worth an attempt, else
-// the control machine that failed longest ago, those of the own zone first. Members are the sidecars of the directory.
-func (s *Subscriber) ChooseParent(now time.Duration, members []Locality, machines []ControlMachine) (addr string, relay bool) {
-	if s.ready {
+// the control machine that failed longest ago, those of the own zone first, and those last that the others have not heard of lately. Members
+// are the sidecars of the directory. A sidecar whose configuration was last confirmed so long ago that its parent counts as stale turns to
+// the control machines at once: a relay that is cut off as well would cost the time that is left (timing.Durations.Reconnect).
+func (s *Subscriber) ChooseParent(
+	now, asOf time.Duration, members []Locality, machines []ControlMachine,
+) (addr string, relay bool) {
+	if s.ready && now-asOf <= s.durations.StaleAfter {
 		if addr := s.chooseRelay(now, members); addr != "" {
 			return addr, true
 		}
 	}
-	zones := map[string]string{}
+	zones, unseen := map[string]string{}, s.unseen(machines)
 	for _, m := range machines {
 		zones[m.Addr] = m.Zone
 	}
 	best, bestOrder := "", time.Duration(1<<62)
 	for _, addr := range s.controlMachineAddrs(machines) {
-		if order := s.attemptOrder(addr, zones[addr]); order < bestOrder {
+		if order := s.attemptOrder(addr, zones[addr], unseen[addr]); order < bestOrder {
 			best, bestOrder = addr, order
 		}
 	}
 	return best, false
 }
 
+// unseen returns the control machines that were heard of longer ago than the latest, by more than timing.Dissemination.UnseenAfter: they are
+// down, or cut off from the machine that listed them.
+func (s *Subscriber) unseen(machines []ControlMachine) map[string]bool {
+	latest := TimeUnknown
+	for _, m := range machines {
+		latest = max(latest, m.LastSeen)
+	}
+	unseen := map[string]bool{}
+	for _, m := range machines {
+		unseen[m.Addr] = latest-m.LastSeen > s.durations.UnseenAfter
+	}
+	return unseen
+}
+
 // attemptOrder ranks a control machine; the lowest is tried first. It is the time of the last failure; those that never failed come before,
 // spread over the sidecars by a hash.
-func (s *Subscriber) attemptOrder(addr, zone string) time.Duration {
+func (s *Subscriber) attemptOrder(addr, zone string, unseen bool) time.Duration {
 	if at, failed := s.lastFailure[addr]; failed {
 		return at
 	}
+	if unseen {
+		return unseenOrder
+	}
 	order := -neverFailed
 	if zone == s.Zone {
 		order -= zonePreference
--- a/mesh/dissemination/subscription.go
+++ b/mesh/dissemination/subscription.go
@@ -24,12 +24,13 @@
 	pushesToMachines  int           // pushes left until the control machines are listed again
 }
 
-func newSubscription(version uint32, now time.Duration) *subscription {
+// newSubscription returns the state for a subscriber that has a version. Its first push is due a heartbeat interval after lastPush.
+func newSubscription(version uint32, lastPush, now time.Duration) *subscription {
 	return &subscription{
 		sentVersion:   version,
 		lowestInForce: version,
 		lastAck:       now,
-		lastPush:      now - HeartbeatInterval,
+		lastPush:      lastPush,
 		changedAt:     now,
 	}
 }
@@ -43,8 +44,8 @@
 }
 
 // dueAt returns when the next push is due: soon after a change, else at the next heartbeat.
-func (s *subscription) dueAt() time.Duration {
-	heartbeat := s.lastPush + HeartbeatInterval
+func (s *subscription) dueAt(heartbeatInterval time.Duration) time.Duration {
+	heartbeat := s.lastPush + heartbeatInterval
 	if s.changedAt < 0 {
 		return heartbeat
 	}
--- a/mesh/lease/lease.go
+++ b/mesh/lease/lease.go
@@ -2,8 +2,8 @@
 // lost members is done by one machine. It is a lease (Gray, Cheriton, 1989) that a majority grants, as in PaxosLease (Trencseni, Gazso,
 // Reinhardt, 2012), without that algorithm's prepare phase: votes are given to requests directly, and split votes are resolved by turns.
 //
-// A candidate asks all members for votes. A vote binds its voter for Timing.VoteDuration; a majority of votes grants the lease for
-// Timing.LeaseDuration from when they were requested, which is shorter. The holder renews it with further requests. A holder that loses
+// A candidate asks all members for votes. A vote binds its voter for timing.Lease.VoteDuration; a majority of votes grants the lease for
+// timing.Lease.LeaseDuration from when they were requested, which is shorter. The holder renews it with further requests. A holder that loses
 // contact with the majority stops acting, by its own clock, before any other machine can be granted the lease. Only the rates of clocks
 // have to agree, not their times.
 //
@@ -16,6 +16,8 @@
 import (
 	"slices"
 	"time"
+
+	"firplank/mesh/timing"
 )
 
 // Kind is the kind of a Message.
@@ -38,16 +40,18 @@
 
 // Lease is one machine's part of the lease, as candidate and as voter. It is not safe for concurrent use.
 type Lease struct {
-	self     string
-	timing   Timing
-	members  []string
-	nextTick time.Duration
+	self      string
+	durations timing.Lease
+	members   []string
+	nextTick  time.Duration
 
 	// The candidate.
 	released      bool   // for good: this machine requests no more votes
 	requestNumber uint64 // of the last request
 	requestedAt   time.Duration
 	votes         []string // for the last request; nil: none is under way
+	replies       []string // members that have answered the last request, whichever way
+	unanswered    int      // requests in a row that no majority answered in time
 	heldUntil     time.Duration
 
 	// The voter.
@@ -58,9 +62,9 @@
 
 // New returns the lease, whose holder is unknown at first, of a machine that starts at the time now. Its requests are numbered above
 // firstNumber, which must be higher than all numbers of its earlier starts: a vote for one of those requests binds nobody any more.
-func New(self string, now time.Duration, firstNumber uint64, timing Timing) *Lease {
-	start := now + timing.StartupDelay
-	return &Lease{self: self, timing: timing, requestNumber: firstNumber, voteExpires: start, nextTick: start}
+func New(self string, now time.Duration, firstNumber uint64, durations timing.Lease) *Lease {
+	start := now + durations.StartupDelay
+	return &Lease{self: self, durations: durations, requestNumber: firstNumber, voteExpires: start, nextTick: start}
 }
 
 // HeldAt reports whether this machine holds the lease at a time.
@@ -91,7 +95,7 @@
 	case now < l.nextTick:
 		return nil
 	case l.released || !slices.Contains(l.members, l.self):
-		l.nextTick = now + l.timing.VoteTimeout
+		l.nextTick = now + l.durations.VoteTimeout
 		return nil
 	case !held && l.votedFor != "" && l.votedFor != l.self && now < l.voteExpires:
 		l.nextTick = l.voteExpires
@@ -107,23 +111,39 @@
 // candidates ask again one after the other.
 func (l *Lease) endSplitVote(now time.Duration) {
 	l.requestNumber++
+	if len(l.replies) <= len(l.members)/2 {
+		l.unanswered++
+	}
 	l.votedFor, l.voteExpires, l.votes = "", now, nil
 	l.nextTick = now + l.turn()
 }
 
+// voteTimeout returns how long to wait for votes. It doubles with each request that no majority answered: where replies take longer than
+// expected, every one of them would come too late otherwise. A vote that was split has been answered.
+func (l *Lease) voteTimeout() time.Duration {
+	timeout := l.durations.VoteTimeout
+	for range l.unanswered {
+		if timeout >= l.durations.MaxVoteTimeout {
+			break
+		}
+		timeout *= 2
+	}
+	return min(timeout, l.durations.MaxVoteTimeout)
+}
+
 // turn returns how long this machine waits for its turn to request votes when the lease has become free.
 func (l *Lease) turn() time.Duration {
-	return l.timing.Stagger * time.Duration(1+slices.Index(l.members, l.self))
+	return l.durations.Stagger * time.Duration(1+slices.Index(l.members, l.self))
 }
 
 // requestVotes asks all members for a vote, to win the lease or to renew it.
 func (l *Lease) requestVotes(now time.Duration) (out []Message) {
-	l.nextTick = now + l.timing.VoteTimeout
+	l.nextTick = now + l.voteTimeout()
 	if l.HeldAt(now) {
-		l.nextTick = now + l.timing.RenewInterval
+		l.nextTick = now + l.durations.RenewInterval
 	}
 	l.requestNumber++
-	l.requestedAt, l.votes = now, []string{}
+	l.requestedAt, l.votes, l.replies = now, []string{}, nil
 	for _, member := range l.members {
 		request := Message{Kind: VoteRequest, From: l.self, To: member, Number: l.requestNumber}
 		if member == l.self {
@@ -168,20 +188,27 @@
 func (l *Lease) vote(now time.Duration, request Message) Message {
 	granted := now >= l.voteExpires || l.votedFor == request.From
 	if granted {
-		l.votedFor, l.votedNumber, l.voteExpires = request.From, request.Number, now+l.timing.VoteDuration
+		l.votedFor, l.votedNumber, l.voteExpires = request.From, request.Number, now+l.durations.VoteDuration
 	}
 	return Message{Kind: VoteResponse, From: l.self, To: request.From, Number: request.Number, Granted: granted}
 }
 
 // countVote counts a vote for the last request; a majority grants or renews the lease.
 func (l *Lease) countVote(m Message) {
-	if m.Number != l.requestNumber || !m.Granted || slices.Contains(l.votes, m.From) || !slices.Contains(l.members, m.From) {
+	if m.Number != l.requestNumber || slices.Contains(l.replies, m.From) || !slices.Contains(l.members, m.From) {
+		return
+	}
+	l.replies = append(l.replies, m.From)
+	if len(l.replies) > len(l.members)/2 {
+		l.unanswered = 0
+	}
+	if !m.Granted {
 		return
 	}
 	l.votes = append(l.votes, m.From)
 	if len(l.votes) > len(l.members)/2 {
 		// Counted from the request on: no vote for it binds from an earlier time.
-		l.heldUntil = max(l.heldUntil, l.requestedAt+l.timing.LeaseDuration)
+		l.heldUntil = max(l.heldUntil, l.requestedAt+l.durations.LeaseDuration)
 	}
 }
 
--- a/mesh/register/acceptor.go
+++ b/mesh/register/acceptor.go
@@ -25,8 +25,10 @@
 		r.reject(m)
 		return
 	}
-	r.state.Promised, r.state.Accepted, r.state.Value = m.Ballot, m.Ballot, *m.Value
-	r.persist()
+	if m.Ballot != r.state.Accepted { // else the request was sent again: the state has it, or will before this reply leaves
+		r.state.Promised, r.state.Accepted, r.state.Value = m.Ballot, m.Ballot, *m.Value
+		r.persist()
+	}
 	r.send(Message{
 		Kind:             Accepted,
 		To:               m.From,
--- a/mesh/register/proposer.go
+++ b/mesh/register/proposer.go
@@ -5,13 +5,13 @@
 	"time"
 )
 
-// stragglerShare is the part of the phase timeout for which a read waits for more replies than those of a quorum.
+// stragglerShare is the part of timing.Register.MinPhase for which a read waits for more replies than those of a quorum.
 const stragglerShare = 4
 
 // startRead begins a round: it asks the members for their accepted values.
 func (r *Replica) startRead() {
 	r.round.started = r.now
-	r.round.nextPhase(reading, r.now+r.phaseTimeout)
+	r.beginPhase(reading)
 	r.round.answerable = len(r.pending)
 	r.round.awaitingStragglers, r.round.completesChange = false, false
 	r.round.highestAccepted, r.round.acceptedValue = r.state.Accepted, r.state.Value
@@ -21,6 +21,27 @@
 	r.contact()
 }
 
+// beginPhase begins a phase of the round.
+func (r *Replica) beginPhase(p phase) {
+	resendAt, endsAt := r.pace.begin(r.now)
+	r.round.nextPhase(p, resendAt, endsAt)
+}
+
+// resend sends the phase's request again to the machines that have not replied: it or their reply may be lost, or only slow.
+func (r *Replica) resend() {
+	r.round.deadline = min(r.pace.resent(r.now), r.round.endsAt)
+	for _, machine := range slices.Clone(r.round.contacted) {
+		if _, replied := r.round.replies[machine]; replied || machine == r.self {
+			continue
+		}
+		if r.round.phase == accepting {
+			r.sendAccept(machine)
+		} else {
+			r.send(r.request(machine))
+		}
+	}
+}
+
 // recipients returns the machines that a round has to ask about a value: its members and prior members, or where it has none, the peers.
 func (r *Replica) recipients(v *Value) []string {
 	machines := slices.Concat(v.Members, v.PriorMembers)
@@ -142,7 +163,7 @@
 }
 
 func (r *Replica) stragglerDeadline() time.Duration {
-	return r.round.started + r.phaseTimeout/stragglerShare
+	return r.round.started + r.pace.stragglerWait()
 }
 
 // finishRead ends a round whose read found its value on the disks of a quorum. Members that a change adds and that lack it, get it.
@@ -170,7 +191,7 @@
 
 // startPrepare begins the second phase of a round: it requests promises for a ballot above all those seen.
 func (r *Replica) startPrepare() {
-	r.round.nextPhase(preparing, r.now+r.phaseTimeout)
+	r.beginPhase(preparing)
 	r.round.ballot = Ballot{Number: r.highestBallot.Number + 1, Proposer: r.self}
 	r.highestBallot = r.round.ballot
 	r.contact()
@@ -196,7 +217,7 @@
 // proposed to the members of both the value and the proposal.
 func (r *Replica) startAccept() {
 	v := &r.round.acceptedValue
-	r.round.nextPhase(accepting, r.now+r.phaseTimeout)
+	r.beginPhase(accepting)
 	r.round.answerable = len(r.pending) // the proposal is newer than each of them
 	if r.round.completesChange {
 		r.round.proposal = *v
@@ -204,12 +225,18 @@
 	} else {
 		r.round.proposal = r.applyPending(*v)
 	}
-	proposal := r.round.proposal
-	for _, machine := range sortedSet(append(r.recipients(v), r.recipients(&proposal)...)) {
-		r.send(Message{Kind: Accept, To: machine, Round: r.round.number, Ballot: r.round.ballot, Value: &proposal})
+	r.round.contacted = sortedSet(append(r.recipients(v), r.recipients(&r.round.proposal)...))
+	for _, machine := range r.round.contacted {
+		r.sendAccept(machine)
 	}
 }
 
+// sendAccept sends the proposal to a machine.
+func (r *Replica) sendAccept(machine string) {
+	proposal := r.round.proposal
+	r.send(Message{Kind: Accept, To: machine, Round: r.round.number, Ballot: r.round.ballot, Value: &proposal})
+}
+
 // commitProposal ends a round whose proposal a quorum has accepted, and announces the commit to members and peers.
 func (r *Replica) commitProposal() {
 	v, ballot := r.round.proposal, r.round.ballot
@@ -229,6 +256,7 @@
 // finishRound ends a round with a value that was committed when the round began, or later, and that the holders have on their disks.
 func (r *Replica) finishRound(ballot Ballot, v Value, holders []string) {
 	r.round.finish(r.now)
+	r.pace.completed()
 	r.lastCommit = r.now
 	if ballot.Compare(r.committedBallot) >= 0 {
 		r.committedBallot, r.committedValue = ballot, v
--- a/mesh/register/replica.go
+++ b/mesh/register/replica.go
@@ -4,17 +4,11 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"firplank/mesh/timing"
 )
 
 const (
-	// defaultPhaseTimeout is how long a phase of a round may take where SetPhaseTimeout states no other time.
-	defaultPhaseTimeout = 350 * time.Millisecond
-	// minBackoff and backoffJitter are the fixed and the random part of the delay before a round that failed is begun again.
-	minBackoff    = 15 * time.Millisecond
-	backoffJitter = 90 * time.Millisecond
-	// idleReadInterval is the time after a commit after which a replica reads without being asked. Such a read repairs the
-	// effects of lost Commit messages.
-	idleReadInterval = 300 * time.Millisecond
 	// maxPendingOperations bounds the operations that wait. Further ones are dropped without an Outcome: the caller's deadline ends them.
 	maxPendingOperations = 256
 
@@ -26,10 +20,10 @@
 
 // Replica is one control machine's part of the register: acceptor and proposer. It is not safe for concurrent use.
 type Replica struct {
-	self         string
-	random       *rand.Rand
-	phaseTimeout time.Duration
-	peers        []string // machines that may know a member
+	self   string
+	random *rand.Rand
+	pace   pace
+	peers  []string // machines that may know a member
 
 	// State of the call of Handle that is under way.
 	now          time.Duration
@@ -58,10 +52,10 @@
 	r := &Replica{
 		self:          self,
 		random:        rand.New(rand.NewPCG(randomSeed, randomStream)),
-		phaseTimeout:  defaultPhaseTimeout,
 		peers:         slices.Clone(seeds),
 		committedAsOf: unknownTime,
 	}
+	r.pace = newPace(r.random)
 	r.round.number = r.random.Uint64()
 	switch {
 	case durable != nil:
@@ -76,8 +70,8 @@
 	return r
 }
 
-// SetPhaseTimeout sets how long a phase of a round may take before the round is abandoned.
-func (r *Replica) SetPhaseTimeout(timeout time.Duration) { r.phaseTimeout = timeout }
+// SetTiming sets the durations of rounds, in place of those of timing.Default.
+func (r *Replica) SetTiming(t timing.Register) { r.pace.durations = t }
 
 // State returns the acceptor's state, which may be newer than the one on disk.
 func (r *Replica) State() State { return r.state }
@@ -123,8 +117,11 @@
 			r.pending = append(r.pending, event)
 		}
 	case PeerConnected:
-		if !r.hasCommitted() || !r.state.Voter {
+		switch {
+		case !r.hasCommitted() || !r.state.Voter:
 			r.round.finish(now)
+		case r.round.phase != idle && !r.round.awaitingStragglers:
+			r.round.deadline = now // requests to the machine may have been lost
 		}
 	case Tick:
 	}
@@ -141,7 +138,7 @@
 	if r.round.phase != idle || r.wantsRound() {
 		return r.round.deadline
 	}
-	return max(r.round.deadline, r.lastCommit+idleReadInterval)
+	return max(r.round.deadline, r.lastCommit+r.pace.durations.IdleReadInterval)
 }
 
 // wantsRound reports whether there is a reason for a round other than the interval of idle reads.
@@ -152,16 +149,20 @@
 // advance ends a wait or a phase that has timed out, and begins a round where one is due.
 func (r *Replica) advance() {
 	if r.round.awaitingStragglers && r.round.phase == reading && r.now >= r.round.deadline {
-		r.round.awaitingStragglers, r.round.deadline = false, r.round.started+r.phaseTimeout
+		r.round.awaitingStragglers, r.round.deadline = false, r.now+r.pace.durations.MinPhase
 		r.evaluateRead()
 	}
-	if r.round.phase != idle && r.now >= r.round.deadline {
+	switch {
+	case r.round.phase == idle || r.now < r.round.deadline:
+	case r.now >= r.round.endsAt:
 		r.abandonRound()
+	default:
+		r.resend()
 	}
 	if r.round.phase != idle || r.now < r.round.deadline {
 		return
 	}
-	if r.wantsRound() || r.now >= r.lastCommit+idleReadInterval {
+	if r.wantsRound() || r.now >= r.lastCommit+r.pace.durations.IdleReadInterval {
 		r.startRead()
 	}
 }
@@ -172,11 +173,16 @@
 	r.backOff()
 }
 
-// backOff puts off the next round by a random time, so that competing proposers do not abort each other forever.
-func (r *Replica) backOff() {
-	r.round.deadline = r.now + minBackoff + time.Duration(r.random.Int64N(int64(backoffJitter)))
+// rejectRound ends a round that a competing proposer has aborted. The next one begins after a backoff that grows with rejections, so that
+// proposers do not abort each other forever.
+func (r *Replica) rejectRound() {
+	r.round.phase = idle
+	r.round.deadline = r.now + r.pace.rejected(r.now-r.round.started)
 }
 
+// backOff puts off the next round by a random time.
+func (r *Replica) backOff() { r.round.deadline = r.now + r.pace.backoff() }
+
 // persist marks the acceptor's state as changed, so that this call's Output carries it.
 func (r *Replica) persist() { r.stateChanged = true }
 
@@ -211,7 +217,7 @@
 		r.handleCommit(m)
 	case Nack:
 		if m.Round == r.round.number && (r.round.phase == preparing || r.round.phase == accepting) {
-			r.abandonRound()
+			r.rejectRound()
 		}
 	case Promise, ReadReply, RejoinReply, Accepted:
 		if m.Round == r.round.number {
--- a/mesh/register/round.go
+++ b/mesh/register/round.go
@@ -20,7 +20,8 @@
 	number   uint64 // replies carry it, and count only in the round, or the phase, that it belongs to
 	phase    phase
 	started  time.Duration
-	deadline time.Duration // of the phase; when idle: no round begins before it
+	deadline time.Duration // when the phase's requests are sent again, or it ends; when idle: no round begins before it
+	endsAt   time.Duration // when the phase is abandoned
 	ballot   Ballot        // of Prepare and Accept
 
 	contacted []string         // machines that the phase's request was sent to
@@ -51,9 +52,9 @@
 func (rd *round) finish(now time.Duration) { rd.phase, rd.deadline = idle, now }
 
 // nextPhase begins a phase that has no replies yet. Replies to earlier phases no longer count.
-func (rd *round) nextPhase(p phase, deadline time.Duration) {
+func (rd *round) nextPhase(p phase, resendAt, endsAt time.Duration) {
 	rd.number++
-	rd.phase, rd.deadline = p, deadline
+	rd.phase, rd.deadline, rd.endsAt = p, resendAt, endsAt
 	rd.contacted, rd.replies = nil, map[string]reply{}
 }
 
--- a/mesh/replacement/departure.go
+++ b/mesh/replacement/departure.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"firplank/mesh/timing"
 )
 
 // ActionKind is the next action of a machine that drains.
@@ -33,9 +35,9 @@
 }
 
 // Departure takes a machine that is shutting down out of the group: it hands over its membership, has the committed value replicated to a
-// quorum without it, and departs within Timeouts.DepartureTimeout. It is not safe for concurrent use.
+// quorum without it, and departs within timing.Replacement.DepartureTimeout. It is not safe for concurrent use.
 type Departure struct {
-	timeouts     Timeouts
+	timeouts     timing.Replacement
 	self         string
 	began        time.Duration
 	proposedAt   time.Duration // of the last handover; never: there was none
@@ -44,15 +46,12 @@
 }
 
 // NewDeparture begins the departure of a machine.
-func NewDeparture(t Timeouts, self string, now time.Duration) *Departure {
+func NewDeparture(t timing.Replacement, self string, now time.Duration) *Departure {
 	return &Departure{timeouts: t, self: self, began: now, proposedAt: never, hasSuccessor: true}
 }
 
-// handoverDeadline returns when the membership has to be handed over: after two thirds of the departure's time. The rest is for the
-// replication.
-func (d *Departure) handoverDeadline() time.Duration {
-	return d.began + d.timeouts.DepartureTimeout*2/3
-}
+// handoverDeadline returns when the membership has to be handed over.
+func (d *Departure) handoverDeadline() time.Duration { return d.began + d.timeouts.HandoverTimeout() }
 
 // Decide returns the next action. Replicated reports whether the register has completed ReplicateWithoutSelf.
 func (d *Departure) Decide(now time.Duration, g Group, replicated bool) Action {
--- a/mesh/replacement/group.go
+++ b/mesh/replacement/group.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"firplank/mesh/timing"
 )
 
 // Machine is the observed state of a control machine.
@@ -17,13 +19,18 @@
 	CaughtUp    bool          // its disk has the committed value, by its last hello
 }
 
-// lost reports whether a member counts as lost. One that is still connected is slow, not lost.
-func (m *Machine) lost(now time.Duration, t *Timeouts) bool {
-	return !m.Connected && now-m.LastContact > t.DetectionTimeout
+// lost reports whether a member counts as lost. One that is still connected is slow, not lost, until its process has been silent for so
+// long that it is taken for frozen.
+func (m *Machine) lost(now time.Duration, t *timing.Replacement) bool {
+	timeout := t.DetectionTimeout
+	if m.Connected {
+		timeout = t.FrozenTimeout
+	}
+	return now-m.LastContact > timeout
 }
 
 // eligible reports whether a machine may become a member.
-func (m *Machine) eligible(now time.Duration, t *Timeouts) bool {
+func (m *Machine) eligible(now time.Duration, t *timing.Replacement) bool {
 	return m.Connected && now-m.LastContact < t.MaxContactAge && m.Voter && !m.Draining && !m.DiskFailed
 }
 
@@ -53,6 +60,6 @@
 type Change struct {
 	ExpectedMembers []string // it was decided on these, and must have no effect on others
 	Members         []string // the new members, sorted
-	Lost            []string // the members that are replaced; none where the group grows
+	Lost            []string // the members that are replaced because they are lost; none where the group grows or is spread over zones
 	Successors      []string // the machines that replace them, in the same order, or that are added
 }
--- a/mesh/replacement/planner.go
+++ b/mesh/replacement/planner.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"firplank/mesh/timing"
 )
 
 // never is the time of what has not happened yet.
@@ -18,7 +20,7 @@
 
 // Planner decides on changes of members, at the machine that holds the lease. It is not safe for concurrent use.
 type Planner struct {
-	timeouts  Timeouts
+	timeouts  timing.Replacement
 	tolerance int // members that are replaced in one change at most
 	size      int // of the group, where there are as many machines
 
@@ -28,7 +30,7 @@
 
 // NewPlanner returns a planner that replaces up to tolerance members in one change, and at least one, and that adds members up to the
 // GroupSize of the tolerance.
-func NewPlanner(t Timeouts, tolerance int) *Planner {
+func NewPlanner(t timing.Replacement, tolerance int) *Planner {
 	return &Planner{timeouts: t, tolerance: max(1, tolerance), size: GroupSize(tolerance), proposedAt: never}
 }
 
@@ -42,6 +44,9 @@
 	if !ok {
 		c, ok = g.grow(now, &p.timeouts, p.size)
 	}
+	if !ok {
+		c, ok = g.spread(now, &p.timeouts)
+	}
 	if !ok || !p.due(now, c) {
 		return Change{}, false
 	}
@@ -73,7 +78,7 @@
 
 // replace returns the change that replaces members by successors; ok is false where there is none. Members without a successor
 // stay.
-func (g *Group) replace(now time.Duration, t *Timeouts, lost []string) (c Change, ok bool) {
+func (g *Group) replace(now time.Duration, t *timing.Replacement, lost []string) (c Change, ok bool) {
 	c.ExpectedMembers = g.Members
 	members := slices.Clone(g.Members)
 	for _, addr := range lost {
@@ -93,7 +98,7 @@
 
 // grow returns the change that adds members up to a size, or to the highest odd number below it for which there are eligible machines: an
 // even number bears no more losses than the odd one below it. Ok is false where there is nothing to add, or a change is under way.
-func (g *Group) grow(now time.Duration, t *Timeouts, size int) (c Change, ok bool) {
+func (g *Group) grow(now time.Duration, t *timing.Replacement, size int) (c Change, ok bool) {
 	if len(g.PriorMembers) > 0 {
 		return Change{}, false
 	}
@@ -116,9 +121,37 @@
 	return c, len(c.Successors) > 0
 }
 
+// spread returns the change that replaces a member of the zone with the most members by a machine of a zone with the fewest, where that has
+// at least two fewer: the first members are those that the settings name, which may all stand in one zone. Ok is false where there is none,
+// or not every member is in order.
+func (g *Group) spread(now time.Duration, t *timing.Replacement) (c Change, ok bool) {
+	if len(g.PriorMembers) > 0 {
+		return Change{}, false
+	}
+	perZone := map[string]int{}
+	for _, addr := range g.Members {
+		m := g.machine(addr)
+		if !m.CaughtUp || m.Zone == "" || !m.eligible(now, t) {
+			return Change{}, false
+		}
+		perZone[m.Zone]++
+	}
+	crowded := slices.MaxFunc(g.Members, func(a, b string) int {
+		return cmp.Or(cmp.Compare(perZone[g.machine(a).Zone], perZone[g.machine(b).Zone]), cmp.Compare(a, b))
+	})
+	remaining := slices.DeleteFunc(slices.Clone(g.Members), func(member string) bool { return member == crowded })
+	successor, found := g.successor(now, t, remaining)
+	if !found || perZone[g.machine(successor).Zone]+2 > perZone[g.machine(crowded).Zone] {
+		return Change{}, false
+	}
+	c = Change{ExpectedMembers: g.Members, Members: append(remaining, successor), Successors: []string{successor}}
+	slices.Sort(c.Members)
+	return c, true
+}
+
 // successor returns the eligible machine that joins the remaining members; ok is false where there is none. It prefers one in the zone
 // that has the fewest of them, then one that has the committed value already.
-func (g *Group) successor(now time.Duration, t *Timeouts, remaining []string) (addr string, ok bool) {
+func (g *Group) successor(now time.Duration, t *timing.Replacement, remaining []string) (addr string, ok bool) {
 	var eligible []Machine
 	for _, m := range g.Machines {
 		if !slices.Contains(remaining, m.Addr) && !slices.Contains(g.Members, m.Addr) && m.eligible(now, t) {
--- /dev/null
+++ b/mesh/timing/sidecar.go
@@ -0,0 +1,65 @@
+package timing
+
+import (
+	"time"
+
+	"firplank/mesh/bootstrap"
+)
+
+// Shutdown is the schedule of a sidecar that was asked to end, from that moment on. It takes as much of graceS as it can: the platform's
+// clients may wait for what was taken until the last sixth of it, and what is cut off earlier is lost to them (LOST).
+type Shutdown struct {
+	// Accept is for how long new connections are accepted: 2.2 s, as the platform sends clients for two more readiness checks of a second
+	// each; not after Cut.
+	Accept time.Duration
+	// Late is after how long a request is taken only if its time is over before Cut: 2.9 s, which is below the 3 s up to which the rules
+	// excuse that a request is cut off, and not after Cut.
+	Late time.Duration
+	// Cut is when requests that are still open fail: 0.87 of graceS, within its last sixth.
+	Cut time.Duration
+	// End is when the fronts have ended: 0.92 of graceS. Between Cut and End the answers go out; after it the process ends.
+	End time.Duration
+}
+
+const (
+	acceptAfterShutdown = 2200 * time.Millisecond
+	lateAfterShutdown   = 2900 * time.Millisecond
+	cutShare            = 0.87
+	endShare            = 0.92
+)
+
+func newShutdown(grace time.Duration) Shutdown {
+	share := func(of float64) time.Duration { return time.Duration(of * float64(grace)) }
+	cut := share(cutShare)
+	return Shutdown{Accept: min(acceptAfterShutdown, cut), Late: min(lateAfterShutdown, cut), Cut: cut, End: share(endShare)}
+}
+
+// Server is when a sidecar doubts its local server. It serves DRAIN and the rule that a silent server gets no requests.
+type Server struct {
+	// HeartbeatTimeout is the silence after which a server is unresponsive: 2.6 heartbeats, so that two may be lost.
+	HeartbeatTimeout time.Duration
+	// RestoredTimeout is how long a server that another process has told of may take until its first heartbeat: three quarters of
+	// HeartbeatTimeout.
+	RestoredTimeout time.Duration
+	// IdentifiedTimeout is the same for a server that is known by its health check alone, whose acknowledged end nobody may know any more:
+	// RestoredTimeout, and nine tenths of inTouchS at most. So it gets no request that a machine in touch has sent on.
+	IdentifiedTimeout time.Duration
+}
+
+const (
+	heartbeatsMissed    = 2.6
+	minServerHeartbeat  = 200 * time.Millisecond
+	restoredNumerator   = 3
+	restoredDenominator = 4
+	identifiedShare     = 0.9
+)
+
+func newServer(b *bootstrap.Bounds, heartbeat time.Duration) Server {
+	timeout := time.Duration(heartbeatsMissed * float64(max(heartbeat, minServerHeartbeat)))
+	restored := timeout * restoredNumerator / restoredDenominator
+	return Server{
+		HeartbeatTimeout:  timeout,
+		RestoredTimeout:   restored,
+		IdentifiedTimeout: min(restored, time.Duration(identifiedShare*float64(b.InTouch))),
+	}
+}
--- /dev/null
+++ b/mesh/timing/timing_test.go
@@ -0,0 +1,181 @@
+package timing
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"firplank/mesh/bootstrap"
+)
+
+// legal draws settings from the ranges that the users' deployments may have.
+func legal(t *rapid.T) Settings {
+	draw := func(name string, low, high float64) time.Duration {
+		return time.Duration(rapid.Float64Range(low, high).Draw(t, name) * float64(time.Second))
+	}
+	b := bootstrap.DefaultBounds()
+	b.InTouch, b.Grace, b.LastPost = draw("inTouchS", 1.5, 10), draw("graceS", 2.5, 25), draw("lastPostS", 1, 8)
+	b.InForce, b.Sync, b.Receipt = draw("inForceS", 1.5, 8), draw("syncS", 2, 10), draw("receiptS", 5, 12)
+	return Settings{Bounds: b, ServerHeartbeat: draw("beatS", 0.5, 5), Tolerance: rapid.IntRange(1, 2).Draw(t, "tolerance")}
+}
+
+// corners returns the settings at the ends of all ranges.
+func corners() (all []Settings) {
+	for i := range 1 << 7 {
+		pick := func(bit int, low, high float64) time.Duration {
+			if i>>bit&1 == 0 {
+				high = low
+			}
+			return time.Duration(high * float64(time.Second))
+		}
+		b := bootstrap.DefaultBounds()
+		b.InTouch, b.Grace, b.LastPost = pick(0, 1.5, 10), pick(1, 2.5, 25), pick(2, 1, 8)
+		b.InForce, b.Sync = pick(3, 1.5, 8), pick(4, 2, 10)
+		all = append(all, Settings{Bounds: b, ServerHeartbeat: pick(5, 0.5, 5), Tolerance: 1 + i>>6&1})
+	}
+	return all
+}
+
+func broken(s Settings, d *Durations) (all []Inequality) {
+	for _, i := range Inequalities(s, d, AssumedEnvironment()) {
+		if !i.Holds() {
+			all = append(all, i)
+		}
+	}
+	return all
+}
+
+func TestLegalSettingsKeepEveryInequality(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := legal(t)
+		d := New(s)
+		for _, i := range broken(s, &d) {
+			t.Errorf("%s: %v", i.Name, i)
+		}
+	})
+	for _, s := range corners() {
+		d := New(s)
+		for _, i := range broken(s, &d) {
+			t.Errorf("%+v: %s: %v", s, i.Name, i)
+		}
+	}
+}
+
+// The durations of the deployments in service are what they were as constants.
+func TestDeploymentsInServiceKeepTheirDurations(t *testing.T) {
+	for _, inForce := range []time.Duration{2500 * time.Millisecond, 3 * time.Second} {
+		b := bootstrap.DefaultBounds()
+		b.InForce = inForce
+		d := New(Settings{Bounds: b, ServerHeartbeat: 1500 * time.Millisecond, Tolerance: 1})
+		for _, c := range []struct {
+			name      string
+			got, want time.Duration
+		}{
+			{"idle read", d.Dissemination.IdleReadInterval, 300 * time.Millisecond},
+			{"heartbeat", d.Dissemination.HeartbeatInterval, 350 * time.Millisecond},
+			{"stale", d.Dissemination.StaleAfter, 1350 * time.Millisecond},
+			{"transfer", d.Dissemination.MaxTransferAge, 4 * time.Second},
+			{"first update", d.Dissemination.FirstUpdateTimeout, 450 * time.Millisecond},
+			{"quorum", d.Dissemination.QuorumTimeout, 1500 * time.Millisecond},
+			{"acknowledgement", d.Dissemination.AckTimeout, 650 * time.Millisecond},
+			{"subscriber", d.Dissemination.SubscriberTimeout, 1500 * time.Millisecond},
+			{"last resort", d.Dissemination.LastResort, inForce},
+			{"dial", d.Subscription.DialTimeout, 500 * time.Millisecond},
+			{"tick", d.Subscription.TickInterval, 200 * time.Millisecond},
+			{"peer dial", d.Peers.DialTimeout, 600 * time.Millisecond},
+			{"sidecar", d.Sidecars.Timeout, 3 * time.Second},
+			{"silence", d.Sidecars.MinSilence, 1200 * time.Millisecond},
+			{"call", d.Operations.Timeout, 2500 * time.Millisecond},
+			{"phase", d.Register.MinPhase, 350 * time.Millisecond},
+			{"departure", d.Replacement.DepartureTimeout, 4 * time.Second},
+			{"heartbeats", d.Server.HeartbeatTimeout, 3900 * time.Millisecond},
+		} {
+			if c.got != c.want {
+				t.Errorf("inForceS %v: %s: %v, want %v", inForce, c.name, c.got, c.want)
+			}
+		}
+	}
+}
+
+// Settings that cannot be kept are served with the nearest values and named.
+func TestConflictsAreNamed(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(*Settings)
+		want   string
+	}{
+		{"graceS is below what a departure takes", func(s *Settings) { s.Bounds.Grace = 1500 * time.Millisecond }, "handover_within_departure"},
+		{"inForceS is below a reconnection", func(s *Settings) { s.Bounds.InForce = time.Second }, "reconnect_within_in_force"},
+		{"syncS is below a repair", func(s *Settings) { s.Bounds.Sync = time.Second }, "repair_within_sync"},
+		{"inTouchS is below a reconnection", func(s *Settings) { s.Bounds.InTouch = 700 * time.Millisecond }, "control_connected_within_in_touch"},
+		{"receiptS is below a round", func(s *Settings) { s.Bounds.Receipt = 2 * time.Second }, "round_within_call"},
+	} {
+		s := Settings{Bounds: bootstrap.DefaultBounds(), ServerHeartbeat: time.Second, Tolerance: 1}
+		c.change(&s)
+		d := New(s)
+		found := false
+		for _, i := range d.Conflicts {
+			found = found || i.Name == c.want
+		}
+		if !found {
+			t.Errorf("%s: %v", c.name, d.Conflicts)
+		}
+		if d.Dissemination.StaleAfter < 700*time.Millisecond || d.Replacement.DetectionTimeout < 500*time.Millisecond {
+			t.Errorf("%s: served with %+v", c.name, d)
+		}
+	}
+	if d := Default(); len(d.Conflicts) > 0 {
+		t.Errorf("default settings: %v", d.Conflicts)
+	}
+}
+
+// Each duration that is derived matters: as the constant that it was it breaks an inequality at a corner of the legal settings.
+func TestConstantsOfBeforeAreFound(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		plant func(*Durations)
+	}{
+		{"StaleAfter", func(d *Durations) { d.Dissemination.StaleAfter = 1350 * time.Millisecond }},
+		{"HeartbeatInterval", func(d *Durations) { d.Dissemination.HeartbeatInterval = 350 * time.Millisecond }},
+		{"IdleReadInterval", func(d *Durations) { d.Dissemination.IdleReadInterval = 300 * time.Millisecond }},
+		{"MaxReadyAge", func(d *Durations) { d.Dissemination.MaxReadyAge = 1500 * time.Millisecond }},
+		{"MaxTransferAge", func(d *Durations) { d.Dissemination.MaxTransferAge = d.Dissemination.StaleAfter / 2 }},
+		{"FirstUpdateTimeout", func(d *Durations) { d.Dissemination.FirstUpdateTimeout = 200 * time.Millisecond }},
+		{"LastResort", func(d *Durations) { d.Dissemination.LastResort = 8 * time.Second }},
+		{"AckTimeout", func(d *Durations) { d.Dissemination.AckTimeout = time.Second }},
+		{"QuorumTimeout", func(d *Durations) { d.Dissemination.QuorumTimeout = 700 * time.Millisecond }},
+		{"DialTimeout", func(d *Durations) { d.Subscription.DialTimeout = 500 * time.Millisecond }},
+		{"TickInterval", func(d *Durations) { d.Subscription.TickInterval = 200 * time.Millisecond }},
+		{"Peers.DialTimeout", func(d *Durations) { d.Peers.DialTimeout = 1200 * time.Millisecond }},
+		{"Sidecars.Timeout", func(d *Durations) { d.Sidecars.Timeout = 2 * time.Second }},
+		{"Sidecars.MinSilence", func(d *Durations) { d.Sidecars.MinSilence = 600 * time.Millisecond }},
+		{"Operations.Timeout", func(d *Durations) { d.Operations.Timeout = 4 * time.Second }},
+		{"MinPhase", func(d *Durations) { d.Register.MinPhase = 100 * time.Millisecond }},
+		{"MaxPhase", func(d *Durations) { d.Register.MaxPhase = 350 * time.Millisecond }},
+		{"DetectionTimeout", func(d *Durations) { d.Replacement.DetectionTimeout = 4 * time.Second }},
+		{"HelloInterval", func(d *Durations) { d.Replacement.HelloInterval = 300 * time.Millisecond }},
+		{"ObservationPeriod", func(d *Durations) { d.Replacement.ObservationPeriod = 6 * time.Second }},
+		{"ChangeTimeout", func(d *Durations) { d.Replacement.ChangeTimeout = 3 * time.Second }},
+		{"MinChangeInterval", func(d *Durations) { d.Replacement.MinChangeInterval = 3 * time.Second }},
+		{"DepartureTimeout", func(d *Durations) { d.Replacement.DepartureTimeout = 4 * time.Second }},
+		{"VoteTimeout", func(d *Durations) { d.Replacement.Lease.VoteTimeout = 60 * time.Millisecond }},
+		{"LeaseDuration", func(d *Durations) { d.Replacement.Lease.LeaseDuration = d.Replacement.Lease.VoteDuration }},
+		{"Shutdown.Late", func(d *Durations) { d.Shutdown.Late = 3 * time.Second }},
+		{"Shutdown.Accept", func(d *Durations) { d.Shutdown.Accept = 1500 * time.Millisecond }},
+		{"Shutdown.Cut", func(d *Durations) { d.Shutdown.Cut = 4500 * time.Millisecond }},
+		{"Shutdown.End", func(d *Durations) { d.Shutdown.End = 5500 * time.Millisecond }},
+		{"HeartbeatTimeout", func(d *Durations) { d.Server.HeartbeatTimeout = 3900 * time.Millisecond }},
+		{"IdentifiedTimeout", func(d *Durations) { d.Server.IdentifiedTimeout = d.Server.RestoredTimeout }},
+	} {
+		found := false
+		for _, s := range corners() {
+			d := New(s)
+			c.plant(&d)
+			found = found || len(broken(s, &d)) > 0
+		}
+		if !found {
+			t.Errorf("%s: no corner of the settings tells it from a constant", c.name)
+		}
+	}
+}
