Ages count from sending; stalled operations and settings that cannot be kept are told

Cause: an update's age was that of when it was queued, so that one behind a stalled connection claimed to be fresher than it was; an operation that starved while a majority answered showed nowhere; settings that cannot be kept together were served without a word.

Change: wire.AddAge raises the ages in an encoded update by its time in the queue; invariant operations_progress, with what the register is at work on; conflicts of the settings by name in the log of both programs, the status and the figure firplank_settings_conflict, among them a tolerance that the control machines known do not suffice for.

--- a/cmd/firplankctl/status.go
+++ b/cmd/firplankctl/status.go
@@ -50,6 +50,9 @@
 		holder = "nobody that is known here"
 	}
 	printer.Printf("lost members are replaced by %s\nall members have the newest value: %s\n", holder, yesNo(s.FullyReplicated))
+	if len(s.Conflicts) > 0 {
+		printer.Printf("the settings ask for what cannot be kept: %s\n", strings.Join(s.Conflicts, " "))
+	}
 	printer.Printf("%-22s %-12s %-8s %-6s %-6s %-8s %-6s %s\n", "machine", "zone", "role", "voter", "newest", "heard", "link", "round on disk")
 	for i := range s.Machines {
 		printMachine(printer, &s.Machines[i])
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -59,6 +59,9 @@
 	// ReadCoversAcknowledged: a read returns no older version than one that this machine has acknowledged before
 	// (rule CONFIG).
 	ReadCoversAcknowledged Name = "read_covers_acknowledged"
+	// OperationsProgress: while a quorum answers a control machine, no operation waits for one for longer than
+	// timing.Operations.MaxProgress (rule ACKS).
+	OperationsProgress Name = "operations_progress"
 	// MembersKnown: a committed value has members.
 	MembersKnown Name = "members_known"
 )
@@ -70,7 +73,7 @@
 		StartedOnce, ClosingServerNotSent,
 		InForceMonotonic, AdoptedVersionMatches,
 		SyncedBeforeSent, DiskMonotonic, CommittedMonotonic, OneContentPerVersion, AcknowledgedIsCommitted,
-		ReadCoversAcknowledged, MembersKnown,
+		ReadCoversAcknowledged, OperationsProgress, MembersKnown,
 	}
 }
 
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -57,6 +57,11 @@
 	r.set.GetOrCreateGauge(namePrefix+name, read)
 }
 
+// Flag has the figure of a name with one label be 1 from now on. The values of the label have to be few.
+func (r *Registry) Flag(name, label, value string) {
+	r.set.GetOrCreateGauge(fmt.Sprintf("%s%s{%s=%q}", namePrefix, name, label, value), func() float64 { return 1 })
+}
+
 // NewMonitor returns the monitor of the process's invariants, which counts in this registry.
 func (r *Registry) NewMonitor(log kitlog.Logger) *invariant.Monitor {
 	return invariant.NewMonitor(log, func(name invariant.Name) invariant.Counter {
--- a/mesh/api/status.go
+++ b/mesh/api/status.go
@@ -19,6 +19,8 @@
 	LeaseHolder string `json:"leaseHolder"`
 	// FullyReplicated: every member has the newest value on its disk, in the machine's view.
 	FullyReplicated bool `json:"fullCopies"`
+	// Conflicts name what the deployment's settings ask for and cannot be kept (timing.Inequalities).
+	Conflicts []string `json:"conflicts,omitempty"`
 	// Machines are all control machines, members or not.
 	Machines []ControlMachine `json:"machines"`
 }
--- a/mesh/codec/codec.go
+++ b/mesh/codec/codec.go
@@ -6,11 +6,15 @@
 // Begin with RegisterToFrame, EntryToWire and UpdateToFrame.
 package codec
 
-import "time"
+import (
+	"time"
+
+	"firplank/mesh/wire"
+)
 
 const (
-	// unknownAge is the age in milliseconds that stands for a time that isn't known.
-	unknownAge = 1<<32 - 1
+	// unknownAge stands for a time that isn't known.
+	unknownAge = wire.UnknownAge
 	// maxMilliseconds bounds ages and spans that are sent, some 24 days.
 	maxMilliseconds = 1 << 31
 )
--- a/mesh/codec/dissemination.go
+++ b/mesh/codec/dissemination.go
@@ -20,7 +20,7 @@
 		Machines: MachinesToWire(u.ControlMachines, now),
 	}
 	if u.AsOf != dissemination.TimeUnknown {
-		f.AgeMs = milliseconds(now - u.AsOf)
+		f.AgeMs = max(1, milliseconds(now-u.AsOf)) // 0 would not be written, and could not be raised by wire.AddAge
 	}
 	if u.FullText {
 		f.Value = &wire.ValueT{Version: u.Version, Body: packed}
--- /dev/null
+++ b/mesh/controlplane/conflicts.go
@@ -0,0 +1,40 @@
+package controlplane
+
+import (
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"firplank/mesh/timing"
+)
+
+// reportConflicts logs and counts what the settings ask for and cannot be kept.
+func (s *Server) reportConflicts() {
+	for _, c := range s.durations.Conflicts {
+		s.figures.registry.Flag("settings_conflict", "name", c.Name)
+		_ = level.Warn(s.log).Log(c.LogLine()...)
+	}
+}
+
+// checkTolerance reports, once, that fewer control machines are known than the tolerance needs. It is called several times a second; a
+// machine decides on that once it could have heard of all.
+func (s *Server) checkTolerance(now time.Duration) {
+	tolerance := s.settings.Tolerance.Members()
+	known := len(s.knownMachines(now))
+	if s.toleranceReported || now < s.settings.Bounds.Sync || timing.MissingMachines(tolerance, known) == 0 {
+		return
+	}
+	s.toleranceReported = true
+	c := timing.MachinesConflict(tolerance, known)
+	s.durations.Conflicts = append(s.durations.Conflicts, c)
+	s.figures.registry.Flag("settings_conflict", "name", c.Name)
+	_ = level.Warn(s.log).Log(c.LogLine()...)
+}
+
+// conflictNames returns the names of the conflicts, for the status.
+func (s *Server) conflictNames() (names []string) {
+	for _, c := range s.durations.Conflicts {
+		names = append(names, c.Name)
+	}
+	return names
+}
--- a/mesh/controlplane/operations/invariants.go
+++ b/mesh/controlplane/operations/invariants.go
@@ -1,6 +1,10 @@
 package operations
 
 import (
+	"maps"
+	"slices"
+	"time"
+
 	"firplank/internal/invariant"
 	"firplank/mesh/register"
 )
@@ -8,6 +12,19 @@
 // SetInvariants sets who is notified of violated invariants; without it nobody is.
 func (t *Table) SetInvariants(reporter invariant.Reporter) { t.invariants = reporter }
 
+// checkProgress checks that operations do not wait for a quorum while one answers. It reports each operation once.
+func (t *Table) checkProgress(now time.Duration) {
+	for _, id := range slices.Sorted(maps.Keys(t.pending)) {
+		op := t.pending[id]
+		waited := now - max(op.requestedAt, t.servingSince)
+		if op.decided || op.stalled || waited <= t.durations.Operations.MaxProgress {
+			continue
+		}
+		op.stalled = true
+		t.invariants.Violated(invariant.OperationsProgress, "operation", id, "waited", waited, "for", t.register.Progress(now))
+	}
+}
+
 // checkResult checks a result that its client is about to get as a success.
 func (t *Table) checkResult(request Request, result Result) {
 	if result.Err != nil {
--- a/mesh/controlplane/operations/operations.go
+++ b/mesh/controlplane/operations/operations.go
@@ -48,6 +48,8 @@
 	Health(now time.Duration) Health
 	// Cancel drops an operation; one that is not known is ignored.
 	Cancel(id uint64)
+	// Progress says, for the log, what the register is at work on.
+	Progress(now time.Duration) string
 }
 
 // Responder receives the result of one operation, once, on the event loop; it must not block.
@@ -96,7 +98,9 @@
 	request     Request
 	responder   Responder
 	requestedAt time.Duration
+	decided     bool // outcome is set
 	outcome     register.Outcome
+	stalled     bool // it was reported as an operation without progress
 }
 
 // Table holds the operations that wait for a quorum or for acknowledgements. It is not safe for concurrent use. Its size is bounded
@@ -108,7 +112,8 @@
 	durations     timing.Durations
 	confirmations *dissemination.Confirmations
 	invariants    invariant.Reporter
-	acknowledged  uint32 // the highest version that was acknowledged here
+	acknowledged  uint32        // the highest version that was acknowledged here
+	servingSince  time.Duration // since when this machine can commit operations, as far as FailPending has seen
 }
 
 // NewTable returns an empty table over a register. nextID returns a number that no other operation of this replica has.
@@ -149,7 +154,7 @@
 	write, isWrite := op.request.(Write)
 	confirmed := isWrite && o.Result == register.Confirmed
 	if confirmed && t.confirmations.Defer(o.ID, write.Version, lowest, op.requestedAt, now) {
-		op.outcome = o
+		op.outcome, op.decided = o, true
 		return
 	}
 	result := Result{Outcome: o}
@@ -176,13 +181,15 @@
 	t.confirmations.RecordPeer(peer, lowest, now)
 }
 
-// FailPending fails all operations, in the order of their requests, where this machine has lost the quorum or its disk fails. They may have
+// FailPending is called several times a second. It fails all operations, in the order of their requests, where this machine has lost the quorum or its disk fails. They may have
 // been committed or not: a client may send the same operation again, to this machine or another.
 func (t *Table) FailPending(now time.Duration) {
 	err := t.register.Health(now).checkServing(now, t.durations.Dissemination.QuorumTimeout)
 	if err == nil {
+		t.checkProgress(now)
 		return
 	}
+	t.servingSince = now
 	for _, id := range slices.Sorted(maps.Keys(t.pending)) {
 		t.respond(id, Result{Err: err})
 		t.register.Cancel(id)
--- a/mesh/controlplane/operations/operations_test.go
+++ b/mesh/controlplane/operations/operations_test.go
@@ -40,6 +40,8 @@
 
 func (r *replica) Health(time.Duration) Health { return r.health }
 
+func (r *replica) Progress(time.Duration) string { return "reading" }
+
 func (r *replica) Cancel(id uint64) { r.cancelled = append(r.cancelled, id) }
 
 type results []Result
--- a/mesh/controlplane/persistence/pipeline.go
+++ b/mesh/controlplane/persistence/pipeline.go
@@ -121,6 +121,15 @@
 	return operations.Health{LastCommit: lastCommit, DiskFailing: p.DiskFailing(now), QueueFull: p.queue.Full()}
 }
 
+// Progress says, for the log, what the replica is at work on, and for how long the disk has been.
+func (p *Pipeline) Progress(now time.Duration) string {
+	text := p.replica.Progress(now)
+	if waited := p.queue.Waiting(now); waited > 0 {
+		text += "; the disk for " + waited.Round(time.Millisecond).String()
+	}
+	return text
+}
+
 // DiskFailing reports whether a state has waited for the disk for too long.
 func (p *Pipeline) DiskFailing(now time.Duration) bool { return p.queue.DiskFailing(now) }
 
--- a/mesh/controlplane/server.go
+++ b/mesh/controlplane/server.go
@@ -63,8 +63,11 @@
 	reconciler *reconcile.Reconciler
 	hub        *publishing.Hub[*transport.Conn]
 	figures    *figures
-	lastID     uint64        // of the operations of the register
-	nextHello  time.Duration // when the next hello is due
+	// toleranceReported: that fewer control machines are known than the tolerance needs was reported.
+	toleranceReported bool
+
+	lastID    uint64        // of the operations of the register
+	nextHello time.Duration // when the next hello is due
 }
 
 // newServer returns a server without a replica, store and listeners.
@@ -134,6 +137,7 @@
 	}
 	_ = level.Info(log).Log("msg", "control machine started", "address", s.self, "voter", replica.State().Voter,
 		"members", len(replica.Members()))
+	s.reportConflicts()
 	s.loop(ctx.Done())
 	return nil
 }
@@ -210,6 +214,7 @@
 		s.reconcileMembers(now)
 		s.operations.FailPending(now)
 		s.updateFigures()
+		s.checkTolerance(now)
 	}
 	s.pipeline.Tick(now)
 	next = s.updateSubscribers(s.now())
--- a/mesh/controlplane/status.go
+++ b/mesh/controlplane/status.go
@@ -37,6 +37,7 @@
 		Ballot:          s.pipeline.Replica().CommittedBallot().String(),
 		LeaseHolder:     s.reconciler.LeaseHolder(now),
 		FullyReplicated: reconcile.FullyReplicated(g),
+		Conflicts:       s.conflictNames(),
 	}
 	for _, m := range g.Machines {
 		about := api.ControlMachine{
--- a/mesh/dataplane/lifecycle.go
+++ b/mesh/dataplane/lifecycle.go
@@ -166,6 +166,10 @@
 	out.Serve(listeners.outgoing)
 	in.Serve(listeners.incoming)
 	p.startLoop(settings, reloads)
+	for _, c := range p.durations.Conflicts {
+		p.figures.registry.Flag("settings_conflict", "name", c.Name)
+		_ = level.Warn(p.log).Log(c.LogLine()...)
+	}
 	_ = level.Info(p.log).Log("msg", "sidecar started", "node", settings.NodeName, "polled", p.epoll)
 	select {
 	case <-ctx.Done():
--- a/mesh/persist/queue.go
+++ b/mesh/persist/queue.go
@@ -154,6 +154,14 @@
 	return !q.allSynced() && now >= q.waitingSince+DiskTimeout
 }
 
+// Waiting returns for how long a state has been waiting for the disk; 0: none is.
+func (q *Queue) Waiting(now time.Duration) time.Duration {
+	if q.allSynced() {
+		return 0
+	}
+	return now - q.waitingSince
+}
+
 // NextTick returns when the owner has to look at the queue again, as a write is due or the disk begins to count as
 // failing; ok is false where neither is to come.
 func (q *Queue) NextTick(now time.Duration) (at time.Duration, ok bool) {
--- a/mesh/register/replica.go
+++ b/mesh/register/replica.go
@@ -1,6 +1,7 @@
 package register
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -183,6 +184,16 @@
 // backOff puts off the next round by a random time.
 func (r *Replica) backOff() { r.round.deadline = r.now + r.pace.backoff() }
 
+// Progress says, for the log, which phase of a round is under way, since when the round is, who has replied, and how often rounds were
+// rejected.
+func (r *Replica) Progress(now time.Duration) string {
+	if r.round.phase == idle {
+		return fmt.Sprintf("%s, %d operations, %d rejections", phaseNames[idle], len(r.pending), r.pace.rejections)
+	}
+	return fmt.Sprintf("%s for %v, %d of %d replies, %d operations, %d rejections", phaseNames[r.round.phase],
+		(now - r.round.started).Round(time.Millisecond), len(r.round.replies), len(r.round.contacted), len(r.pending), r.pace.rejections)
+}
+
 // persist marks the acceptor's state as changed, so that this call's Output carries it.
 func (r *Replica) persist() { r.stateChanged = true }
 
--- a/mesh/register/round.go
+++ b/mesh/register/round.go
@@ -15,6 +15,9 @@
 	accepting
 )
 
+// phaseNames are the phases as logs name them.
+var phaseNames = [...]string{idle: "no round", reading: "reading", preparing: "preparing", accepting: "accepting"}
+
 // round is the state of a proposer's present round.
 type round struct {
 	number   uint64 // replies carry it, and count only in the round, or the phase, that it belongs to
--- a/mesh/timing/timing.go
+++ b/mesh/timing/timing.go
@@ -56,7 +56,7 @@
 	Shutdown      Shutdown
 	Server        Server
 	// Conflicts are the inequalities that the settings do not allow. They are reported, and the nearest values are served.
-	Conflicts []Inequality
+	Conflicts []Conflict
 }
 
 // New derives the durations of a deployment.
@@ -75,7 +75,7 @@
 	d.Register = newRegister(b, &d.Replacement)
 	for _, i := range Inequalities(s, &d, AssumedEnvironment()) {
 		if !i.Holds() {
-			d.Conflicts = append(d.Conflicts, i)
+			d.Conflicts = append(d.Conflicts, i.conflict())
 		}
 	}
 	return d
--- a/mesh/transport/conn.go
+++ b/mesh/transport/conn.go
@@ -35,10 +35,22 @@
 	HandleClose(c *Conn)
 }
 
+// queuedFrame is an encoded frame that waits to be written, since a time.
+type queuedFrame struct {
+	encoded []byte
+	since   time.Time
+}
+
+// bytes returns the frame as it is written now: the ages in it count from when it is sent.
+func (q queuedFrame) bytes() []byte {
+	wire.AddAge(q.encoded, time.Since(q.since))
+	return q.encoded
+}
+
 // Conn is a connection. It has a goroutine for each direction; both end when it is closed, by either side. It is safe for concurrent use.
 type Conn struct {
 	net       net.Conn
-	sendQueue chan []byte
+	sendQueue chan queuedFrame
 	done      chan struct{} // closed by Close
 	closeOnce sync.Once
 	written   chan struct{} // closed when the writing goroutine has ended
@@ -52,7 +64,7 @@
 	setUserTimeout(n)
 	c := &Conn{
 		net:       n,
-		sendQueue: make(chan []byte, sendQueueFrames),
+		sendQueue: make(chan queuedFrame, sendQueueFrames),
 		done:      make(chan struct{}),
 		written:   make(chan struct{}),
 	}
@@ -78,7 +90,7 @@
 // Send queues a frame. It reports false where the connection has ended, and where its queue is full, which closes it.
 func (c *Conn) Send(f *wire.FrameT) bool {
 	select {
-	case c.sendQueue <- wire.Encode(f):
+	case c.sendQueue <- queuedFrame{wire.Encode(f), time.Now()}:
 		return true
 	case <-c.done:
 		return false
@@ -110,7 +122,7 @@
 	for {
 		select {
 		case frame := <-c.sendQueue:
-			if _, err := w.Write(frame); err != nil {
+			if _, err := w.Write(frame.bytes()); err != nil {
 				return
 			}
 		case <-c.done:
@@ -127,7 +139,7 @@
 	for {
 		select {
 		case frame := <-c.sendQueue:
-			if _, err := w.Write(frame); err != nil {
+			if _, err := w.Write(frame.bytes()); err != nil {
 				return err
 			}
 		default:
