--- a/cmd/firplank-lab/soak.go
+++ b/cmd/firplank-lab/soak.go
@@ -23,6 +23,7 @@
 	Tolerance int           `help:"Control machines that may lose their disks at once." default:"1"`
 	Branch    int           `help:"Branch machines of each of the two services." default:"3"`
 	Clients   int           `help:"Clients of each branch machine." default:"3"`
+	Slow      int           `help:"Have every process run for one part in so much of the time only." default:"1"`
 	Only      []soak.Kind   `help:"Kinds of troubles; empty: all."`
 	Net       int           `help:"The second number of the addresses, 127.NET.0.0, so that several can run side by side." default:"90"`
 	Race      bool          `help:"Build the programs with the race detector."`
@@ -76,7 +77,7 @@
 	}
 	report, err := soak.Run(ctx, soak.Config{
 		Seed: seed, Length: c.Length, Folder: folder, Programs: programs, Net: c.Net, Core: c.Core, Tolerance: c.Tolerance,
-		Branch: c.Branch, Clients: c.Clients, Only: c.Only, Log: events,
+		Branch: c.Branch, Clients: c.Clients, Slow: c.Slow, Only: c.Only, Log: events,
 	})
 	if closeErr := events.Close(); err == nil {
 		err = closeErr
--- a/lab/explore/numbers/machines.go
+++ b/lab/explore/numbers/machines.go
@@ -15,14 +15,15 @@
 	"firplank/mesh/timing"
 )
 
-// othersAreWhole reports whether all machines but one are up and have their disks: no more than one disk is lost at a time.
+// othersAreWhole reports whether one more disk may be lost: fewer of the other machines than the tolerance are down, or without theirs.
 func (s *system) othersAreWhole(but int) bool {
+	lost := 0
 	for i, m := range s.machines {
 		if i != but && (m.replica == nil || !m.replica.State().Voter || m.write != nil) {
-			return false
+			lost++
 		}
 	}
-	return true
+	return lost < max(1, s.bounds.Tolerance)
 }
 
 func (s *system) start(i int) {
--- a/lab/explore/numbers/numbers.go
+++ b/lab/explore/numbers/numbers.go
@@ -27,6 +27,7 @@
 	Calls     int // an order is sent once or more
 	Faults    int // messages and answers lost or repeated, kills, losses of power
 	Wipes     int
+	Tolerance int // disks that may be lost together; 0: one
 	Changes   int // of members
 	Flights   int // messages under way at most; beyond it the oldest is lost
 	Taken     int // numbers that are taken before the first order, which operators do not use again
@@ -37,6 +38,10 @@
 	Usual = Bounds{Machines: 4, Members: 3, Operators: 4, Orders: 7, Calls: 14, Faults: 12, Wipes: 1, Changes: 1, Flights: 30}
 	Crowd = Bounds{Machines: 4, Members: 3, Operators: 8, Orders: 12, Calls: 30, Faults: 12, Wipes: 2, Changes: 1, Flights: 40}
 	Pair  = Bounds{Machines: 3, Members: 3, Operators: 2, Orders: 5, Calls: 12, Faults: 8, Flights: 24}
+	// Pairwise lets two disks of five be lost together.
+	Pairwise = Bounds{
+		Machines: 6, Members: 5, Operators: 4, Orders: 7, Calls: 14, Faults: 12, Wipes: 4, Tolerance: 2, Changes: 1, Flights: 40,
+	}
 	// Lossy lets much go wrong between few calls.
 	Lossy = Bounds{Machines: 3, Members: 3, Operators: 4, Orders: 8, Calls: 8, Faults: 24, Flights: 24}
 	// Full begins with a history that soon forgets.
--- a/lab/explore/numbers/numbers_test.go
+++ b/lab/explore/numbers/numbers_test.go
@@ -7,7 +7,7 @@
 	for _, c := range []struct {
 		bounds    Bounds
 		histories uint64
-	}{{Pair, 50}, {Usual, 50}, {Crowd, 30}, {Full, 6}} {
+	}{{Pair, 50}, {Usual, 50}, {Crowd, 30}, {Full, 6}, {Pairwise, 30}} {
 		if seed, breach := Search(c.bounds, nil, 1, c.histories, Steps); breach != nil {
 			t.Errorf("%d operators, %d numbers taken, history %d: %v", c.bounds.Operators, c.bounds.Taken, seed, breach)
 		}
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -37,6 +37,7 @@
 	Tolerance int // core machines that may lose their disks at once
 	Branch    int // machines of each of the two services
 	Clients   int // of each branch machine
+	Slow      int // every process runs for one part in so much of the time; 0 or 1: all of it
 	Only      []Kind
 	Log       io.Writer // gets a JSON line for each trouble, acknowledgement and violation
 }
@@ -110,6 +111,10 @@
 	defer r.mesh.Stop()
 	r.nameMachines()
 	r.troubles = newTroubles(r)
+	slowed, quicken := context.WithCancel(ctx)
+	defer r.troubles.slowing.Wait()
+	defer quicken()
+	r.troubles.slowDown(slowed, cfg.Slow)
 	if err := r.awaitStart(ctx); err != nil {
 		return nil, err
 	}
--- a/lab/soak/troubles.go
+++ b/lab/soak/troubles.go
@@ -27,10 +27,12 @@
 
 // troubles carries out a plan on a mesh.
 type troubles struct {
-	run   *run
-	tasks sync.WaitGroup
+	run     *run
+	tasks   sync.WaitGroup
+	slowing sync.WaitGroup // goroutines of slowDown
 
 	mu       sync.Mutex
+	paused   map[string]bool // machines whose process a trouble has stopped
 	busy     map[string]bool // machines whose process is stopped, or about to be
 	cuts     map[int]cut     // links that are not whole, by a number
 	lastCut  int             // the number of the last one
@@ -46,7 +48,7 @@
 }
 
 func newTroubles(r *run) *troubles {
-	return &troubles{run: r, busy: map[string]bool{}, cuts: map[int]cut{}, lastBack: time.Now()}
+	return &troubles{run: r, busy: map[string]bool{}, paused: map[string]bool{}, cuts: map[int]cut{}, lastBack: time.Now()}
 }
 
 // play carries out a plan, and returns when all is whole again.
@@ -206,9 +208,9 @@
 	}
 	defer t.release(machines)
 	end := t.run.judge.Disturb(t.run.now(), withCore(machines)...)
-	x.Signal(syscall.SIGSTOP)
+	t.setPaused(x, true)
 	sleep(ctx, length)
-	x.Signal(syscall.SIGCONT)
+	t.setPaused(x, false)
 	end(t.run.now())
 }
 
--- /dev/null
+++ b/mesh/controlplane/operations/invariants_test.go
@@ -0,0 +1,86 @@
+package operations
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"firplank/internal/invariant"
+	"firplank/mesh/register"
+)
+
+// checkedTable returns a table with the invariants that it reports as violated.
+func checkedTable() (*Table, *replica, *[]invariant.Name) {
+	var got []invariant.Name
+	table, r := newTable()
+	table.SetInvariants(invariant.Func(func(name invariant.Name, _ ...any) { got = append(got, name) }))
+	return table, r, &got
+}
+
+// A change is acknowledged only where the committed value records it, and a read returns what was acknowledged before.
+func TestResultsAreChecked(t *testing.T) {
+	mine, other := register.ContentOf([]byte("mine")), register.ContentOf([]byte("other"))
+	recorded := func(version uint32, content register.Content) register.Value {
+		return register.Value{Version: version, History: register.History{}.With(register.Record{Version: version, Content: content})}
+	}
+	for _, c := range []struct {
+		name         string
+		acknowledged uint32
+		request      Request
+		value        register.Value
+		want         []invariant.Name
+	}{
+		{"recorded", 0, Write{Version: 7, Content: mine}, recorded(7, mine), nil},
+		{"not recorded", 0, Write{Version: 7, Content: mine}, recorded(6, mine), []invariant.Name{invariant.AcknowledgedIsCommitted}},
+		{"another content", 0, Write{Version: 7, Content: mine}, recorded(7, other), []invariant.Name{invariant.AcknowledgedIsCommitted}},
+		{"a read of what was acknowledged", 7, Read{}, recorded(7, mine), nil},
+		{"a read of something older", 8, Read{}, recorded(7, mine), []invariant.Name{invariant.ReadCoversAcknowledged}},
+	} {
+		table, _, got := checkedTable()
+		table.acknowledged = c.acknowledged
+		table.checkResult(c.request, Result{Outcome: register.Outcome{Value: c.value}})
+		if !slices.Equal(*got, c.want) {
+			t.Errorf("%s: %v, want %v", c.name, *got, c.want)
+		}
+	}
+}
+
+// An operation that waits for too long while a quorum answers is reported, once; not one that waits for sidecars, or without a quorum.
+func TestOperationsWithoutProgressAreReported(t *testing.T) {
+	bound := durations.Operations.MaxProgress
+	for _, c := range []struct {
+		name string
+		play func(table *Table, r *replica, id uint64)
+		want []invariant.Name
+	}{
+		{"just in time", func(table *Table, _ *replica, _ uint64) { table.FailPending(now + bound) }, nil},
+		{"for too long", func(table *Table, _ *replica, _ uint64) {
+			table.FailPending(now + bound + 1)
+			table.FailPending(now + 2*bound)
+		}, []invariant.Name{invariant.OperationsProgress}},
+		{"decided, and waiting for sidecars", func(table *Table, _ *replica, id uint64) {
+			table.Complete(now, register.Outcome{ID: id, Result: register.Confirmed}, 6)
+			table.FailPending(now + 2*bound)
+		}, nil},
+		{"with a quorum only lately", func(table *Table, r *replica, _ uint64) {
+			r.health = Health{LastCommit: -1}
+			table.FailPending(now + bound - time.Millisecond)
+			r.health = healthyAt(now + 3*bound)
+			var got results
+			table.Propose(now, Write{Version: 8}, &got)
+			table.FailPending(now + bound + 1)
+		}, nil},
+	} {
+		table, r, got := checkedTable()
+		r.health = healthyAt(now + 3*bound)
+		var answers results
+		id := table.Propose(now, Write{Version: 7}, &answers)
+		c.play(table, r, id)
+		if !slices.Equal(*got, c.want) {
+			t.Errorf("%s: %v, want %v", c.name, *got, c.want)
+		}
+	}
+}
+
+// healthyAt is the health of a machine that a quorum has answered at a time.
+func healthyAt(at time.Duration) Health { return Health{LastCommit: at} }
--- /dev/null
+++ b/mesh/controlplane/persistence/invariants_test.go
@@ -0,0 +1,92 @@
+package persistence
+
+import (
+	"slices"
+	"testing"
+
+	"firplank/internal/invariant"
+	"firplank/mesh/persist"
+	"firplank/mesh/register"
+)
+
+// checked returns a pipeline over a state on disk, with the invariants that it reports as violated.
+func checked(onDisk register.State) (*Pipeline, *[]invariant.Name) {
+	var got []invariant.Name
+	p := New(register.New("a", []string{"a"}, true, nil, 1), onDisk, nil)
+	p.SetInvariants(invariant.Func(func(name invariant.Name, _ ...any) { got = append(got, name) }))
+	return p, &got
+}
+
+func ballot(n uint64) register.Ballot { return register.Ballot{Number: n, Proposer: "a"} }
+
+// What a reply states has to be on disk: the promise, the acceptance, and what was accepted before.
+func TestRepliesAreChecked(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		reply register.Message
+		found bool
+	}{
+		{"a promise that is on disk", register.Message{Kind: register.Promise, Promised: ballot(5), Accepted: ballot(3), Voter: true}, false},
+		{"a promise that is not", register.Message{Kind: register.Promise, Promised: ballot(6), Voter: true}, true},
+		{"a value that is not", register.Message{Kind: register.ReadReply, Promised: ballot(5), Accepted: ballot(4), Voter: true}, true},
+		{"an acceptance that is not", register.Message{Kind: register.Accepted, Ballot: ballot(6), Voter: true}, true},
+		{"an acceptance that is on disk", register.Message{Kind: register.Accepted, Ballot: ballot(5), Voter: true}, false},
+		{"a reply that counts nowhere", register.Message{Kind: register.Promise, Promised: ballot(9)}, false},
+		{"a request", register.Message{Kind: register.Prepare, Ballot: ballot(9), Voter: true}, false},
+	} {
+		p, got := checked(register.State{Voter: true, Promised: ballot(5), Accepted: ballot(3)})
+		p.checkSent(&c.reply)
+		if found := slices.Equal(*got, []invariant.Name{invariant.SyncedBeforeSent}); found != c.found || !found && len(*got) > 0 {
+			t.Errorf("%s: %v", c.name, *got)
+		}
+	}
+}
+
+// A state on disk is followed by newer ones only.
+func TestStatesOnDiskAreChecked(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		next  register.State
+		found bool
+	}{
+		{"newer", register.State{Voter: true, Promised: ballot(6), Accepted: ballot(6)}, false},
+		{"the same", register.State{Voter: true, Promised: ballot(5), Accepted: ballot(3)}, false},
+		{"a promise is taken back", register.State{Voter: true, Promised: ballot(4), Accepted: ballot(3)}, true},
+		{"an acceptance is taken back", register.State{Voter: true, Promised: ballot(5), Accepted: ballot(2)}, true},
+		{"a voter is none any more", register.State{Promised: ballot(5), Accepted: ballot(3)}, true},
+	} {
+		p, got := checked(register.State{Voter: true, Promised: ballot(5), Accepted: ballot(3)})
+		p.checkWritten(&c.next)
+		if found := slices.Equal(*got, []invariant.Name{invariant.DiskMonotonic}); found != c.found || !found && len(*got) > 0 {
+			t.Errorf("%s: %v", c.name, *got)
+		}
+	}
+}
+
+// A committed value has members, and is followed by no older one and by no other text of its version.
+func TestCommittedValuesAreChecked(t *testing.T) {
+	value := func(version uint32, body string) persist.Committed {
+		return persist.Committed{Known: true, Value: register.Value{Version: version, Body: []byte(body), Members: []string{"a"}}}
+	}
+	memberless := value(8, "text")
+	memberless.Value.Members = nil
+	for _, c := range []struct {
+		name string
+		next persist.Committed
+		want []invariant.Name
+	}{
+		{"newer", value(8, "other"), nil},
+		{"the same", value(7, "text"), nil},
+		{"older", value(6, "text"), []invariant.Name{invariant.CommittedMonotonic}},
+		{"another text of the version", value(7, "other"), []invariant.Name{invariant.OneContentPerVersion}},
+		{"without members", memberless, []invariant.Name{invariant.MembersKnown}},
+		{"none", persist.Committed{}, nil},
+	} {
+		p, got := checked(register.State{Voter: true})
+		p.committed = value(7, "text")
+		p.checkCommitted(&c.next)
+		if !slices.Equal(*got, c.want) {
+			t.Errorf("%s: %v, want %v", c.name, *got, c.want)
+		}
+	}
+}
--- a/mesh/controlplane/persistence_test.go
+++ b/mesh/controlplane/persistence_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -116,3 +117,24 @@
 		t.Error("a voter whose disk has lost what it promised")
 	}
 }
+
+// A tolerance that the control machines do not suffice for is told once, by name, when all could have been heard of.
+func TestToleranceAboveTheMachinesIsTold(t *testing.T) {
+	s := stalledNode()
+	s.settings.Tolerance.Machines = 2
+	s.peers.Record("b", "z", time.Second)
+	s.checkTolerance(s.settings.Bounds.Sync - 1)
+	if names := s.conflictNames(); len(names) > 0 {
+		t.Fatalf("%v before its time", names)
+	}
+	s.checkTolerance(s.settings.Bounds.Sync)
+	s.checkTolerance(s.settings.Bounds.Sync + 1)
+	if names := s.status(s.now()).Conflicts; !slices.Equal(names, []string{"tolerance_within_machines"}) {
+		t.Errorf("%v", names)
+	}
+	s.settings.Tolerance.Machines = 0
+	s.toleranceReported = false
+	if s.checkTolerance(s.settings.Bounds.Sync); s.toleranceReported {
+		t.Error("three members are needed for no tolerance at all")
+	}
+}
--- a/mesh/dissemination/subscriber_test.go
+++ b/mesh/dissemination/subscriber_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -92,3 +93,29 @@
 	choose(3*s, "core")
 	choose(s+relayBackoff+1, candidates[0].PeerAddr)
 }
+
+// A sidecar whose configuration has become stale turns to the control machines at once, to those that the others have heard of first.
+func TestStaleSidecarTurnsToControlMachinesThatAreUp(t *testing.T) {
+	s, now := time.Second, 10*time.Second
+	sub := NewSubscriber("n", "z", durations, 0)
+	if !sub.Ready(0, 1, 0, nil) {
+		t.Fatal("it is not ready")
+	}
+	var members []Locality
+	for i := range 30 {
+		members = append(members, Locality{Node: "m" + string(rune('a'+i)), Zone: "z", PeerAddr: "relay:" + string(rune('a'+i))})
+	}
+	members = append(members, Locality{Node: "n", Zone: "z", PeerAddr: "n:1"})
+	machines := []ControlMachine{{"down:1", "z", now - 8*s}, {"up:1", "other", now - s}, {"up:2", "other", now - s}}
+	if _, relay := sub.ChooseParent(now, now-s, members, machines); !relay {
+		t.Error("with a fresh configuration it does not turn to a relay")
+	}
+	for _, want := range []string{"up", "up", "down"} {
+		addr, relay := sub.ChooseParent(now, now-2*s, members, machines)
+		if relay || !strings.HasPrefix(addr, want) {
+			t.Errorf("it turns to %s, want one that is %s", addr, want)
+		}
+		sub.RecordFailure(addr, now)
+		now += time.Millisecond
+	}
+}
--- a/mesh/register/round_test.go
+++ b/mesh/register/round_test.go
@@ -1,8 +1,12 @@
 package register
 
 import (
+	"math/rand/v2"
 	"slices"
 	"testing"
+	"time"
+
+	"firplank/mesh/timing"
 )
 
 // While a change of members is under way a quorum is a majority of both sets, and never one of no members.
@@ -96,3 +100,61 @@
 		t.Errorf("pending %v, want 3 alone", r.pending)
 	}
 }
+
+// A phase is not abandoned while replies may come: its request is sent again to those that have not replied, at intervals that double, and
+// a reply to the first one counts.
+func TestRequestsAreSentAgainUntilTheLongestPhase(t *testing.T) {
+	durations := timing.Default().Register
+	r := New("a", []string{"a", "b", "c"}, true, nil, 1)
+	first := r.Handle(0, Tick{}).Messages
+	var sent []time.Duration
+	for now := time.Duration(0); now < durations.MaxPhase; now = r.NextTick() {
+		if out := r.Handle(now, Tick{}); len(out.Messages) > 0 {
+			sent = append(sent, now)
+		}
+	}
+	if len(sent) < 2 || sent[0] != durations.MinPhase || sent[len(sent)-1]-sent[0] < 2*durations.MinPhase {
+		t.Fatalf("sent again at %v", sent)
+	}
+	reply := Message{Kind: ReadReply, From: "b", To: "a", Round: first[0].Round, Voter: true}
+	r.Handle(durations.MaxPhase-time.Millisecond, MessageReceived{reply})
+	if _, _, known := r.Committed(); !known {
+		t.Error("a late reply to the first request does not complete the round")
+	}
+}
+
+// A new connection has the requests of a phase sent again at once: those before it may be lost.
+func TestRequestsAreSentAgainOverANewConnection(t *testing.T) {
+	r := New("a", []string{"a", "b", "c"}, true, nil, 1)
+	reply := Message{Kind: ReadReply, From: "b", To: "a", Round: r.Handle(0, Tick{}).Messages[0].Round, Voter: true}
+	r.Handle(time.Millisecond, MessageReceived{reply})
+	r.Handle(time.Second, Tick{}) // an idle read, whose requests are lost
+	if out := r.Handle(time.Second+time.Millisecond, PeerConnected{}); len(out.Messages) != 2 || out.Messages[0].Kind != Read {
+		t.Errorf("%+v", out.Messages)
+	}
+}
+
+// Pauses after rejections grow, up to the longest phase, until a round completes.
+func TestPausesGrowWithRejections(t *testing.T) {
+	p := newPace(rand.New(rand.NewPCG(1, 2)))
+	longest := func() (most time.Duration) {
+		for range 200 {
+			probe := p
+			most = max(most, probe.rejected(0))
+		}
+		return most
+	}
+	first := longest()
+	for range 3 {
+		p.rejected(0)
+	}
+	if grown := longest(); grown < 5*first || grown > p.durations.MinBackoff+p.durations.MaxPhase {
+		t.Errorf("up to %v after four rejections, up to %v after one", grown, first)
+	}
+	if slow := p.rejected(time.Second); slow > p.durations.MinBackoff+p.durations.MaxPhase {
+		t.Errorf("%v", slow)
+	}
+	if p.completed(); longest() != first {
+		t.Error("a completed round does not end that")
+	}
+}
--- a/mesh/timing/conflict.go
+++ b/mesh/timing/conflict.go
@@ -7,7 +7,7 @@
 
 // MissingMachines returns how many control machines a deployment lacks for its tolerance, where so many are known: none of those may be
 // lost for good that are tolerated to be, if fewer than twice the tolerance and one store the configuration.
-func MissingMachines(tolerance, known int) int { return max(0, groupSize(tolerance)-known) }
+func MissingMachines(tolerance, known int) int { return max(0, 2*tolerance+1-known) }
 
 // MachinesConflict names the conflict of a tolerance with the number of control machines, for logs and the status. Its sides are numbers of
 // machines.
@@ -17,7 +17,7 @@
 		Rule:     "CONFIG, LOST",
 		Settings: "tolerance",
 		Claim:    "as many control machines as the tolerance needs are there",
-		Needed:   groupSize(tolerance),
+		Needed:   2*tolerance + 1,
 		Found:    known,
 	}
 }
--- a/mesh/timing/replacement_test.go
+++ b/mesh/timing/replacement_test.go
@@ -72,3 +72,16 @@
 		}
 	}
 }
+
+// A repair ends before the next loss may come for every tolerance up to four, whose group has nine members. Beyond that the inequality
+// repair_within_sync tells of settings that are too short.
+func TestRepairIsBoundedForLargerGroups(t *testing.T) {
+	for tolerance := 1; tolerance <= 4; tolerance++ {
+		for sync := 2 * time.Second; sync <= 10*time.Second; sync += 100 * time.Millisecond {
+			r := NewReplacement(sync, 6*time.Second)
+			if repair := r.MaxRepairTime(groupSize(tolerance)); repair > sync {
+				t.Errorf("tolerance %d, syncS %v: a repair takes %v", tolerance, sync, repair)
+			}
+		}
+	}
+}
--- a/mesh/transport/transport_test.go
+++ b/mesh/transport/transport_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -208,3 +209,33 @@
 		t.Error("connected")
 	}
 }
+
+// An update whose connection stalls is as old as it is when it is sent, not as when it was queued: what comes behind a frame that the peer
+// does not read carries the time of the stall.
+func TestUpdatesAgeWhileTheirConnectionStalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe() // takes nothing that is not read
+		c := newConn(near)
+		defer func() { <-c.written }()
+		defer c.Close()
+		const stall, ageMs = 200 * time.Millisecond, 40
+		large := &wire.FrameT{Kind: wire.Update, AgeMs: ageMs, Text: string(make([]byte, 2*bufferBytes))}
+		if !c.Send(large) {
+			t.Fatal("the large frame is not taken")
+		}
+		time.Sleep(stall / 4) // the writer has the large frame, and nobody reads
+		if !c.Send(&wire.FrameT{Kind: wire.Update, AgeMs: ageMs, Version: 7}) {
+			t.Fatal("the update is not taken")
+		}
+		time.Sleep(stall)
+		for _, want := range []struct {
+			version uint32
+			age     time.Duration
+		}{{0, 0}, {7, stall}} {
+			f, err := wire.ReadFrame(far)
+			if err != nil || f.Version != want.version || time.Duration(f.AgeMs)*time.Millisecond < want.age {
+				t.Errorf("%v: version %d with an age of %d ms, want version %d of %v at least", err, f.Version, f.AgeMs, want.version, want.age)
+			}
+		}
+	})
+}
