--- a/lab/mesh/server.go
+++ b/lab/mesh/server.go
@@ -215,9 +215,9 @@
 	}
 }
 
-// makeCall makes the call that a request asks for, by way of the server's own machine: "/look/x?calls=3" has the server call "/look/x?calls=2".
-// It ends with the request, which the server has had for a while. It reports whether that succeeded; a request that asks for none has
-// succeeded.
+// makeCall makes the call that a request asks for, by way of the server's own machine: "/look/x?calls=3" has the server call
+// "/look/x?calls=2". It ends with the request, which the server has had for a while. It reports whether that succeeded; a request that
+// asks for none has succeeded.
 func (s *Server) makeCall(r *http.Request, had time.Duration) bool {
 	depth, left := number(r, "calls"), remaining(r)-had
 	if depth == 0 || left <= 0 {
--- a/lab/soak/load.go
+++ b/lab/soak/load.go
@@ -125,7 +125,8 @@
 ) {
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, o.method, x.OutgoingURL(o.path), io.NopCloser(bytes.NewReader(o.body))) // which the transport can't send again
+	body := io.NopCloser(bytes.NewReader(o.body)) // which the transport can't send again
+	r, err := http.NewRequestWithContext(ctx, o.method, x.OutgoingURL(o.path), body)
 	if err != nil {
 		panic(err) // the address is the mesh's own
 	}
--- a/mesh/controlplane/persistence/pipeline_test.go
+++ b/mesh/controlplane/persistence/pipeline_test.go
@@ -166,7 +166,8 @@
 	if !h.DiskFailing || !errors.Is(h.CheckAccepting(stalled, quorumTimeout), operations.ErrDiskFailing) {
 		t.Errorf("with a disk that stalls: %+v", h)
 	}
-	if early := now + persist.DiskTimeout; !errors.Is(w.pipeline.Health(early).CheckAccepting(early, quorumTimeout), operations.ErrDiskFailing) {
+	early := now + persist.DiskTimeout
+	if !errors.Is(w.pipeline.Health(early).CheckAccepting(early, quorumTimeout), operations.ErrDiskFailing) {
 		t.Error("with a disk that has stalled for its time-out operations are accepted")
 	}
 	w.end(stalled, nil)
