--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -115,6 +115,20 @@
 	j.Arrived(secondsAfter(at), "branch-1", mesh.Arrival{RequestID: id, Server: server, Service: safeLine, Remaining: remaining})
 }
 
+// runSplit has the judge see 300 successes on the split route, so many in a hundred of them from the first service.
+func runSplit(j *Judge, safe int) {
+	for n := range 300 {
+		id := fmt.Sprintf("split-%d", n)
+		ran(j, id, 0)
+		j.Ended(with(ok(id), func(x *exchange) {
+			x.services = []string{safeLine, unsafeLine}
+			if n%100 >= safe {
+				x.by = 1
+			}
+		}))
+	}
+}
+
 func acknowledge(j *Judge, at float64, c change) {
 	j.Acknowledged(secondsAfter(at), secondsAfter(at-0.1), c)
 }
@@ -127,6 +141,16 @@
 	do         func(j *Judge)
 }{
 	{"a request is served", "", func(j *Judge) { ran(j, "a", 0); j.Ended(ok("a")) }},
+	{"a server answers that a call of its own has failed", "", func(j *Judge) {
+		ran(j, "a", 0)
+		j.Stop(secondsAfter(9), "branch-1")
+		j.Ended(with(ok("a"), func(x *exchange) { x.status, x.byServer = http.StatusInternalServerError, true }))
+	}},
+	{"a split route by its weights", "", func(j *Judge) { runSplit(j, 62) }},
+	{"a split route all to one service", "CONFIG CONFIG", func(j *Judge) { runSplit(j, 100) }},
+	{"a split route with too few requests to tell", "", func(j *Judge) {
+		j.split[safeLine] = 100
+	}},
 	{"an answer that no server gave", "MIXED", func(j *Judge) { j.Ended(ok("a")) }},
 	{"another's answer", "MIXED", func(j *Judge) {
 		ran(j, "a", 0)
--- a/mesh/dissemination/confirmations.go
+++ b/mesh/dissemination/confirmations.go
@@ -9,10 +9,10 @@
 // maxPending bounds the operations that wait; beyond it none does.
 const maxPending = 256
 
-// QuorumLost reports whether a control machine counts as out of contact with a majority: a majority last confirmed its value as of asOf
-// (below 0: never), more than timeout ago (timing.Dissemination.QuorumTimeout). Times count from the machine's start, so that a machine
-// that has just started has that time to commit its first round. The control plane refuses operations by it (operations.Health).
-func QuorumLost(now, asOf, timeout time.Duration) bool { return now-max(asOf, 0) > timeout }
+// QuorumLost reports whether a control machine counts as out of contact with a majority: one has last replied at lastReply (below 0: never),
+// more than timeout ago (timing.Dissemination.QuorumTimeout). Times count from the machine's start, so that a machine that has just started
+// has that time to complete its first phase. The control plane refuses operations by it (operations.Health).
+func QuorumLost(now, lastReply, timeout time.Duration) bool { return now-max(lastReply, 0) > timeout }
 
 // Confirmations decides when a control machine confirms an operation that the register has committed: when the version is in force at all
 // sidecars that subscribe to this machine or, directly or not, to the others in contact, at the latest timing.Dissemination.AckTimeout
