--- a/lab/scale/estimate_test.go
+++ b/lab/scale/estimate_test.go
@@ -75,7 +75,7 @@
 		}
 	}
 	if in, out := sum(target().AsBuilt(), Relay); in+out < budget {
-		t.Errorf("a relay as built keeps to %.0f bytes a second, which docs/CAPACITY.md denies", in+out)
+		t.Errorf("a relay as built keeps to %.0f bytes a second, which docs/measurements/capacity-by-parts.md denies", in+out)
 	}
 	small, large := target(), target()
 	large.Sidecars, large.RestartsS = 2*large.Sidecars, 2*large.RestartsS
--- a/lab/scale/parts_bench_test.go
+++ b/lab/scale/parts_bench_test.go
@@ -19,7 +19,7 @@
 )
 
 // The benchmarks are the decisions whose work grows with the whole mesh, each at sizes up to the target's: what a
-// sidecar or control machine spends on one change, whoever else runs on this machine. See docs/CAPACITY.md.
+// sidecar or control machine spends on one change, whoever else runs on this machine. See docs/measurements/capacity-by-parts.md.
 
 var partSizes = []int{1000, 3000, 8192} // directory.Most bounds the last
 
