--- a/lab/explore/liveness/liveness_test.go
+++ b/lab/explore/liveness/liveness_test.go
@@ -58,8 +58,7 @@
 	return r
 }
 
-// A phase that ends after a fixed time is begun anew for ever where its replies take longer: the order of the soak's seeds 68101 and 68102,
-// which was acknowledged after 9 s, when the disks were quicker again.
+// A phase that ends after a fixed time is begun anew for ever where its replies take longer.
 func TestPhasesOfFixedLengthStarve(t *testing.T) {
 	fixed := durations.Register
 	fixed.MaxPhase = fixed.MinPhase
--- a/mesh/controlplane/peers/peers_test.go
+++ b/mesh/controlplane/peers/peers_test.go
@@ -138,3 +138,23 @@
 		}
 	}
 }
+
+// A connection over which the first message takes longer than a silence may last is not closed and made anew for ever, each time before
+// anything has come: the time that it is given grows until something does.
+func TestSlowConnectionsAreGivenTime(t *testing.T) {
+	table := New[string]("a", "")
+	table.Record("b", "", 0)
+	const timeout, slow = time.Second, 3 * time.Second
+	made := time.Duration(0)
+	table.SetConn("b", "conn", made)
+	for now := made; now < time.Minute; now += 100 * time.Millisecond {
+		if now >= made+slow {
+			return // its first message has come
+		}
+		if len(table.Silent(now, timeout)) > 0 {
+			made = now
+			table.SetConn("b", "conn", made)
+		}
+	}
+	t.Error("in a minute no connection was left for as long as its first message takes")
+}
