--- a/lab/mesh/network.go
+++ b/lab/mesh/network.go
@@ -1,7 +1,6 @@
 package mesh
 
 import (
-	"bufio"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -193,30 +192,28 @@
 
 func (d *datagrams) close() { _ = d.conn.Close() } // nothing is lost by an error
 
-// tcpTable is where the kernel lists the TCP sockets of IPv4; the columns of a line that are read.
+// tcpTable is where the kernel lists the TCP sockets of IPv4, and inodeColumn the column of a line that is read, counted from the one
+// behind both addresses.
 const (
 	tcpTable    = "/proc/net/tcp"
-	localColumn = 1
-	peerColumn  = 2
-	inodeColumn = 9
+	inodeColumn = 6
 )
 
 // socketInode returns the inode of the socket that is the other end of a connection to this process: its local address
-// is remote, and its peer local. Empty: it is not found.
+// is remote, and its peer local. Empty: it is not found. The table has a line for each socket of the machine, so that only the one that
+// is wanted is taken apart.
 func socketInode(local, remote *net.TCPAddr) string {
-	file, err := os.Open(tcpTable)
+	table, err := os.ReadFile(tcpTable)
 	if err != nil {
 		return ""
 	}
-	defer func() { _ = file.Close() }() // only read from
-	wantLocal, wantPeer := procAddr(remote), procAddr(local)
-	for lines := bufio.NewScanner(file); lines.Scan(); {
-		fields := strings.Fields(lines.Text())
-		if len(fields) > inodeColumn && fields[localColumn] == wantLocal && fields[peerColumn] == wantPeer {
-			return fields[inodeColumn]
-		}
+	_, rest, found := strings.Cut(string(table), " "+procAddr(remote)+" "+procAddr(local)+" ")
+	line, _, _ := strings.Cut(rest, "\n")
+	fields := strings.Fields(line)
+	if !found || len(fields) <= inodeColumn {
+		return ""
 	}
-	return ""
+	return fields[inodeColumn]
 }
 
 // procAddr is an address as the kernel's table has it: the IP as a little-endian number, and the port.
