knownred: entries with a command, and failures without a Go test

A Go test is package.TestName and is judged as before; an entry with any other name excuses nothing and is printed.

--- a/lab/knownred/judge.go
+++ b/lab/knownred/judge.go
@@ -10,6 +10,9 @@
 	var faults []string
 	listed := make(map[testID]bool)
 	for _, one := range known {
+		if !one.isGoTest() {
+			continue
+		}
 		listed[one.test] = true
 		if how := r.of(one.test); how == notRun || how == skipped {
 			faults = append(faults, fmt.Sprintf("%s is listed, but %s", one.test, how))
--- a/lab/knownred/main.go
+++ b/lab/knownred/main.go
@@ -1,5 +1,5 @@
 // Command knownred judges a run of the tests by the list of failures that are known, KNOWN-RED.txt: it fails unless all that
-// failed stands there. Failed builds, panics, data races and tests that never ended are never excused.
+// failed stands there. An entry may also be a failure that only its command reproduces: it is printed and excuses nothing. Failed builds, panics, data races and tests that never ended are never excused.
 //
 //	knownred LIST EVENTS STATUS
 //
@@ -51,7 +51,11 @@
 	faults := judge(known, results, status)
 	results.print(printer)
 	for _, entry := range known {
-		printer.Printf("known red: %s (%s)\n", entry.line, results.of(entry.test))
+		how := "no Go test"
+		if entry.isGoTest() {
+			how = string(results.of(entry.test))
+		}
+		printer.Printf("known red: %s (%s)\n", entry.line, how)
 	}
 	for _, fault := range faults {
 		printer.Println("not excused:", fault)
