Control machines log and count calls that they do not have

Change: api.Router reports requests that no handler takes; the control plane logs some ("call rejected: not known", with method, path and status) and counts all (firplank_calls_unknown_total).

--- a/mesh/api/router.go
+++ b/mesh/api/router.go
@@ -66,6 +66,9 @@
 // Router leads requests to handlers by method and path. It is a tree: each node stands for one segment of a path, or the root. The zero
 // value is an empty router. It is safe for concurrent use once all handlers are added.
 type Router struct {
+	// Rejected is called for each request that no handler takes, with the status of its answer; nil: nobody is told. It is of the root.
+	Rejected func(r *http.Request, status int)
+
 	literals map[string]*Router
 	wildcard *Router
 	methods  map[string]Handler
@@ -156,14 +159,22 @@
 	_, _ = w.Write(response.Body) // the caller may have disconnected, which changes nothing here
 }
 
+// reject answers a request that no handler takes.
+func (rt *Router) reject(r *http.Request, status int, err error) Response {
+	if rt.Rejected != nil {
+		rt.Rejected(r, status)
+	}
+	return ErrorResponse(status, err)
+}
+
 func (rt *Router) respond(w http.ResponseWriter, r *http.Request) Response {
 	node, args := rt.lookup(splitPath(r.URL.Path), nil)
 	if node == nil {
-		return ErrorResponse(http.StatusNotFound, errNotFound)
+		return rt.reject(r, http.StatusNotFound, errNotFound)
 	}
 	handler := node.methods[r.Method]
 	if handler == nil {
-		return ErrorResponse(http.StatusMethodNotAllowed, errMethodNotAllowed)
+		return rt.reject(r, http.StatusMethodNotAllowed, errMethodNotAllowed)
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
 	var tooLarge *http.MaxBytesError
--- a/mesh/controlplane/figures.go
+++ b/mesh/controlplane/figures.go
@@ -15,7 +15,7 @@
 type figures struct {
 	registry *telemetry.Registry
 
-	diskErrors, sidecarsLost *metrics.Counter
+	diskErrors, sidecarsLost, unknownCalls *metrics.Counter
 
 	committedVersion, members, peersConnected, subscribers atomic.Int64
 	pendingOperations, quorumAgeMillis, lowestInForce      atomic.Int64
@@ -28,6 +28,7 @@
 		registry:     r,
 		diskErrors:   r.Counter("disk_errors_total"),
 		sidecarsLost: r.Counter("sidecars_lost_total"),
+		unknownCalls: r.Counter("calls_unknown_total"),
 	}
 	for name, value := range map[string]*atomic.Int64{
 		"committed_version": &f.committedVersion, "members": &f.members, "peers_connected": &f.peersConnected,
--- a/mesh/controlplane/operators.go
+++ b/mesh/controlplane/operators.go
@@ -26,13 +26,21 @@
 
 // operatorAPI routes the calls of operators.
 func (s *Server) operatorAPI() *api.Router {
-	t := &api.Router{}
+	t := &api.Router{Rejected: s.logUnknownCall}
 	t.Handle(http.MethodPost, "/Timetable.Replace", s.replaceConfig)
 	t.Handle(http.MethodGet, api.StatusPath, s.readStatus)
 	t.Handle(http.MethodGet, "/Timetable.Read", s.readConfig)
 	return t
 }
 
+// logUnknownCall counts a call that this program does not have, and logs some of them.
+func (s *Server) logUnknownCall(r *http.Request, status int) {
+	s.figures.unknownCalls.Inc()
+	s.unknownCalls.Do(func() {
+		_ = level.Warn(s.log).Log("msg", "call rejected: not known", "method", r.Method, "path", r.URL.Path, "status", status)
+	})
+}
+
 var errNoConfig = errors.New("there is no configuration yet")
 
 // unavailable is the answer to a call that this machine cannot commit now, and says why. It leaves open whether the
--- a/mesh/controlplane/server.go
+++ b/mesh/controlplane/server.go
@@ -26,6 +26,7 @@
 	"github.com/go-faster/errors"
 	kitlog "github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"golang.org/x/time/rate"
 
 	"firplank/mesh/bootstrap"
 	"firplank/mesh/config"
@@ -63,6 +64,8 @@
 	reconciler *reconcile.Reconciler
 	hub        *publishing.Hub[*transport.Conn]
 	figures    *figures
+	// unknownCalls bounds what is logged of calls that this program does not have.
+	unknownCalls rate.Sometimes
 	// toleranceReported: that fewer control machines are known than the tolerance needs was reported.
 	toleranceReported bool
 
@@ -74,16 +77,18 @@
 func newServer(settings *bootstrap.Settings, self string, log kitlog.Logger) *Server {
 	durations := timing.FromSettings(settings)
 	return &Server{
-		settings:  settings,
-		log:       log,
-		self:      self,
-		start:     time.Now(),
-		figures:   newFigures(),
-		events:    make(chan event, maxQueuedEvents),
-		writes:    make(chan persist.Write, 1),
-		hub:       publishing.New[*transport.Conn](config.Unpack, durations),
-		peers:     peers.New[*transport.Conn](self, settings.Zone),
-		durations: durations,
+		settings: settings,
+		log:      log,
+		self:     self,
+		start:    time.Now(),
+		figures:  newFigures(),
+
+		unknownCalls: rate.Sometimes{First: 10, Interval: time.Second},
+		events:       make(chan event, maxQueuedEvents),
+		writes:       make(chan persist.Write, 1),
+		hub:          publishing.New[*transport.Conn](config.Unpack, durations),
+		peers:        peers.New[*transport.Conn](self, settings.Zone),
+		durations:    durations,
 	}
 }
 
