--- a/balance/api.go
+++ b/balance/api.go
@@ -178,6 +178,8 @@
 	StartedAt        float64 // when its process started; 0: long ago
 	Rating           float64 // relative size by Config.Ratings; 0: unknown, counts as 1
 	Cell, Zone, Kind int
+	// Candidate is whether the server is of a version that only some requests are for.
+	Candidate bool
 	// PathIncarnation grows when the proxy in front of the server has restarted: connect failures are forgotten then.
 	PathIncarnation uint64
 }
@@ -215,6 +217,7 @@
 	Retry         bool    // the client's own mark of a retry
 	Write         bool
 	Upload        bool // its body is still being received: Remaining counts from UploadComplete
+	Candidate     bool // its first attempt is for a server that is a Candidate; all others are not
 	MaxAttempts   int  // limit of attempts that reach a server; 0: Config.MaxAttempts alone
 }
 
--- a/balance/request.go
+++ b/balance/request.go
@@ -28,6 +28,7 @@
 	answered      bool      // it has its final answer
 	streaming     bool      // its answer has begun and the client has it: there is no deadline and no retry
 	bodyConsumed  bool      // an attempt has taken its body: there can be no other
+	atCandidates  bool      // the present pick is among the candidates
 	retryRejected bool      // a server whose sidecar rejected it may get another attempt
 	timerAt       float64   // when its next timer fires; +Inf: none is set
 	probed        []*server // probed before the first attempt
--- a/balance/rotation.go
+++ b/balance/rotation.go
@@ -19,11 +19,26 @@
 	zonePreference float64 // ServerList.ZonePreference
 }
 
-// pick chooses a server for an attempt, or nil if none is eligible: smooth weighted round robin over the
-// eligible servers. A retry goes to the healthiest one, which is charged in the rotation too.
+// pick chooses a server for an attempt, or nil if none is eligible. The first attempt of a request that is
+// for the candidates goes to one of them, or where none of them is eligible to one of the others, as all
+// other attempts do.
 func (b *Balancer) pick(r *request, retry bool) *server {
+	if r.Candidate && !retry {
+		r.atCandidates = true
+		s := b.pickEligible(r, retry)
+		r.atCandidates = false
+		if s != nil {
+			return s
+		}
+	}
+	return b.pickEligible(r, retry)
+}
+
+// pickEligible chooses a server by smooth weighted round robin over the eligible servers. A retry goes to the
+// healthiest one, which is charged in the rotation too.
+func (b *Balancer) pickEligible(r *request, retry bool) *server {
 	total, maxPerWeight := b.updateWeights(r, retry, false)
-	if total == 0 { // all are ejected: the cause is hardly in the servers
+	if total == 0 && !r.atCandidates { // all are ejected: the cause is hardly in the servers
 		_, maxPerWeight = b.updateWeights(r, retry, true)
 	}
 	var best *server
@@ -116,7 +131,7 @@
 
 // eligibleAt reports whether the rules allow an attempt of the request at the server now.
 func (r *request) eligibleAt(s *server, now float64) bool {
-	if s.State != Ready {
+	if s.State != Ready || s.Candidate != r.atCandidates {
 		return false
 	}
 	for i := range r.attempts {
--- /dev/null
+++ b/cmd/firplankctl/rollout.go
@@ -0,0 +1,104 @@
+package main
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+
+	"github.com/go-faster/errors"
+
+	"firplank/internal/output"
+	"firplank/mesh/api"
+)
+
+// rolloutCommands are the commands for rollouts.
+type rolloutCommands struct {
+	Start  startRolloutCommand  `cmd:"" help:"Order a rollout: the new version takes over unless it is worse than the old one."`
+	Status rolloutStatusCommand `cmd:"" help:"Say how far the rollouts are, and why."`
+	Recall recallCommand        `cmd:"" help:"Recall a rollout that is under way: the old version serves all requests again."`
+}
+
+type startRolloutCommand struct {
+	ControlAddr string  `arg:"" name:"core" help:"Control address of a control machine."`
+	Service     string  `arg:"" help:"Name of the service."`
+	Target      string  `arg:"" help:"The new version, as its servers name it."`
+	OverS       float64 `default:"60" help:"Time in seconds within which the rollout is to end."`
+}
+
+// rolloutOrder is the body of an order, in the users' names.
+type rolloutOrder struct {
+	Service string  `json:"line"`
+	Target  string  `json:"toEdition"`
+	OverS   float64 `json:"overS"`
+}
+
+// Run orders a rollout.
+func (c *startRolloutCommand) Run(out io.Writer) error {
+	body, err := json.Marshal(rolloutOrder{Service: c.Service, Target: c.Target, OverS: c.OverS})
+	if err != nil {
+		return err
+	}
+	if err := postOrder(c.ControlAddr, api.StartRolloutPath, body); err != nil {
+		return err
+	}
+	printer := output.New(out)
+	printer.Printf("taken: %s goes to version %s, within %v s\n", c.Service, c.Target, c.OverS)
+	return printer.Err()
+}
+
+type recallCommand struct {
+	ControlAddr string `arg:"" name:"core" help:"Control address of a control machine."`
+	Service     string `arg:"" help:"Name of the service."`
+}
+
+// Run recalls a rollout.
+func (c *recallCommand) Run(out io.Writer) error {
+	if err := postOrder(c.ControlAddr, api.RecallPath+"/"+url.PathEscape(c.Service), nil); err != nil {
+		return err
+	}
+	printer := output.New(out)
+	printer.Printf("recalled: the new version of %s gets no more requests\n", c.Service)
+	return printer.Err()
+}
+
+// postOrder sends an order. An answer other than 200 is an error.
+func postOrder(addr, path string, body []byte) error {
+	a, err := newClient(addr).post(path, body)
+	switch {
+	case err != nil:
+		return err
+	case a.code != http.StatusOK:
+		return errors.Errorf("%s answers %s: %s", addr, a.status, a.reason)
+	}
+	return nil
+}
+
+type rolloutStatusCommand struct {
+	ControlAddr string `arg:"" name:"core" help:"Control address of a control machine."`
+}
+
+// Run prints the rollouts, as one control machine sees them.
+func (c *rolloutStatusCommand) Run(out io.Writer) error {
+	body, err := newClient(c.ControlAddr).get(api.StatusPath, maxStatusBytes)
+	if err != nil {
+		return err
+	}
+	var status api.ControlStatus
+	if err := json.Unmarshal(body, &status); err != nil {
+		return errors.Wrap(err, "the status")
+	}
+	printer := output.New(out)
+	for i := range status.Rollouts {
+		printRollout(printer, &status.Rollouts[i])
+	}
+	return printer.Err()
+}
+
+func printRollout(printer *output.Printer, r *api.Rollout) {
+	printer.Printf("%s to %s: %s (order %d, within %v s)\n", r.Service, r.Target, r.Stage, r.Order, r.TermS)
+	if r.Reason != "" {
+		printer.Printf("  by %s: %s\n", r.DecidedBy, r.Reason)
+	}
+	printer.Printf("  evidence: %s\n  sidecars that have not confirmed the stage: %d\n", r.Evidence, r.Unconfirmed)
+}
--- a/internal/core/endpoints.go
+++ b/internal/core/endpoints.go
@@ -85,6 +85,7 @@
 		StartedAt:       max(0, m.UpSince),
 		Rating:          m.Size,
 		PathIncarnation: m.Way,
+		Candidate:       m.Candidate,
 		Cell:            m.Cell,
 		Zone:            position(l.cfg.Zones, m.Locality),
 		Kind:            position(l.cfg.Kinds, m.Flavor),
@@ -101,6 +102,18 @@
 	e.backend.CloseIdle(e)
 }
 
+// InFlightAtClosed returns the number of attempts in flight at servers that are draining or gone. For use within Inspect.
+func (l *Loop) InFlightAtClosed() (attempts int) {
+	for _, r := range l.requests {
+		for _, a := range r.attempts {
+			if a.Endpoint != nil && a.Endpoint.Closed() && a.phase.Load() != ended {
+				attempts++
+			}
+		}
+	}
+	return attempts
+}
+
 // cancelAttemptsAt cancels the attempts of idempotent requests at a server that is gone, if Config.CancelAtGone.
 func (l *Loop) cancelAttemptsAt(e *Endpoint) {
 	if !l.cfg.CancelAtGone {
--- a/internal/roster/follower.go
+++ b/internal/roster/follower.go
@@ -46,6 +46,8 @@
 	Size     float64 `json:"size"`
 	UpSince  float64 `json:"up_since_ms"`
 	Way      uint64  `json:"-"` // balance.Server's
+
+	Candidate bool `json:"-"` // balance.Server's
 }
 
 // State is the member's state in a list that has passed Check.
--- a/lab/knownred/main.go
+++ b/lab/knownred/main.go
@@ -1,5 +1,6 @@
 // Command knownred judges a run of the tests by the list of failures that are known, KNOWN-RED.txt: it fails unless all that
-// failed stands there. An entry may also be a failure that only its command reproduces: it is printed and excuses nothing. Failed builds, panics, data races and tests that never ended are never excused.
+// failed stands there. An entry may also be a failure that only its command reproduces: it is printed and excuses nothing.
+// Failed builds, panics, data races and tests that never ended are never excused.
 //
 //	knownred LIST EVENTS STATUS
 //
--- a/mesh/admission/controller.go
+++ b/mesh/admission/controller.go
@@ -60,6 +60,7 @@
 	// The server, by its heartbeats.
 	serverID  string // empty: none is known
 	service   string
+	version   string
 	slots     int
 	state     directory.State
 	sequence  uint64
--- a/mesh/admission/server.go
+++ b/mesh/admission/server.go
@@ -10,6 +10,7 @@
 type Heartbeat struct {
 	ServerID   string // of the server's run: another process has another id
 	Service    string // that it belongs to
+	Version    string // of its software
 	Slots      int    // requests that it works on at once
 	Closing    bool   // it has begun its shutdown; otherwise it accepts requests
 	WarmUpLeft time.Duration
@@ -29,8 +30,9 @@
 		c.markDeparted(c.serverID)
 		c.inFlight, c.health = 0, Health{}
 	}
-	changed = h.ServerID != c.serverID || state != c.state || h.Service != c.service || h.Slots != c.slots
-	c.serverID, c.service, c.slots = h.ServerID, h.Service, h.Slots
+	changed = h.ServerID != c.serverID || state != c.state || h.Service != c.service || h.Slots != c.slots ||
+		h.Version != c.version
+	c.serverID, c.service, c.version, c.slots = h.ServerID, h.Service, h.Version, h.Slots
 	c.state, c.sequence, c.confirmBy = state, h.Sequence, 0
 	c.warmUntil, c.lastSeen = now+h.WarmUpLeft, now
 	return changed
@@ -88,7 +90,7 @@
 	case c.departed[e.Server]:
 		return
 	}
-	c.serverID, c.service, c.slots = e.Server, e.Service, e.Slots
+	c.serverID, c.service, c.version, c.slots = e.Server, e.Service, e.Version, e.Slots
 	c.state, c.warmUntil, c.lastSeen = e.State, e.WarmUntil, now
 	c.confirmBy = now + confirmWithin
 	if c.state == directory.Unresponsive || c.state == directory.Draining {
@@ -136,11 +138,14 @@
 	return true
 }
 
+// WarmingUp reports whether the server is in its slow start.
+func (c *Controller) WarmingUp(now time.Duration) bool { return now < c.warmUntil }
+
 // HasServer reports whether it is known which server is local.
 func (c *Controller) HasServer() bool { return c.serverID != "" }
 
 // FillEntry writes what the directory announces of the server into an entry.
 func (c *Controller) FillEntry(e *directory.Entry) {
 	e.Server, e.Service, e.State = c.serverID, c.service, c.state
-	e.Slots, e.WarmUntil = c.slots, c.warmUntil
+	e.Version, e.Slots, e.WarmUntil = c.version, c.slots, c.warmUntil
 }
--- a/mesh/api/status.go
+++ b/mesh/api/status.go
@@ -3,6 +3,13 @@
 // StatusPath is the path of the call for ControlStatus, by GET on a control machine's control address.
 const StatusPath = "/Control.Status"
 
+// Paths of the calls for rollouts. Those of ReadRolloutPath and RecallPath go on with a slash and the name of a service.
+const (
+	StartRolloutPath = "/Rollouts.Start"
+	ReadRolloutPath  = "/Rollouts.Read"
+	RecallPath       = "/Rollouts.Recall"
+)
+
 // ControlStatus is the control plane as one control machine sees it. It answers without contact to the others, whose view may differ.
 type ControlStatus struct {
 	// Self is the address of the machine that answers.
@@ -21,10 +28,28 @@
 	FullyReplicated bool `json:"fullCopies"`
 	// Conflicts name what the deployment's settings ask for and cannot be kept (timing.Inequalities).
 	Conflicts []string `json:"conflicts,omitempty"`
+	// Rollouts are the newest rollouts of services.
+	Rollouts []Rollout `json:"rollouts,omitempty"`
 	// Machines are all control machines, members or not.
 	Machines []ControlMachine `json:"machines"`
 }
 
+// Rollout is the newest rollout of a service, as a control machine sees it.
+type Rollout struct {
+	Service string  `json:"service"`
+	Target  string  `json:"target"`
+	Order   uint32  `json:"order"`
+	Stage   string  `json:"stage"`
+	TermS   float64 `json:"termS"`
+	// Reason is why the rollout is at its stage, and DecidedBy the machine that decided on it.
+	Reason    string `json:"reason,omitempty"`
+	DecidedBy string `json:"decidedBy,omitempty"`
+	// Evidence is what this machine makes of the requests of both versions so far.
+	Evidence string `json:"evidence,omitempty"`
+	// Unconfirmed are the sidecars that have not confirmed the present stage.
+	Unconfirmed int `json:"unconfirmed"`
+}
+
 // ControlMachine is one control machine, as another sees it by its hello messages.
 type ControlMachine struct {
 	Address string `json:"address"`
--- a/mesh/bootstrap/bounds.go
+++ b/mesh/bootstrap/bounds.go
@@ -31,6 +31,10 @@
 	// RetryRatio, RetrySlack and RetryWindow bound the retries: RetryRatio times the requests, and RetrySlack more, in each RetryWindow.
 	RetryRatio, RetrySlack float64
 	RetryWindow            time.Duration
+	// ExposureShare is the share of a service's requests that a bad version may get while it is rolled out, and ExposureSlack how many more.
+	ExposureShare, ExposureSlack float64
+	// Recall is the time in which requests to a bad version have to cease.
+	Recall time.Duration
 }
 
 // maxBound is above each figure that a bound may have.
@@ -39,18 +43,21 @@
 // DefaultBounds returns the bounds of settings that state none.
 func DefaultBounds() Bounds {
 	return Bounds{
-		InTouch:      3 * time.Second,
-		Receipt:      5 * time.Second,
-		Sync:         4 * time.Second,
-		LastPost:     2500 * time.Millisecond,
-		Grace:        6 * time.Second,
-		InForce:      2500 * time.Millisecond,
-		BackSlack:    250 * time.Millisecond,
-		Recovery:     15 * time.Second,
-		AddressReuse: 2 * time.Second,
-		RetryRatio:   0.2,
-		RetrySlack:   0,
-		RetryWindow:  10 * time.Second,
+		InTouch:       3 * time.Second,
+		Receipt:       5 * time.Second,
+		Sync:          4 * time.Second,
+		LastPost:      2500 * time.Millisecond,
+		Grace:         6 * time.Second,
+		InForce:       2500 * time.Millisecond,
+		BackSlack:     250 * time.Millisecond,
+		Recovery:      15 * time.Second,
+		AddressReuse:  2 * time.Second,
+		RetryRatio:    0.2,
+		RetrySlack:    0,
+		RetryWindow:   10 * time.Second,
+		ExposureShare: 0.1,
+		ExposureSlack: 50,
+		Recall:        5 * time.Second,
 	}
 }
 
@@ -68,8 +75,14 @@
 		"recoveryS":     &b.Recovery,
 		"addressReuseS": &b.AddressReuse,
 		"retryWindowS":  &b.RetryWindow,
+		"recallS":       &b.Recall,
+	}
+	figures := map[string]*float64{
+		"retryRatio":    &b.RetryRatio,
+		"retrySlack":    &b.RetrySlack,
+		"exposureShare": &b.ExposureShare,
+		"exposureSlack": &b.ExposureSlack,
 	}
-	figures := map[string]*float64{"retryRatio": &b.RetryRatio, "retrySlack": &b.RetrySlack}
 	for i, text := range texts {
 		name, figure, _ := strings.Cut(text, "=")
 		duration, plain := durations[name], figures[name]
--- a/mesh/codec/directory.go
+++ b/mesh/codec/directory.go
@@ -34,9 +34,18 @@
 		Slots:       uint16(min(max(0, e.Slots), math.MaxUint16)),
 		WarmUpMs:    milliseconds(e.WarmUntil - now),
 		AgeMs:       milliseconds(now - e.LastSeen),
+		Edition:     versionToWire(e.Version),
 	}
 }
 
+// versionToWire returns nil for an unknown version, which takes no bytes.
+func versionToWire(version string) []byte {
+	if version == "" {
+		return nil
+	}
+	return []byte(version)
+}
+
 // LivenessToWire returns an entry that reports nothing but when its machine was last seen alive.
 func LivenessToWire(e *directory.Entry, now time.Duration) *wire.EntryT {
 	return &wire.EntryT{
@@ -73,6 +82,8 @@
 		Slots:       int(e.Slots),
 		WarmUntil:   now + time.Duration(e.WarmUpMs)*time.Millisecond,
 		LastSeen:    timeBefore(now, e.AgeMs),
+		Version:     string(e.Edition),
+		Evidence:    evidenceFromWire(e),
 	}
 	return entry, e.State != livenessOnly
 }
--- a/mesh/codec/dissemination.go
+++ b/mesh/codec/dissemination.go
@@ -22,6 +22,9 @@
 	if u.AsOf != dissemination.TimeUnknown {
 		f.AgeMs = max(1, milliseconds(now-u.AsOf)) // 0 would not be written, and could not be raised by wire.AddAge
 	}
+	if u.Rollouts != nil {
+		f.Rollouts, f.RolloutRevision = rolloutsToWire(*u.Rollouts), u.Rollouts.Revision
+	}
 	if u.FullText {
 		f.Value = &wire.ValueT{Version: u.Version, Body: packed}
 	}
--- a/mesh/codec/register.go
+++ b/mesh/codec/register.go
@@ -122,6 +122,9 @@
 		PriorMembers: v.PriorMembers,
 		Records:      recordsToWire(v.History.Records),
 		Floor:        v.History.Floor,
+
+		Rollouts:        rolloutsToWire(v.Rollouts),
+		RolloutRevision: v.Rollouts.Revision,
 	}
 }
 
@@ -135,6 +138,7 @@
 		Members:      v.Members,
 		PriorMembers: v.PriorMembers,
 		History:      historyFromWire(v),
+		Rollouts:     rolloutsFromWire(v.RolloutRevision, v.Rollouts),
 	}
 }
 
--- a/mesh/controlplane/events.go
+++ b/mesh/controlplane/events.go
@@ -35,6 +35,11 @@
 	}
 	// statusRequested asks for the status; done has room for one.
 	statusRequested struct{ done chan api.ControlStatus }
+	// rolloutsRequested asks for what is known here of the rollouts; done has room for one.
+	rolloutsRequested struct {
+		service string
+		done    chan rolloutsView
+	}
 )
 
 func (frameReceived) isEvent()      {}
@@ -44,6 +49,7 @@
 func (operationCancelled) isEvent() {}
 func (writeCompleted) isEvent()     {}
 func (statusRequested) isEvent()    {}
+func (rolloutsRequested) isEvent()  {}
 
 // post hands an event to the loop, and waits while too many are queued; once the server has stopped the event is dropped.
 func (s *Server) post(e event) {
@@ -74,6 +80,8 @@
 		s.handleWriteCompleted(e)
 	case statusRequested:
 		e.done <- s.status(s.now())
+	case rolloutsRequested:
+		e.done <- s.rolloutsView(e.service)
 	case operationCancelled:
 		s.operations.Cancel(e.call.ID)
 	}
--- a/mesh/controlplane/operations/errors.go
+++ b/mesh/controlplane/operations/errors.go
@@ -18,6 +18,9 @@
 	ErrTimeout     = errors.New("operation timed out")
 )
 
+// ErrRolloutUnderWay reports that a rollout of the service to another version stands in the way of an order, which has no effect.
+var ErrRolloutUnderWay = errors.New("a rollout of the service to another version is under way")
+
 // VersionTakenError reports that a version was committed with another content before. The write is never in force under that version; the
 // client has to send it under one above Newest.
 type VersionTakenError struct {
@@ -42,6 +45,8 @@
 	switch {
 	case errors.As(err, &taken):
 		return "version_taken"
+	case errors.Is(err, ErrRolloutUnderWay):
+		return "rollout_under_way"
 	case errors.Is(err, ErrNoQuorum):
 		return "no_quorum"
 	case errors.Is(err, ErrDiskFailing):
--- a/mesh/controlplane/operations/operations.go
+++ b/mesh/controlplane/operations/operations.go
@@ -17,10 +17,11 @@
 	"firplank/internal/invariant"
 	"firplank/mesh/dissemination"
 	"firplank/mesh/register"
+	"firplank/mesh/rollout"
 	"firplank/mesh/timing"
 )
 
-// Request is what a client asks for: a Write or a Read.
+// Request is what a client asks for: a Write, a Read, a StartRollout or an AdvanceRollout.
 type Request interface {
 	event(id uint64) register.Event
 }
@@ -35,6 +36,20 @@
 // Read asks for the newest committed configuration, as of its request or later (a linearizable read).
 type Read struct{}
 
+// StartRollout asks for an order of a rollout to be taken.
+type StartRollout struct{ Order rollout.Order }
+
+// AdvanceRollout asks for a rollout to be moved to another stage, where it is at the transition's.
+type AdvanceRollout struct{ Transition rollout.Transition }
+
+func (s StartRollout) event(id uint64) register.Event {
+	return register.StartRollout{ID: id, Order: s.Order}
+}
+
+func (a AdvanceRollout) event(id uint64) register.Event {
+	return register.AdvanceRollout{ID: id, Transition: a.Transition}
+}
+
 func (w Write) event(id uint64) register.Event {
 	return register.Put{ID: id, Version: w.Version, Content: w.Content, Body: w.Body}
 }
@@ -161,6 +176,9 @@
 	if isWrite && o.Result == register.Conflict {
 		result.Err = newVersionTakenError(o, write)
 	}
+	if _, isOrder := op.request.(StartRollout); isOrder && o.Result == register.Conflict {
+		result.Err = ErrRolloutUnderWay
+	}
 	t.respond(o.ID, result)
 }
 
--- a/mesh/controlplane/operators.go
+++ b/mesh/controlplane/operators.go
@@ -20,6 +20,8 @@
 	// readTimeout and idleTimeout bound an operator's connection.
 	readTimeout = 10 * time.Second
 	idleTimeout = 30 * time.Second
+	// unknownCallLogInterval is how often a call that is not known is logged, after the first ones.
+	unknownCallLogInterval = time.Second
 	// maxQueuedEvents bounds what waits for the one goroutine; beyond it connections are not read.
 	maxQueuedEvents = 2048
 )
@@ -30,6 +32,9 @@
 	t.Handle(http.MethodPost, "/Timetable.Replace", s.replaceConfig)
 	t.Handle(http.MethodGet, api.StatusPath, s.readStatus)
 	t.Handle(http.MethodGet, "/Timetable.Read", s.readConfig)
+	t.Handle(http.MethodPost, api.StartRolloutPath, s.startRollout)
+	t.Handle(http.MethodGet, api.ReadRolloutPath+"/*", s.readRollout)
+	t.Handle(http.MethodPost, api.RecallPath+"/*", s.recallRollout)
 	return t
 }
 
--- a/mesh/controlplane/publishing/hub.go
+++ b/mesh/controlplane/publishing/hub.go
@@ -58,6 +58,7 @@
 // Publish receives the newest committed value and when it was the newest. It reports true where its version is published from now on.
 func (h *Hub[C]) Publish(committed persist.Committed) (newer bool, err error) {
 	v := &committed.Value
+	h.Publisher.SetRollouts(v.Rollouts)
 	if !committed.Known || v.Version == 0 {
 		return false, nil
 	}
@@ -149,11 +150,13 @@
 	}
 	switch d := h.Publisher.Directory; {
 	case !complete:
+		d.RecordEvidence(e.Node, e.Incarnation, e.LastSeen, e.Evidence)
 		d.MarkAlive(e.Node, e.Incarnation, e.LastSeen)
 	case e.Lost && direct:
 		return now-e.LastSeen >= 0 && d.MarkLost(e.Node, e.Incarnation, now, h.durations.MinSilence)
 	default:
 		d.Merge(e, e.LastSeen)
+		d.RecordEvidence(e.Node, e.Incarnation, e.LastSeen, e.Evidence)
 	}
 	return false
 }
--- /dev/null
+++ b/mesh/controlplane/rollouts.go
@@ -0,0 +1,321 @@
+package controlplane
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-kit/log/level"
+	validation "github.com/go-ozzo/ozzo-validation/v4"
+
+	"firplank/mesh/api"
+	"firplank/mesh/config"
+	"firplank/mesh/controlplane/operations"
+	"firplank/mesh/directory"
+	"firplank/mesh/register"
+	"firplank/mesh/rollout"
+	"firplank/mesh/timing"
+)
+
+const (
+	// maxNameLength bounds the names of services and versions in an order.
+	maxNameLength = 200
+	// maxTermS bounds the term of an order, in seconds.
+	maxTermS = 86_400.
+	// recalledByOperator is the reason of a rollout that an operator has recalled.
+	recalledByOperator = "by the operator"
+)
+
+var (
+	errUnknownService  = errors.New("no configuration has the service")
+	errNoRollout       = errors.New("there is no rollout of the service")
+	errRolloutHasEnded = errors.New("the rollout has ended")
+	errServerShutsDown = errors.New("the control machine shuts down")
+)
+
+// rolloutDriver moves rollouts on. It belongs to the event loop.
+type rolloutDriver struct {
+	durations  timing.Rollouts
+	controller *rollout.Controller
+	nextTick   time.Duration
+	proposals  map[string]proposal // by service
+	logged     uint32              // the revision that was logged
+}
+
+// proposal is a transition that was proposed to the register.
+type proposal struct {
+	id         uint64
+	proposedAt time.Duration
+}
+
+func newRolloutDriver(t timing.Rollouts) *rolloutDriver {
+	return &rolloutDriver{durations: t, controller: rollout.NewController(t), proposals: map[string]proposal{}}
+}
+
+// rolloutOrder is the body of an order, in the users' names.
+type rolloutOrder struct {
+	Service string  `json:"line"`
+	Target  string  `json:"toEdition"`
+	TermS   float64 `json:"overS"`
+}
+
+// Validate implements validation.Validatable.
+func (o rolloutOrder) Validate() error {
+	return validation.ValidateStruct(&o,
+		validation.Field(&o.Service, validation.Required, validation.Length(1, maxNameLength)),
+		validation.Field(&o.Target, validation.Required, validation.Length(1, maxNameLength)),
+		validation.Field(&o.TermS, validation.Required, validation.Min(0.).Exclusive(), validation.Max(maxTermS)),
+	)
+}
+
+// rolloutState is the answer to a read of a rollout, in the users' names.
+type rolloutState struct {
+	Condition string `json:"condition"`
+	Target    string `json:"toEdition"`
+}
+
+// The conditions of a rollout, in the users' words.
+const (
+	conditionInService = "in_service"
+	conditionDelivered = "delivered"
+	conditionRecalled  = "recalled"
+)
+
+// conditionOf returns a stage in the users' words.
+func conditionOf(s rollout.Stage) string {
+	switch s {
+	case rollout.Delivered:
+		return conditionDelivered
+	case rollout.Recalled:
+		return conditionRecalled
+	}
+	return conditionInService
+}
+
+// rolloutsView is what this machine knows of the rollouts beyond the register.
+type rolloutsView struct {
+	endedLately bool   // the rollout of the service has ended so short a time ago that copies of its order may still come
+	confirmed   uint32 // the revision that all sidecars have confirmed
+}
+
+// rolloutsView returns what this machine knows of the rollouts.
+func (s *Server) rolloutsView(service string) rolloutsView {
+	now, controller := s.now(), s.rollouts.controller
+	view := rolloutsView{endedLately: controller.EndedLately(now, service)}
+	set := s.pipeline.Committed().Value.Rollouts
+	if controller.Unconfirmed(now, set.Revision, s.rolloutMachines()) == 0 {
+		view.confirmed = set.Revision
+	}
+	return view
+}
+
+// viewRollouts asks the event loop for what it knows of the rollouts.
+func (s *Server) viewRollouts(service string) (rolloutsView, error) {
+	done := make(chan rolloutsView, 1)
+	s.post(rolloutsRequested{service, done})
+	select {
+	case view := <-done:
+		return view, nil
+	case <-s.ctx.Done():
+		return rolloutsView{}, errServerShutsDown
+	}
+}
+
+// startRollout takes an order of a rollout. It is acknowledged once it is committed, and in force at the sidecars, or these have had
+// timing.Dissemination.AckTimeout.
+func (s *Server) startRollout(c *api.Request) api.Response {
+	arrived := time.Now()
+	var o rolloutOrder
+	if err := json.Unmarshal(c.Body, &o); err != nil {
+		return api.ErrorResponse(http.StatusBadRequest, err)
+	}
+	if err := o.Validate(); err != nil {
+		return api.ErrorResponse(http.StatusBadRequest, err)
+	}
+	present, err := s.commit(operations.Read{})
+	if err != nil {
+		return unavailable(err)
+	}
+	if known, err := hasService(&present.Value, o.Service); err != nil || !known {
+		return api.ErrorResponse(http.StatusNotFound, errors.Join(errUnknownService, err))
+	}
+	view, err := s.viewRollouts(o.Service)
+	if err != nil {
+		return unavailable(err)
+	}
+	order := rollout.Order{
+		Service:    o.Service,
+		Target:     o.Target,
+		Term:       time.Duration(o.TermS * float64(time.Second)),
+		Supersedes: present.Value.Rollouts.Supersedes(o.Service, o.Target, view.endedLately),
+	}
+	taken, err := s.commit(operations.StartRollout{Order: order})
+	switch {
+	case errors.Is(err, operations.ErrRolloutUnderWay):
+		return api.ErrorResponse(http.StatusConflict, err)
+	case err != nil:
+		return unavailable(err)
+	}
+	s.awaitConfirmation(o.Service, taken.Value.Rollouts.Revision, arrived)
+	return api.Response{Status: http.StatusOK}
+}
+
+// hasService reports whether a committed configuration has a service.
+func hasService(v *register.Value, service string) (bool, error) {
+	if v.Version == 0 {
+		return false, errNoConfig
+	}
+	text, err := config.Unpack(v.Body)
+	if err != nil {
+		return false, err
+	}
+	cfg, err := config.Parse(text)
+	if err != nil {
+		return false, err
+	}
+	return cfg.Services[service] != nil, nil
+}
+
+// awaitConfirmation waits until all sidecars have confirmed a revision of the rollouts, for as long as a configuration waits at most.
+func (s *Server) awaitConfirmation(service string, revision uint32, arrived time.Time) {
+	for time.Since(arrived) < s.durations.Dissemination.AckTimeout {
+		view, err := s.viewRollouts(service)
+		if err != nil || view.confirmed >= revision {
+			return
+		}
+		time.Sleep(s.durations.Rollouts.ReportInterval / 4)
+	}
+}
+
+// readRollout returns the condition of a service's rollout.
+func (s *Server) readRollout(c *api.Request) api.Response {
+	o, err := s.commit(operations.Read{})
+	if err != nil {
+		return unavailable(err)
+	}
+	r, ok := o.Value.Rollouts.Find(c.Args[0])
+	if !ok {
+		return api.ErrorResponse(http.StatusNotFound, errNoRollout)
+	}
+	return api.JSONResponse(http.StatusOK, rolloutState{Condition: conditionOf(r.Stage), Target: r.Target})
+}
+
+// recallRollout recalls a rollout for an operator. One that is delivered can't be recalled: its old servers have stopped.
+func (s *Server) recallRollout(c *api.Request) api.Response {
+	for {
+		o, err := s.commit(operations.Read{})
+		if err != nil {
+			return unavailable(err)
+		}
+		r, ok := o.Value.Rollouts.Find(c.Args[0])
+		switch {
+		case !ok:
+			return api.ErrorResponse(http.StatusNotFound, errNoRollout)
+		case r.Stage == rollout.Recalled:
+			return api.Response{Status: http.StatusOK}
+		case !r.Stage.Active():
+			return api.ErrorResponse(http.StatusConflict, errRolloutHasEnded)
+		}
+		transition := rollout.Transition{
+			Service: r.Service, Order: r.Order, From: r.Stage, To: rollout.Recalled, Reason: recalledByOperator, DecidedBy: s.self,
+		}
+		if _, err := s.commit(operations.AdvanceRollout{Transition: transition}); err != nil {
+			return unavailable(err)
+		}
+	}
+}
+
+// advanceRollouts decides on the rollouts, several times a second.
+func (s *Server) advanceRollouts(now time.Duration) {
+	d := s.rollouts
+	if now < d.nextTick {
+		return
+	}
+	d.nextTick = now + d.durations.ReportInterval/2
+	committed := s.pipeline.Committed()
+	set := committed.Value.Rollouts
+	if set.Revision == 0 || s.reconciler.Draining() {
+		return
+	}
+	s.logRollouts(set)
+	due := d.controller.Decide(now, rollout.View{
+		Self:     s.self,
+		Leader:   s.reconciler.LeaseHeld(now),
+		Set:      set,
+		Machines: s.rolloutMachines(),
+	})
+	for _, transition := range due {
+		s.proposeTransition(now, transition)
+	}
+}
+
+// proposeTransition proposes a transition, unless one of the service was proposed a moment ago.
+func (s *Server) proposeTransition(now time.Duration, t rollout.Transition) {
+	d := s.rollouts
+	last, proposed := d.proposals[t.Service]
+	if proposed && now-last.proposedAt < d.durations.ProposeInterval {
+		return
+	}
+	if proposed {
+		s.pipeline.Cancel(last.id)
+	}
+	d.proposals[t.Service] = proposal{id: s.nextID(), proposedAt: now}
+	_ = level.Info(s.log).Log("msg", "rollout stage proposed", "service", t.Service, "order", t.Order,
+		"from", t.From, "to", t.To, "reason", t.Reason)
+	s.pipeline.Apply(now, register.AdvanceRollout{ID: d.proposals[t.Service].id, Transition: t})
+}
+
+// logRollouts logs the rollouts of a revision, once.
+func (s *Server) logRollouts(set rollout.Set) {
+	if set.Revision == s.rollouts.logged {
+		return
+	}
+	s.rollouts.logged = set.Revision
+	for i := range set.Rollouts {
+		r := &set.Rollouts[i]
+		_ = level.Info(s.log).Log("msg", "rollout", "service", r.Service, "target", r.Target, "order", r.Order, "stage", r.Stage, "term", r.Term,
+			"reason", r.Reason, "decided_by", r.DecidedBy)
+	}
+}
+
+// rolloutMachines returns what the directory has of the sidecars and their servers.
+func (s *Server) rolloutMachines() []rollout.Machine {
+	entries := s.hub.Publisher.Directory.All()
+	machines := make([]rollout.Machine, len(entries))
+	for i := range entries {
+		e := &entries[i]
+		machines[i] = rollout.Machine{
+			Service:   e.Service,
+			Version:   e.Version,
+			Accepting: e.State == directory.Accepting,
+			Slots:     e.Slots,
+			Lost:      e.Lost,
+			LastSeen:  e.LastSeen,
+			Confirmed: e.Evidence.Confirmed,
+			Order:     e.Evidence.Order,
+			Classes:   e.Evidence.Classes,
+		}
+	}
+	return machines
+}
+
+// rolloutStatus returns the rollouts of a set as operators read them.
+func (s *Server) rolloutStatus(now time.Duration, set rollout.Set) (status []api.Rollout) {
+	controller := s.rollouts.controller
+	for i := range set.Rollouts {
+		r := &set.Rollouts[i]
+		status = append(status, api.Rollout{
+			Service:     r.Service,
+			Target:      r.Target,
+			Order:       r.Order,
+			Stage:       r.Stage.String(),
+			TermS:       r.Term.Seconds(),
+			Reason:      r.Reason,
+			DecidedBy:   r.DecidedBy,
+			Evidence:    controller.Judgment(r.Service).Reason,
+			Unconfirmed: controller.Unconfirmed(now, set.Revision, s.rolloutMachines()),
+		})
+	}
+	return status
+}
--- a/mesh/controlplane/server.go
+++ b/mesh/controlplane/server.go
@@ -63,6 +63,7 @@
 	peers      *peers.Table[*transport.Conn]
 	reconciler *reconcile.Reconciler
 	hub        *publishing.Hub[*transport.Conn]
+	rollouts   *rolloutDriver
 	figures    *figures
 	// unknownCalls bounds what is logged of calls that this program does not have.
 	unknownCalls rate.Sometimes
@@ -83,7 +84,7 @@
 		start:    time.Now(),
 		figures:  newFigures(),
 
-		unknownCalls: rate.Sometimes{First: 10, Interval: time.Second},
+		unknownCalls: rate.Sometimes{First: 10, Interval: unknownCallLogInterval},
 		events:       make(chan event, maxQueuedEvents),
 		writes:       make(chan persist.Write, 1),
 		hub:          publishing.New[*transport.Conn](config.Unpack, durations),
@@ -100,6 +101,7 @@
 	s.pipeline.SetInvariants(monitor)
 	s.operations.SetInvariants(monitor)
 	s.reconciler = newReconciler(s)
+	s.rollouts = newRolloutDriver(s.durations.Rollouts)
 }
 
 // nextID returns a number for an operation of the register.
@@ -221,9 +223,10 @@
 		s.updateFigures()
 		s.checkTolerance(now)
 	}
+	s.advanceRollouts(now)
 	s.pipeline.Tick(now)
 	next = s.updateSubscribers(s.now())
-	next = min(next, s.acknowledge(s.now()), s.reconciler.NextTick(), s.nextHello)
+	next = min(next, s.acknowledge(s.now()), s.reconciler.NextTick(), s.nextHello, s.rollouts.nextTick)
 	if at, ok := s.pipeline.NextTick(s.now()); ok {
 		next = min(next, at)
 	}
--- a/mesh/controlplane/status.go
+++ b/mesh/controlplane/status.go
@@ -38,6 +38,7 @@
 		LeaseHolder:     s.reconciler.LeaseHolder(now),
 		FullyReplicated: reconcile.FullyReplicated(g),
 		Conflicts:       s.conflictNames(),
+		Rollouts:        s.rolloutStatus(now, value.Rollouts),
 	}
 	for _, m := range g.Machines {
 		about := api.ControlMachine{
--- a/mesh/dataplane/distribution/node.go
+++ b/mesh/dataplane/distribution/node.go
@@ -184,6 +184,7 @@
 // applyUpdate applies an update of the parent to the wanted state.
 func (n *Node) applyUpdate(now time.Duration, f *wire.FrameT) {
 	n.subscription.UpdateReceived()
+	updates.Rollouts(n.state, f)
 	updates.Entries(n.state.Directory, n.own.Node, f.Entries, func(e *directory.Entry) { n.reconcileOwnEntry(now, e) }, now)
 	updates.ControlMachines(n.state, f, now)
 	held := n.state.Version
@@ -271,6 +272,12 @@
 	n.perform(n.subscription.Report(now, entries))
 }
 
+// ReportEvidence sends the parent what this sidecar has to say of rollouts, and keeps it for later reports.
+func (n *Node) ReportEvidence(now time.Duration, e directory.Evidence) {
+	n.own.Evidence = e
+	n.perform(n.subscription.ReportLiveness(now))
+}
+
 // Reparent switches to a relay where the distribution tree has one for this sidecar. The caller calls it several
 // times a second.
 func (n *Node) Reparent(now time.Duration) { n.perform(n.subscription.Reparent(now)) }
--- a/mesh/dataplane/exchanges/exchanges.go
+++ b/mesh/dataplane/exchanges/exchanges.go
@@ -39,6 +39,12 @@
 	return out
 }
 
+// Get returns the exchange of a service; ok is false where there is none.
+func (s *Set[E]) Get(service string) (exchange E, ok bool) {
+	exchange, ok = s.all[service]
+	return exchange, ok
+}
+
 // Invalidate makes the next Reconcile update all exchanges, because evidence other than the directory has changed.
 func (s *Set[E]) Invalidate() { s.stale = true }
 
--- a/mesh/dataplane/heartbeats.go
+++ b/mesh/dataplane/heartbeats.go
@@ -51,6 +51,7 @@
 // Bounds of what a heartbeat may say.
 const (
 	maxServiceLength = 200
+	maxVersionLength = 200
 	maxSlots         = 60000
 	maxWarmUpS       = 3600.
 )
@@ -59,6 +60,7 @@
 func (r heartbeatRequest) Validate() error {
 	return validation.ValidateStruct(&r,
 		validation.Field(&r.Service, validation.Required, validation.Length(1, maxServiceLength)),
+		validation.Field(&r.Edition, validation.Length(0, maxVersionLength)),
 		validation.Field(&r.Slots, validation.Min(0), validation.Max(maxSlots)),
 		validation.Field(&r.Condition, validation.Required, validation.In(conditionAccepting, conditionDraining)),
 		validation.Field(&r.WarmUpLeftS, validation.Min(0.), validation.Max(maxWarmUpS)),
@@ -104,6 +106,7 @@
 	changed := a.record.handleHeartbeat(admission.Heartbeat{
 		ServerID:   id,
 		Service:    r.Service,
+		Version:    r.Edition,
 		Slots:      r.Slots,
 		Closing:    r.Condition == conditionDraining,
 		WarmUpLeft: time.Duration(r.WarmUpLeftS * float64(time.Second)),
--- a/mesh/dataplane/incoming.go
+++ b/mesh/dataplane/incoming.go
@@ -45,6 +45,7 @@
 	if cfg := d.config.Load(); cfg != nil {
 		if route := cfg.Match(r.Host, r.Path); route != nil {
 			c.Message.Safe = route.Idempotent()
+			c.Request.Key = uint64(routeClass(route))
 			if route.Kind == config.Download {
 				c.Message.Class = bulkClass
 			}
--- a/mesh/dataplane/lasthop.go
+++ b/mesh/dataplane/lasthop.go
@@ -45,6 +45,7 @@
 	gate    lasthop.Gate[*core.Call, *core.Answer]
 	running map[*lastHopAttempt]struct{} // begun at the server, and not ended
 	guard   *lasthop.Guard
+	trial   trial
 }
 
 // lastHopAttempt is a request that has begun at the local server.
@@ -160,6 +161,7 @@
 		l.guard.Withdraw(c.Message.Trace)
 	}
 	delete(l.running, t)
+	l.trial.record(uint32(c.Request.Key), r, time.Since(c.Received), l.gate.Admission.WarmingUp(l.now()))
 	l.mu.Unlock()
 	if done.ServerChanged {
 		l.logServerState("response or refused connection")
--- a/mesh/dataplane/loop.go
+++ b/mesh/dataplane/loop.go
@@ -107,6 +107,7 @@
 	p.node.CheckReady(now)
 	p.node.Reparent(now)
 	p.announcements.confirm(now, p.node)
+	p.checkRollouts(now)
 	p.updateFigures(now)
 	if p.ready.Load() && !p.shuttingDown.Load() {
 		p.applyLiveness(now, p.liveness.Tick(now, p.node.State().Directory))
@@ -118,8 +119,9 @@
 func (p *Proxy) advance(now time.Duration) (next time.Duration) {
 	p.links.Maintain(now)
 	p.node.Adopt()
+	p.adoptRollouts(now)
 	p.reconcileExchanges(now)
-	next = p.node.Publish(now)
+	next = min(p.node.Publish(now), p.reportRollouts(now))
 	p.links.Perform()
 	return next
 }
--- a/mesh/dataplane/outgoing.go
+++ b/mesh/dataplane/outgoing.go
@@ -59,7 +59,13 @@
 	c.Message.Safe = route.Idempotent()
 	c.Message.ConfigVersion = uint64(cfg.Version)
 	c.Message.Priority = route.Rank
-	c.Request = balance.Request{Class: svc.class(route), Tenant: -1, Remaining: left, MaxAttempts: route.Action.MaxAttempts}
+	c.Request = balance.Request{
+		Class:       svc.class(route),
+		Tenant:      -1,
+		Remaining:   left,
+		Candidate:   svc.split.Next(),
+		MaxAttempts: route.Action.MaxAttempts,
+	}
 	c.Exchange = svc.exchange
 	return nil, nil
 }
--- a/mesh/dataplane/proxy.go
+++ b/mesh/dataplane/proxy.go
@@ -43,6 +43,7 @@
 	"firplank/mesh/dataplane/liveness"
 	"firplank/mesh/directory"
 	"firplank/mesh/dissemination"
+	"firplank/mesh/rollout"
 	"firplank/mesh/timing"
 )
 
@@ -108,6 +109,7 @@
 	probes        *probeSocket      // nil: there is no socket
 	streamPings   *streamPings
 	announcements announcements
+	rollouts      rollouts
 }
 
 // incarnationRandomBits is how many bits of an incarnation are random, so that no two processes share one, also where
@@ -200,7 +202,8 @@
 	p.node = distribution.New(own, policy, &host{p: p}, durations)
 	post := func(e distribution.Event) bool { return p.post(distributionEvent{e}) }
 	p.links = links.New(ctx, p.node, post, p.observe)
-	p.exchanges = exchanges.New(p.newService, (*service).setEndpoints)
+	p.exchanges = exchanges.New(p.newService, p.setEndpoints)
+	p.rollouts = newRollouts(durations.Rollouts, rollout.CanaryShare(settings.Bounds.ExposureShare))
 	p.streamPings = newStreamPings(ctx, settings.NodeName, func(node string) { p.post(contactMade{node}) })
 	p.liveness = liveness.New(settings.NodeName, hashSeed(settings.NodeName)^uint64(p.start.UnixNano()))
 	return p
--- a/mesh/dataplane/replay_test.go
+++ b/mesh/dataplane/replay_test.go
@@ -32,6 +32,7 @@
 	"firplank/mesh/dataplane/inflight"
 	"firplank/mesh/directory"
 	"firplank/mesh/dissemination"
+	"firplank/mesh/rollout"
 	"firplank/mesh/timing"
 )
 
@@ -83,7 +84,7 @@
 		},
 		follow: func(entries []directory.Entry, now time.Duration) {
 			for _, name := range []string{"one", "two"} {
-				services[name].setEndpoints(entries, now)
+				services[name].setEndpoints(entries, func(string) rollout.Eligibility { return rollout.Serves }, now)
 			}
 		},
 		end: func(by time.Time) {
--- a/mesh/dataplane/service.go
+++ b/mesh/dataplane/service.go
@@ -14,6 +14,7 @@
 	"firplank/mesh/directory"
 	"firplank/mesh/locality"
 	"firplank/mesh/retrybudget"
+	"firplank/mesh/rollout"
 )
 
 const (
@@ -55,6 +56,7 @@
 	zone     string // of this sidecar
 	inFlight *inflight.Tracker[*core.Attempt]
 	exchange *core.Loop
+	split    rollout.Split // of requests between the versions
 
 	mu         sync.Mutex
 	classes    map[classKey]int
@@ -177,7 +179,8 @@
 }
 
 // setEndpoints brings the exchange to the servers of a directory, and the attempts in flight to their sidecars' incarnations.
-func (s *service) setEndpoints(entries []directory.Entry, now time.Duration) {
+// Eligible tells what a rollout makes of a server of a version.
+func (s *service) setEndpoints(entries []directory.Entry, eligible func(version string) rollout.Eligibility, now time.Duration) {
 	list := &roster.List{Complete: true, Favour: s.localWeight(entries)}
 	clockMillis := float64(time.Now().UnixMicro()) / 1000
 	for i := range entries {
@@ -187,8 +190,11 @@
 			continue
 		}
 		m := roster.Member{ID: e.Server, HostPort: e.Addr, Locality: e.Zone, Phase: "ready", Size: 1, Way: e.Incarnation}
-		if draining {
+		switch eligibility := eligible(e.Version); {
+		case draining || eligibility == rollout.Finishes:
 			m.Phase = "draining"
+		case eligibility == rollout.ServesShare:
+			m.Candidate = true
 		}
 		if left := float64(e.WarmUntil-now) / float64(time.Millisecond); left > 0 {
 			started := clockMillis + left - maxWarmUpMillis
--- a/mesh/dataplane/subscription/subscription.go
+++ b/mesh/dataplane/subscription/subscription.go
@@ -182,13 +182,21 @@
 	if s.policy.ShouldSwitch(now, s.state.AsOf, s.link) {
 		return s.leave(now, Stale)
 	}
-	if now < s.heartbeatAt || !s.ready {
+	if now < s.heartbeatAt {
+		return nil
+	}
+	return s.ReportLiveness(now)
+}
+
+// ReportLiveness sends the parent a sign of life with what this sidecar reports of rollouts, once the sidecar is ready.
+func (s *Subscription) ReportLiveness(now time.Duration) []Action {
+	if s.phase != connected || !s.ready {
 		return nil
 	}
 	s.heartbeatAt = now + s.durations.ReportInterval
 	own := *s.self
 	own.LastSeen = now
-	return s.Report(now, []*wire.EntryT{codec.LivenessToWire(&own, now)})
+	return s.Report(now, []*wire.EntryT{codec.AddEvidence(codec.LivenessToWire(&own, now), &own.Evidence)})
 }
 
 // UpdateReceived reports that the parent has sent an update.
@@ -251,7 +259,7 @@
 func (s *Subscription) ownEntry(now time.Duration) *wire.EntryT {
 	own := *s.self
 	own.LastSeen = now
-	return codec.EntryToWire(&own, now)
+	return codec.AddEvidence(codec.EntryToWire(&own, now), &own.Evidence)
 }
 
 // chooseParent returns the parent to subscribe to. Before the sidecar is ready that is a control machine.
--- /dev/null
+++ b/mesh/dataplane/trial.go
@@ -0,0 +1,70 @@
+package dataplane
+
+import (
+	"slices"
+	"time"
+
+	"firplank/balance"
+	"firplank/internal/core"
+	"firplank/mesh/rollout"
+)
+
+// maxTrialClasses bounds the classes of routes that a trial tells apart; requests of further ones count with the last.
+const maxTrialClasses = 16
+
+// trial counts the requests of the local server while a rollout of its service is under way, be it of the old or of the new version. It
+// belongs to the last hop, whose lock guards it.
+type trial struct {
+	order   uint32 // of the rollout; 0: none is under way
+	classes []rollout.Statistics
+}
+
+// record counts a request that has ended. What says nothing of the version is left out: a client that has left, a server that was not
+// reached or had no capacity, and how long requests take in a slow start.
+func (t *trial) record(class uint32, r core.Result, latency time.Duration, warmingUp bool) {
+	if t.order == 0 {
+		return
+	}
+	failed := r.Outcome == balance.Failed || r.Outcome == balance.Reset
+	if !failed && (warmingUp || r.Outcome != balance.OK && r.Outcome != balance.TimedOut) {
+		return
+	}
+	t.of(class).Record(failed, latency)
+}
+
+// of returns the statistics of a class.
+func (t *trial) of(class uint32) *rollout.Statistics {
+	at := slices.IndexFunc(t.classes, func(s rollout.Statistics) bool { return s.Class == class })
+	switch {
+	case at >= 0:
+	case len(t.classes) < maxTrialClasses:
+		t.classes = append(t.classes, rollout.Statistics{Class: class})
+		at = len(t.classes) - 1
+	default:
+		at = len(t.classes) - 1
+	}
+	return &t.classes[at]
+}
+
+// setTrial makes the last hop count for the rollout of an order, from then on; 0: for none.
+func (l *lastHop) setTrial(order uint32) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.trial.order != order {
+		l.trial = trial{order: order}
+	}
+}
+
+// trialStatistics returns what was counted, and the rollout's order.
+func (l *lastHop) trialStatistics() (order uint32, classes []rollout.Statistics) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.trial.order, slices.Clone(l.trial.classes)
+}
+
+// busy reports whether requests are at work at the local server.
+func (l *lastHop) busy() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.running) > 0
+}
--- a/mesh/dataplane/updates/updates.go
+++ b/mesh/dataplane/updates/updates.go
@@ -1,6 +1,6 @@
 // Package updates applies a parent's updates to the wanted state of a sidecar: the configuration, the directory of
 // sidecars and the list of control machines. It has no sockets and no clock. An update has one of each, applied by
-// Entries, ControlMachines and Config in this order.
+// Rollouts, Entries, ControlMachines and Config in this order.
 package updates
 
 import (
@@ -48,6 +48,14 @@
 	}
 }
 
+// Rollouts replaces the rollouts by those of an update, if it has later ones. It is applied before Entries: servers of a new version are
+// not known without their rollout.
+func Rollouts(state *dissemination.Publisher, f *wire.FrameT) {
+	if set, ok := codec.RolloutsFromFrame(f); ok {
+		state.SetRollouts(set)
+	}
+}
+
 // ControlMachines replaces the list of control machines by that of an update, if it has one.
 func ControlMachines(state *dissemination.Publisher, f *wire.FrameT, now time.Duration) {
 	if len(f.Machines) > 0 {
--- a/mesh/directory/directory.go
+++ b/mesh/directory/directory.go
@@ -44,6 +44,10 @@
 		return e.Incarnation == old.Incarnation && d.revive(old, lastSeen)
 	default:
 		lastSeen = max(lastSeen, old.LastSeen)
+		e.Evidence = Evidence{}
+		if e.Incarnation == old.Incarnation {
+			e.Evidence, e.evidenceAt = old.Evidence, old.evidenceAt
+		}
 	}
 	e.LastSeen, e.Lost = lastSeen, false
 	d.entries[e.Node] = &e
@@ -72,6 +76,16 @@
 	return true
 }
 
+// RecordEvidence records what a machine's sidecar reported of rollouts at a time. It is of no account where a later incarnation, or a later
+// report, is known.
+func (d *Directory) RecordEvidence(node string, incarnation uint64, reportedAt time.Duration, evidence Evidence) {
+	e := d.entries[node]
+	if e == nil || e.Incarnation != incarnation || reportedAt < e.evidenceAt {
+		return
+	}
+	e.Evidence, e.evidenceAt = evidence, reportedAt
+}
+
 // MarkAlive records that a machine's sidecar was alive at lastSeen; evidence of another incarnation is ignored. It reports whether the
 // machine counted as lost until now.
 func (d *Directory) MarkAlive(node string, incarnation uint64, lastSeen time.Duration) bool {
--- a/mesh/directory/entry.go
+++ b/mesh/directory/entry.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"time"
+
+	"firplank/mesh/rollout"
 )
 
 // State is the state of a server, as its sidecar announces it. The values are part of the wire format: append, never reorder.
@@ -51,6 +53,8 @@
 	Service string
 	// Server is the id of the server's current run; empty: none has registered.
 	Server string
+	// Version is the version of the server's software; empty: not known.
+	Version string
 	// State is the state of the server.
 	State State
 	// Slots is how many requests the server works on at once.
@@ -61,8 +65,20 @@
 	Lost bool
 	// LastSeen is the time of the sidecar's latest sign of life, by the clock of this process.
 	LastSeen time.Duration
+	// Evidence is what the sidecar reports of rollouts. It is for control machines: a change of it is no change of the entry.
+	Evidence Evidence
+
+	evidenceAt time.Duration
+	revision   uint64
+}
 
-	revision uint64
+// Evidence is what a sidecar reports of the rollouts that it knows.
+type Evidence struct {
+	// Confirmed is the revision of the rollouts by which the sidecar sends, with nothing in flight that they forbid.
+	Confirmed uint32
+	// Order is that of the rollout of the server's service that Classes were counted in; 0: none is under way.
+	Order   uint32
+	Classes []rollout.Statistics
 }
 
 // Newer reports whether the entry was announced after another one of the same node.
--- a/mesh/dissemination/publisher.go
+++ b/mesh/dissemination/publisher.go
@@ -17,6 +17,7 @@
 
 	"firplank/mesh/delta"
 	"firplank/mesh/directory"
+	"firplank/mesh/rollout"
 	"firplank/mesh/timing"
 )
 
@@ -40,6 +41,8 @@
 	Text []byte
 	// AsOf is a time at which Version was the newest that a majority had; or TimeUnknown.
 	AsOf time.Duration
+	// Rollouts are the newest that were published; SetRollouts replaces them.
+	Rollouts rollout.Set
 	// ControlMachines are the control machines that subscribers may turn to.
 	ControlMachines []ControlMachine
 
@@ -71,6 +74,15 @@
 	return newer
 }
 
+// SetRollouts replaces the rollouts by later ones. It reports whether they are later.
+func (p *Publisher) SetRollouts(s rollout.Set) bool {
+	if s.Revision <= p.Rollouts.Revision {
+		return false
+	}
+	p.Rollouts = s
+	return true
+}
+
 func (p *Publisher) makeDeltas(version uint32, text []byte) []Delta {
 	if p.Version == 0 || len(p.Text) > maxDiffBytes || len(text) > maxDiffBytes {
 		return nil
--- a/mesh/dissemination/subscription.go
+++ b/mesh/dissemination/subscription.go
@@ -14,6 +14,7 @@
 // subscription is a publisher's state for one subscriber.
 type subscription struct {
 	directoryRevision uint64 // of the directory, up to which entries were pushed
+	sentRollouts      uint32 // revision of the rollouts that were pushed
 	sentVersion       uint32 // that the subscriber has once it has applied all that was pushed
 	nonce             uint64 // of the last update that had one
 	awaitingAck       bool   // that update is not acknowledged yet
@@ -54,6 +55,9 @@
 
 // hasChanges reports whether there is something that may be pushed now.
 func (s *subscription) hasChanges(p *Publisher) bool {
+	if s.sentRollouts < p.Rollouts.Revision {
+		return true
+	}
 	return !s.awaitingAck && (s.sentVersion < p.Version || s.directoryRevision < p.Directory.Revision())
 }
 
@@ -61,6 +65,10 @@
 // subscriber's first.
 func (s *subscription) push(id uint64, p *Publisher, now time.Duration) Update {
 	update := Update{SubscriberID: id, AsOf: TimeUnknown}
+	if s.sentRollouts < p.Rollouts.Revision { // ahead of the entries of servers of new versions
+		rollouts := p.Rollouts
+		update.Rollouts, s.sentRollouts = &rollouts, rollouts.Revision
+	}
 	if !s.awaitingAck {
 		config := s.addConfig(&update, p)
 		entries := s.addEntries(&update, p, config)
--- a/mesh/dissemination/update.go
+++ b/mesh/dissemination/update.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"firplank/mesh/directory"
+	"firplank/mesh/rollout"
 )
 
 // TimeUnknown stands for the time at which a version was the newest where there is none. Real times may be below 0, before the start of
@@ -42,6 +43,8 @@
 	Deltas []Delta
 	// FullText: the complete text of Version belongs to the update in place of deltas.
 	FullText bool
+	// Rollouts are those of the publisher, before the entries; nil: the subscriber has them.
+	Rollouts *rollout.Set
 	// Entries are the directory's entries that have changed since the last push.
 	Entries []directory.Entry
 	// ControlMachines are the publisher's; nil: not repeated in this push.
--- a/mesh/register/event.go
+++ b/mesh/register/event.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"firplank/mesh/rollout"
 )
 
 // Event is an input of Replica.Handle: one of the types of this file.
@@ -44,6 +46,19 @@
 // ReplicateWithoutSelf completes once the committed value is on the disks of a quorum that does not include this replica.
 type ReplicateWithoutSelf struct{ ID uint64 }
 
+// StartRollout takes an order of a rollout. It is Confirmed once a quorum has a rollout to its target after those that it supersedes, and a
+// Conflict once a quorum has one to another target.
+type StartRollout struct {
+	ID    uint64
+	Order rollout.Order
+}
+
+// AdvanceRollout moves a rollout to another stage. It completes without effect where the rollout is not at the transition's stage any more.
+type AdvanceRollout struct {
+	ID         uint64
+	Transition rollout.Transition
+}
+
 func (MessageReceived) event()      {}
 func (Tick) event()                 {}
 func (PeerConnected) event()        {}
@@ -52,6 +67,8 @@
 func (LinearizableRead) event()     {}
 func (ChangeMembers) event()        {}
 func (ReplicateWithoutSelf) event() {}
+func (StartRollout) event()         {}
+func (AdvanceRollout) event()       {}
 
 // Result is how an operation ended.
 type Result uint8
@@ -59,10 +76,11 @@
 // The results.
 const (
 	Confirmed Result = iota
-	Conflict         // the version of a Put has another content, and will never have this one
+	// Conflict: the version of a Put has another content, and will never have this one; or a rollout to another target stands in the way.
+	Conflict
 )
 
-// Outcome is the end of a Put, a LinearizableRead, a ChangeMembers or a ReplicateWithoutSelf.
+// Outcome is the end of an operation: of any event that has an ID.
 type Outcome struct {
 	ID     uint64 // of the operation
 	Result Result
--- a/mesh/register/message.go
+++ b/mesh/register/message.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"fmt"
+
+	"firplank/mesh/rollout"
 )
 
 // Ballot orders the rounds of all proposers. The zero Ballot is below each that a round uses.
@@ -26,6 +28,7 @@
 	History      History  // which content each version was written with
 	Members      []string // addresses, sorted
 	PriorMembers []string // the members before, while a change of members is under way; else empty
+	Rollouts     rollout.Set
 }
 
 // State is an acceptor's durable state.
--- a/mesh/register/proposer.go
+++ b/mesh/register/proposer.go
@@ -187,7 +187,7 @@
 		return true
 	}
 	next := r.applyPending(*v)
-	return !next.History.Equal(v.History) || !slices.Equal(next.Members, v.Members)
+	return !next.History.Equal(v.History) || !slices.Equal(next.Members, v.Members) || next.Rollouts.Revision != v.Rollouts.Revision
 }
 
 // startPrepare begins the second phase of a round: it requests promises for a ballot above all those seen.
--- /dev/null
+++ b/mesh/rollout/controller.go
@@ -0,0 +1,178 @@
+package rollout
+
+import (
+	"fmt"
+	"time"
+
+	"firplank/mesh/timing"
+)
+
+const (
+	// minEvidence is the number of requests of the new version before it is promoted, and leastEvidence where these don't come in time.
+	minEvidence   = 40
+	leastEvidence = 3
+	// Parts of a rollout's term: when it is promoted at the earliest, when less evidence will do, and how long the new version has to serve
+	// all requests before the rollout is delivered.
+	promoteAfter     = 0.4
+	settleAfter      = 0.55
+	promotingAtLeast = 0.1
+	// giveUpAfter times its term after its order a rollout is recalled that is not delivered.
+	giveUpAfter = 2
+	// minCapacityShare is the part of the old version's slots that the new one has to have to be promoted.
+	minCapacityShare = 0.7
+)
+
+// Machine is what a control machine knows of a sidecar and the server beside it.
+type Machine struct {
+	Service, Version string
+	Accepting        bool // the server takes requests
+	Slots            int
+	Lost             bool // there was no sign of life for too long
+	LastSeen         time.Duration
+	// Confirmed is the revision of the Set up to which the sidecar sends by it, and has nothing in flight that it forbids.
+	Confirmed uint32
+	// Order is that of the rollout that Classes were counted in.
+	Order   uint32
+	Classes []Statistics
+}
+
+// View is what a control machine decides on.
+type View struct {
+	Self     string
+	Leader   bool // this machine holds the lease: it alone promotes and delivers; any machine recalls
+	Set      Set
+	Machines []Machine
+}
+
+// Controller decides on the stages of rollouts. Times of stages count from when this process has first seen them: after a restart a stage
+// takes longer, never shorter. Times are measured from the start of the process. It is not safe for concurrent use.
+type Controller struct {
+	durations timing.Rollouts
+	progress  map[string]*progress // by service
+}
+
+// progress is when this process has first seen a rollout, and its stage.
+type progress struct {
+	order        uint32
+	stage        Stage
+	orderedAt    time.Duration
+	stageSeenAt  time.Duration
+	lastJudgment Verdict
+}
+
+// NewController returns a controller that has seen nothing.
+func NewController(t timing.Rollouts) *Controller {
+	return &Controller{durations: t, progress: map[string]*progress{}}
+}
+
+// Decide returns the transitions that are due. It is called several times a second.
+func (c *Controller) Decide(now time.Duration, v View) (due []Transition) {
+	for i := range v.Set.Rollouts {
+		r := &v.Set.Rollouts[i]
+		p := c.observe(now, r)
+		if !r.Stage.Active() {
+			continue
+		}
+		if to, reason := c.decide(now, r, p, &v); to != 0 {
+			due = append(due, Transition{Service: r.Service, Order: r.Order, From: r.Stage, To: to, Reason: reason, DecidedBy: v.Self})
+		}
+	}
+	return due
+}
+
+// observe records when a rollout and its stage were first seen.
+func (c *Controller) observe(now time.Duration, r *Rollout) *progress {
+	p := c.progress[r.Service]
+	if p == nil || p.order != r.Order {
+		p = &progress{order: r.Order, stage: r.Stage, orderedAt: now, stageSeenAt: now}
+		c.progress[r.Service] = p
+	}
+	if p.stage != r.Stage {
+		p.stage, p.stageSeenAt = r.Stage, now
+	}
+	return p
+}
+
+// EndedLately reports whether the rollout of a service was seen to end so short a time ago that copies of its order may still come.
+func (c *Controller) EndedLately(now time.Duration, service string) bool {
+	p := c.progress[service]
+	return p != nil && !p.stage.Active() && now-p.stageSeenAt <= c.durations.RepeatWindow
+}
+
+// Judgment returns the last judgement on the rollout of a service.
+func (c *Controller) Judgment(service string) Verdict {
+	if p := c.progress[service]; p != nil {
+		return p.lastJudgment
+	}
+	return Verdict{}
+}
+
+// decide returns the stage that a rollout is to move to and why; 0: it stays.
+func (c *Controller) decide(now time.Duration, r *Rollout, p *progress, v *View) (to Stage, reason string) {
+	verdict := Judge(r.Stage, samplesOf(r, v.Machines))
+	p.lastJudgment = verdict
+	old, candidate := slotsOf(r, v.Machines)
+	elapsed, inStage := now-p.orderedAt, now-p.stageSeenAt
+	switch {
+	case verdict.Bad:
+		return Recalled, verdict.Reason
+	case !v.Leader || now < c.durations.HoldUp: // until then this process may not know all machines yet
+		return 0, ""
+	case elapsed > giveUpAfter*r.Term:
+		return Recalled, fmt.Sprintf("not delivered in %v; %s", elapsed.Round(time.Second), verdict.Reason)
+	case r.Stage == Canary:
+		if elapsed < part(r.Term, promoteAfter) || float64(candidate) < minCapacityShare*float64(old) || candidate == 0 {
+			return 0, ""
+		}
+		enough := verdict.Requests >= minEvidence || elapsed >= part(r.Term, settleAfter) && verdict.Requests >= leastEvidence
+		if enough || old == 0 {
+			return Promoting, verdict.Reason
+		}
+	case candidate == 0:
+		return Recalled, "no server of the new version takes requests"
+	case inStage >= part(r.Term, promotingAtLeast) && c.Unconfirmed(now, v.Set.Revision, v.Machines) == 0:
+		return Delivered, verdict.Reason
+	}
+	return 0, ""
+}
+
+// part is a part of a duration.
+func part(d time.Duration, share float64) time.Duration { return time.Duration(share * float64(d)) }
+
+// Unconfirmed returns the number of sidecars that have not confirmed a revision. One that is lost counts for timing.Rollouts.HoldUp since
+// it was last seen.
+func (c *Controller) Unconfirmed(now time.Duration, revision uint32, machines []Machine) (count int) {
+	for i := range machines {
+		m := &machines[i]
+		gone := m.Lost && now-m.LastSeen > c.durations.HoldUp
+		if m.Confirmed < revision && !gone {
+			count++
+		}
+	}
+	return count
+}
+
+// samplesOf returns what the servers of a rollout's service have counted in it.
+func samplesOf(r *Rollout, machines []Machine) (samples []Sample) {
+	for i := range machines {
+		if m := &machines[i]; m.Service == r.Service && m.Order == r.Order && m.Version != "" {
+			samples = append(samples, Sample{Candidate: m.Version == r.Target, Classes: m.Classes})
+		}
+	}
+	return samples
+}
+
+// slotsOf returns how many requests the accepting servers of the old and of the new version work on at once.
+func slotsOf(r *Rollout, machines []Machine) (old, candidate int) {
+	for i := range machines {
+		m := &machines[i]
+		switch {
+		case m.Service != r.Service || m.Lost || !m.Accepting:
+		case m.Version == r.Target:
+			candidate += max(1, m.Slots)
+		default:
+			old += max(1, m.Slots)
+		}
+	}
+	return old, candidate
+}
--- /dev/null
+++ b/mesh/rollout/rollout_test.go
@@ -0,0 +1,251 @@
+package rollout
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"firplank/mesh/timing"
+)
+
+const service = "huvo11a"
+
+func started(s Set, target string) Set {
+	return s.Start(Order{Service: service, Target: target, Term: 10 * time.Second, Supersedes: s.Supersedes(service, target, false)})
+}
+
+func advanced(s Set, to Stage) Set {
+	r, _ := s.Find(service)
+	return s.Apply(Transition{Service: service, Order: r.Order, From: r.Stage, To: to})
+}
+
+func TestRepeatedOrderStartsNothingTwice(t *testing.T) {
+	canary := started(Set{}, "v2")
+	delivered := advanced(advanced(canary, Promoting), Delivered)
+	for _, c := range []struct {
+		name        string
+		present     Set
+		target      string
+		endedLately bool
+		want        OrderState
+		order       uint32 // afterwards
+	}{
+		{"the first", Set{}, "v2", false, NotTaken, 1},
+		{"a copy while it is under way", canary, "v2", false, Taken, 1},
+		{"another version while it is under way", canary, "v3", false, Conflicts, 1},
+		{"a late copy of one that has ended", delivered, "v2", true, Taken, 1},
+		{"the same version again, long after", delivered, "v2", false, NotTaken, 2},
+		{"another version after it", delivered, "v3", true, NotTaken, 2},
+		{"back to a version that was recalled", advanced(canary, Recalled), "v2", false, NotTaken, 2},
+	} {
+		o := Order{Service: service, Target: c.target, Supersedes: c.present.Supersedes(service, c.target, c.endedLately)}
+		if got := c.present.StateOf(o); got != c.want {
+			t.Errorf("%s: state %d, want %d", c.name, got, c.want)
+		}
+		after := c.present.Start(o)
+		if r, _ := after.Find(service); r.Order != c.order {
+			t.Errorf("%s: order %d, want %d", c.name, r.Order, c.order)
+		}
+		if again := after.Start(o); again.Revision != after.Revision {
+			t.Errorf("%s: the same order changes something twice", c.name)
+		}
+	}
+}
+
+// Of two transitions from one stage the first wins: what was delivered is not recalled, and what was recalled not delivered.
+func TestRolloutHasOneOutcome(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, ended := started(Set{}, "v2"), Stage(0)
+		for range rapid.IntRange(1, 12).Draw(t, "transitions") {
+			transition := Transition{
+				Service: service,
+				Order:   rapid.Uint32Range(1, 2).Draw(t, "order"),
+				From:    rapid.SampledFrom([]Stage{Canary, Promoting}).Draw(t, "from"),
+				To:      rapid.SampledFrom([]Stage{Promoting, Delivered, Recalled}).Draw(t, "to"),
+			}
+			s = s.Apply(transition)
+			r, _ := s.Find(service)
+			if ended != 0 && r.Stage != ended {
+				t.Fatalf("%v after %v", r.Stage, ended)
+			}
+			if !r.Stage.Active() {
+				ended = r.Stage
+			}
+		}
+	})
+}
+
+func TestVersionOnTrialGetsNoMoreThanItsShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		share := rapid.Float64Range(0, 1).Draw(t, "share")
+		var s Split
+		s.SetShare(share)
+		chosen := 0
+		for n := 1; n <= rapid.IntRange(1, 2000).Draw(t, "requests"); n++ {
+			if s.Next() {
+				chosen++
+			}
+			if float64(chosen) > share*float64(n) || float64(chosen) < share*float64(n)-1.01-float64(n)/shareUnits {
+				t.Fatalf("%d of %d chosen, share %v", chosen, n, share)
+			}
+		}
+	})
+}
+
+func TestServersOfAVersionByStage(t *testing.T) {
+	for _, c := range []struct {
+		stage                    Stage
+		old, target, unknown     Eligibility
+		oldRetired, otherRetired Eligibility
+	}{
+		{Canary, Serves, ServesShare, Finishes, Serves, ServesShare},
+		{Promoting, Finishes, Serves, Finishes, Finishes, Serves},
+		{Delivered, Finishes, Serves, Finishes, Serves, Serves},
+		{Recalled, Serves, Finishes, Finishes, Serves, Finishes},
+	} {
+		r := Rollout{Target: "v2", Stage: c.stage}
+		got := [...]Eligibility{r.Eligibility("v1", false), r.Eligibility("v2", false), r.Eligibility("", false),
+			r.Eligibility("v1", true), r.Eligibility("v2", true)}
+		if want := [...]Eligibility{c.old, c.target, c.unknown, c.oldRetired, c.otherRetired}; got != want {
+			t.Errorf("%v: %v, want %v", c.stage, got, want)
+		}
+	}
+}
+
+// answers returns what servers have counted: of n requests each, a share failed, and the others took a time, with the given spread of its
+// logarithm.
+func answers(candidate bool, servers, n int, failing float64, latency time.Duration, spread float64) (samples []Sample) {
+	for range servers {
+		s := Statistics{Class: 7}
+		for i := range n {
+			offset := spread * (2*float64(i%5)/4 - 1)
+			failed := math.Floor(float64(i+1)*failing) > math.Floor(float64(i)*failing)
+			s.Record(failed, time.Duration(float64(latency)*math.Exp(offset)))
+		}
+		samples = append(samples, Sample{Candidate: candidate, Classes: []Statistics{s}})
+	}
+	return samples
+}
+
+const usual = 100 * time.Millisecond
+
+func TestJudge(t *testing.T) {
+	old := answers(false, 10, 100, 0.004, usual, 0.6)
+	oneBadServer := append(answers(true, 7, 10, 0, usual, 0.6), answers(true, 1, 10, 0.8, 5*usual, 0.6)...)
+	for _, c := range []struct {
+		name string
+		old  []Sample
+		new  []Sample
+		bad  bool
+	}{
+		{"as good", old, answers(true, 8, 40, 0.004, usual, 0.6), false},
+		{"faster", old, answers(true, 8, 40, 0, usual/3, 0.6), false},
+		{"fails half", old, answers(true, 8, 4, 0.5, usual, 0.6), true},
+		{"fails a fifth", old, answers(true, 8, 20, 0.2, usual, 0.6), true},
+		{"too few to tell", old, answers(true, 2, 1, 0.5, usual, 0.6), false},
+		{"three times as slow", old, answers(true, 8, 10, 0, 3*usual, 0.6), true},
+		{"slower by a tenth", old, answers(true, 8, 200, 0, usual*11/10, 0.6), false},
+		{"both fail, as in a burst", answers(false, 10, 100, 0.3, usual, 0.6), answers(true, 8, 40, 0.3, usual, 0.6), false},
+		{"both are slow", answers(false, 10, 100, 0, 4*usual, 0.6), answers(true, 8, 40, 0, 4*usual, 0.6), false},
+		{"one server of it is down", old, oneBadServer, false},
+		{"worse than an old one that fails", answers(false, 10, 100, 0.1, usual, 0.6), answers(true, 8, 40, 0.6, usual, 0.6), true},
+		{"no old version", nil, answers(true, 8, 40, 0, usual, 0.6), false},
+	} {
+		if v := Judge(Canary, append(c.old, c.new...)); v.Bad != c.bad {
+			t.Errorf("%s: bad is %v: %s", c.name, v.Bad, v.Reason)
+		}
+	}
+}
+
+// A fault in one class of routes is not hidden by the others.
+func TestBadClassIsNotAveraged(t *testing.T) {
+	samples := append(answers(false, 10, 1000, 0, usual, 0.6), answers(true, 8, 500, 0, usual, 0.6)...)
+	for i := range samples {
+		rare := Statistics{Class: 9, Requests: 10}
+		if samples[i].Candidate {
+			rare.Failures = 5
+		}
+		samples[i].Classes = append(samples[i].Classes, rare)
+	}
+	if v := Judge(Canary, samples); !v.Bad {
+		t.Error(v.Reason)
+	}
+}
+
+// machines are five of the old and five of the new version, with sidecars that have confirmed a revision.
+func machines(confirmed uint32, newFails float64) (all []Machine) {
+	for i := range 10 {
+		m := Machine{Service: service, Version: "v1", Accepting: true, Slots: 4, Confirmed: confirmed, Order: 1}
+		failing := 0.
+		if i >= 5 {
+			m.Version, failing = "v2", newFails
+		}
+		m.Classes = answers(i >= 5, 1, 40, failing, usual, 0.6)[0].Classes
+		all = append(all, m)
+	}
+	return all
+}
+
+func TestControllerMovesStages(t *testing.T) {
+	canary := started(Set{}, "v2")
+	promoting := advanced(canary, Promoting)
+	lateLost := machines(promoting.Revision, 0)
+	lateLost[2].Confirmed, lateLost[2].Lost = 0, true
+	unconfirmed := machines(promoting.Revision, 0)
+	unconfirmed[3].Confirmed--
+	few := machines(canary.Revision, 0)[:7]
+	for _, c := range []struct {
+		name     string
+		set      Set
+		leader   bool
+		machines []Machine
+		after    time.Duration // since the stage was first seen
+		want     Stage         // 0: it stays
+	}{
+		{"too early", canary, true, machines(1, 0), 3 * time.Second, 0},
+		{"promoted", canary, true, machines(1, 0), 5 * time.Second, Promoting},
+		{"not the leader", canary, false, machines(1, 0), 5 * time.Second, 0},
+		{"bad, seen by any machine", canary, false, machines(1, 0.5), time.Second, Recalled},
+		{"too few new servers", canary, true, few, 9 * time.Second, 0},
+		{"never delivered", canary, true, few, 21 * time.Second, Recalled},
+		{"all have confirmed", promoting, true, machines(promoting.Revision, 0), 1100 * time.Millisecond, Delivered},
+		{"not long enough", promoting, true, machines(promoting.Revision, 0), 900 * time.Millisecond, 0},
+		{"one has not confirmed", promoting, true, unconfirmed, 9 * time.Second, 0},
+		{"one is lost lately", promoting, true, lateLost, 2 * time.Second, 0},
+		{"one is lost for long", promoting, true, lateLost, 9 * time.Second, Delivered},
+		{"bad when it has all requests", promoting, false, machines(promoting.Revision, 0.5), time.Second, Recalled},
+		{"its servers are gone", promoting, true, machines(promoting.Revision, 0)[:5], time.Second, Recalled},
+	} {
+		controller := NewController(timing.Default().Rollouts)
+		begin := time.Minute
+		for i := range c.machines {
+			if c.machines[i].Lost {
+				c.machines[i].LastSeen = begin
+			}
+		}
+		view := View{Self: "self", Leader: c.leader, Set: c.set}
+		controller.Decide(begin, view)
+		view.Machines = c.machines
+		due := controller.Decide(begin+c.after, view)
+		switch {
+		case c.want == 0 && len(due) == 0:
+		case len(due) == 1 && due[0].To == c.want:
+		default:
+			t.Errorf("%s: %+v, want %v", c.name, due, c.want)
+		}
+	}
+}
+
+// A control machine that has just started does not know all sidecars: it neither delivers nor recalls for want of servers.
+func TestStartedMachineDecidesNothingOnWhatItLacks(t *testing.T) {
+	promoting := advanced(started(Set{}, "v2"), Promoting)
+	promoting.Rollouts[0].Term = time.Second
+	controller := NewController(timing.Default().Rollouts)
+	for now := time.Duration(0); now < timing.Default().Rollouts.HoldUp; now += 100 * time.Millisecond {
+		if due := controller.Decide(now, View{Leader: true, Set: promoting}); len(due) > 0 {
+			t.Fatalf("at %v: %+v", now, due)
+		}
+	}
+}
--- a/mesh/timing/timing.go
+++ b/mesh/timing/timing.go
@@ -55,6 +55,7 @@
 	Replacement   Replacement
 	Shutdown      Shutdown
 	Server        Server
+	Rollouts      Rollouts
 	// Conflicts are the inequalities that the settings do not allow. They are reported, and the nearest values are served.
 	Conflicts []Conflict
 }
@@ -70,6 +71,7 @@
 		Replacement:   NewReplacement(b.Sync, b.Grace),
 		Shutdown:      newShutdown(b.Grace),
 		Server:        newServer(b, s.ServerHeartbeat),
+		Rollouts:      newRollouts(b),
 	}
 	d.Subscription = newSubscription(b)
 	d.Register = newRegister(b, &d.Replacement)
--- a/mesh/wire/Entry.go
+++ b/mesh/wire/Entry.go
@@ -7,19 +7,23 @@
 )
 
 type EntryT struct {
-	Node        string `json:"node"`
-	Incarnation uint64 `json:"incarnation"`
-	Sequence    uint64 `json:"sequence"`
-	Addr        string `json:"addr"`
-	PeerAddr    string `json:"peer_addr"`
-	Zone        string `json:"zone"`
-	Service     string `json:"service"`
-	ServerId    string `json:"server_id"`
-	State       byte   `json:"state"`
-	Slots       uint16 `json:"slots"`
-	WarmUpMs    uint32 `json:"warm_up_ms"`
-	AgeMs       uint32 `json:"age_ms"`
-	Reserved    uint16 `json:"reserved"`
+	Node              string              `json:"node"`
+	Incarnation       uint64              `json:"incarnation"`
+	Sequence          uint64              `json:"sequence"`
+	Addr              string              `json:"addr"`
+	PeerAddr          string              `json:"peer_addr"`
+	Zone              string              `json:"zone"`
+	Service           string              `json:"service"`
+	ServerId          string              `json:"server_id"`
+	State             byte                `json:"state"`
+	Slots             uint16              `json:"slots"`
+	WarmUpMs          uint32              `json:"warm_up_ms"`
+	AgeMs             uint32              `json:"age_ms"`
+	Reserved          uint16              `json:"reserved"`
+	Edition           []byte              `json:"edition"`
+	RolloutsConfirmed uint32              `json:"rollouts_confirmed"`
+	RolloutOrder      uint32              `json:"rollout_order"`
+	Statistics        []*ClassStatisticsT `json:"statistics"`
 }
 
 func (t *EntryT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -32,6 +36,23 @@
 	zoneOffset := builder.CreateString(t.Zone)
 	serviceOffset := builder.CreateString(t.Service)
 	serverIdOffset := builder.CreateString(t.ServerId)
+	editionOffset := flatbuffers.UOffsetT(0)
+	if t.Edition != nil {
+		editionOffset = builder.CreateByteString(t.Edition)
+	}
+	statisticsOffset := flatbuffers.UOffsetT(0)
+	if t.Statistics != nil {
+		statisticsLength := len(t.Statistics)
+		statisticsOffsets := make([]flatbuffers.UOffsetT, statisticsLength)
+		for j := 0; j < statisticsLength; j++ {
+			statisticsOffsets[j] = t.Statistics[j].Pack(builder)
+		}
+		EntryStartStatisticsVector(builder, statisticsLength)
+		for j := statisticsLength - 1; j >= 0; j-- {
+			builder.PrependUOffsetT(statisticsOffsets[j])
+		}
+		statisticsOffset = builder.EndVector(statisticsLength)
+	}
 	EntryStart(builder)
 	EntryAddNode(builder, nodeOffset)
 	EntryAddIncarnation(builder, t.Incarnation)
@@ -46,6 +67,10 @@
 	EntryAddWarmUpMs(builder, t.WarmUpMs)
 	EntryAddAgeMs(builder, t.AgeMs)
 	EntryAddReserved(builder, t.Reserved)
+	EntryAddEdition(builder, editionOffset)
+	EntryAddRolloutsConfirmed(builder, t.RolloutsConfirmed)
+	EntryAddRolloutOrder(builder, t.RolloutOrder)
+	EntryAddStatistics(builder, statisticsOffset)
 	return EntryEnd(builder)
 }
 
@@ -63,6 +88,16 @@
 	t.WarmUpMs = rcv.WarmUpMs()
 	t.AgeMs = rcv.AgeMs()
 	t.Reserved = rcv.Reserved()
+	t.Edition = rcv.EditionBytes()
+	t.RolloutsConfirmed = rcv.RolloutsConfirmed()
+	t.RolloutOrder = rcv.RolloutOrder()
+	statisticsLength := rcv.StatisticsLength()
+	t.Statistics = make([]*ClassStatisticsT, statisticsLength)
+	for j := 0; j < statisticsLength; j++ {
+		x := ClassStatistics{}
+		rcv.Statistics(&x, j)
+		t.Statistics[j] = x.UnPack()
+	}
 }
 
 func (rcv *Entry) UnPack() *EntryT {
@@ -233,8 +268,86 @@
 	return rcv._tab.MutateUint16Slot(28, n)
 }
 
+func (rcv *Entry) Edition(j int) byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(30))
+	if o != 0 {
+		a := rcv._tab.Vector(o)
+		return rcv._tab.GetByte(a + flatbuffers.UOffsetT(j*1))
+	}
+	return 0
+}
+
+func (rcv *Entry) EditionLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(30))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
+func (rcv *Entry) EditionBytes() []byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(30))
+	if o != 0 {
+		return rcv._tab.ByteVector(o + rcv._tab.Pos)
+	}
+	return nil
+}
+
+func (rcv *Entry) MutateEdition(j int, n byte) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(30))
+	if o != 0 {
+		a := rcv._tab.Vector(o)
+		return rcv._tab.MutateByte(a+flatbuffers.UOffsetT(j*1), n)
+	}
+	return false
+}
+
+func (rcv *Entry) RolloutsConfirmed() uint32 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(32))
+	if o != 0 {
+		return rcv._tab.GetUint32(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Entry) MutateRolloutsConfirmed(n uint32) bool {
+	return rcv._tab.MutateUint32Slot(32, n)
+}
+
+func (rcv *Entry) RolloutOrder() uint32 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(34))
+	if o != 0 {
+		return rcv._tab.GetUint32(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Entry) MutateRolloutOrder(n uint32) bool {
+	return rcv._tab.MutateUint32Slot(34, n)
+}
+
+func (rcv *Entry) Statistics(obj *ClassStatistics, j int) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(36))
+	if o != 0 {
+		x := rcv._tab.Vector(o)
+		x += flatbuffers.UOffsetT(j) * 4
+		x = rcv._tab.Indirect(x)
+		obj.Init(rcv._tab.Bytes, x)
+		return true
+	}
+	return false
+}
+
+func (rcv *Entry) StatisticsLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(36))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
 func EntryStart(builder *flatbuffers.Builder) {
-	builder.StartObject(13)
+	builder.StartObject(17)
 }
 func EntryAddNode(builder *flatbuffers.Builder, node flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(node), 0)
@@ -275,6 +388,24 @@
 func EntryAddReserved(builder *flatbuffers.Builder, reserved uint16) {
 	builder.PrependUint16Slot(12, reserved, 0)
 }
+func EntryAddEdition(builder *flatbuffers.Builder, edition flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(13, flatbuffers.UOffsetT(edition), 0)
+}
+func EntryStartEditionVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(1, numElems, 1)
+}
+func EntryAddRolloutsConfirmed(builder *flatbuffers.Builder, rolloutsConfirmed uint32) {
+	builder.PrependUint32Slot(14, rolloutsConfirmed, 0)
+}
+func EntryAddRolloutOrder(builder *flatbuffers.Builder, rolloutOrder uint32) {
+	builder.PrependUint32Slot(15, rolloutOrder, 0)
+}
+func EntryAddStatistics(builder *flatbuffers.Builder, statistics flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(16, flatbuffers.UOffsetT(statistics), 0)
+}
+func EntryStartStatisticsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
 func EntryEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/mesh/wire/Frame.go
+++ b/mesh/wire/Frame.go
@@ -7,24 +7,26 @@
 )
 
 type FrameT struct {
-	Kind          byte            `json:"kind"`
-	Id            uint64          `json:"id"`
-	From          string          `json:"from"`
-	Ok            bool            `json:"ok"`
-	Ballot        *BallotT        `json:"ballot"`
-	Promised      *BallotT        `json:"promised"`
-	Accepted      *BallotT        `json:"accepted"`
-	Value         *ValueT         `json:"value"`
-	Incarnations  []*IncarnationT `json:"incarnations"`
-	Incarnation   uint32          `json:"incarnation"`
-	AgeMs         uint32          `json:"age_ms"`
-	Version       uint32          `json:"version"`
-	Reserved      uint64          `json:"reserved"`
-	Entries       []*EntryT       `json:"entries"`
-	Machines      []*MachineT     `json:"machines"`
-	Text          string          `json:"text"`
-	Deltas        []*DeltaT       `json:"deltas"`
-	LowestVersion uint32          `json:"lowest_version"`
+	Kind            byte            `json:"kind"`
+	Id              uint64          `json:"id"`
+	From            string          `json:"from"`
+	Ok              bool            `json:"ok"`
+	Ballot          *BallotT        `json:"ballot"`
+	Promised        *BallotT        `json:"promised"`
+	Accepted        *BallotT        `json:"accepted"`
+	Value           *ValueT         `json:"value"`
+	Incarnations    []*IncarnationT `json:"incarnations"`
+	Incarnation     uint32          `json:"incarnation"`
+	AgeMs           uint32          `json:"age_ms"`
+	Version         uint32          `json:"version"`
+	Reserved        uint64          `json:"reserved"`
+	Entries         []*EntryT       `json:"entries"`
+	Machines        []*MachineT     `json:"machines"`
+	Text            string          `json:"text"`
+	Deltas          []*DeltaT       `json:"deltas"`
+	LowestVersion   uint32          `json:"lowest_version"`
+	Rollouts        []*RolloutT     `json:"rollouts"`
+	RolloutRevision uint32          `json:"rollout_revision"`
 }
 
 func (t *FrameT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -89,6 +91,19 @@
 		}
 		deltasOffset = builder.EndVector(deltasLength)
 	}
+	rolloutsOffset := flatbuffers.UOffsetT(0)
+	if t.Rollouts != nil {
+		rolloutsLength := len(t.Rollouts)
+		rolloutsOffsets := make([]flatbuffers.UOffsetT, rolloutsLength)
+		for j := 0; j < rolloutsLength; j++ {
+			rolloutsOffsets[j] = t.Rollouts[j].Pack(builder)
+		}
+		FrameStartRolloutsVector(builder, rolloutsLength)
+		for j := rolloutsLength - 1; j >= 0; j-- {
+			builder.PrependUOffsetT(rolloutsOffsets[j])
+		}
+		rolloutsOffset = builder.EndVector(rolloutsLength)
+	}
 	FrameStart(builder)
 	FrameAddKind(builder, t.Kind)
 	FrameAddId(builder, t.Id)
@@ -108,6 +123,8 @@
 	FrameAddText(builder, textOffset)
 	FrameAddDeltas(builder, deltasOffset)
 	FrameAddLowestVersion(builder, t.LowestVersion)
+	FrameAddRollouts(builder, rolloutsOffset)
+	FrameAddRolloutRevision(builder, t.RolloutRevision)
 	return FrameEnd(builder)
 }
 
@@ -154,6 +171,14 @@
 		t.Deltas[j] = x.UnPack()
 	}
 	t.LowestVersion = rcv.LowestVersion()
+	rolloutsLength := rcv.RolloutsLength()
+	t.Rollouts = make([]*RolloutT, rolloutsLength)
+	for j := 0; j < rolloutsLength; j++ {
+		x := Rollout{}
+		rcv.Rollouts(&x, j)
+		t.Rollouts[j] = x.UnPack()
+	}
+	t.RolloutRevision = rcv.RolloutRevision()
 }
 
 func (rcv *Frame) UnPack() *FrameT {
@@ -436,8 +461,40 @@
 	return rcv._tab.MutateUint32Slot(38, n)
 }
 
+func (rcv *Frame) Rollouts(obj *Rollout, j int) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(40))
+	if o != 0 {
+		x := rcv._tab.Vector(o)
+		x += flatbuffers.UOffsetT(j) * 4
+		x = rcv._tab.Indirect(x)
+		obj.Init(rcv._tab.Bytes, x)
+		return true
+	}
+	return false
+}
+
+func (rcv *Frame) RolloutsLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(40))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
+func (rcv *Frame) RolloutRevision() uint32 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(42))
+	if o != 0 {
+		return rcv._tab.GetUint32(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Frame) MutateRolloutRevision(n uint32) bool {
+	return rcv._tab.MutateUint32Slot(42, n)
+}
+
 func FrameStart(builder *flatbuffers.Builder) {
-	builder.StartObject(18)
+	builder.StartObject(20)
 }
 func FrameAddKind(builder *flatbuffers.Builder, kind byte) {
 	builder.PrependByteSlot(0, kind, 0)
@@ -505,6 +562,15 @@
 func FrameAddLowestVersion(builder *flatbuffers.Builder, lowestVersion uint32) {
 	builder.PrependUint32Slot(17, lowestVersion, 0)
 }
+func FrameAddRollouts(builder *flatbuffers.Builder, rollouts flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(18, flatbuffers.UOffsetT(rollouts), 0)
+}
+func FrameStartRolloutsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
+func FrameAddRolloutRevision(builder *flatbuffers.Builder, rolloutRevision uint32) {
+	builder.PrependUint32Slot(19, rolloutRevision, 0)
+}
 func FrameEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/mesh/wire/Value.go
+++ b/mesh/wire/Value.go
@@ -7,12 +7,14 @@
 )
 
 type ValueT struct {
-	Version      uint32   `json:"version"`
-	Body         []byte   `json:"body"`
-	Members      []string `json:"members"`
-	PriorMembers []string `json:"prior_members"`
-	Records      []byte   `json:"records"`
-	Floor        uint32   `json:"floor"`
+	Version         uint32      `json:"version"`
+	Body            []byte      `json:"body"`
+	Members         []string    `json:"members"`
+	PriorMembers    []string    `json:"prior_members"`
+	Records         []byte      `json:"records"`
+	Floor           uint32      `json:"floor"`
+	Rollouts        []*RolloutT `json:"rollouts"`
+	RolloutRevision uint32      `json:"rollout_revision"`
 }
 
 func (t *ValueT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -53,6 +55,19 @@
 	if t.Records != nil {
 		recordsOffset = builder.CreateByteString(t.Records)
 	}
+	rolloutsOffset := flatbuffers.UOffsetT(0)
+	if t.Rollouts != nil {
+		rolloutsLength := len(t.Rollouts)
+		rolloutsOffsets := make([]flatbuffers.UOffsetT, rolloutsLength)
+		for j := 0; j < rolloutsLength; j++ {
+			rolloutsOffsets[j] = t.Rollouts[j].Pack(builder)
+		}
+		ValueStartRolloutsVector(builder, rolloutsLength)
+		for j := rolloutsLength - 1; j >= 0; j-- {
+			builder.PrependUOffsetT(rolloutsOffsets[j])
+		}
+		rolloutsOffset = builder.EndVector(rolloutsLength)
+	}
 	ValueStart(builder)
 	ValueAddVersion(builder, t.Version)
 	ValueAddBody(builder, bodyOffset)
@@ -60,6 +75,8 @@
 	ValueAddPriorMembers(builder, priorMembersOffset)
 	ValueAddRecords(builder, recordsOffset)
 	ValueAddFloor(builder, t.Floor)
+	ValueAddRollouts(builder, rolloutsOffset)
+	ValueAddRolloutRevision(builder, t.RolloutRevision)
 	return ValueEnd(builder)
 }
 
@@ -78,6 +95,14 @@
 	}
 	t.Records = rcv.RecordsBytes()
 	t.Floor = rcv.Floor()
+	rolloutsLength := rcv.RolloutsLength()
+	t.Rollouts = make([]*RolloutT, rolloutsLength)
+	for j := 0; j < rolloutsLength; j++ {
+		x := Rollout{}
+		rcv.Rollouts(&x, j)
+		t.Rollouts[j] = x.UnPack()
+	}
+	t.RolloutRevision = rcv.RolloutRevision()
 }
 
 func (rcv *Value) UnPack() *ValueT {
@@ -242,8 +267,40 @@
 	return rcv._tab.MutateUint32Slot(14, n)
 }
 
+func (rcv *Value) Rollouts(obj *Rollout, j int) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(16))
+	if o != 0 {
+		x := rcv._tab.Vector(o)
+		x += flatbuffers.UOffsetT(j) * 4
+		x = rcv._tab.Indirect(x)
+		obj.Init(rcv._tab.Bytes, x)
+		return true
+	}
+	return false
+}
+
+func (rcv *Value) RolloutsLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(16))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
+func (rcv *Value) RolloutRevision() uint32 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(18))
+	if o != 0 {
+		return rcv._tab.GetUint32(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Value) MutateRolloutRevision(n uint32) bool {
+	return rcv._tab.MutateUint32Slot(18, n)
+}
+
 func ValueStart(builder *flatbuffers.Builder) {
-	builder.StartObject(6)
+	builder.StartObject(8)
 }
 func ValueAddVersion(builder *flatbuffers.Builder, version uint32) {
 	builder.PrependUint32Slot(0, version, 0)
@@ -275,6 +332,15 @@
 func ValueAddFloor(builder *flatbuffers.Builder, floor uint32) {
 	builder.PrependUint32Slot(5, floor, 0)
 }
+func ValueAddRollouts(builder *flatbuffers.Builder, rollouts flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(6, flatbuffers.UOffsetT(rollouts), 0)
+}
+func ValueStartRolloutsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(4, numElems, 4)
+}
+func ValueAddRolloutRevision(builder *flatbuffers.Builder, rolloutRevision uint32) {
+	builder.PrependUint32Slot(7, rolloutRevision, 0)
+}
 func ValueEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/mesh/wire/budget.go
+++ b/mesh/wire/budget.go
@@ -63,6 +63,20 @@
 	for j := range v.PriorMembersLength() {
 		b.text(v.PriorMembers(j))
 	}
+	b.rollouts(v.RolloutsLength(), v.Rollouts)
+}
+
+// rollouts uses what a list of rollouts takes; get returns one of them.
+func (b *budget) rollouts(length int, get func(t *Rollout, j int) bool) {
+	b.list(length, pointerSize+int(unsafe.Sizeof(RolloutT{})))
+	var t Rollout
+	for j := range length {
+		if get(&t, j) {
+			for _, s := range [...][]byte{t.Service(), t.Target(), t.Reason(), t.DecidedBy()} {
+				b.text(s)
+			}
+		}
+	}
 }
 
 // incarnations uses what a list of incarnations takes; get returns one of them.
@@ -83,9 +97,10 @@
 		if !f.Entries(&e, j) {
 			continue
 		}
-		for _, s := range [...][]byte{e.Node(), e.Addr(), e.PeerAddr(), e.Zone(), e.Service(), e.ServerId()} {
+		for _, s := range [...][]byte{e.Node(), e.Addr(), e.PeerAddr(), e.Zone(), e.Service(), e.ServerId(), e.EditionBytes()} {
 			b.text(s)
 		}
+		b.list(e.StatisticsLength(), pointerSize+int(unsafe.Sizeof(ClassStatisticsT{})))
 	}
 }
 
@@ -116,6 +131,7 @@
 	b.entries(f)
 	b.machines(f)
 	b.list(f.DeltasLength(), pointerSize+int(unsafe.Sizeof(DeltaT{})))
+	b.rollouts(f.RolloutsLength(), f.Rollouts)
 }
 
 // state checks a state.
