--- a/balance/lasthop_test.go
+++ b/balance/lasthop_test.go
@@ -195,3 +195,38 @@
 		t.Error("its sidecar was gone, and it counts as cold")
 	}
 }
+
+// A request for the candidates is first sent to one of them, and only then to the others; no other request is sent to a
+// candidate, whatever becomes of its attempts.
+func TestCandidatesGetFirstAttemptsOfTheirRequestsOnly(t *testing.T) {
+	b, _ := lastHop(0, nil)
+	servers := fleet(6)
+	isCandidate := map[ServerID]bool{}
+	for i := range 3 {
+		servers[i].Candidate, isCandidate[servers[i].ID] = true, true
+	}
+	_, _ = b.Handle(1, ServerList{Kind: ListFull, Servers: servers})
+	failed := Outcome{Result: Failed}
+	for id := RequestID(1); id <= 40; id++ {
+		chosen := id%2 == 0
+		sent, _ := play(t, b, Request{ID: id, Remaining: 2000, Candidate: chosen}, failed, Outcome{Result: OK})
+		for i, server := range sent {
+			if isCandidate[server] && !(chosen && i == 0) {
+				t.Fatalf("request %d, chosen %v: sent to %v", id, chosen, sent)
+			}
+		}
+		if len(sent) == 0 {
+			t.Fatalf("request %d is sent nowhere", id)
+		}
+	}
+	for i := range servers {
+		servers[i].State = Draining
+		if isCandidate[servers[i].ID] {
+			servers[i].State = Ready
+		}
+	}
+	_, _ = b.Handle(b.now+1, ServerList{Kind: ListFull, Servers: servers})
+	if sent, _ := play(t, b, Request{ID: 99, Remaining: 2000}); len(sent) != 0 {
+		t.Errorf("a request that is not for the candidates is sent to %v", sent)
+	}
+}
--- a/lab/mesh/mesh.go
+++ b/lab/mesh/mesh.go
@@ -51,6 +51,9 @@
 	Arrived func(Arrival) // called as each request begins to run at a server; nil: nothing is. It must be safe for concurrent use
 }
 
+// firstVersion is the version of the servers that a mesh starts with.
+const firstVersion = "v1"
+
 const defaultHeartbeat = 300 * time.Millisecond
 
 // defaultBounds are the bounds of settings where a Config has none.
@@ -117,7 +120,7 @@
 			n++
 			ip := fmt.Sprintf("127.%d.1.%d", cfg.Net, n)
 			b := &Machine{Name: fmt.Sprintf("branch-%d", n), IP: ip, Zone: cfg.Zones[n%len(cfg.Zones)], mesh: m, program: "firplank-proxy"}
-			b.Server = &Server{machine: b, service: service, id: fmt.Sprintf("i-%08d", n)}
+			b.Server = &Server{machine: b, service: service, id: fmt.Sprintf("i-%08d", n), version: firstVersion}
 			m.Branch = append(m.Branch, b)
 		}
 	}
--- /dev/null
+++ b/lab/mesh/rollout_test.go
@@ -0,0 +1,154 @@
+package mesh
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// rolloutTest is a mesh with six servers of a service whose requests must not run twice, and requests to it.
+type rolloutTest struct {
+	*Mesh
+	t *testing.T
+
+	requests, served, lost, late atomic.Int64
+	stopped                      atomic.Bool // servers of the old version may be stopped
+	byVersion                    sync.Map    // counters of arrivals, by version
+	stop                         chan struct{}
+	load                         sync.WaitGroup
+}
+
+func (r *rolloutTest) arrivals(version string) int64 {
+	counter, _ := r.byVersion.LoadOrStore(version, &atomic.Int64{})
+	return counter.(*atomic.Int64).Load()
+}
+
+func (r *rolloutTest) arrived(a Arrival) {
+	if a.Service != "registry" {
+		return
+	}
+	counter, _ := r.byVersion.LoadOrStore(a.Version, &atomic.Int64{})
+	counter.(*atomic.Int64).Add(1)
+	if r.stopped.Load() && a.Version == firstVersion {
+		r.late.Add(1)
+	}
+}
+
+// newRolloutTest orders a rollout to v2 under load, and starts three servers of it that behave so, in place of old ones.
+func newRolloutTest(t *testing.T, net int, termS float64, b Behaviour) *rolloutTest {
+	t.Helper()
+	programs, err := built()
+	must(t, err)
+	r := &rolloutTest{t: t, stop: make(chan struct{})}
+	r.Mesh, err = Start(Config{
+		Folder: t.TempDir(), Programs: programs, Net: net, Core: 3, Tolerance: 1, Work: 20 * time.Millisecond,
+		Services: map[string]int{"registry": 6}, Arrived: r.arrived,
+		Bounds: []string{"graceS=3", "inTouchS=2", "retryRatio=0.2", "retryWindowS=10", "retrySlack=60", "exposureShare=0.1"},
+	})
+	must(t, err)
+	stopAtEnd(t, r.Mesh)
+	must(t, Await(10*time.Second, "the first configuration is taken", func() bool {
+		status, err := r.Core[0].Put(config(7))
+		return err == nil && status == http.StatusOK
+	}))
+	for i, x := range r.Branch {
+		must(t, Await(10*time.Second, x.Name+" serves", func() bool {
+			status, _, err := x.Ask(http.MethodGet, "plates.example", "/file/1", fmt.Sprintf("warm-%d", i), nil)
+			return err == nil && status == http.StatusOK
+		}))
+	}
+	r.beginLoad()
+	must(t, Await(5*time.Second, "the order is acknowledged", func() bool {
+		status, err := r.Core[1].StartRollout(RolloutOrder{Service: "registry", Target: "v2", TermS: termS})
+		return err == nil && status == http.StatusOK
+	}))
+	for _, x := range r.Branch[3:] {
+		x.CurrentServer().Close()
+		must(t, Await(3*time.Second, "an old server drains", x.CurrentServer().Acked))
+	}
+	time.Sleep(200 * time.Millisecond) // what the draining servers hold
+	for _, x := range r.Branch[3:] {
+		_, err := x.UpgradeServer("v2", b)
+		must(t, err)
+	}
+	return r
+}
+
+// beginLoad sends requests from all machines until the test ends the load.
+func (r *rolloutTest) beginLoad() {
+	for i, x := range r.Branch {
+		r.load.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-r.stop:
+					return
+				case <-time.After(10 * time.Millisecond):
+				}
+				id := fmt.Sprintf("rollout-%d-%d", i, n)
+				r.requests.Add(1)
+				status, _, err := x.Ask(http.MethodPost, "plates.example", "/file/1", id, nil)
+				switch {
+				case err == nil && status == http.StatusOK:
+					r.served.Add(1)
+				case err != nil || status != http.StatusServiceUnavailable && status != http.StatusInternalServerError:
+					r.lost.Add(1)
+				}
+				if r.Runs(id) > 1 {
+					r.t.Errorf("%s ran %d times", id, r.Runs(id))
+				}
+			}
+		})
+	}
+}
+
+func (r *rolloutTest) endLoad() {
+	close(r.stop)
+	r.load.Wait()
+}
+
+func (r *rolloutTest) awaitCondition(want string) {
+	r.t.Helper()
+	must(r.t, Await(20*time.Second, "the rollout is "+want, func() bool { return r.Core[2].ReadRollout("registry") == want }))
+}
+
+// Old servers are stopped the moment that the rollout is delivered: no request is lost by it, none runs twice, and none comes to them. A control
+// machine is killed and comes back meanwhile.
+func TestOldServersMayStopOnDelivered(t *testing.T) {
+	r := newRolloutTest(t, 61, 6, Behaviour{})
+	r.Core[0].Kill()
+	must(t, r.Core[0].Start(false))
+	r.awaitCondition("delivered")
+	r.stopped.Store(true)
+	for _, x := range r.Branch[:3] {
+		x.CurrentServer().Stop()
+	}
+	time.Sleep(time.Second)
+	r.endLoad()
+	t.Logf("%d requests, %d served, %d at v2", r.requests.Load(), r.served.Load(), r.arrivals("v2"))
+	if r.lost.Load() > 0 || r.late.Load() > 0 {
+		t.Errorf("%d requests lost, %d at old servers after the rollout was delivered", r.lost.Load(), r.late.Load())
+	}
+	if r.served.Load() < r.requests.Load()*9/10 {
+		t.Errorf("%d of %d served", r.served.Load(), r.requests.Load())
+	}
+}
+
+// A version that fails half of its requests is recalled before it had a tenth of them, and gets none after.
+func TestBadVersionIsRecalledWithinItsExposure(t *testing.T) {
+	r := newRolloutTest(t, 62, 20, Behaviour{Fail: 0.5})
+	r.awaitCondition("recalled")
+	time.Sleep(time.Second) // the way down the tree
+	atRecall, requests := r.arrivals("v2"), r.requests.Load()
+	time.Sleep(time.Second)
+	r.endLoad()
+	t.Logf("recalled after %d of %d requests", atRecall, requests)
+	if late := r.arrivals("v2") - atRecall; late > 0 {
+		t.Errorf("%d requests after the recall", late)
+	}
+	if float64(atRecall) > 0.1*float64(requests) || r.lost.Load() > 0 {
+		t.Errorf("%d of %d requests at the bad version, %d lost", atRecall, requests, r.lost.Load())
+	}
+}
--- a/lab/mesh/server.go
+++ b/lab/mesh/server.go
@@ -20,12 +20,14 @@
 	Drop   float64       // share of the requests that it runs, and then closes the connection without an answer
 	Garble float64       // share of the requests that it runs, and answers with bytes that are no answer
 	Refuse float64       // share of the requests that it does not run, and says so
+	Fail   float64       // share of the requests that it runs, and answers with 500
 }
 
 // Arrival is a request that a server runs.
 type Arrival struct {
-	RequestID, Server, Service, Sender string
-	At                                 time.Time
+	RequestID, Server, Service, Version, Sender string
+
+	At time.Time
 	// Remaining is the time that the request has left by its header; 0: it names none.
 	Remaining time.Duration
 	// Spoilt: the server will break the connection off.
@@ -40,6 +42,7 @@
 	machine   *Machine
 	service   string
 	id        string
+	version   string // of its software
 	http      *http.Server
 	stop      chan struct{}
 	once      sync.Once
@@ -81,9 +84,15 @@
 
 // ReplaceServer ends the machine's server without notice, and starts its successor, which has another id.
 func (x *Machine) ReplaceServer() (*Server, error) {
+	return x.UpgradeServer(x.CurrentServer().version, Behaviour{})
+}
+
+// UpgradeServer is ReplaceServer with a successor of a version that behaves so from its start on.
+func (x *Machine) UpgradeServer(version string, b Behaviour) (*Server, error) {
 	before := x.CurrentServer()
 	before.Stop()
-	next := &Server{machine: x, service: before.service, id: nextServerID(before.id)}
+	next := &Server{machine: x, service: before.service, id: nextServerID(before.id), version: version}
+	next.Behave(b)
 	if err := next.start(); err != nil {
 		return nil, err
 	}
@@ -149,7 +158,7 @@
 			condition = "closing"
 		}
 		body, _ := json.Marshal(map[string]any{
-			"line": s.service, "address": fmt.Sprintf("%s:%d", s.machine.IP, ports+1), "zone": s.machine.Zone, "edition": "v1", "berths": 8,
+			"line": s.service, "address": fmt.Sprintf("%s:%d", s.machine.IP, ports+1), "zone": s.machine.Zone, "edition": s.version, "berths": 8,
 			"condition": condition, "coldLeftS": 0, "sequence": sequence,
 		})
 		status, _, err := s.machine.mesh.call(http.MethodPost,
@@ -189,6 +198,7 @@
 	}
 	_, _ = io.Copy(io.Discard, r.Body) // read only to be dropped
 	began := time.Now()
+	failed := rand.Float64() < b.Fail
 	dropped, garbled := rand.Float64() < b.Drop, rand.Float64() < b.Garble
 	s.record(Arrival{
 		RequestID: id, Sender: r.Header.Get("Sender-Line"), Remaining: remaining(r), Spoilt: dropped || garbled,
@@ -206,7 +216,7 @@
 		breakOff(w, "these bytes are no answer\r\n\r\n")
 	default:
 		w.Header().Set("Postmark", "stand-in."+s.id)
-		if !called {
+		if !called || failed {
 			w.WriteHeader(http.StatusInternalServerError)
 			return
 		}
@@ -266,7 +276,7 @@
 // record counts a request that begins to run.
 func (s *Server) record(arrival Arrival) {
 	m, now := s.machine.mesh, time.Now()
-	arrival.Server, arrival.Service, arrival.At = s.id, s.service, now
+	arrival.Server, arrival.Service, arrival.Version, arrival.At = s.id, s.service, s.version, now
 	if s.acked.Load() {
 		s.Late.Add(1)
 		arrival.SinceClosing = now.Sub(time.Unix(0, s.ackedAt.Load()))
--- /dev/null
+++ b/mesh/dataplane/rollouts_test.go
@@ -0,0 +1,67 @@
+package dataplane
+
+import (
+	"testing"
+	"time"
+
+	"firplank/balance"
+	"firplank/internal/core"
+	"firplank/mesh/directory"
+	"firplank/mesh/rollout"
+	"firplank/mesh/timing"
+)
+
+// What a sidecar sends to servers of each version, also when it has heard nothing for long or there is no other version.
+func TestSidecarFollowsRollouts(t *testing.T) {
+	r := newRollouts(timing.Default().Rollouts, 0.05)
+	canary := rollout.Rollout{Service: "one", Target: "v2", Order: 1, Stage: rollout.Canary}
+	delivered := canary
+	delivered.Stage = rollout.Delivered
+	r.set = rollout.Set{Revision: 3, Rollouts: []rollout.Rollout{delivered}}
+	r.followed["one"] = &followed{since: time.Second}
+	server := func(version string, state directory.State) directory.Entry {
+		return directory.Entry{Service: "one", Version: version, State: state}
+	}
+	if got := r.eligibility(&canary, "v2"); got != rollout.ServesShare {
+		t.Errorf("the new version in canary: %d", got)
+	}
+	if r.anyServes([]directory.Entry{server("v2", directory.Accepting), server("v1", directory.Closing)}, &canary) ||
+		!r.anyServes([]directory.Entry{server("v2", directory.Accepting), server("v1", directory.Accepting)}, &canary) {
+		t.Error("whether there is another version")
+	}
+	if r.retire(time.Second+r.durations.Retirement) || r.eligibility(&delivered, "v1") != rollout.Finishes {
+		t.Error("the old version is used before it has retired")
+	}
+	if !r.retire(2*time.Second+r.durations.Retirement) || r.eligibility(&delivered, "v1") != rollout.Serves {
+		t.Error("servers that come long after a delivery get nothing")
+	}
+	if r.stale = true; r.eligibility(&canary, "v2") != rollout.Serves || r.eligibility(&canary, "v1") != rollout.Serves {
+		t.Error("a sidecar that may have missed the end of a canary keeps to one version")
+	}
+}
+
+// The last hop counts what says something of the version, and begins anew with another rollout.
+func TestTrialCountsWhatTellsOfTheVersion(t *testing.T) {
+	var counted trial
+	counted.record(1, core.Result{Outcome: balance.Failed}, time.Second, false)
+	if len(counted.classes) != 0 {
+		t.Error("it counts without a rollout")
+	}
+	counted.order = 4
+	for outcome, warmingUp := range map[balance.Result]bool{
+		balance.OK: false, balance.Failed: true, balance.Reset: false, balance.TimedOut: false,
+		balance.Rejected: false, balance.ConnectFailed: false, balance.NotSent: false, balance.Cancelled: false,
+	} {
+		counted.record(1, core.Result{Outcome: outcome}, 100*time.Millisecond, warmingUp)
+	}
+	counted.record(1, core.Result{Outcome: balance.OK}, time.Second, true)
+	if s := counted.classes[0]; len(counted.classes) != 1 || s.Requests != 4 || s.Failures != 2 {
+		t.Errorf("%+v", counted.classes)
+	}
+	for class := range uint32(2 * maxTrialClasses) {
+		counted.record(class, core.Result{Outcome: balance.OK}, time.Second, false)
+	}
+	if len(counted.classes) != maxTrialClasses {
+		t.Errorf("%d classes", len(counted.classes))
+	}
+}
--- a/mesh/directory/directory_test.go
+++ b/mesh/directory/directory_test.go
@@ -112,3 +112,25 @@
 		t.Error("a known machine is refused")
 	}
 }
+
+// Evidence of rollouts goes with its incarnation, the latest counts, and nobody is updated because of it.
+func TestEvidenceIsNoChangeOfAnEntry(t *testing.T) {
+	d := New()
+	d.Merge(Entry{Node: "a", Incarnation: 2, Sequence: 1}, 0)
+	revision := d.Revision()
+	d.RecordEvidence("a", 2, 5*time.Second, Evidence{Confirmed: 7})
+	d.RecordEvidence("a", 2, 4*time.Second, Evidence{Confirmed: 6})
+	d.RecordEvidence("a", 1, 6*time.Second, Evidence{Confirmed: 9})
+	d.RecordEvidence("unknown", 1, 6*time.Second, Evidence{Confirmed: 9})
+	if e, _ := d.Get("a"); e.Evidence.Confirmed != 7 || d.Revision() != revision {
+		t.Errorf("%+v, revision %d", e.Evidence, d.Revision())
+	}
+	d.Merge(Entry{Node: "a", Incarnation: 2, Sequence: 2}, 0)
+	if e, _ := d.Get("a"); e.Evidence.Confirmed != 7 {
+		t.Error("an announcement loses the evidence")
+	}
+	d.Merge(Entry{Node: "a", Incarnation: 3, Sequence: 1}, 0)
+	if e, _ := d.Get("a"); e.Evidence.Confirmed != 0 {
+		t.Error("a new incarnation inherits what the one before has confirmed")
+	}
+}
--- a/mesh/dissemination/publisher_test.go
+++ b/mesh/dissemination/publisher_test.go
@@ -8,6 +8,7 @@
 
 	"firplank/mesh/delta"
 	"firplank/mesh/directory"
+	"firplank/mesh/rollout"
 )
 
 // describe shows an update in the log of a test: time, version, full text or the bases of deltas, number of entries.
@@ -235,3 +236,45 @@
 		t.Error("applied to another version")
 	}
 }
+
+// Entries of servers of a new version never come ahead of their rollout, which doesn't wait for an acknowledgement either.
+func TestRolloutsComeAheadOfNewServers(t *testing.T) {
+	p := NewPublisher(durations)
+	p.SetConfig(1, []byte("text"), nil, 0)
+	p.Subscribe(1, 0, 0)
+	if pushed, _ := p.Tick(0); len(pushed) != 1 || pushed[0].Nonce == 0 || pushed[0].Rollouts != nil {
+		t.Fatalf("%+v", pushed)
+	}
+	p.SetRollouts(rollout.Set{Revision: 2, Rollouts: []rollout.Rollout{{Service: "one", Target: "v2", Order: 1, Stage: rollout.Canary}}})
+	p.Directory.Merge(directory.Entry{Node: "n1", Incarnation: 1, Sequence: 1, Version: "v2"}, 0)
+	p.Tick(time.Millisecond) // notices the change, which waits for further ones
+	pushed, _ := p.Tick(time.Millisecond + batchDelay)
+	if len(pushed) != 1 || pushed[0].Rollouts == nil || pushed[0].Rollouts.Revision != 2 || len(pushed[0].Entries) != 0 {
+		t.Fatalf("while an acknowledgement is awaited: %+v", pushed)
+	}
+	p.HandleAck(1, Ack{Nonce: 1, Version: 1}, 20*time.Millisecond)
+	p.Subscribe(2, 0, 20*time.Millisecond)
+	for now := 20 * time.Millisecond; now < time.Second; now += 5 * time.Millisecond {
+		pushed, _ := p.Tick(now)
+		for _, u := range pushed {
+			if u.SubscriberID == 2 && len(u.Entries) > 0 && u.Rollouts == nil {
+				t.Fatal("a new subscriber gets entries without rollouts")
+			}
+			if u.SubscriberID == 1 && u.Rollouts != nil {
+				t.Fatal("the same rollouts are pushed again")
+			}
+		}
+		if len(pushed) > 0 {
+			return
+		}
+	}
+	t.Fatal("nothing is pushed")
+}
+
+func TestOlderRolloutsReplaceNothing(t *testing.T) {
+	p := NewPublisher(durations)
+	if !p.SetRollouts(rollout.Set{Revision: 3}) || p.SetRollouts(rollout.Set{Revision: 3}) || p.SetRollouts(rollout.Set{Revision: 2}) ||
+		p.Rollouts.Revision != 3 {
+		t.Errorf("revision %d", p.Rollouts.Revision)
+	}
+}
