A slow connection between control machines is given time

Cause: the silence that counts was the same for a peer that had been seen and for one over whose connection nothing has come. Class: a time-out that doesn't adapt while it keeps an exchange from ever beginning. Change: until the peer is seen the silence that is allowed doubles with each connection that was mute, three times at most.

--- a/mesh/controlplane/peers/peers.go
+++ b/mesh/controlplane/peers/peers.go
@@ -23,6 +23,8 @@
 	MaxPeers = 64
 	// Retention is how long after its last contact a machine is still listed in hellos.
 	Retention = 30 * time.Second
+	// maxSilenceDoublings bounds how often the silence doubles that is allowed to connections over which nothing has come yet.
+	maxSilenceDoublings = 3
 )
 
 // Peer is another control machine and the connection to it, of type C, whose zero value stands for none. Received messages come over the
@@ -35,6 +37,8 @@
 	// Revision is that of the directory which the peer has been sent over Conn.
 	Revision      uint64
 	connChangedAt time.Duration
+	// mute is how many connections in a row have ended, or were replaced, before the peer was seen.
+	mute int
 }
 
 // Connected reports whether there is a connection to the peer.
@@ -86,9 +90,27 @@
 // SetConn records that the connection to a peer was made, or with the zero value lost.
 func (t *Table[C]) SetConn(addr string, conn C, now time.Duration) {
 	p := t.peers[addr]
+	if p.Connected() {
+		p.mute++
+	}
+	if p.seenSinceConnected() {
+		p.mute = 0
+	}
 	p.Conn, p.Revision, p.connChangedAt = conn, 0, now
 }
 
+// seenSinceConnected reports whether the peer was alive after its connection was made or lost last.
+func (p *Peer[C]) seenSinceConnected() bool { return p.LastSeen > p.connChangedAt }
+
+// allowedSilence is how long a peer may be silent. Until it is seen that doubles with each connection that was mute: one that is slow would
+// be made anew for ever, each time before its first message.
+func (p *Peer[C]) allowedSilence(timeout time.Duration) time.Duration {
+	if p.seenSinceConnected() {
+		return timeout
+	}
+	return timeout << min(p.mute, maxSilenceDoublings)
+}
+
 // Seen returns the addresses of the peers that were ever seen, in order.
 func (t *Table[C]) Seen() (addrs []string) {
 	for _, p := range t.All() {
@@ -112,12 +134,12 @@
 	return known
 }
 
-// Silent returns the peers whose connection stands while they have been silent for longer than timeout. Their
+// Silent returns the peers whose connection stands while they have been silent for longer than timeout (allowedSilence). Their
 // connections are to be closed and made anew: that succeeds at once where the machine is up, even if its process stands
 // still, and fails long before TCP would notice.
 func (t *Table[C]) Silent(now, timeout time.Duration) (silent []*Peer[C]) {
 	for _, p := range t.All() {
-		if p.Connected() && now-max(p.LastSeen, p.connChangedAt) > timeout {
+		if p.Connected() && now-max(p.LastSeen, p.connChangedAt) > p.allowedSilence(timeout) {
 			silent = append(silent, p)
 		}
 	}
