Requests are routed by their path as it was sent

Cause: both hops matched the decoded path, while servers get the path as it was sent. Class: two readings of one text. Change: routePath takes the target up to its query, at both hops. Prefixes with an encoded character match now, too.

--- a/mesh/dataplane/headers.go
+++ b/mesh/dataplane/headers.go
@@ -187,3 +187,12 @@
 		AcceptsStream: true,
 	}
 }
+
+// routePath is the path by which a request is routed: as it was sent, as servers get it too. An encoded slash is no slash (RFC 3986, 2.2).
+func routePath(r *httpfront.Request) string {
+	path, _, _ := strings.Cut(r.Target, "?")
+	if path == "" {
+		return r.Path
+	}
+	return path
+}
--- a/mesh/dataplane/incoming.go
+++ b/mesh/dataplane/incoming.go
@@ -43,7 +43,7 @@
 	c.Message = messageOf(r, body, c.Message.Stream)
 	c.Message.Object = serverID
 	if cfg := d.config.Load(); cfg != nil {
-		if route := cfg.Match(r.Host, r.Path); route != nil {
+		if route := cfg.Match(r.Host, routePath(r)); route != nil {
 			c.Message.Safe = route.Idempotent()
 			c.Request.Key = uint64(routeClass(route))
 			if route.Kind == config.Download {
@@ -70,7 +70,7 @@
 	if cfg == nil || err != nil || uint32(version) >= cfg.Version {
 		return false
 	}
-	route := cfg.Match(r.Host, r.Path)
+	route := cfg.Match(r.Host, routePath(r))
 	return route == nil || !route.Allows(*d.service.Load())
 }
 
--- a/mesh/dataplane/outgoing.go
+++ b/mesh/dataplane/outgoing.go
@@ -38,7 +38,7 @@
 	if r.Method == http.MethodHead || r.Method == http.MethodConnect {
 		return nil, httpfront.BadRequest(http.StatusNotImplemented, "the method is not carried")
 	}
-	route := cfg.Match(r.Host, r.Path)
+	route := cfg.Match(r.Host, routePath(r))
 	if route == nil {
 		return ownAnswer(http.StatusNotFound, "", "no route", 0), nil
 	}
