A configuration with something behind it is refused

Cause: json.Decoder.More tells whether an array or object goes on, and is false before a closing bracket. Class: a check by a function that answers another question. Change: config.Parse wants the end of the text after the configuration.

--- a/mesh/config/config.go
+++ b/mesh/config/config.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"iter"
 	"strconv"
 	"strings"
@@ -39,7 +40,7 @@
 	if err := decoder.Decode(doc); err != nil {
 		return nil, syntaxError(text, err)
 	}
-	if decoder.More() {
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
 		return nil, &SyntaxError{Line: lineAt(text, decoder.InputOffset()), Err: errors.New("something follows the configuration")}
 	}
 	version, err := strconv.ParseUint(doc.Version, 16, 32)
--- a/mesh/config/config_test.go
+++ b/mesh/config/config_test.go
@@ -203,3 +203,14 @@
 		t.Error("one more than the bound is taken")
 	}
 }
+
+func TestSomethingBehindAConfigurationIsRefused(t *testing.T) {
+	const good = `{"edition":"00000001","gates":[],"fleets":[]}`
+	for text, want := range map[string]bool{
+		good: true, good + " \n": true, good + "}": false, good + "]" + good: false, good + "} " + good: false, good + good: false, good + "x": false,
+	} {
+		if _, err := Parse([]byte(text)); (err == nil) != want {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+}
