Long bodies have their whole time at the last hop

Cause: the first hop counts the time of a request whose body is still coming from its last byte (Message.Remaining), the last hop left that field at 0. Class: a contract of a shared part that one of its two users does not keep. Change: the last hop sets Remaining, and bounds the attempt by core.MaxUpload until the body has come, as the first hop does.

--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -86,7 +86,7 @@
 	if r == nil {
 		return
 	}
-	deadline := min(r.deadline, l.now+maxUploadMillis)
+	deadline := min(r.deadline, l.now+float64(MaxUpload/time.Millisecond))
 	if action.At > 0 {
 		deadline = min(deadline, action.At)
 	}
--- a/internal/core/loop.go
+++ b/internal/core/loop.go
@@ -15,10 +15,12 @@
 	"firplank/report"
 )
 
+// MaxUpload bounds an attempt whose body is still being received.
+const MaxUpload = 15 * time.Minute
+
 const (
-	maxUploadMillis = 15 * 60 * 1000 // bounds an attempt whose body is still being received
-	maxSleepMillis  = 60 * 60 * 1000 // bounds the time between two looks at the timers
-	inboxSize       = 1024           // events that wait for the loop before their senders block
+	maxSleepMillis = 60 * 60 * 1000 // bounds the time between two looks at the timers
+	inboxSize      = 1024           // events that wait for the loop before their senders block
 )
 
 // Config holds the settings of an exchange and what it works with.
--- a/mesh/dataplane/lasthop.go
+++ b/mesh/dataplane/lasthop.go
@@ -111,7 +111,11 @@
 		return l.rejection(d)
 	}
 	l.checkBegin(now, c, t)
-	cut := c.Received.Add(time.Duration(c.Request.Remaining * float64(time.Millisecond)))
+	remaining := time.Duration(c.Request.Remaining * float64(time.Millisecond))
+	cut := c.Received.Add(remaining)
+	if c.Message.Stream != nil { // its time counts from its last byte
+		c.Message.Remaining, cut = remaining, c.Received.Add(core.MaxUpload)
+	}
 	t.attempt = core.NewAttempt(l.server, &c.Message, cut, func(r core.Result) { l.finish(c, t, r) })
 	c.State.Store(t)
 	l.running[t] = struct{}{}
--- a/mesh/dataplane/lasthop_test.go
+++ b/mesh/dataplane/lasthop_test.go
@@ -9,6 +9,7 @@
 	kitlog "github.com/go-kit/log"
 
 	"firplank/balance"
+	"firplank/internal/bodypipe"
 	"firplank/internal/core"
 	"firplank/mesh/admission"
 	"firplank/mesh/attempts"
@@ -85,3 +86,18 @@
 	step("asked of that", arrive(queryHeader, "s.4.6"), attempts.Indeterminate, 2)
 	step("a question about nothing", arrive(queryHeader, "nonsense"), attempts.Indeterminate, 2)
 }
+
+// A long body is handed on while it comes, and the time of its request counts from its last byte, at the last hop as at the first one.
+func TestLongBodyHasItsWholeTimeAtTheServer(t *testing.T) {
+	server := &held{}
+	l, _ := lastHopWith(server)
+	l.Submit(&core.Call{Client: &asked{}, Received: time.Now(), Request: balance.Request{Remaining: 1000},
+		Message: core.Message{Trace: "x", Object: "i1", Meta: header("Try-Id", "x"), Stream: bodypipe.New(100 << 10)}})
+	if len(server.begun) != 1 {
+		t.Fatalf("%d begun", len(server.begun))
+	}
+	a := server.begun[0]
+	if a.Message.Remaining != time.Second || time.Until(a.Deadline) < 10*time.Second {
+		t.Errorf("%v from the last byte, all of it within %v", a.Message.Remaining, time.Until(a.Deadline))
+	}
+}
