An answer that ends with its connection arrives whole

Cause: endless() asked the header for "Connection: close", which the standard library takes off while it parses; so the body counted as one whose end nobody can wait for, and of all but a 200 the head alone was passed on. Class: a check of what a library has removed. Change: whether a head says close is read from its bytes, on both upstreams; a success that nobody says will end is no answer, whatever its status (as a 200 was before).

--- a/internal/upstream/http/answer.go
+++ b/internal/upstream/http/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -67,6 +68,7 @@
 func (r answerReader) head(method string, most int64) (*http.Response, error) {
 	r.allowance.left = maxAnswerHead
 	for {
+		closes := saysClose(r.peekHead())
 		resp, err := http.ReadResponse(r.Reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, err
@@ -77,8 +79,10 @@
 		if resp.ContentLength > most {
 			return nil, fmt.Errorf("%w: it announces %d bytes", errHuge, resp.ContentLength)
 		}
-		if headOf(resp).endless() {
-			if resp.StatusCode == http.StatusOK {
+		h := headOf(resp)
+		h.closes = closes
+		if h.endless() {
+			if h.success() {
 				return nil, errUnframed
 			}
 			resp.Close, resp.Body = true, http.NoBody // its head tells all that is asked of it
@@ -89,6 +93,21 @@
 	}
 }
 
+// peekHead waits for the head of an answer and returns it, as far as the reader's buffer holds it.
+func (r answerReader) peekHead() []byte {
+	for {
+		b, _ := r.Peek(r.Buffered()) // what is buffered is there
+		for _, end := range [...]string{"\n\r\n", "\n\n"} {
+			if at := bytes.Index(b, []byte(end)); at >= 0 {
+				return b[:at+len(end)]
+			}
+		}
+		if _, err := r.Peek(len(b) + 1); err != nil {
+			return nil
+		}
+	}
+}
+
 // whole reads a body that is held whole.
 func (r answerReader) whole(resp *http.Response) ([]byte, error) {
 	r.allowance.left = min(r.allowance.left, maxFraming*httpwire.MaxBufferedBody)
--- a/internal/upstream/http/pairing_test.go
+++ b/internal/upstream/http/pairing_test.go
@@ -112,3 +112,25 @@
 		}
 	}
 }
+
+func TestSuccessThatEndsWithItsConnectionIsWhole(t *testing.T) {
+	for _, c := range []struct {
+		name, text string
+		eof        bool
+		body       string // empty: it is no answer
+		waits      bool
+	}{
+		{"it ends", "HTTP/1.1 201 Created\r\nTry-Id: mine\r\nConnection: close\r\n\r\nmine", true, "mine", false},
+		{"it goes on", "HTTP/1.1 201 Created\r\nTry-Id: mine\r\nConnection: close\r\n\r\nmi", false, "", true},
+		{"nobody says that it ends", "HTTP/1.1 201 Created\r\nTry-Id: mine\r\n\r\nmine", true, "", false},
+	} {
+		in := &incoming{}
+		whole, err := in.next([]byte(c.text), c.eof)
+		if whole != (c.body != "") || (err == nil) != (whole || c.waits) {
+			t.Errorf("%s: whole %v, %v", c.name, whole, err)
+		}
+		if whole && c.text[in.from:] != c.body {
+			t.Errorf("%s: %q", c.name, c.text[in.from:])
+		}
+	}
+}
--- a/internal/upstream/http/scan.go
+++ b/internal/upstream/http/scan.go
@@ -5,9 +5,12 @@
 	"bytes"
 	"errors"
 	"net/http"
+	"net/textproto"
 	"strconv"
 	"strings"
 
+	"golang.org/x/net/http/httpguts"
+
 	"firplank/internal/httpwire"
 )
 
@@ -18,6 +21,7 @@
 	length  int64 // of the body; -1: chunks, or the connection's end, tell
 	chunked bool
 	last    bool // the server closes after it
+	closes  bool // the server has said that it will
 	old     bool // it is of HTTP/1.0, where the connection's end may be the answer's
 }
 
@@ -40,7 +44,16 @@
 		return nil, err
 	}
 	_ = resp.Body.Close() // the body has been read, or is not wanted
-	return headOf(resp), nil
+	h := headOf(resp)
+	h.closes = saysClose(b)
+	return h, nil
+}
+
+// saysClose reports whether a head has "Connection: close", which the standard library takes off.
+func saysClose(head []byte) bool {
+	_, fields, _ := bytes.Cut(head, []byte("\n"))
+	header, err := textproto.NewReader(bufio.NewReader(bytes.NewReader(fields))).ReadMIMEHeader()
+	return err == nil && httpguts.HeaderValuesContainsToken(header["Connection"], "close")
 }
 
 // plainHead takes apart a head of HTTP/1.1 whose lines end in CR LF, with one length or chunked, and nothing unusual; else
@@ -94,9 +107,12 @@
 // endless reports whether a body goes on until the connection ends although the server did not say that it would end it:
 // nobody may wait for that.
 func (h *answerHead) endless() bool {
-	return h.length < 0 && !h.chunked && !h.old && !strings.EqualFold(h.header.Get("Connection"), "close")
+	return h.length < 0 && !h.chunked && !h.old && !h.closes
 }
 
+// success reports whether the body counts, and not the head alone.
+func (h *answerHead) success() bool { return h.status >= 200 && h.status < 300 }
+
 // incoming is an answer that comes piece by piece. Its bytes are kept by who reads them, from the first on.
 type incoming struct {
 	head   *answerHead // nil until it is whole
@@ -129,7 +145,7 @@
 		}
 		in.head = h
 		if h.endless() {
-			if h.status == http.StatusOK {
+			if h.success() {
 				return false, errUnframed
 			}
 			in.short, h.last = true, true // its head tells all that is asked of it
