--- a/lab/mesh/rollout_test.go
+++ b/lab/mesh/rollout_test.go
@@ -114,8 +114,8 @@
 	must(r.t, Await(20*time.Second, "the rollout is "+want, func() bool { return r.Core[2].ReadRollout("registry") == want }))
 }
 
-// Old servers are stopped the moment that the rollout is delivered: no request is lost by it, none runs twice, and none comes to them. A control
-// machine is killed and comes back meanwhile.
+// Old servers are stopped the moment that the rollout is delivered: no request is lost by it, none runs twice, and none comes to them. A
+// control machine is killed and comes back meanwhile.
 func TestOldServersMayStopOnDelivered(t *testing.T) {
 	r := newRolloutTest(t, 61, 6, Behaviour{})
 	r.Core[0].Kill()
