--- a/lab/mesh/rollout_test.go
+++ b/lab/mesh/rollout_test.go
@@ -117,7 +117,7 @@
 // Old servers are stopped the moment that the rollout is delivered: no request is lost by it, none runs twice, and none comes to them. A
 // control machine is killed and comes back meanwhile.
 func TestOldServersMayStopOnDelivered(t *testing.T) {
-	r := newRolloutTest(t, 61, 6, Behaviour{})
+	r := newRolloutTest(t, 53, 6, Behaviour{})
 	r.Core[0].Kill()
 	must(t, r.Core[0].Start(false))
 	r.awaitCondition("delivered")
@@ -138,7 +138,7 @@
 
 // A version that fails half of its requests is recalled before it had a tenth of them, and gets none after.
 func TestBadVersionIsRecalledWithinItsExposure(t *testing.T) {
-	r := newRolloutTest(t, 62, 20, Behaviour{Fail: 0.5})
+	r := newRolloutTest(t, 54, 20, Behaviour{Fail: 0.5})
 	r.awaitCondition("recalled")
 	time.Sleep(time.Second) // the way down the tree
 	atRecall, requests := r.arrivals("v2"), r.requests.Load()
--- a/lab/scale/traffic.go
+++ b/lab/scale/traffic.go
@@ -1,6 +1,8 @@
 package scale
 
 import (
+	"slices"
+
 	"firplank/mesh/codec"
 	"firplank/mesh/wire"
 )
@@ -99,12 +101,29 @@
 	if len(f.Entries) == 0 && f.Kind != wire.Update { // updates always have a list of entries
 		f.Entries = nil
 	}
+	if len(f.Rollouts) == 0 {
+		f.Rollouts = nil
+	}
+	f.Entries = normalizeEntries(f.Entries)
 	if f.Value != nil { // of an update, which has a text alone
 		f.Value = &wire.ValueT{Version: f.Value.Version, Body: f.Value.Body}
 	}
 	return &f
 }
 
+// normalizeEntries is the same for entries, of which those without statistics have none.
+func normalizeEntries(entries []*wire.EntryT) []*wire.EntryT {
+	normal := slices.Clone(entries)
+	for i, e := range normal {
+		if e.Statistics != nil && len(e.Statistics) == 0 {
+			without := *e
+			without.Statistics = nil
+			normal[i] = &without
+		}
+	}
+	return normal
+}
+
 func encoded(f *wire.FrameT) int64 { return int64(len(wire.Encode(f))) }
 
 // entries is what entries add to a bare frame: the first of them, with a table of its fields, and each further one,
