Explorer of rollouts, and a bound that it found to be closed

Cause: nothing but tests of single parts and real processes stood behind "delivered means that nobody sends to the old version". Change: lab/explore/rollouts with eight planted defects, firplank-lab explore rollouts; rollout.Controller decides only after HoldUp, not at it.

--- a/cmd/firplank-lab/explore.go
+++ b/cmd/firplank-lab/explore.go
@@ -11,6 +11,7 @@
 	"firplank/lab/explore/lease"
 	"firplank/lab/explore/lists"
 	"firplank/lab/explore/register"
+	"firplank/lab/explore/rollouts"
 	"firplank/lab/explore/talk"
 )
 
@@ -22,6 +23,7 @@
 	Cutoff   exploreCutoffCommand   `cmd:"" help:"${cutoffHelp}"`
 	Members  exploreMembersCommand  `cmd:"" help:"${membersHelp}"`
 	Calls    exploreCallsCommand    `cmd:"" help:"${callsHelp}"`
+	Rollouts exploreRolloutsCommand `cmd:"" help:"Explore rollouts of versions, under cuts and restarts."`
 	Catchup  exploreCatchupCommand  `cmd:"" help:"${catchupHelp}"`
 	Roster   exploreRosterCommand   `cmd:"" help:"${rosterHelp}"`
 }
@@ -128,6 +130,35 @@
 		explore.Random(lease.Start(lease.DefaultBounds, nil), c.Seed, c.Runs, c.Deep))
 }
 
+type exploreRolloutsCommand struct {
+	Runs int    `help:"Orders drawn at random." default:"20000"`
+	Deep int    `help:"Choices in each of them." default:"40"`
+	Seed uint64 `help:"Of the orders." default:"1"`
+	defectsFlag
+}
+
+func (c *exploreRolloutsCommand) Run(_ context.Context, out io.Writer) error {
+	printer := output.New(out)
+	if c.Defects {
+		missed := 0
+		for i := range rollouts.Defects {
+			d := &rollouts.Defects[i]
+			seed := c.Seed
+			if d.Seed > 0 {
+				seed = d.Seed
+			}
+			missed += found(printer, d.Name, explore.Random(rollouts.Start(rollouts.DefaultBounds, d), seed, c.Runs, c.Deep))
+		}
+		return missing(printer, missed)
+	}
+	result := explore.Random(rollouts.Start(rollouts.DefaultBounds, nil), c.Seed, c.Runs, c.Deep)
+	printer.Println("orders:", result)
+	if result.Breach != nil {
+		return errExplored
+	}
+	return printer.Err()
+}
+
 func (c *exploreFleetCommand) Run(_ context.Context, out io.Writer) error {
 	printer := output.New(out)
 	deep := talk.Bounds{Members: c.Members, Faults: 10 * c.Faults}
--- /dev/null
+++ b/lab/explore/rollouts/choices.go
@@ -0,0 +1,69 @@
+package rollouts
+
+import (
+	"fmt"
+
+	"firplank/lab/explore"
+	"firplank/mesh/rollout"
+)
+
+// manySteps pass at once in a choice.
+const manySteps = 8
+
+// Choices implements explore.System.
+func (w *world) Choices() []string {
+	w.choices = w.choices[:0]
+	w.offer(w.pass, "time passes")
+	w.offer(func() {
+		for range manySteps {
+			w.pass()
+		}
+	}, "%v pass", manySteps*step)
+	for i, s := range w.sidecars {
+		w.offer(func() { w.tell(s, w.controls[0].set) }, "sidecar %d is told", i)
+		w.offer(func() { s.long = true }, "the next request of sidecar %d is a long one", i)
+	}
+	for i, c := range w.controls {
+		w.offer(func() { c.set = w.committed }, "control machine %d learns what is committed", i)
+	}
+	if w.faults < w.bounds.Faults {
+		w.offerFaults()
+	}
+	return explore.Names(w.choices)
+}
+
+// offerFaults offers cuts, restarts, late updates, another leader and a bad version.
+func (w *world) offerFaults() {
+	for i, s := range w.sidecars {
+		w.offerFault(func() { s.cut = !s.cut }, "sidecar %d is cut off, or joined again", i)
+		w.offerFault(func() { w.restart(i) }, "sidecar %d is killed and starts at once", i)
+	}
+	for i := range w.controls {
+		w.offerFault(func() { w.controls[i] = w.newControl(w.now) }, "control machine %d is killed and starts at once", i)
+	}
+	w.offerFault(func() { w.delayed = !w.delayed }, "updates are late, or no longer")
+	w.offerFault(func() { w.leader = (w.leader + 1) % len(w.controls) }, "another control machine holds the lease")
+	w.offerFault(func() { w.bad = true }, "the new version turns bad")
+}
+
+// restart starts a sidecar's process anew: it has confirmed nothing, serves once it has been told, and its requests have ended with it.
+func (w *world) restart(i int) {
+	s := w.sidecars[i]
+	s.set, s.ready, s.confirmed, s.atOld, s.long = rollout.Set{}, w.defect.servesUntold, 0, nil, false
+	if w.defect.evidenceOutlives {
+		s.confirmed = w.committed.Revision
+	}
+}
+
+func (w *world) offer(do func(), format string, args ...any) {
+	name := fmt.Sprintf("%5.2f s  ", w.now.Seconds()) + fmt.Sprintf(format, args...)
+	w.choices = append(w.choices, explore.Choice{Name: name, Do: do})
+}
+
+// offerFault adds a choice that counts as a fault.
+func (w *world) offerFault(do func(), format string, args ...any) {
+	w.offer(func() {
+		w.faults++
+		do()
+	}, format, args...)
+}
--- /dev/null
+++ b/lab/explore/rollouts/rollouts_test.go
@@ -0,0 +1,33 @@
+package rollouts
+
+import (
+	"testing"
+
+	"firplank/lab/explore"
+)
+
+// depth is how many choices an order has: a term and more, as some of them are of many steps.
+const depth = 40
+
+func TestDeliveredMeansThatNobodySendsToTheOldVersion(t *testing.T) {
+	if r := explore.Random(Start(DefaultBounds, nil), 1, 1500, depth); r.Breach != nil {
+		t.Error(r)
+	} else {
+		t.Log(r)
+	}
+}
+
+// A search that finds nothing has to be one that would.
+func TestPlantedDefectsAreFound(t *testing.T) {
+	for i := range Defects {
+		seed, orders := uint64(1), 1500
+		if Defects[i].Seed > 0 {
+			seed, orders = Defects[i].Seed, 1
+		}
+		if r := explore.Random(Start(DefaultBounds, &Defects[i]), seed, orders, depth); r.Breach == nil {
+			t.Errorf("%s: not found in %d steps", Defects[i].Name, r.Steps)
+		} else {
+			t.Logf("%s: after %d steps: %v", Defects[i].Name, r.Steps, r.Breach)
+		}
+	}
+}
--- a/mesh/rollout/controller.go
+++ b/mesh/rollout/controller.go
@@ -116,7 +116,7 @@
 	switch {
 	case verdict.Bad:
 		return Recalled, verdict.Reason
-	case !v.Leader || now < c.durations.HoldUp: // until then this process may not know all machines yet
+	case !v.Leader || now <= c.durations.HoldUp: // until then this process may not know all machines yet
 		return 0, ""
 	case elapsed > giveUpAfter*r.Term:
 		return Recalled, fmt.Sprintf("not delivered in %v; %s", elapsed.Round(time.Second), verdict.Reason)
