--- a/mesh/rollout/curve_test.go
+++ b/mesh/rollout/curve_test.go
@@ -56,8 +56,8 @@
 	return 0
 }
 
-// What hits both versions is taken for a bad one less often than once in a thousand; what is bad is found by half of the 50 bad answers that
-// the rule allows, but for a version that is slow by 3, which is found within the canary.
+// What hits both versions is taken for a bad one less often than once in a thousand; what is bad is found by half of the 50 bad answers
+// that the rule allows, but for a version that is slow by 3, which is found within the canary.
 func TestOperatingCurve(t *testing.T) {
 	sound := trafficModel{failures: 0.004, slowTimes: 1}
 	ailing := trafficModel{failures: 0.05, slowShare: 0.2, slowTimes: 5}
