--- a/cmd/firplankctl/rollout.go
+++ b/cmd/firplankctl/rollout.go
@@ -80,14 +80,10 @@
 
 // Run prints the rollouts, as one control machine sees them.
 func (c *rolloutStatusCommand) Run(out io.Writer) error {
-	body, err := newClient(c.ControlAddr).get(api.StatusPath, maxStatusBytes)
+	status, err := readStatus(c.ControlAddr)
 	if err != nil {
 		return err
 	}
-	var status api.ControlStatus
-	if err := json.Unmarshal(body, &status); err != nil {
-		return errors.Wrap(err, "the status")
-	}
 	printer := output.New(out)
 	for i := range status.Rollouts {
 		printRollout(printer, &status.Rollouts[i])
--- a/cmd/firplankctl/status.go
+++ b/cmd/firplankctl/status.go
@@ -21,15 +21,11 @@
 
 // Run prints the status of the control plane, as one control machine sees it.
 func (c *statusCommand) Run(out io.Writer) error {
-	body, err := newClient(c.ControlAddr).get(api.StatusPath, maxStatusBytes)
+	status, err := readStatus(c.ControlAddr)
 	if err != nil {
 		return err
 	}
-	var status api.ControlStatus
-	if err := json.Unmarshal(body, &status); err != nil {
-		return errors.Wrap(err, "the status")
-	}
-	if err := printStatus(out, &status); err != nil {
+	if err := printStatus(out, status); err != nil {
 		return err
 	}
 	if c.Full && !status.FullyReplicated {
@@ -38,6 +34,19 @@
 	return nil
 }
 
+// readStatus reads the status of the control plane at a control machine.
+func readStatus(controlAddr string) (*api.ControlStatus, error) {
+	body, err := newClient(controlAddr).get(api.StatusPath, maxStatusBytes)
+	if err != nil {
+		return nil, err
+	}
+	status := &api.ControlStatus{}
+	if err := json.Unmarshal(body, status); err != nil {
+		return nil, errors.Wrap(err, "the status")
+	}
+	return status, nil
+}
+
 func printStatus(out io.Writer, s *api.ControlStatus) error {
 	printer := output.New(out)
 	printer.Printf("as %s knows it: version %08x, written in round %s\n", s.Self, s.Version, s.Ballot)
--- a/lab/explore/rollouts/choices.go
+++ b/lab/explore/rollouts/choices.go
@@ -20,7 +20,7 @@
 		}
 	}, "%v pass", manySteps*step)
 	for i, s := range w.sidecars {
-		w.offer(func() { w.tell(s, w.controls[0].set) }, "sidecar %d is told", i)
+		w.offer(func() { w.tell(s, w.controls[0].set) }, "sidecar %d is updated", i)
 		w.offer(func() { s.long = true }, "the next request of sidecar %d is a long one", i)
 	}
 	for i, c := range w.controls {
@@ -46,7 +46,7 @@
 	w.offerFault(func() { w.bad = true }, "the new version turns bad")
 }
 
-// restart starts a sidecar's process anew: it has confirmed nothing, serves once it has been told, and its requests have ended with it.
+// restart starts a sidecar's process anew: it has confirmed nothing, serves once it has been updated, and its requests have ended with it.
 func (w *world) restart(i int) {
 	s := w.sidecars[i]
 	s.set, s.ready, s.confirmed, s.atOld, s.long = rollout.Set{}, w.defect.servesUntold, 0, nil, false
--- a/lab/explore/rollouts/defects.go
+++ b/lab/explore/rollouts/defects.go
@@ -29,7 +29,7 @@
 // Defects are those that a search must find.
 var Defects = []Defect{
 	{Name: "a sidecar confirms with requests in flight", Seed: 109, confirmsBusy: true},
-	{Name: "a sidecar confirms what it was not told yet", Seed: 238, confirmsUnseen: true},
+	{Name: "a sidecar confirms what it has not received yet", Seed: 238, confirmsUnseen: true},
 	{Name: "a lost sidecar holds nothing up", Seed: 343, lostIsGone: true},
 	{Name: "a control machine that has just started decides at once", Seed: 154, knowsAllAtStart: true},
 	{Name: "a restarted sidecar serves before it knows the rollouts", Seed: 5034, servesUntold: true, evidenceOutlives: true},
--- a/lab/explore/rollouts/world.go
+++ b/lab/explore/rollouts/world.go
@@ -1,5 +1,5 @@
-// Package rollouts explores package mesh/rollout: sidecars that send by what they were told, control machines that decide on what sidecars
-// have reported, and a register between them, under cuts, restarts, late updates, long requests and a version that turns bad. It checks
+// Package rollouts explores package mesh/rollout: sidecars that send by the updates that they have, control machines that decide on what
+// sidecars have reported, and a register between them, under cuts, restarts, late updates, long requests and a version that turns bad. It checks
 // that nobody in contact sends to the old version once a rollout is delivered, that nothing is held there then, that the canary never gets
 // more than its share, and that a rollout has one outcome. The register is taken for linearizable: lab/explore/register explores that.
 //
@@ -53,7 +53,7 @@
 	contactAt time.Duration
 	split     rollout.Split
 	confirmed uint32
-	untold    bool            // it was out of contact for long as the rollout was delivered, and was not told since
+	behind    bool            // it was out of contact for long as the rollout was delivered, and has had no update since
 	atOld     []time.Duration // ends of its requests at servers of the old version
 	long      bool            // its next request is a long one
 
@@ -224,7 +224,7 @@
 
 // runAtOld runs a request of a sidecar at a server of the old version. Once a rollout is delivered there is none.
 func (w *world) runAtOld(s *sidecar) {
-	if w.deliveredAt > 0 && !s.untold && w.broken == nil {
+	if w.deliveredAt > 0 && !s.behind && w.broken == nil {
 		w.broken = fmt.Errorf("%v after the delivery a sidecar in contact sends to the old version", w.now-w.deliveredAt)
 	}
 	took := shortRequest
@@ -330,8 +330,8 @@
 	}
 	w.deliveredAt = w.now
 	for _, s := range w.sidecars {
-		s.untold = s.cut && w.now-s.contactAt > durations.HoldUp
-		if len(s.atOld) > 0 && !s.untold && w.broken == nil {
+		s.behind = s.cut && w.now-s.contactAt > durations.HoldUp
+		if len(s.atOld) > 0 && !s.behind && w.broken == nil {
 			w.broken = fmt.Errorf("%d requests are held at the old version as the rollout is delivered", len(s.atOld))
 		}
 	}
@@ -352,7 +352,7 @@
 	if s.cut || set.Revision < s.set.Revision {
 		return
 	}
-	s.set, s.ready, s.contactAt, s.untold = set, true, w.now, false
+	s.set, s.ready, s.contactAt, s.behind = set, true, w.now, false
 }
 
 // check looks at the canary's share.
--- a/mesh/api/router.go
+++ b/mesh/api/router.go
@@ -66,7 +66,7 @@
 // Router leads requests to handlers by method and path. It is a tree: each node stands for one segment of a path, or the root. The zero
 // value is an empty router. It is safe for concurrent use once all handlers are added.
 type Router struct {
-	// Rejected is called for each request that no handler takes, with the status of its answer; nil: nobody is told. It is of the root.
+	// Rejected is called for each request that no handler takes, with the status of its answer; nil: nobody is notified. It is of the root.
 	Rejected func(r *http.Request, status int)
 
 	literals map[string]*Router
--- a/mesh/codec/codec.go
+++ b/mesh/codec/codec.go
@@ -19,7 +19,7 @@
 	maxMilliseconds = 1 << 31
 )
 
-// milliseconds returns a duration in whole milliseconds; below zero it is zero.
+// milliseconds returns a duration in milliseconds, rounded down; below zero it is zero.
 func milliseconds(d time.Duration) uint32 {
 	return uint32(min(max(0, d/time.Millisecond), maxMilliseconds))
 }
--- a/mesh/controlplane/conflicts.go
+++ b/mesh/controlplane/conflicts.go
@@ -17,7 +17,7 @@
 }
 
 // checkTolerance reports, once, that fewer control machines are known than the tolerance needs. It is called several times a second; a
-// machine decides on that once it could have heard of all.
+// machine decides on that once it could know of all.
 func (s *Server) checkTolerance(now time.Duration) {
 	tolerance := s.settings.Tolerance.Members()
 	known := len(s.knownMachines(now))
--- a/mesh/controlplane/operations/operations.go
+++ b/mesh/controlplane/operations/operations.go
@@ -63,7 +63,7 @@
 	Health(now time.Duration) Health
 	// Cancel drops an operation; one that is not known is ignored.
 	Cancel(id uint64)
-	// Progress says, for the log, what the register is at work on.
+	// Progress describes, for the log, what the register is at work on.
 	Progress(now time.Duration) string
 }
 
--- a/mesh/controlplane/operators.go
+++ b/mesh/controlplane/operators.go
@@ -48,7 +48,7 @@
 
 var errNoConfig = errors.New("there is no configuration yet")
 
-// unavailable is the answer to a call that this machine cannot commit now, and says why. It leaves open whether the
+// unavailable is the answer to a call that this machine cannot commit now, and states why. It leaves open whether the
 // operation was committed, and another machine may be able to commit it.
 func unavailable(err error) api.Response {
 	a := api.ErrorResponse(http.StatusServiceUnavailable, err)
--- a/mesh/controlplane/persistence/pipeline.go
+++ b/mesh/controlplane/persistence/pipeline.go
@@ -117,7 +117,7 @@
 	return operations.Health{LastQuorum: p.replica.LastQuorum(), DiskFailing: p.DiskFailing(now), QueueFull: p.queue.Full()}
 }
 
-// Progress says, for the log, what the replica is at work on, and for how long the disk has been.
+// Progress describes, for the log, what the replica is at work on, and for how long the disk has been.
 func (p *Pipeline) Progress(now time.Duration) string {
 	text := p.replica.Progress(now)
 	if waited := p.queue.Waiting(now); waited > 0 {
--- a/mesh/controlplane/rollouts.go
+++ b/mesh/controlplane/rollouts.go
@@ -75,14 +75,14 @@
 	Target    string `json:"toEdition"`
 }
 
-// The conditions of a rollout, in the users' words.
+// The conditions of a rollout, in the users' terms.
 const (
 	conditionInService = "in_service"
 	conditionDelivered = "delivered"
 	conditionRecalled  = "recalled"
 )
 
-// conditionOf returns a stage in the users' words.
+// conditionOf returns a stage in the users' terms.
 func conditionOf(s rollout.Stage) string {
 	switch s {
 	case rollout.Delivered:
--- a/mesh/controlplane/run_test.go
+++ b/mesh/controlplane/run_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -12,8 +11,6 @@
 
 	kitlog "github.com/go-kit/log"
 	"go.uber.org/goleak"
-
-	"firplank/mesh/bootstrap"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -51,13 +48,8 @@
 // A control machine that is the only one commits a configuration, gives it back, rejects another under the same
 // version, and ends with all of its goroutines once its context does.
 func TestRunServesOperatorsAndEnds(t *testing.T) {
-	folder := t.TempDir() + "/data"
-	control := fmt.Sprintf("127.0.0.1:%d", freePort(t))
-	settings := &bootstrap.Settings{IP: "127.0.0.1", SparePorts: []int{freePort(t)}, DataPath: &folder, FirstStart: true}
-	settings.Bounds = bootstrap.DefaultBounds()
-	settings.Addresses.Control = control
-	settings.SeedNodes = []string{control}
-	settings.Bounds.Sync, settings.Bounds.Grace = 2*time.Second, 600*time.Millisecond
+	settings := newSoleMachine(t).settings
+	control := settings.Addresses.Control
 	ctx, stop := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- Run(ctx, settings, kitlog.NewNopLogger()) }()
--- a/mesh/dataplane/distribution/node.go
+++ b/mesh/dataplane/distribution/node.go
@@ -255,7 +255,7 @@
 }
 
 // Announced returns the sequence of the own entry as it was announced last, and Confirmed up to which a parent has sent it back. What a
-// parent has outlives this process: its next one is told.
+// parent has outlives this process: its next one is notified.
 func (n *Node) Announced() uint64 { return n.own.Sequence }
 
 // Confirmed returns the highest sequence of the own entry that a parent has sent back.
--- a/mesh/dataplane/figures.go
+++ b/mesh/dataplane/figures.go
@@ -194,7 +194,7 @@
 	return text.String()
 }
 
-// detailOf is what a last hop's rejection says, for the log.
+// detailOf is the reason in a last hop's rejection, for the log.
 func detailOf(body []byte) string {
 	return strings.TrimSpace(string(body[:min(len(body), maxDetailBytes)]))
 }
--- a/mesh/dataplane/heartbeats.go
+++ b/mesh/dataplane/heartbeats.go
@@ -42,7 +42,7 @@
 	Sequence    uint64  `json:"sequence"`
 }
 
-// The conditions of a server, in the users' words.
+// The conditions of a server, in the users' terms.
 const (
 	conditionAccepting = "accepting"
 	conditionDraining  = "closing"
@@ -129,7 +129,7 @@
 }
 
 // acknowledgeEnd acknowledges that a server ends, or will, once another process knows it: the acknowledgement binds this sidecar's next
-// process too, which has it from there. Until then the server is told to try again; it gets no requests either way.
+// process too, which has it from there. Until then the server is asked to try again; it gets no requests either way.
 func (a *serverAPI) acknowledgeEnd(changed bool) api.Response {
 	if !a.confirm(changed) {
 		response := api.ErrorResponse(http.StatusServiceUnavailable, errNotAnnounced)
--- a/mesh/dataplane/identify.go
+++ b/mesh/dataplane/identify.go
@@ -10,7 +10,7 @@
 
 const (
 	// identifyTimeout bounds one health check by which a restarted sidecar identifies the local server, and
-	// identifyAttempts their number: the server's next heartbeat says more.
+	// identifyAttempts their number: the server's next heartbeat has more.
 	identifyTimeout  = 400 * time.Millisecond
 	identifyAttempts = 4
 	// assumedSlots is the capacity of an identified server until its first heartbeat.
--- a/mesh/dataplane/lasthop.go
+++ b/mesh/dataplane/lasthop.go
@@ -310,7 +310,7 @@
 	l.gate.Admission.Restore(now, e)
 }
 
-// identify takes over a server of which only its health check has told, unless a server has sent a heartbeat since.
+// identify takes over a server that only its health check has shown, unless a server has sent a heartbeat since.
 func (l *lastHop) identify(now time.Duration, e *directory.Entry) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/mesh/dataplane/rollouts.go
+++ b/mesh/dataplane/rollouts.go
@@ -13,7 +13,7 @@
 	"firplank/mesh/timing"
 )
 
-// rollouts is how far this sidecar has followed the rollouts that it was told of. It belongs to the loop.
+// rollouts is how far this sidecar has followed the rollouts that it was notified of. It belongs to the loop.
 type rollouts struct {
 	durations timing.Rollouts
 	share     float64 // of the requests that a canary gets
@@ -81,8 +81,8 @@
 	}, now)
 }
 
-// eligibility is what the servers of a version get. A sidecar that has heard nothing for so long that a canary may have been delivered or
-// recalled sends to both versions: servers of the old one may have stopped.
+// eligibility is what the servers of a version get. A sidecar that has received nothing for so long that a canary may have been delivered
+// or recalled sends to both versions: servers of the old one may have stopped.
 func (r *rollouts) eligibility(of *rollout.Rollout, version string) rollout.Eligibility {
 	f := r.followed[of.Service]
 	eligibility := of.Eligibility(version, f != nil && f.retired)
--- a/mesh/dataplane/subscription/subscription.go
+++ b/mesh/dataplane/subscription/subscription.go
@@ -44,7 +44,7 @@
 func (Send) action()       {}
 func (Disconnect) action() {}
 
-// Reason says why a parent was left.
+// Reason states why a parent was left.
 type Reason int
 
 // The reasons.
@@ -188,7 +188,7 @@
 	return s.ReportLiveness(now)
 }
 
-// ReportLiveness sends the parent a sign of life with what this sidecar reports of rollouts, once the sidecar is ready.
+// ReportLiveness sends the parent a heartbeat with what this sidecar reports of rollouts, once the sidecar is ready.
 func (s *Subscription) ReportLiveness(now time.Duration) []Action {
 	if s.phase != connected || !s.ready {
 		return nil
--- a/mesh/dataplane/trial.go
+++ b/mesh/dataplane/trial.go
@@ -19,7 +19,7 @@
 	classes []rollout.Statistics
 }
 
-// record counts a request that has ended. What says nothing of the version is left out: a client that has left, a server that was not
+// record counts a request that has ended. What is no evidence of the version is left out: a client that has left, a server that was not
 // reached or had no capacity, and how long requests take in a slow start.
 func (t *trial) record(class uint32, r core.Result, latency time.Duration, warmingUp bool) {
 	if t.order == 0 {
--- a/mesh/dissemination/subscriber.go
+++ b/mesh/dissemination/subscriber.go
@@ -16,7 +16,7 @@
 	exhaustedFactor = 3
 	// maxTrackedFailures bounds the parents whose failures are remembered; beyond it all are forgotten, and tried again.
 	maxTrackedFailures = 256
-	// unseenOrder is the order of one that the others have not heard of lately: after all that never failed, before all that did.
+	// unseenOrder is the order of one that the others have not seen lately: after all that never failed, before all that did.
 	unseenOrder = -time.Minute
 	// neverFailed is subtracted from the order of a control machine that never failed, so that it comes before all that did.
 	neverFailed = time.Hour
@@ -113,7 +113,7 @@
 }
 
 // ChooseParent returns the address to subscribe to: a relay, once the sidecar is ready and has a candidate that is worth an attempt, else
-// the control machine that failed longest ago, those of the own zone first, and those last that the others have not heard of lately.
+// the control machine that failed longest ago, those of the own zone first, and those last that the others have not seen lately.
 // Members are the sidecars of the directory. A sidecar whose configuration was last confirmed so long ago that its parent counts as stale
 // turns to the control machines at once: a relay that is cut off as well would cost the time that is left (timing.Durations.Reconnect).
 func (s *Subscriber) ChooseParent(
@@ -137,7 +137,7 @@
 	return best, false
 }
 
-// unseen returns the control machines that were heard of longer ago than the latest, by more than timing.Dissemination.UnseenAfter: they
+// unseen returns the control machines that were seen longer ago than the latest, by more than timing.Dissemination.UnseenAfter: they
 // are down, or cut off from the machine that listed them.
 func (s *Subscriber) unseen(machines []ControlMachine) map[string]bool {
 	latest := TimeUnknown
--- a/mesh/register/replica.go
+++ b/mesh/register/replica.go
@@ -190,7 +190,7 @@
 // backOff puts off the next round by a random time.
 func (r *Replica) backOff() { r.round.deadline = r.now + r.pace.backoff() }
 
-// Progress says, for the log, which phase of a round is under way, since when the round is, who has replied, and how often rounds were
+// Progress describes, for the log, which phase of a round is under way, since when the round is, who has replied, and how often rounds were
 // rejected.
 func (r *Replica) Progress(now time.Duration) string {
 	if r.round.phase == idle {
--- a/mesh/rollout/controller.go
+++ b/mesh/rollout/controller.go
@@ -27,7 +27,7 @@
 	Service, Version string
 	Accepting        bool // the server takes requests
 	Slots            int
-	Lost             bool // there was no sign of life for too long
+	Lost             bool // there was no heartbeat for too long
 	LastSeen         time.Duration
 	// Confirmed is the revision of the Set up to which the sidecar sends by it, and has nothing in flight that it forbids.
 	Confirmed uint32
--- a/mesh/rollout/judge.go
+++ b/mesh/rollout/judge.go
@@ -80,7 +80,7 @@
 // Verdict is the judgement on a new version.
 type Verdict struct {
 	Bad bool
-	// Reason is the evidence, in words.
+	// Reason is the evidence, as text.
 	Reason string
 	// Requests are those that the new version has answered.
 	Requests uint32
--- a/mesh/rollout/rollout.go
+++ b/mesh/rollout/rollout.go
@@ -2,7 +2,7 @@
 // is under way (Rollout.Eligibility), whether the new version is worse than the old one (Judge), and when the rollout goes on, is delivered
 // or recalled (Controller). The state of all rollouts is a Set, which the register holds.
 //
-// The package has no I/O, no goroutine and no clock: times are arguments. docs/design/rollout.md says what holds by construction and why.
+// The package has no I/O, no goroutine and no clock: times are arguments. docs/design/rollout.md states what holds by construction and why.
 //
 // Start reading at Stage and Controller.Decide.
 package rollout
@@ -49,7 +49,7 @@
 	Stage Stage
 	// Term is the time within which the rollout is to end, from the order on.
 	Term time.Duration
-	// Reason is the evidence for the present stage, in words; DecidedBy is the control machine that decided on it.
+	// Reason is the evidence for the present stage, as text; DecidedBy is the control machine that decided on it.
 	Reason, DecidedBy string
 }
 
--- a/mesh/rollout/split.go
+++ b/mesh/rollout/split.go
@@ -17,7 +17,7 @@
 func CanaryShare(exposureShare float64) float64 { return canaryPart * exposureShare }
 
 // Split chooses the requests for a new version at one sender. Of the requests up to any one, it never chooses more than the share: so the
-// sum over all senders never has more, whatever each of them has been told. The zero value chooses none. It is safe for concurrent use.
+// sum over all senders never has more, whatever each of them has received. The zero value chooses none. It is safe for concurrent use.
 type Split struct {
 	units    atomic.Int64 // the share, of shareUnits
 	requests atomic.Int64
--- a/mesh/timing/dissemination.go
+++ b/mesh/timing/dissemination.go
@@ -49,7 +49,7 @@
 	AckTimeout time.Duration
 	// PeerReportTTL is for how long another control machine's report of the lowest version in force counts: 1 s, over three hellos.
 	PeerReportTTL time.Duration
-	// UnseenAfter is by how much longer ago than the others a control machine was heard of for a sidecar to try it last: two reports.
+	// UnseenAfter is by how much longer ago than the others a control machine was seen for a sidecar to try it last: two reports.
 	UnseenAfter time.Duration
 	// SubscriberTimeout is for how long after its last report a subscriber still delays acknowledgements: two reports and a margin.
 	SubscriberTimeout time.Duration
--- a/mesh/timing/inequalities.go
+++ b/mesh/timing/inequalities.go
@@ -11,7 +11,7 @@
 	Name string
 	// Rule is the rule of the users' page that rests on it, and Settings names the settings that decide it.
 	Rule, Settings string
-	// Claim says in words what has to hold.
+	// Claim states what has to hold.
 	Claim string
 	// Value must not be above Limit.
 	Value, Limit time.Duration
--- a/mesh/timing/sidecar.go
+++ b/mesh/timing/sidecar.go
@@ -38,7 +38,7 @@
 type Server struct {
 	// HeartbeatTimeout is the silence after which a server is unresponsive: 2.6 heartbeats, so that two may be lost.
 	HeartbeatTimeout time.Duration
-	// RestoredTimeout is how long a server that another process has told of may take until its first heartbeat: three quarters of
+	// RestoredTimeout is how long a server that another process has announced may take until its first heartbeat: three quarters of
 	// HeartbeatTimeout.
 	RestoredTimeout time.Duration
 	// IdentifiedTimeout is the same for a server that is known by its health check alone, whose acknowledged end nobody may know any more:
