--- a/lab/explore/rollouts/world.go
+++ b/lab/explore/rollouts/world.go
@@ -1,7 +1,7 @@
 // Package rollouts explores package mesh/rollout: sidecars that send by the updates that they have, control machines that decide on what
-// sidecars have reported, and a register between them, under cuts, restarts, late updates, long requests and a version that turns bad. It checks
-// that nobody in contact sends to the old version once a rollout is delivered, that nothing is held there then, that the canary never gets
-// more than its share, and that a rollout has one outcome. The register is taken for linearizable: lab/explore/register explores that.
+// sidecars have reported, and a register between them, under cuts, restarts, late updates, long requests and a version that turns bad. It
+// checks that nobody in contact sends to the old version once a rollout is delivered, that nothing is held there then, that the canary
+// never gets more than its share, and that a rollout has one outcome. The register is taken for linearizable (lab/explore/register).
 //
 // The decisions are the shipped ones (Set, Controller, Judge, Split, Eligibility); what a sidecar does between them is written here anew,
 // as docs/design/rollout.md has it.
