An answer ahead of the body proves what it says, not a refusal

Cause: the upstream took whatever a server said before the last byte of a request for "not begun", which is the rule of the older platform (X-Never-Ran) and not of the mesh, where only Not-Delivered or 421 say so. Class: evidence by one protocol's rule under another protocol.

Change: where a dialect judges answers, an early answer is read and judged like any other, from goroutines (streamed bodies) and on the kernel's readiness (bodies that the kernel doesn't take at once); its connection is not used again. Interim answers (1xx) are dropped and the upload goes on. A connection that ends without a byte still proves that nothing began. The older platform's behaviour is as before. The same place is used between sidecars, where the last hop answers early.

--- a/internal/upstream/http/answer.go
+++ b/internal/upstream/http/answer.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"regexp"
 	"strconv"
 	"strings"
 
@@ -93,6 +94,27 @@
 	}
 }
 
+// awaitByte waits for the first byte of an answer. It reports whether one has come.
+func (r answerReader) awaitByte() bool {
+	r.allowance.left = maxAnswerHead
+	_, err := r.Peek(1)
+	return err == nil
+}
+
+// dropInterim waits for the head of an answer and takes it off if it is an interim one. It reports whether it was.
+func (r answerReader) dropInterim() bool {
+	r.allowance.left = maxAnswerHead
+	head := r.peekHead()
+	if !interimStatus.Match(head) {
+		return false
+	}
+	_, err := r.Discard(len(head))
+	return err == nil
+}
+
+// interimStatus matches the status line of an interim answer.
+var interimStatus = regexp.MustCompile(`^HTTP/1\.[01] 1[0-9][0-9][ \r\n]`)
+
 // peekHead waits for the head of an answer and returns it, as far as the reader's buffer holds it.
 func (r answerReader) peekHead() []byte {
 	for {
--- a/internal/upstream/http/sock_linux.go
+++ b/internal/upstream/http/sock_linux.go
@@ -76,7 +76,10 @@
 	}
 	s.state, s.out = sockWriting, request
 	s.back.setTimeout(s, time.Until(s.try.cut))
-	return s.write()
+	if err := s.write(); err != nil { // its last byte never went out, and nothing was read meanwhile
+		return s.failed(balance.ConnectFailed)
+	}
+	return nil
 }
 
 // ending is how a try ended, which is told when no lock is held.
@@ -127,15 +130,15 @@
 }
 
 // write writes what is left of the request. The caller holds mu, and the state is sockWriting.
-func (s *sock) write() *ending {
+func (s *sock) write() error {
 	for len(s.out) > 0 {
 		n, err := unix.Write(s.fd, s.out)
 		switch {
 		case err == unix.EINTR:
 		case err == unix.EAGAIN:
 			return nil
-		case err != nil: // its last byte never went out: no server begins before that
-			return s.failed(balance.ConnectFailed)
+		case err != nil:
+			return err
 		default:
 			s.out = s.out[n:]
 		}
@@ -155,7 +158,7 @@
 		e = s.connected()
 	}
 	if e == nil && s.state == sockWriting && events&poller.Writable != 0 {
-		e = s.write()
+		e = s.writeOn()
 	}
 	if e == nil && (s.state == sockWriting || s.state == sockWaiting) && events&poller.Readable != 0 {
 		e = s.read(events&poller.PeerClosed != 0)
@@ -168,6 +171,18 @@
 	}
 }
 
+// writeOn writes more of a request. Where that fails the server may have answered before it has closed the connection. The caller holds mu,
+// on the poller's goroutine.
+func (s *sock) writeOn() *ending {
+	if err := s.write(); err == nil {
+		return nil
+	}
+	if e := s.read(true); e != nil || s.state == sockGone {
+		return e
+	}
+	return s.failed(balance.ConnectFailed)
+}
+
 // connected goes on when the connection has come up, or has not. The caller holds mu.
 func (s *sock) connected() *ending {
 	switch code, err := unix.GetsockoptInt(s.fd, unix.SOL_SOCKET, unix.SO_ERROR); {
@@ -208,7 +223,7 @@
 
 // take takes in bytes of the answer, or its end. The caller holds mu.
 func (s *sock) take(b []byte, eof bool, err error) *ending {
-	if s.state == sockWriting { // it answers before it has the request: no server begins before that
+	if s.state == sockWriting && !s.provesEarly(b) {
 		return s.failed(balance.ConnectFailed)
 	}
 	if err != nil { // what broke off has no end that could be one
@@ -287,9 +302,18 @@
 		return nil
 	}
 	r, reusable := s.back.up.answered(s.try.attempt, s.conn, h, body, rest)
-	return s.end(r, reusable && !eof)
+	return s.end(r, reusable && !eof && s.state != sockWriting)
 }
 
+// provesEarly reports whether what comes before the request is written proves anything: an answer that a dialect judges, of which b are the
+// next bytes or its end. Else the server has not begun. The caller holds mu.
+func (s *sock) provesEarly(b []byte) bool {
+	return s.back.up.dialect != nil && s.try.attempt != nil && (len(b) > 0 || s.answered())
+}
+
+// answered reports whether a byte of an answer has come. The caller holds mu.
+func (s *sock) answered() bool { return len(s.in) > 0 || s.ans.head != nil }
+
 // passes reports whether an answer may be passed on while it comes: it is a good one that is long, or may be.
 func (s *sock) passes(h *answerHead) bool {
 	return s.try.attempt != nil && s.try.attempt.Message.AcceptsStream && s.back.up.passes(s.try.attempt, h) && !s.ans.short &&
@@ -302,7 +326,7 @@
 	a := &attempt{Attempt: t.attempt, heldFor: heldFor}
 	a.ctx, a.cancel = context.WithCancel(back.ctx)
 	t.taken.Store(a)
-	got := bytes.Clone(b)
+	got, written := bytes.Clone(b), s.state != sockWriting
 	file, _ := s.release()
 	s.end(core.Result{}, false)
 	c.Conn, c.polled = file, nil
@@ -313,7 +337,7 @@
 		// Fails only on a closed connection, as the next call on it does.
 		stop := context.AfterFunc(a.ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 		r, reusable := back.up.receive(a, c)
-		back.up.pool.giveBack(c, stop() && reusable)
+		back.up.pool.giveBack(c, stop() && reusable && written)
 		back.up.end(a.Attempt, r)
 	})
 }
@@ -353,7 +377,7 @@
 		return
 	}
 	outcome := balance.NotSent
-	if s.state == sockWaiting {
+	if s.state == sockWaiting || s.answered() {
 		outcome = balance.Cancelled
 	}
 	e := s.failed(outcome)
@@ -371,7 +395,7 @@
 	if t := s.try; t != nil && !again {
 		late := !time.Now().Before(t.cut)
 		switch {
-		case s.state == sockConnecting && late, s.state == sockWriting:
+		case s.state == sockConnecting && late, s.state == sockWriting && !s.answered():
 			e = s.failed(balance.NotSent)
 		case s.state == sockConnecting:
 			e = s.failed(balance.ConnectFailed)
--- a/internal/upstream/http/stream.go
+++ b/internal/upstream/http/stream.go
@@ -54,20 +54,28 @@
 	return out.Bytes()
 }
 
-// upload writes a body as it comes. It reports whether all of it has gone out, and else how the attempt ended: no server
-// begins before the last byte.
-func (u *upstream) upload(a *attempt, c *conn) (outcome balance.Result, gone bool) {
+// uploadEnd is how the writing of a body ended.
+type uploadEnd uint8
+
+const (
+	uploadComplete uploadEnd = iota // all of it was written
+	uploadAnswered                  // the server has something to say before that, or has closed the connection
+	uploadBroken                    // it can't be written to its end
+)
+
+// upload writes a body as it comes. The outcome is that of an upload that is broken.
+func (u *upstream) upload(a *attempt, c *conn) (end uploadEnd, outcome balance.Result) {
 	s := a.Message.Stream
 	buf := pieces.Get().(*[piece]byte)
 	defer pieces.Put(buf)
 	const room = 10 // for the size of a chunk ahead of it, and 2 for the line end behind
 	for {
-		if c.state() != socket.Idle { // the server has something to say already, or is gone
-			return u.early(a, c), false
+		if u.answersEarly(c) {
+			return uploadAnswered, 0
 		}
 		n, err := s.ReadTimeout(buf[room:piece-2], uploadWait)
 		if err != nil && !errors.Is(err, io.EOF) {
-			return balance.NotSent, false // the client's end, not the server's
+			return uploadBroken, balance.NotSent // the client's end, not the server's
 		}
 		out := buf[room : room+n]
 		if s.Length() < 0 {
@@ -83,18 +91,21 @@
 			}
 		}
 		if !a.extend(c, stall) {
-			return balance.NotSent, false
+			return uploadBroken, balance.NotSent
 		}
 		if len(out) > 0 {
 			if _, werr := c.Write(out); werr != nil {
 				if a.ctx.Err() != nil {
-					return balance.NotSent, false
+					return uploadBroken, balance.NotSent
 				}
-				return balance.ConnectFailed, false
+				return uploadAnswered, 0 // the connection is closed, maybe behind an answer
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return 0, a.extend(c, a.Message.Remaining)
+			if !a.extend(c, a.Message.Remaining) {
+				return uploadBroken, 0
+			}
+			return uploadComplete, 0
 		}
 	}
 }
@@ -109,16 +120,41 @@
 	return true
 }
 
-// early reads what a server says before it has the whole request: that it does not want it.
-func (u *upstream) early(a *attempt, c *conn) balance.Result {
+// answersEarly reports whether a server has something to say before it has the whole request, or has closed the connection. Interim
+// answers are dropped where a dialect judges answers.
+func (u *upstream) answersEarly(c *conn) bool {
+	for c.state() != socket.Idle || c.in.Buffered() > 0 {
+		if u.dialect == nil || !c.in.dropInterim() {
+			return true
+		}
+	}
+	return false
+}
+
+// early reads the answer of a server that answers before it has the whole request. By the platform of package settings no server begins
+// before the last byte. Where a dialect judges answers, this one proves what it says, as a server may begin by the head alone; one that
+// closes the connection without a word has not begun.
+func (u *upstream) early(a *attempt, c *conn) core.Result {
 	if !a.extend(c, u.pool.connectTimeout) {
-		return balance.NotSent
+		return core.Result{Outcome: balance.NotSent}
+	}
+	if u.dialect == nil {
+		return core.Result{Outcome: u.earlyRejection(c)}
+	}
+	if !c.in.awaitByte() {
+		return core.Result{Outcome: balance.ConnectFailed}
 	}
+	if !a.extend(c, a.Message.Remaining) {
+		return core.Result{Outcome: balance.Cancelled}
+	}
+	r, _ := u.receive(a, c) // what is missing of the request makes the connection useless
+	return r
+}
+
+// earlyRejection is what an early answer proves by the platform of package settings.
+func (u *upstream) earlyRejection(c *conn) balance.Result {
 	resp, err := c.in.head(http.MethodPost, httpwire.MaxStreamedBody)
-	switch {
-	case err != nil || resp.StatusCode == http.StatusOK:
-		return balance.ConnectFailed
-	case headOf(resp).outcome() == balance.Rejected:
+	if err == nil && headOf(resp).outcome() == balance.Rejected {
 		return balance.Rejected
 	}
 	return balance.ConnectFailed
--- a/internal/upstream/http/upstream.go
+++ b/internal/upstream/http/upstream.go
@@ -186,8 +186,12 @@
 		return core.Result{Outcome: balance.ConnectFailed}, false
 	}
 	if a.Message.Stream != nil {
-		if outcome, gone := u.upload(a, c); !gone {
+		switch end, outcome := u.upload(a, c); end {
+		case uploadAnswered:
+			return u.early(a, c), false
+		case uploadBroken:
 			return core.Result{Outcome: outcome}, false
+		case uploadComplete:
 		}
 	}
 	a.Written()
--- /dev/null
+++ b/mesh/dataplane/earlyanswer_test.go
@@ -0,0 +1,99 @@
+package dataplane
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"firplank/balance"
+	"firplank/internal/bodypipe"
+	"firplank/internal/core"
+	httpback "firplank/internal/upstream/http"
+)
+
+// earlyServer is a server that answers a request of id x as soon as its head has come, and has not read its body.
+func earlyServer(t *testing.T, answer string) *core.Endpoint {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() }) // it has nothing to lose
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }() // it has nothing to lose
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		if _, err := io.WriteString(c, answer); err != nil || answer == "" {
+			return
+		}
+		<-t.Context().Done()
+	}()
+	return core.NewEndpoint("server", ln.Addr().String())
+}
+
+func TestAnswerAheadOfTheBodyIsNoRefusal(t *testing.T) {
+	const bodyBytes = 16 << 20 // more than the kernel holds
+	answerOf := func(status int, fields string) string {
+		return fmt.Sprintf("HTTP/1.1 %d Early\r\n%sContent-Length: 2\r\n\r\nok", status, fields)
+	}
+	for _, c := range []struct {
+		name, answer string
+		want         balance.Result
+	}{
+		{"the server's failure", answerOf(500, "Try-Id: x\r\n"), balance.Failed},
+		{"a success", answerOf(200, "Try-Id: x\r\nPostmark: p\r\n"), balance.OK},
+		{"a success behind an interim answer", "HTTP/1.1 103 Hints\r\n\r\n" + answerOf(200, "Try-Id: x\r\nPostmark: p\r\n"), balance.OK},
+		{"a success without its stamp", answerOf(200, "Try-Id: x\r\n"), balance.Reset},
+		{"an answer to another request", answerOf(200, "Try-Id: y\r\nPostmark: p\r\nConnection: close\r\n"), balance.Reset},
+		{"rejected", answerOf(503, "Try-Id: x\r\nNot-Delivered: 1\r\n"), balance.Rejected},
+		{"no answer of the protocol", "\x80\x8a\r\n\r\n", balance.Reset},
+		{"nothing, and the connection ends", "", balance.ConnectFailed},
+	} {
+		for _, streamed := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, streamed %v", c.name, streamed), func(t *testing.T) {
+				b, err := httpback.NewPoll(t.Context(), httpback.Config{
+					ConnectTimeout: time.Second,
+					Idle:           time.Second,
+					Sockets:        4,
+					Dialect:        serverDialect{},
+				})
+				if err != nil {
+					t.Fatal(err)
+				}
+				m := &core.Message{
+					Trace:     "x",
+					Verb:      http.MethodPost,
+					Target:    "/a/",
+					Authority: "h",
+					Remaining: 5 * time.Second,
+					Meta:      header("Try-Id", "x", "Deliver-To", "i-1"),
+				}
+				if streamed {
+					m.Stream = bodypipe.New(bodyBytes)
+					go func() {
+						_ = m.Stream.WriteTimeout(make([]byte, bodyBytes/2), time.Second) // the rest never comes
+					}()
+				} else {
+					m.Body = make([]byte, bodyBytes)
+				}
+				ended := make(chan core.Result, 1)
+				server := earlyServer(t, c.answer)
+				b.Begin(core.NewAttempt(server, m, time.Now().Add(5*time.Second), func(r core.Result) { ended <- r }))
+				if r := <-ended; r.Outcome != c.want {
+					t.Errorf("%v, want %v", r.Outcome, c.want)
+				}
+				if open := b.Open(); open != 0 {
+					t.Errorf("%d connections are kept", open)
+				}
+			})
+		}
+	}
+}
