One heartbeat after a restart brings no server back

Cause: a sidecar without memory took any single heartbeat for a server that goes on. Class: one message without a bound on its age as proof of the present. The same class stood beside it: a server known by its health check alone was barred a time after the check, not after the start of its sidecar; and a late heartbeat of a server unknown to a restarted sidecar marked the present server as departed.

Change: a restarted sidecar confirms a server by a second heartbeat with a higher sequence, or by a heartbeat and a health check of its own, which it makes as the first heartbeat comes. Until nine tenths of inTouchS after its start (timing.Server.ConfirmBy, with an inequality in mesh/timing: no machine is in touch so soon) it takes requests meanwhile, later not. An unconfirmed heartbeat doesn't end a confirmed server. First starts are as before. What stays: two late heartbeats of one server, in their order.

--- a/lab/mesh/promises_test.go
+++ b/lab/mesh/promises_test.go
@@ -105,6 +105,44 @@
 	}
 }
 
+// A server has left, all processes are killed, and a heartbeat that it sent before comes after that.
+func TestLateHeartbeatBringsNoServerBack(t *testing.T) {
+	const (
+		inTouch  = 3 * time.Second
+		lateBeat = 1000 // above all that the server has sent
+	)
+	var inTouchFrom, late atomic.Int64
+	m := startForPromises(t, Config{Net: 56, Core: 3, Tolerance: 1, Heartbeat: time.Second, Arrived: func(a Arrival) {
+		if from := inTouchFrom.Load(); from > 0 && a.SinceClosing > 0 && a.At.UnixNano() > from {
+			late.Add(1)
+		}
+	}})
+	leaver := m.Branch[0].CurrentServer()
+	if !leaver.Leave() {
+		t.Fatalf("%s gets no acknowledgement", leaver.ID())
+	}
+	for _, x := range m.All() {
+		x.Signal(syscall.SIGKILL)
+	}
+	for _, x := range m.All() {
+		<-x.Done()
+	}
+	for _, x := range m.All() {
+		must(t, x.Start(false))
+	}
+	inTouchFrom.Store(time.Now().Add(inTouch).UnixNano())
+	must(t, Await(8*time.Second, "its sidecar is ready again", m.Branch[0].Ready))
+	time.Sleep(inTouch / 2)
+	must(t, Await(2*time.Second, "the late heartbeat is acknowledged", func() bool { return leaver.SendHeartbeat(lateBeat, false) }))
+	for end, n := time.Now().Add(2*inTouch), 0; time.Now().Before(end); n++ {
+		_, _, _ = m.Branch[2+n%2].Ask(http.MethodGet, "plates.example", "/look/1", fmt.Sprintf("late-%d", n), nil) // what arrives counts
+		time.Sleep(10 * time.Millisecond)
+	}
+	if n := late.Load(); n > 0 {
+		t.Errorf("%d requests reached a server that had left", n)
+	}
+}
+
 // closeAndAwait has a server announce its closing, reports whether that is acknowledged, and has it send no heartbeat
 // any more.
 func closeAndAwait(s *Server) bool {
--- a/lab/mesh/server.go
+++ b/lab/mesh/server.go
@@ -153,17 +153,7 @@
 func (s *Server) sendHeartbeats() {
 	for sequence := 1; !s.silent.Load(); sequence++ {
 		closing := s.closing.Load()
-		condition := "accepting"
-		if closing {
-			condition = "closing"
-		}
-		body, _ := json.Marshal(map[string]any{
-			"line": s.service, "address": fmt.Sprintf("%s:%d", s.machine.IP, ports+1), "zone": s.machine.Zone, "edition": s.version, "berths": 8,
-			"condition": condition, "coldLeftS": 0, "sequence": sequence,
-		})
-		status, _, err := s.machine.mesh.call(http.MethodPost,
-			fmt.Sprintf("http://%s:%d/Servers.Beat/%s", s.machine.IP, ports+6, s.id), nil, body, time.Second)
-		if err == nil && status == http.StatusOK && closing {
+		if s.SendHeartbeat(sequence, closing) && closing {
 			s.acknowledged()
 		}
 		select {
@@ -174,6 +164,21 @@
 	}
 }
 
+// SendHeartbeat sends a heartbeat and reports whether the mesh has acknowledged it.
+func (s *Server) SendHeartbeat(sequence int, closing bool) bool {
+	condition := "accepting"
+	if closing {
+		condition = "closing"
+	}
+	body, _ := json.Marshal(map[string]any{
+		"line": s.service, "address": fmt.Sprintf("%s:%d", s.machine.IP, ports+1), "zone": s.machine.Zone, "edition": s.version, "berths": 8,
+		"condition": condition, "coldLeftS": 0, "sequence": sequence,
+	})
+	status, _, err := s.machine.mesh.call(http.MethodPost,
+		fmt.Sprintf("http://%s:%d/Servers.Beat/%s", s.machine.IP, ports+6, s.id), nil, body, time.Second)
+	return err == nil && status == http.StatusOK
+}
+
 // ServeHTTP runs a request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Try-Id")
--- a/mesh/admission/controller.go
+++ b/mesh/admission/controller.go
@@ -66,9 +66,12 @@
 	sequence  uint64
 	warmUntil time.Duration
 	departed  map[string]bool // ids of servers that ended here, so that a late heartbeat does not bring them back
-	// confirmBy is when a server that is known by Restore or Identify alone has to have sent a heartbeat, whatever it responds to: what its
-	// sidecar knew of its end may be lost. 0: it has.
-	confirmBy time.Duration
+	// confirmBy is when the server has to be confirmed as one that goes on, whatever it responds to: what its sidecar knew of its end may be
+	// lost. 0: it is confirmed.
+	confirmBy  time.Duration
+	restarted  bool      // an earlier process may have acknowledged ends of servers of which this one knows nothing
+	lastBeat   Heartbeat // be it of the server or of another one
+	identified string    // the server whose health check has passed since the start of this process
 
 	// The server, by its requests.
 	inFlight     int
--- a/mesh/admission/controller_test.go
+++ b/mesh/admission/controller_test.go
@@ -51,6 +51,10 @@
 		p.noteIf(c.ResponseReceived(now), now, "response received")
 	case "done":
 		c.Release(arg)
+	case "restart":
+		c.AfterRestart()
+	case "health":
+		c.Identify(now, &directory.Entry{Server: arg, Service: "records", Slots: 2, State: directory.Accepting})
 	case "recall":
 		id, state, _ := strings.Cut(arg, ":")
 		was := map[string]directory.State{
@@ -76,6 +80,7 @@
 			HeartbeatTimeout:  3 * time.Second,
 			RestoredTimeout:   2250 * time.Millisecond,
 			IdentifiedTimeout: time.Second,
+			ConfirmBy:         2500 * time.Millisecond,
 		})}
 		step := func(now time.Duration) { p.noteIf(p.controller.Tick(now), now, "heartbeat time-out") }
 		drawing.Play(100*time.Millisecond, step, func(now time.Duration, column int, cell string) {
--- a/mesh/admission/server.go
+++ b/mesh/admission/server.go
@@ -17,12 +17,25 @@
 	Sequence   uint64 // of the heartbeat; 0: not numbered
 }
 
+// AfterRestart notes that earlier processes of this sidecar may have acknowledged ends of servers of which this one knows nothing. One
+// heartbeat may be a late one of such a server: it takes a second one, or a health check that has passed since, to confirm a server.
+func (c *Controller) AfterRestart() { c.restarted = true }
+
 // HandleHeartbeat handles a heartbeat, unless a newer one came before or its server has departed. It reports whether it brought a change.
 func (c *Controller) HandleHeartbeat(now time.Duration, h Heartbeat) (changed bool) {
 	if c.departed[h.ServerID] || h.ServerID == c.serverID && h.Sequence <= c.sequence && h.Sequence > 0 {
 		return false
 	}
+	confirmed := c.confirmedBy(h)
+	c.lastBeat = h
+	if !confirmed && h.ServerID != c.serverID && c.confirmBy == 0 && c.state == directory.Accepting {
+		return false // a late one must not end the server that goes on
+	}
+	c.awaitConfirmation(h.ServerID, confirmed)
 	state := directory.Accepting
+	if c.unconfirmed(now) {
+		state = directory.Unresponsive
+	}
 	if h.Closing || h.ServerID == c.serverID && c.state == directory.Closing { // a shutdown is not taken back
 		state = directory.Closing
 	}
@@ -33,11 +46,38 @@
 	changed = h.ServerID != c.serverID || state != c.state || h.Service != c.service || h.Slots != c.slots ||
 		h.Version != c.version
 	c.serverID, c.service, c.version, c.slots = h.ServerID, h.Service, h.Version, h.Slots
-	c.state, c.sequence, c.confirmBy = state, h.Sequence, 0
+	c.state, c.sequence = state, h.Sequence
 	c.warmUntil, c.lastSeen = now+h.WarmUpLeft, now
 	return changed
 }
 
+// confirmedBy reports whether a heartbeat shows that its server goes on. The caller has not noted it as the last one yet.
+func (c *Controller) confirmedBy(h Heartbeat) bool {
+	switch {
+	case !c.restarted || h.ServerID == c.identified:
+		return true
+	case h.ServerID == c.serverID && c.confirmBy == 0:
+		return true
+	}
+	return h.ServerID == c.lastBeat.ServerID && h.Sequence > c.lastBeat.Sequence
+}
+
+// awaitConfirmation sets when a server that has sent a heartbeat has to be confirmed, unless it is.
+func (c *Controller) awaitConfirmation(serverID string, confirmed bool) {
+	switch {
+	case confirmed:
+		c.confirmBy = 0
+	case serverID != c.serverID || c.confirmBy == 0:
+		c.confirmBy = c.durations.ConfirmBy
+	}
+}
+
+// AwaitsConfirmation reports whether a health check would show more of the server that has sent the last heartbeat.
+func (c *Controller) AwaitsConfirmation() bool {
+	id := c.lastBeat.ServerID
+	return id != "" && !c.departed[id] && id != c.identified && (id != c.serverID || c.confirmBy > 0)
+}
+
 // ServerLeft handles a server's deregistration. It reports whether that brought a change.
 func (c *Controller) ServerLeft(serverID string) (changed bool) {
 	c.markDeparted(serverID)
@@ -69,11 +109,20 @@
 	c.restore(now, e, c.durations.RestoredTimeout)
 }
 
-// Identify takes over a server that nothing is known of but what its health check says, as Restore does. The server may have announced its
-// end to an earlier incarnation of this sidecar, with nobody left that knows; so it has to send a heartbeat before this machine is in touch
-// (timing.Server.IdentifiedTimeout).
+// Identify takes over what a server's health check says, as Restore does where nothing else is known of it. The server may have announced
+// its end to an earlier incarnation of this sidecar, with nobody left that knows, and health checks may lie; so it has to send a heartbeat
+// before this machine is in touch (timing.Server.IdentifiedTimeout, ConfirmBy). A server that has sent one is confirmed by its health check.
 func (c *Controller) Identify(now time.Duration, e *directory.Entry) {
-	c.restore(now, e, c.durations.IdentifiedTimeout)
+	c.identified = e.Server
+	switch {
+	case e.Server != c.lastBeat.ServerID:
+		c.restore(now, e, min(c.durations.IdentifiedTimeout, max(0, c.durations.ConfirmBy-now)))
+	case e.Server != c.serverID:
+		c.HandleHeartbeat(now, c.lastBeat)
+	default:
+		c.confirmBy = 0
+		c.ResponseReceived(now)
+	}
 }
 
 func (c *Controller) restore(now time.Duration, e *directory.Entry, confirmWithin time.Duration) {
@@ -106,7 +155,7 @@
 	}
 }
 
-// unconfirmed reports whether the server is known by Restore or Identify alone, for longer than that may be.
+// unconfirmed reports whether the server is not confirmed for longer than that may be.
 func (c *Controller) unconfirmed(now time.Duration) bool { return c.confirmBy > 0 && now > c.confirmBy }
 
 // ConnectionRefused records that nobody listens at the server's address. It reports whether that brought a change.
--- a/mesh/dataplane/host.go
+++ b/mesh/dataplane/host.go
@@ -84,7 +84,7 @@
 	p.ready.Store(true)
 	state := p.node.State()
 	_ = level.Info(p.log).Log("msg", "sidecar ready", "edition", state.Version, "age", now-state.AsOf, "machines", state.Directory.Len())
-	p.background.Go(p.identifyServer)
+	p.beginIdentifyingServer()
 }
 
 // checkAdopted checks the invariants of a configuration that is about to come in force.
--- a/mesh/dataplane/identify.go
+++ b/mesh/dataplane/identify.go
@@ -17,13 +17,24 @@
 	assumedSlots = 8
 )
 
-// identifyServer identifies the local server by its health check, where nothing is known of it: what an earlier
-// process of this sidecar knew is lost, and the server's next heartbeat may be a second away. A sidecar that starts
-// together with its server waits for that.
+// beginIdentifyingServer has the local server identified by its health check, unless that is under way.
+func (p *Proxy) beginIdentifyingServer() {
+	if p.settings.Load().FirstStart || !p.identifying.CompareAndSwap(false, true) {
+		return
+	}
+	p.background.Go(func() {
+		defer p.identifying.Store(false)
+		p.identifyServer()
+	})
+}
+
+// identifyServer identifies the local server by its health check, where nothing is known of it, or one heartbeat that may be late: what
+// an earlier process of this sidecar knew is lost, and the server's next heartbeat may be a second away. A sidecar that starts together with
+// its server waits for that.
 func (p *Proxy) identifyServer() {
 	cfg := p.cfg.Load()
 	settings := p.settings.Load()
-	if cfg == nil || settings.FirstStart {
+	if cfg == nil {
 		return
 	}
 	name := *p.serviceName.Load()
@@ -33,11 +44,12 @@
 	}
 	client := http.Client{Timeout: identifyTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	for range identifyAttempts {
-		if p.lastHop.serverKnown() || p.shuttingDown.Load() {
+		if p.lastHop.serverConfirmed() || p.shuttingDown.Load() {
 			return
 		}
 		if id := requestServerID(p.ctx, &client, "http://"+settings.AppAddr+service.HealthPath); id != "" {
 			p.lastHop.identify(p.now(), &directory.Entry{Server: id, Service: name, Slots: assumedSlots, State: directory.Accepting})
+			p.adoptServiceName()
 			p.post(serverChanged{})
 			return
 		}
@@ -49,6 +61,15 @@
 	}
 }
 
+// adoptServiceName takes over the service of the local server, which may be another one's successor.
+func (p *Proxy) adoptServiceName() {
+	var own directory.Entry
+	p.lastHop.fillEntry(&own)
+	if own.Service != "" {
+		p.serviceName.Store(&own.Service)
+	}
+}
+
 // requestServerID returns the ID of a server that passes its health check, or an empty string.
 func requestServerID(ctx context.Context, client *http.Client, url string) string {
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
--- a/mesh/dataplane/lasthop.go
+++ b/mesh/dataplane/lasthop.go
@@ -34,6 +34,7 @@
 	log     kitlog.Logger
 	now     func() time.Duration
 	changed func()         // notifies the loop of a change of the server's state
+	doubted func()         // called where a health check would confirm the server
 	pool    upstream       // of connections to the server
 	server  *core.Endpoint // the local server
 
@@ -63,6 +64,7 @@
 		log:           log,
 		now:           now,
 		changed:       func() {},
+		doubted:       func() {},
 		server:        core.NewEndpoint("server", addr),
 		lostResponses: rate.Sometimes{First: 2, Interval: time.Second},
 		gate:          gate,
@@ -281,11 +283,16 @@
 // handleHeartbeat handles a server's heartbeat. It reports whether that brought a change.
 func (l *lastHop) handleHeartbeat(h admission.Heartbeat) bool {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	if h.Closing {
 		l.guard.Closing(l.now(), h.ServerID)
 	}
-	return l.gate.Admission.HandleHeartbeat(l.now(), h)
+	changed := l.gate.Admission.HandleHeartbeat(l.now(), h)
+	awaits := l.gate.Admission.AwaitsConfirmation()
+	l.mu.Unlock()
+	if awaits {
+		l.doubted()
+	}
+	return changed
 }
 
 // serverLeft records that a server has ended. It reports whether that brought a change.
@@ -296,11 +303,11 @@
 	return l.gate.Admission.ServerLeft(id)
 }
 
-// serverKnown reports whether it is known which server is local.
-func (l *lastHop) serverKnown() bool {
+// serverConfirmed reports whether it is known which server is local, and a health check would show no more.
+func (l *lastHop) serverConfirmed() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.gate.Admission.HasServer()
+	return l.gate.Admission.HasServer() && !l.gate.Admission.AwaitsConfirmation()
 }
 
 // restore takes over the entry that another process announced of the server, unless a server has sent a heartbeat since.
--- a/mesh/dataplane/proxy.go
+++ b/mesh/dataplane/proxy.go
@@ -89,6 +89,7 @@
 	ready       atomic.Bool
 
 	shuttingDown atomic.Bool
+	identifying  atomic.Bool                      // the local server is being identified by its health check
 	shutdown     atomic.Pointer[shutdownSchedule] // nil: it has not begun
 
 	figures    *figures
@@ -195,6 +196,10 @@
 	p.lastHop.figures, p.lastHop.invariants = p.figures, p.invariants
 	p.lastHop.guard = lasthop.NewGuard(settings.Bounds.LastPost)
 	p.lastHop.changed = func() { p.post(serverChanged{}) }
+	p.lastHop.doubted = p.beginIdentifyingServer
+	if !settings.FirstStart {
+		p.lastHop.gate.Admission.AfterRestart()
+	}
 	p.inFlight = inflight.New[*core.Attempt](settings.NodeName + "." + strconv.FormatUint(rand.Uint64(), 16))
 	p.queries = newOutcomeQueries(ctx, log, p.inFlight)
 	policy := dissemination.NewSubscriber(settings.NodeName, settings.Zone, durations.Dissemination, p.now())
--- a/mesh/timing/inequalities.go
+++ b/mesh/timing/inequalities.go
@@ -254,6 +254,11 @@
 			"a server that is known by its health check alone is barred before its machine is in touch",
 			d.Server.IdentifiedTimeout, s.Bounds.InTouch,
 		},
+		{
+			"restarted_server_confirmed", "DRAIN", "inTouchS",
+			"a server that one heartbeat tells of after a restart is barred before its machine is in touch",
+			d.Server.ConfirmBy, s.Bounds.InTouch,
+		},
 		{
 			"heartbeats_may_be_lost", "DRAIN", "beatS", "two heartbeats in a row may be lost before a server is unresponsive",
 			2 * s.ServerHeartbeat, d.Server.HeartbeatTimeout,
--- a/mesh/timing/sidecar.go
+++ b/mesh/timing/sidecar.go
@@ -44,6 +44,10 @@
 	// IdentifiedTimeout is the same for a server that is known by its health check alone, whose acknowledged end nobody may know any more:
 	// RestoredTimeout, and nine tenths of inTouchS at most. So it gets no request that a machine in touch has sent on.
 	IdentifiedTimeout time.Duration
+	// ConfirmBy is when a restarted sidecar has to know by more than one heartbeat, or one health check, that its server goes on, from its
+	// own start on: nine tenths of inTouchS. So a late heartbeat of a server whose acknowledged end nobody knows any more brings it no
+	// request that a machine in touch has sent on.
+	ConfirmBy time.Duration
 }
 
 const (
@@ -57,9 +61,11 @@
 func newServer(b *bootstrap.Bounds, heartbeat time.Duration) Server {
 	timeout := time.Duration(heartbeatsMissed * float64(max(heartbeat, minServerHeartbeat)))
 	restored := timeout * restoredNumerator / restoredDenominator
+	confirmBy := time.Duration(identifiedShare * float64(b.InTouch))
 	return Server{
 		HeartbeatTimeout:  timeout,
 		RestoredTimeout:   restored,
-		IdentifiedTimeout: min(restored, time.Duration(identifiedShare*float64(b.InTouch))),
+		IdentifiedTimeout: min(restored, confirmBy),
+		ConfirmBy:         confirmBy,
 	}
 }
--- a/mesh/timing/timing_test.go
+++ b/mesh/timing/timing_test.go
@@ -167,6 +167,7 @@
 		{"Shutdown.End", func(d *Durations) { d.Shutdown.End = 5500 * time.Millisecond }},
 		{"HeartbeatTimeout", func(d *Durations) { d.Server.HeartbeatTimeout = 3900 * time.Millisecond }},
 		{"IdentifiedTimeout", func(d *Durations) { d.Server.IdentifiedTimeout = d.Server.RestoredTimeout }},
+		{"ConfirmBy", func(d *Durations) { d.Server.ConfirmBy = 3 * time.Second }},
 	} {
 		found := false
 		for _, s := range corners() {
