A stream whose client has left ends at its server at once

Cause: two places waited for the server's next bytes before they noticed. The front saw the client's end while an answer passed through and did nothing; the upstream, which reads the server, could only find its pipe closed when it had something to write. Class: an end that is told in one direction and awaited in the other.

Change: the front ends an answer that passes through when its client ends, where the request may run again (as it already did before the answer); the end of the reader of a body cancels the attempt that fills it (bodypipe.OnAbort). Both hold at each hop, so that the server's connection closes a round trip after the client's.

--- a/internal/bodypipe/pipe.go
+++ b/internal/bodypipe/pipe.go
@@ -37,6 +37,7 @@
 	onData     func()
 	onSpace    func() // called once
 	onEnd      func(complete bool)
+	onAbort    func()        // called once
 	dataReady  chan struct{} // capacity one
 	spaceReady chan struct{}
 }
@@ -171,6 +172,19 @@
 	end()
 }
 
+// OnAbort registers fn to be called once, when the reader closes.
+func (p *Pipe) OnAbort(fn func()) {
+	p.mu.Lock()
+	aborted := p.readErr != nil
+	if !aborted {
+		p.onAbort = fn
+	}
+	p.mu.Unlock()
+	if aborted {
+		fn()
+	}
+}
+
 // takeEndCallback returns the end callback, to be called without the lock, if the body has ended. The caller holds mu.
 func (p *Pipe) takeEndCallback() func() {
 	complete := p.complete && p.start == len(p.buf)
@@ -258,14 +272,17 @@
 	p.readErr = err
 	end := p.takeEndCallback()
 	p.release()
-	call := p.onSpace
-	p.onSpace = nil
+	call, aborted := p.onSpace, p.onAbort
+	p.onSpace, p.onAbort = nil, nil
 	p.mu.Unlock()
 	notify(p.spaceReady)
 	notify(p.dataReady)
 	if call != nil {
 		call()
 	}
+	if aborted != nil {
+		aborted()
+	}
 	end()
 }
 
--- a/internal/front/http/pollconn_linux.go
+++ b/internal/front/http/pollconn_linux.go
@@ -61,6 +61,7 @@
 	waitFrom time.Duration  // since when the other side of it has been waited for; 0: it is not
 	down     *bodypipe.Pipe // of the answer, what is still coming
 	inChunks bool           // ... goes out in chunks
+	safe     bool           // the request that is answered may run again
 	unsaid   bool           // it was answered before its body had come
 	old      bool           // the open request speaks HTTP/1.0
 
--- a/internal/front/http/pollread_linux.go
+++ b/internal/front/http/pollread_linux.go
@@ -90,6 +90,10 @@
 			leave = c.call
 		}
 		c.gone = true
+		if c.state == pollWriting && c.down != nil && c.safe {
+			c.note("a client has left its answer", err)
+			c.abort() // the server need not make the rest of it
+		}
 	}
 	return leave
 }
--- a/internal/front/http/pollwrite_linux.go
+++ b/internal/front/http/pollwrite_linux.go
@@ -22,7 +22,7 @@
 		}
 		return
 	}
-	c.call = nil
+	c.call, c.safe = nil, call.Message.Safe
 	if c.up != nil { // the rest of the request is of no use
 		c.up = nil
 		c.last, c.wary, c.unsaid = true, true, true
--- a/internal/upstream/http/poll_linux_test.go
+++ b/internal/upstream/http/poll_linux_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -257,3 +258,34 @@
 		t.Errorf("%s %s %s %v %q", r.Method, r.RequestURI, r.Host, r.Header, body)
 	}
 }
+
+// Nobody reads the answer any more: the server learns of that at once, though its next bytes would come much later.
+func TestAnswerThatNobodyReadsEndsAtItsServer(t *testing.T) {
+	for name, polled := range map[string]bool{"polled": true, "with goroutines": false} {
+		t.Run(name, func(t *testing.T) {
+			e, conns := silentServer(t, "s-1")
+			ended := make(chan core.Result, 1)
+			m := &core.Message{Target: "/", AcceptsStream: true}
+			a := core.NewAttempt(e, m, time.Now().Add(testbed.Patience), func(r core.Result) { ended <- r })
+			if polled {
+				newPolled(t, 0).poll.Begin(a)
+			} else {
+				New(t.Context(), Config{ConnectTimeout: testbed.Patience, Idle: testbed.Patience, Sockets: 4}).Begin(a)
+			}
+			c := testbed.Next(t, conns)
+			_, _ = c.Read(make([]byte, 1<<10))
+			if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\nfirst", 2*httpwire.MaxBufferedBody); err != nil {
+				t.Fatal(err)
+			}
+			r := testbed.Next(t, ended)
+			if r.Answer == nil || r.Answer.Stream == nil {
+				t.Fatalf("got %+v", r)
+			}
+			r.Answer.Stream.CloseRead(errors.New("its client has left"))
+			_ = c.SetReadDeadline(time.Now().Add(stall / 4))
+			if _, err := c.Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Errorf("the connection is still open: %v", err)
+			}
+		})
+	}
+}
--- a/internal/upstream/http/stream.go
+++ b/internal/upstream/http/stream.go
@@ -164,6 +164,7 @@
 // is answered like any other.
 func (u *upstream) relay(a *attempt, c *conn, resp *http.Response) (core.Result, bool) {
 	r := &relaying{a: a, u: u, conn: c, head: headOf(resp), pipe: bodypipe.New(resp.ContentLength)}
+	r.pipe.OnAbort(a.cancel) // the server's next bytes may be seconds away
 	if resp.ContentLength < 0 {
 		timer := time.AfterFunc(heldBack-a.heldFor, func() { r.pass(false) })
 		defer timer.Stop()
