A delivery waits for the streams of old servers

What callers see: downloads that old servers were still sending when a rollout was delivered were cut off, as the platform stops these servers at once.

Cause: the sender counted an attempt as ended from the answer's head on, and so did the last hop; between the two was also a moment in which the sender's exchange had the end in its queue and counted nothing. Class: work that is counted to its first byte, where its last one matters.

Change: senders and last hops count answers that pass through until their last byte, and confirm a promotion only without them, for graceS from the promotion on (timing.Rollouts.StreamHoldUp). An attempt counts until its end has reached the exchange. A body's pipe takes several callbacks at its end.

--- a/internal/bodypipe/pipe.go
+++ b/internal/bodypipe/pipe.go
@@ -36,7 +36,7 @@
 	readErr    error // why the reader ended
 	onData     func()
 	onSpace    func() // called once
-	onEnd      func(complete bool)
+	onEnd      []func(complete bool)
 	onAbort    func()        // called once
 	dataReady  chan struct{} // capacity one
 	spaceReady chan struct{}
@@ -144,7 +144,7 @@
 	if first {
 		p.writeErr, p.complete = err, well
 	}
-	call, end := p.onData, p.takeEndCallback()
+	call, end := p.onData, p.takeEndCallbacks()
 	p.mu.Unlock()
 	if !first {
 		return
@@ -163,11 +163,12 @@
 	p.onData = fn
 }
 
-// OnEnd registers fn to be called once, when the body has been read to its end or either side has aborted it.
+// OnEnd registers fn to be called once, when the body has been read to its end or either side has aborted it, behind those that were
+// registered before.
 func (p *Pipe) OnEnd(fn func(complete bool)) {
 	p.mu.Lock()
-	p.onEnd = fn
-	end := p.takeEndCallback()
+	p.onEnd = append(p.onEnd, fn)
+	end := p.takeEndCallbacks()
 	p.mu.Unlock()
 	end()
 }
@@ -185,15 +186,19 @@
 	}
 }
 
-// takeEndCallback returns the end callback, to be called without the lock, if the body has ended. The caller holds mu.
-func (p *Pipe) takeEndCallback() func() {
+// takeEndCallbacks returns a call of the end callbacks, to be made without the lock, if the body has ended. The caller holds mu.
+func (p *Pipe) takeEndCallbacks() func() {
 	complete := p.complete && p.start == len(p.buf)
-	if p.onEnd == nil || !complete && p.readErr == nil && (p.writeErr == nil || p.complete) {
+	if len(p.onEnd) == 0 || !complete && p.readErr == nil && (p.writeErr == nil || p.complete) {
 		return func() {}
 	}
-	fn := p.onEnd
+	callbacks := p.onEnd
 	p.onEnd = nil
-	return func() { fn(complete) }
+	return func() {
+		for _, fn := range callbacks {
+			fn(complete)
+		}
+	}
 }
 
 // TakeAppend reads up to limit bytes and appends them to dst. It returns io.EOF with the last byte of a complete body, or
@@ -217,7 +222,7 @@
 	if len(p.buf)-p.start <= BufferLimit/2 {
 		call, p.onSpace = p.onSpace, nil
 	}
-	end := p.takeEndCallback()
+	end := p.takeEndCallbacks()
 	p.mu.Unlock()
 	if n > 0 {
 		notify(p.spaceReady)
@@ -270,7 +275,7 @@
 		return
 	}
 	p.readErr = err
-	end := p.takeEndCallback()
+	end := p.takeEndCallbacks()
 	p.release()
 	call, aborted := p.onSpace, p.onAbort
 	p.onSpace, p.onAbort = nil, nil
--- a/internal/core/attempt.go
+++ b/internal/core/attempt.go
@@ -147,6 +147,9 @@
 		if r.answered && answer != nil && answer.Stream != nil {
 			answer.Stream.CloseRead(errAnswered)
 		}
+		if answer != nil && answer.Stream != nil && a.Endpoint != nil {
+			a.Endpoint.trackStream(answer.Stream)
+		}
 		l.finish(r, answer)
 	} else if answer != nil {
 		r.serverAnswer = answer
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -171,7 +171,8 @@
 	backend Backend
 	member  roster.Member // as last listed; for the exchange only
 
-	inFlight int // attempts; for the exchange only
+	inFlight int          // attempts; for the exchange only
+	streams  atomic.Int64 // answers of its attempts that are still coming
 }
 
 // NewEndpoint returns an open server, for tests of backends.
@@ -187,6 +188,12 @@
 // Addr returns the server's present address.
 func (e *Endpoint) Addr() string { return *e.addr.Load() }
 
+// trackStream counts an answer of the server's until its end.
+func (e *Endpoint) trackStream(body *bodypipe.Pipe) {
+	e.streams.Add(1)
+	body.OnEnd(func(bool) { e.streams.Add(-1) })
+}
+
 // Closed reports whether the server is draining or gone: nothing new may be sent.
 func (e *Endpoint) Closed() bool { return e.closed.Load() }
 
--- a/internal/core/endpoints.go
+++ b/internal/core/endpoints.go
@@ -102,11 +102,22 @@
 	e.backend.CloseIdle(e)
 }
 
-// InFlightAtClosed returns the number of attempts in flight at servers that are draining or gone. For use within Inspect.
+// StreamsAtClosed returns the number of answers that are still coming from servers that are draining. For use within Inspect.
+func (l *Loop) StreamsAtClosed() (streams int) {
+	for _, e := range l.endpoints {
+		if e.Closed() {
+			streams += int(e.streams.Load())
+		}
+	}
+	return streams
+}
+
+// InFlightAtClosed returns the number of attempts in flight at servers that are draining or gone, without those whose answers are already
+// coming. For use within Inspect.
 func (l *Loop) InFlightAtClosed() (attempts int) {
 	for _, r := range l.requests {
 		for _, a := range r.attempts {
-			if a.Endpoint != nil && a.Endpoint.Closed() && a.phase.Load() != ended {
+			if a.Endpoint != nil && a.Endpoint.Closed() && !a.recorded {
 				attempts++
 			}
 		}
--- a/lab/mesh/rollout_test.go
+++ b/lab/mesh/rollout_test.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"sync"
@@ -152,3 +153,53 @@
 		t.Errorf("%d of %d requests at the bad version, %d lost", atRecall, requests, r.lost.Load())
 	}
 }
+
+// scanConfig has a route for downloads from the service besides.
+func scanConfig(edition int) []byte {
+	return bytes.Replace(config(edition), []byte(`{"name":"look"`), []byte(`{"name":"scan","routeKind":"download","targetS":0.5,"precedence":2,
+  "sorting":{"lanePrefix":"/scan/"},"dispatch":{"line":"registry","deadlineS":8,"attempts":1}},
+ {"name":"look"`), 1)
+}
+
+func TestDeliveryWaitsForStreamsOfOldServers(t *testing.T) {
+	const scanBytes = 6 << 20 // some two seconds long
+	r := newRolloutTest(t, 55, 6, Behaviour{})
+	must(t, Await(5*time.Second, "the route for downloads is in force", func() bool {
+		put, err := r.Core[0].Put(scanConfig(9))
+		served, _, _ := r.Branch[0].Ask(http.MethodGet, "plates.example", "/scan/x", "warm-scan", nil)
+		return err == nil && put == http.StatusOK && served == http.StatusOK
+	}))
+	var scans sync.WaitGroup
+	var whole, broken atomic.Int64
+	delivered := make(chan struct{})
+	for i, x := range r.Branch {
+		scans.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-delivered:
+					return
+				default:
+				}
+				header := map[string]string{"Host": "plates.example", "Try-Id": fmt.Sprintf("scan-%d-%d", i, n), "Deadline-Ms": "8000"}
+				status, body, err := r.call(http.MethodGet, x.OutgoingURL(fmt.Sprintf("/scan/x?bytes=%d", scanBytes)), header, nil, 10*time.Second)
+				switch {
+				case status == http.StatusOK && err == nil && len(body) >= scanBytes:
+					whole.Add(1)
+				case status == http.StatusOK:
+					broken.Add(1)
+				}
+			}
+		})
+	}
+	r.awaitCondition("delivered")
+	for _, x := range r.Branch[:3] {
+		x.CurrentServer().Stop()
+	}
+	close(delivered)
+	scans.Wait()
+	r.endLoad()
+	t.Logf("%d whole", whole.Load())
+	if broken.Load() > 0 || whole.Load() < int64(len(r.Branch)) {
+		t.Errorf("%d downloads broken off, %d whole", broken.Load(), whole.Load())
+	}
+}
--- a/mesh/dataplane/lasthop.go
+++ b/mesh/dataplane/lasthop.go
@@ -15,6 +15,7 @@
 	"golang.org/x/time/rate"
 
 	"firplank/balance"
+	"firplank/internal/bodypipe"
 	"firplank/internal/core"
 	"firplank/internal/invariant"
 	"firplank/mesh/admission"
@@ -45,6 +46,7 @@
 	mu      sync.Mutex // guards what follows
 	gate    lasthop.Gate[*core.Call, *core.Answer]
 	running map[*lastHopAttempt]struct{} // begun at the server, and not ended
+	streams int                          // answers of the server that are still coming
 	guard   *lasthop.Guard
 	trial   trial
 }
@@ -161,6 +163,9 @@
 // finish answers the sending sidecar, and the queries that wait for the same answer.
 func (l *lastHop) finish(c *core.Call, t *lastHopAttempt, r core.Result) {
 	answer := lastHopAnswer(r)
+	if answer.Stream != nil {
+		l.trackStream(answer.Stream)
+	}
 	l.mu.Lock()
 	done := l.gate.Finish(l.now(), t.request, gateResult(r, answer))
 	if neverStarted(r) || r.Outcome == balance.Rejected {
@@ -183,6 +188,17 @@
 	}
 }
 
+// trackStream counts an answer of the server's until its end.
+func (l *lastHop) trackStream(body *bodypipe.Pipe) {
+	count := func(n int) {
+		l.mu.Lock()
+		l.streams += n
+		l.mu.Unlock()
+	}
+	count(1)
+	body.OnEnd(func(bool) { count(-1) })
+}
+
 // gateResult is what the gate records of a request that has ended with r, and whose sender gets answer.
 func gateResult(r core.Result, answer *core.Answer) lasthop.Result[*core.Answer] {
 	result := lasthop.Result[*core.Answer]{
--- a/mesh/dataplane/rollouts.go
+++ b/mesh/dataplane/rollouts.go
@@ -42,19 +42,30 @@
 type rolloutCheck struct {
 	revision uint32
 	awaited  int // exchanges that have not replied
-	inFlight int
+	held     heldWork
+}
+
+// heldWork is what servers have that get no new requests.
+type heldWork struct {
+	requests int
+	streams  int // answers that are still coming
+}
+
+func (w *heldWork) add(o heldWork) {
+	w.requests += o.requests
+	w.streams += o.streams
 }
 
 // exchangeChecked is the reply of an exchange.
 type exchangeChecked struct {
-	check    *rolloutCheck
-	inFlight int
+	check *rolloutCheck
+	held  heldWork
 }
 
 // handle implements event.
 func (e exchangeChecked) handle(p *Proxy, now time.Duration) {
 	e.check.awaited--
-	e.check.inFlight += e.inFlight
+	e.check.held.add(e.held)
 	if e.check.awaited == 0 {
 		p.rolloutsChecked(now, e.check)
 	}
@@ -173,9 +184,9 @@
 		}
 		check.awaited++
 		s.exchange.Inspect(func(time.Duration) {
-			inFlight := s.exchange.InFlightAtClosed()
+			held := heldWork{requests: s.exchange.InFlightAtClosed(), streams: s.exchange.StreamsAtClosed()}
 			// The exchange must not wait for the loop, which may wait for it.
-			p.background.Go(func() { p.post(exchangeChecked{check, inFlight}) })
+			p.background.Go(func() { p.post(exchangeChecked{check, held}) })
 		})
 	}
 	if check.awaited == 0 {
@@ -190,13 +201,30 @@
 		return // there are later rollouts
 	}
 	r.check = nil
-	if check.inFlight > 0 || p.localServerRetires() && p.lastHop.busy() {
+	if p.localServerRetires() {
+		running, streams := p.lastHop.work()
+		check.held.add(heldWork{requests: running, streams: streams})
+	}
+	if check.held.requests > 0 || check.held.streams > 0 && r.streamsHoldUp(now) {
 		return
 	}
 	r.confirmed = check.revision
 	p.sendEvidence(now)
 }
 
+// streamsHoldUp reports whether answers that still come from servers without new requests hold up a delivery: for as long after a promotion
+// as the platform gives a process to end.
+func (r *rollouts) streamsHoldUp(now time.Duration) bool {
+	for i := range r.set.Rollouts {
+		one := &r.set.Rollouts[i]
+		f := r.followed[one.Service]
+		if one.Stage == rollout.Promoting && f != nil && now-f.since <= r.durations.StreamHoldUp {
+			return true
+		}
+	}
+	return false
+}
+
 // localServerRetires reports whether the local server is of a version that gets no more requests.
 func (p *Proxy) localServerRetires() bool {
 	var e directory.Entry
--- a/mesh/dataplane/trial.go
+++ b/mesh/dataplane/trial.go
@@ -62,9 +62,9 @@
 	return l.trial.order, slices.Clone(l.trial.classes)
 }
 
-// busy reports whether requests are at work at the local server.
-func (l *lastHop) busy() bool {
+// work returns how many requests are at work at the local server, and how many of its answers are still coming.
+func (l *lastHop) work() (running, streams int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.running) > 0
+	return len(l.running), l.streams
 }
--- a/mesh/timing/rollouts.go
+++ b/mesh/timing/rollouts.go
@@ -14,6 +14,9 @@
 	ReportInterval time.Duration
 	// HoldUp is for how long a sidecar that is lost holds up a delivery: inTouchS, after which it is out of touch.
 	HoldUp time.Duration
+	// StreamHoldUp is for how long after a promotion answers that an old server is still sending hold up a delivery, after which it may be
+	// stopped: graceS, the time that a process has to end.
+	StreamHoldUp time.Duration
 	// Retirement is for how long after a delivery servers of the old version still get no requests: graceS. Any that appear after that are
 	// new ones.
 	Retirement time.Duration
@@ -34,6 +37,7 @@
 	return Rollouts{
 		ReportInterval:  min(maxRolloutReport, max(minRolloutReport, b.Recall/reportsPerRecall)),
 		HoldUp:          b.InTouch,
+		StreamHoldUp:    b.Grace,
 		Retirement:      b.Grace,
 		RepeatWindow:    2 * b.Receipt,
 		ProposeInterval: proposeInterval,
