An order of a rollout ahead of the first configuration is asked for again

Cause: "there is no configuration yet" and "no configuration has the service" had one answer. Class: not yet taken for never.

Test: TestRolloutOrderAheadOfTheFirstConfigurationIsAskedForAgain, 404 before the change.

--- a/mesh/controlplane/rollouts.go
+++ b/mesh/controlplane/rollouts.go
@@ -137,7 +137,11 @@
 	if err != nil {
 		return unavailable(err)
 	}
-	if known, err := hasService(&present.Value, o.Service); err != nil || !known {
+	known, err := hasService(&present.Value, o.Service)
+	switch {
+	case errors.Is(err, errNoConfig): // it may come any moment, and a 404 ends the order
+		return unavailable(err)
+	case err != nil || !known:
 		return api.ErrorResponse(http.StatusNotFound, errors.Join(errUnknownService, err))
 	}
 	view, err := s.viewRollouts(o.Service)
--- a/mesh/controlplane/rollouts_test.go
+++ b/mesh/controlplane/rollouts_test.go
@@ -67,6 +67,15 @@
 	orderOfRollout    = `{"line":"huvo11a","toEdition":"v2","overS":12}`
 )
 
+func TestRolloutOrderAheadOfTheFirstConfigurationIsAskedForAgain(t *testing.T) {
+	m := newSoleMachine(t)
+	m.start()
+	defer m.end()
+	m.callUntil(http.StatusServiceUnavailable, http.MethodPost, "/Rollouts.Start", orderOfRollout)
+	m.callUntil(http.StatusOK, http.MethodPost, "/Timetable.Replace", servicesOfRollout)
+	m.callUntil(http.StatusOK, http.MethodPost, "/Rollouts.Start", orderOfRollout)
+}
+
 func TestRolloutOrderIsTakenAndSurvivesARestart(t *testing.T) {
 	m := newSoleMachine(t)
 	m.start()
