A parent that started anew learns of the sidecars below its relays

Whoever subscribes anew sends nothing to the others, and a rollout waits for servers that are long there ("they have 18 slots, those of the old one 42"), until it is given up.

Cause: a relay that connects to a parent announces itself only; the sidecars below have kept their connection to the relay and go on with signs of life, which a directory without the entry drops. Class: state that is sent on changes alone, to a receiver that may have lost it.

Change: a relay sends a new parent the entries of the sidecars below, as of their last frames, right behind its own subscription.

Test: TestParentThatStartedAnewLearnsOfTheSidecarsBelow; without the change the new parent is sent the subscription alone.

--- a/mesh/dataplane/distribution/node.go
+++ b/mesh/dataplane/distribution/node.go
@@ -130,6 +130,10 @@
 	}
 	n.parent = e.Conn
 	n.perform(n.subscription.Dialed(now))
+	// The parent may have started anew. The sidecars below this one announce themselves to it by nobody else: to them nothing has changed.
+	if below := n.subscribers.Entries(); len(below) > 0 {
+		n.SendEntries(now, codec.EntriesToWire(below, now))
+	}
 }
 
 func (n *Node) connClosed(now time.Duration, c Conn) {
--- a/mesh/dataplane/distribution/node_test.go
+++ b/mesh/dataplane/distribution/node_test.go
@@ -259,6 +259,33 @@
 	}
 }
 
+func TestParentThatStartedAnewLearnsOfTheSidecarsBelow(t *testing.T) {
+	n, _, parent := readyNode(t)
+	c := &fakeConn{"n2"}
+	n.Handle(time.Second, FrameReceived{c, &wire.FrameT{Kind: wire.Subscribe, From: "n2"}})
+	announced := codec.EntryToWire(&directory.Entry{Node: "n2", Incarnation: 1, Sequence: 7, Server: "i-2", LastSeen: time.Second}, time.Second)
+	n.Handle(time.Second, FrameReceived{c, &wire.FrameT{Kind: wire.Report, From: "n2", Entries: []*wire.EntryT{announced}}})
+	const heard, redialed = 50 * time.Second, 51 * time.Second
+	alive := codec.LivenessToWire(&directory.Entry{Node: "n2", Incarnation: 1, LastSeen: heard}, heard)
+	n.Handle(heard, FrameReceived{c, &wire.FrameT{Kind: wire.Report, From: "n2", Entries: []*wire.EntryT{alive}}})
+	n.Handle(redialed-time.Second, ConnClosed{parent})
+	n.TakeActions()
+	n.Maintain(redialed, 0)
+	if _, ok := last(n.TakeActions()).(Dial); !ok {
+		t.Fatal("no parent was dialed")
+	}
+	next := &fakeConn{"next"}
+	n.Handle(redialed, ParentDialed{Conn: next})
+	sent := frames(n.TakeActions(), next)
+	if len(sent) != 2 || sent[0].Kind != wire.Subscribe || len(sent[1].Entries) != 1 {
+		t.Fatalf("the new parent was sent %+v", sent)
+	}
+	e, complete := codec.EntryFromWire(sent[1].Entries[0], redialed)
+	if !complete || e.Node != "n2" || e.Sequence != 7 || e.Server != "i-2" || e.LastSeen != heard {
+		t.Errorf("of the one below it was sent %+v", e)
+	}
+}
+
 // The lowest version in force below a relay is what its parent hears.
 func TestRelayReportsTheLowestVersion(t *testing.T) {
 	n, _, parent := readyNode(t)
--- a/mesh/dataplane/subscribers/subscribers.go
+++ b/mesh/dataplane/subscribers/subscribers.go
@@ -7,11 +7,13 @@
 package subscribers
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
 
 	"firplank/mesh/codec"
+	"firplank/mesh/directory"
 	"firplank/mesh/dissemination"
 	"firplank/mesh/wire"
 )
@@ -43,11 +45,18 @@
 	ids    map[Conn]uint64 // as the publisher knows them
 	conns  map[uint64]Conn // the inverse of ids
 	lastID uint64          // IDs are not reused
+	heard  map[Conn]contact
+}
+
+// contact is the last frame of a subscriber.
+type contact struct {
+	node string
+	at   time.Duration
 }
 
 // New returns an empty set. Subscribers are sent updates of state, which keeps their versions.
 func New(state *dissemination.Publisher, packer Packer) *Subscribers {
-	return &Subscribers{state: state, packer: packer, ids: map[Conn]uint64{}, conns: map[uint64]Conn{}}
+	return &Subscribers{state: state, packer: packer, ids: map[Conn]uint64{}, conns: map[uint64]Conn{}, heard: map[Conn]contact{}}
 }
 
 // Len returns the number of subscribers.
@@ -68,6 +77,7 @@
 		return false, []Send{{c, &wire.FrameT{Kind: wire.GoAway}}}
 	}
 	s.ids[c], s.conns[s.lastID] = s.lastID, c
+	s.heard[c] = contact{node: f.From, at: now}
 	s.state.HandleAck(s.lastID, codec.AckFromFrame(f), now)
 	return true, nil
 }
@@ -76,7 +86,20 @@
 func (s *Subscribers) Acknowledge(c Conn, f *wire.FrameT, now time.Duration) {
 	if id, ok := s.ids[c]; ok {
 		s.state.HandleAck(id, codec.AckFromFrame(f), now)
+		s.heard[c] = contact{node: s.heard[c].node, at: now}
+	}
+}
+
+// Entries returns the directory's entries of the subscribers, as of their last frames, in the order of their names.
+func (s *Subscribers) Entries() (entries []directory.Entry) {
+	for _, from := range s.heard {
+		if e, ok := s.state.Directory.Get(from.node); ok {
+			e.LastSeen, e.Lost = from.at, false
+			entries = append(entries, e)
+		}
 	}
+	slices.SortFunc(entries, func(a, b directory.Entry) int { return cmp.Compare(a.Node, b.Node) })
+	return entries
 }
 
 // Remove removes the subscriber whose connection has ended, if it is one.
@@ -84,6 +107,7 @@
 	if id, ok := s.ids[c]; ok {
 		delete(s.ids, c)
 		delete(s.conns, id)
+		delete(s.heard, c)
 		s.state.Unsubscribe(id)
 	}
 }
