Rollouts: no promotion without evidence, and later ones

Bad versions had been promoted on 6 to 11 requests.

Causes, three of one class (a decision by default where evidence is missing): - A sender gave the canary its twentieth request and none before: with 3 requests a second and sidecar that is most of a term, on rarer services all of it. Now by systematic sampling with a random start, with half of exposureSlack besides, spread over the senders and the canary's time. - From 0.55 of the term on three requests were enough. Now 24 always, unless the service has fewer requests than exposureSlack in all. - Good answers excused bad ones that came later, and means of logarithms told slow versions late. Now cumulative sums, and the share of answers that are slower than 95 in 100 of the old version's (a histogram in the reports; the sums of logarithms are no longer sent). Promotion comes at 0.6 of the term (0.4), delivery at 0.8 at the earliest (0.5): until then the old servers still run. The time since the order counts from when a sidecar has seen it, so that it outlives control machines. What a rollout waits for is logged and stands in its status.

What is left is bad under load only, late by half the term, or slow in few requests: next.

Tests: TestCanaryIsSampledFromTheFirstRequestsOn, TestVersionThatTurnsBadLateIsFoundAsSoon, TestBurstInThePromotionIsNoFaultOfTheVersion, cases of TestControllerMovesStages. Replaced, as strict: TestVersionOnTrialGetsNoMoreThanItsShare holds the new bound exactly (share, extra ones, start), the explorer's check of the share holds it for each sidecar in place of the sum; an answer in a slow start counts as a request now, without its latency.

--- a/cmd/firplankctl/rollout.go
+++ b/cmd/firplankctl/rollout.go
@@ -96,5 +96,8 @@
 	if r.Reason != "" {
 		printer.Printf("  by %s: %s\n", r.DecidedBy, r.Reason)
 	}
+	if r.WaitsFor != "" {
+		printer.Printf("  waits for: %s\n", r.WaitsFor)
+	}
 	printer.Printf("  evidence: %s\n  sidecars that have not confirmed the stage: %d\n", r.Evidence, r.Unconfirmed)
 }
--- a/mesh/api/status.go
+++ b/mesh/api/status.go
@@ -46,6 +46,8 @@
 	DecidedBy string `json:"decidedBy,omitempty"`
 	// Evidence is what this machine makes of the requests of both versions so far.
 	Evidence string `json:"evidence,omitempty"`
+	// WaitsFor is what it waits for at this machine, while it is under way.
+	WaitsFor string `json:"waitsFor,omitempty"`
 	// Unconfirmed are the sidecars that have not confirmed the present stage.
 	Unconfirmed int `json:"unconfirmed"`
 }
--- a/mesh/codec/rollout.go
+++ b/mesh/codec/rollout.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"encoding/binary"
+	"math"
 	"slices"
 	"time"
 
@@ -52,30 +54,68 @@
 
 // AddEvidence adds what an entry's sidecar reports of rollouts, which goes to the control machines only, and returns the sent entry.
 func AddEvidence(sent *wire.EntryT, e *directory.Evidence) *wire.EntryT {
-	sent.RolloutsConfirmed, sent.RolloutOrder = e.Confirmed, e.Order
+	sent.RolloutsConfirmed, sent.RolloutOrder, sent.OrderAgeMs = e.Confirmed, e.Order, milliseconds(e.OrderAge)
 	for i := range e.Classes {
 		c := &e.Classes[i]
 		sent.Statistics = append(sent.Statistics, &wire.ClassStatisticsT{
-			Class:        c.Class,
-			Requests:     c.Requests,
-			Failures:     c.Failures,
-			LogSum:       float32(c.LogSum),
-			LogSquareSum: float32(c.LogSquareSum),
+			Class:     c.Class,
+			Requests:  c.Requests,
+			Failures:  c.Failures,
+			Latencies: latenciesToWire(&c.Latencies),
 		})
 	}
 	return sent
 }
 
+// latenciesToWire returns the first bucket that is not empty, and the counts from there to the last one that is not, as varints; nil: all
+// are empty.
+func latenciesToWire(l *rollout.Latencies) (sent []byte) {
+	first, last := -1, -1
+	for i, count := range l {
+		if count > 0 {
+			last = i
+			if first < 0 {
+				first = i
+			}
+		}
+	}
+	if first < 0 {
+		return nil
+	}
+	sent = binary.AppendUvarint(sent, uint64(first))
+	for _, count := range l[first : last+1] {
+		sent = binary.AppendUvarint(sent, uint64(count))
+	}
+	return sent
+}
+
+// latenciesFromWire returns a histogram as it was sent. What has no place in it is dropped.
+func latenciesFromWire(received []byte) (l rollout.Latencies) {
+	at, n := binary.Uvarint(received)
+	for received = received[max(0, n):]; n > 0 && at < uint64(len(l)); at++ {
+		var count uint64
+		if count, n = binary.Uvarint(received); n <= 0 {
+			break
+		}
+		l[at] = uint32(min(count, math.MaxUint32))
+		received = received[n:]
+	}
+	return l
+}
+
 // evidenceFromWire returns what an entry's sidecar reports of rollouts.
 func evidenceFromWire(e *wire.EntryT) directory.Evidence {
-	evidence := directory.Evidence{Confirmed: e.RolloutsConfirmed, Order: e.RolloutOrder}
+	evidence := directory.Evidence{
+		Confirmed: e.RolloutsConfirmed,
+		Order:     e.RolloutOrder,
+		OrderAge:  time.Duration(e.OrderAgeMs) * time.Millisecond,
+	}
 	for _, c := range e.Statistics {
 		evidence.Classes = append(evidence.Classes, rollout.Statistics{
-			Class:        c.Class,
-			Requests:     c.Requests,
-			Failures:     c.Failures,
-			LogSum:       float64(c.LogSum),
-			LogSquareSum: float64(c.LogSquareSum),
+			Class:     c.Class,
+			Requests:  c.Requests,
+			Failures:  c.Failures,
+			Latencies: latenciesFromWire(c.Latencies),
 		})
 	}
 	return evidence
--- a/mesh/controlplane/rollouts.go
+++ b/mesh/controlplane/rollouts.go
@@ -41,6 +41,7 @@
 	nextTick   time.Duration
 	proposals  map[string]proposal // by service
 	logged     uint32              // the revision that was logged
+	waiting    map[string]string   // what was logged that rollouts wait for, by service
 }
 
 // proposal is a transition that was proposed to the register.
@@ -49,8 +50,13 @@
 	proposedAt time.Duration
 }
 
-func newRolloutDriver(t timing.Rollouts) *rolloutDriver {
-	return &rolloutDriver{durations: t, controller: rollout.NewController(t), proposals: map[string]proposal{}}
+func newRolloutDriver(t timing.Rollouts, exposureSlack float64) *rolloutDriver {
+	return &rolloutDriver{
+		durations:  t,
+		controller: rollout.NewController(t, exposureSlack),
+		proposals:  map[string]proposal{},
+		waiting:    map[string]string{},
+	}
 }
 
 // rolloutOrder is the body of an order, in the users' names.
@@ -252,6 +258,20 @@
 	for _, transition := range due {
 		s.proposeTransition(now, transition)
 	}
+	s.logWaiting(set)
+}
+
+// logWaiting logs what rollouts wait for, whenever that has changed.
+func (s *Server) logWaiting(set rollout.Set) {
+	d := s.rollouts
+	for i := range set.Rollouts {
+		service := set.Rollouts[i].Service
+		waitsFor := d.controller.WaitsFor(service)
+		if waitsFor != "" && waitsFor != d.waiting[service] {
+			_ = level.Info(s.log).Log("msg", "rollout waits", "service", service, "for", waitsFor)
+		}
+		d.waiting[service] = waitsFor
+	}
 }
 
 // proposeTransition proposes a transition, unless one of the service was proposed a moment ago.
@@ -290,6 +310,7 @@
 	for i := range entries {
 		e := &entries[i]
 		machines[i] = rollout.Machine{
+			Node:      e.Node,
 			Service:   e.Service,
 			Version:   e.Version,
 			Accepting: e.State == directory.Accepting,
@@ -298,6 +319,7 @@
 			LastSeen:  e.LastSeen,
 			Confirmed: e.Evidence.Confirmed,
 			Order:     e.Evidence.Order,
+			OrderAge:  e.Evidence.OrderAge,
 			Classes:   e.Evidence.Classes,
 		}
 	}
@@ -318,6 +340,7 @@
 			Reason:      r.Reason,
 			DecidedBy:   r.DecidedBy,
 			Evidence:    controller.Judgment(r.Service).Reason,
+			WaitsFor:    controller.WaitsFor(r.Service),
 			Unconfirmed: controller.Unconfirmed(now, set.Revision, s.rolloutMachines()),
 		})
 	}
--- a/mesh/controlplane/server.go
+++ b/mesh/controlplane/server.go
@@ -101,7 +101,7 @@
 	s.pipeline.SetInvariants(monitor)
 	s.operations.SetInvariants(monitor)
 	s.reconciler = newReconciler(s)
-	s.rollouts = newRolloutDriver(s.durations.Rollouts)
+	s.rollouts = newRolloutDriver(s.durations.Rollouts, s.settings.Bounds.ExposureSlack)
 }
 
 // nextID returns a number for an operation of the register.
--- a/mesh/dataplane/lifecycle.go
+++ b/mesh/dataplane/lifecycle.go
@@ -147,7 +147,7 @@
 func (p *Proxy) serve(ctx context.Context, reloads <-chan os.Signal) error {
 	settings := p.settings.Load()
 	p.startUpstreams(sockets(settings))
-	clients := clientDialect{config: &p.cfg, services: &p.services, shutdown: &p.shutdown, refused: p.figures.lateAtShutdown}
+	clients := clientDialect{config: &p.cfg, services: &p.services, shutdown: &p.shutdown, refused: p.figures.lateAtShutdown, start: p.start}
 	out, err := p.newFront(clients, noExchange{p.ctx}, sockets(settings)/4)
 	if err != nil {
 		return err
--- a/mesh/dataplane/outgoing.go
+++ b/mesh/dataplane/outgoing.go
@@ -27,6 +27,7 @@
 	services *atomic.Pointer[map[string]*service] // by name
 	shutdown *atomic.Pointer[shutdownSchedule]    // nil: it has not begun
 	refused  *metrics.Counter                     // of requests that come too late for it
+	start    time.Time                            // of the process, from which its clock counts
 }
 
 // Fill implements httpfront.Dialect: it routes a request to a service's exchange, or returns the answer that rejects it.
@@ -63,7 +64,7 @@
 		Class:       svc.class(route),
 		Tenant:      -1,
 		Remaining:   left,
-		Candidate:   svc.split.Next(),
+		Candidate:   svc.split.Next(c.Received.Sub(d.start)),
 		MaxAttempts: route.Action.MaxAttempts,
 	}
 	c.Exchange = svc.exchange
--- a/mesh/dataplane/proxy.go
+++ b/mesh/dataplane/proxy.go
@@ -43,7 +43,6 @@
 	"firplank/mesh/dataplane/liveness"
 	"firplank/mesh/directory"
 	"firplank/mesh/dissemination"
-	"firplank/mesh/rollout"
 	"firplank/mesh/timing"
 )
 
@@ -208,7 +207,7 @@
 	post := func(e distribution.Event) bool { return p.post(distributionEvent{e}) }
 	p.links = links.New(ctx, p.node, post, p.observe)
 	p.exchanges = exchanges.New(p.newService, p.setEndpoints)
-	p.rollouts = newRollouts(durations.Rollouts, rollout.CanaryShare(settings.Bounds.ExposureShare))
+	p.rollouts = newRollouts(durations.Rollouts, &settings.Bounds)
 	p.streamPings = newStreamPings(ctx, settings.NodeName, func(node string) { p.post(contactMade{node}) })
 	p.liveness = liveness.New(settings.NodeName, hashSeed(settings.NodeName)^uint64(p.start.UnixNano()))
 	return p
--- a/mesh/dataplane/rollouts.go
+++ b/mesh/dataplane/rollouts.go
@@ -2,10 +2,12 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"github.com/go-kit/log/level"
 
+	"firplank/mesh/bootstrap"
 	"firplank/mesh/config"
 	"firplank/mesh/directory"
 	"firplank/mesh/dissemination"
@@ -16,7 +18,7 @@
 // rollouts is how far this sidecar has followed the rollouts that it was notified of. It belongs to the loop.
 type rollouts struct {
 	durations timing.Rollouts
-	share     float64 // of the requests that a canary gets
+	bounds    *bootstrap.Bounds
 
 	set      rollout.Set          // by which endpoints are set
 	followed map[string]*followed // by service
@@ -30,12 +32,13 @@
 
 // followed is how far a sidecar has followed the rollout of a service.
 type followed struct {
+	ordered time.Duration // when it learned of the order
 	since   time.Duration // when it learned of the present stage
 	retired bool          // the servers of the old version have had time to stop
 }
 
-func newRollouts(t timing.Rollouts, share float64) rollouts {
-	return rollouts{durations: t, share: share, followed: map[string]*followed{}}
+func newRollouts(t timing.Rollouts, b *bootstrap.Bounds) rollouts {
+	return rollouts{durations: t, bounds: b, followed: map[string]*followed{}}
 }
 
 // rolloutCheck asks the exchanges of services with a rollout whether they have anything in flight that it forbids.
@@ -74,11 +77,12 @@
 // setEndpoints brings a service's exchange to a directory and to the service's rollout.
 func (p *Proxy) setEndpoints(s *service, entries []directory.Entry, now time.Duration) {
 	r, known := p.rollouts.set.Find(s.name)
-	share := 0.
 	if known && r.Stage == rollout.Canary {
-		share = p.rollouts.share
+		senders, bounds := p.node.State().Directory.Len(), p.rollouts.bounds
+		s.split.Begin(now, rollout.CanaryPlan(&r, bounds.ExposureShare, bounds.ExposureSlack, senders), rand.Float64())
+	} else {
+		s.split.Stop()
 	}
-	s.split.SetShare(share)
 	anyServes := known && p.rollouts.anyServes(entries, &r)
 	s.setEndpoints(entries, func(version string) rollout.Eligibility {
 		if !known {
@@ -124,10 +128,15 @@
 	p.rollouts.set, p.rollouts.check = next, nil
 	for i := range next.Rollouts {
 		r := &next.Rollouts[i]
-		if before, ok := present.Find(r.Service); ok && before.Order == r.Order && before.Stage == r.Stage {
+		before, ok := present.Find(r.Service)
+		if ok && before.Order == r.Order && before.Stage == r.Stage {
 			continue
 		}
-		p.rollouts.followed[r.Service] = &followed{since: now}
+		next := &followed{ordered: now, since: now}
+		if ok && before.Order == r.Order {
+			next.ordered = p.rollouts.followed[r.Service].ordered
+		}
+		p.rollouts.followed[r.Service] = next
 		_ = level.Info(p.log).Log("msg", "rollout", "service", r.Service, "target", r.Target, "order", r.Order, "stage", r.Stage)
 	}
 	p.exchanges.Invalidate()
@@ -248,7 +257,11 @@
 func (p *Proxy) sendEvidence(now time.Duration) {
 	p.rollouts.reportAt = now + p.rollouts.durations.ReportInterval
 	order, classes := p.lastHop.trialStatistics()
-	p.node.ReportEvidence(now, directory.Evidence{Confirmed: p.rollouts.confirmed, Order: order, Classes: classes})
+	evidence := directory.Evidence{Confirmed: p.rollouts.confirmed, Order: order, Classes: classes}
+	if f := p.rollouts.followed[*p.serviceName.Load()]; f != nil && order > 0 {
+		evidence.OrderAge = now - f.ordered
+	}
+	p.node.ReportEvidence(now, evidence)
 }
 
 // classMultiplier is a large odd number by which routeClass spreads its parts.
--- a/mesh/directory/entry.go
+++ b/mesh/directory/entry.go
@@ -76,9 +76,11 @@
 type Evidence struct {
 	// Confirmed is the revision of the rollouts by which the sidecar sends, with nothing in flight that they forbid.
 	Confirmed uint32
-	// Order is that of the rollout of the server's service that Classes were counted in; 0: none is under way.
-	Order   uint32
-	Classes []rollout.Statistics
+	// Order is that of the rollout of the server's service that Classes were counted in; 0: none is under way. OrderAge is for how long the
+	// sidecar has known of it.
+	Order    uint32
+	OrderAge time.Duration
+	Classes  []rollout.Statistics
 }
 
 // Newer reports whether the entry was announced after another one of the same node.
--- a/mesh/wire/ClassStatistics.go
+++ b/mesh/wire/ClassStatistics.go
@@ -12,18 +12,24 @@
 	Failures     uint32  `json:"failures"`
 	LogSum       float32 `json:"log_sum"`
 	LogSquareSum float32 `json:"log_square_sum"`
+	Latencies    []byte  `json:"latencies"`
 }
 
 func (t *ClassStatisticsT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	if t == nil {
 		return 0
 	}
+	latenciesOffset := flatbuffers.UOffsetT(0)
+	if t.Latencies != nil {
+		latenciesOffset = builder.CreateByteString(t.Latencies)
+	}
 	ClassStatisticsStart(builder)
 	ClassStatisticsAddClass(builder, t.Class)
 	ClassStatisticsAddRequests(builder, t.Requests)
 	ClassStatisticsAddFailures(builder, t.Failures)
 	ClassStatisticsAddLogSum(builder, t.LogSum)
 	ClassStatisticsAddLogSquareSum(builder, t.LogSquareSum)
+	ClassStatisticsAddLatencies(builder, latenciesOffset)
 	return ClassStatisticsEnd(builder)
 }
 
@@ -33,6 +39,7 @@
 	t.Failures = rcv.Failures()
 	t.LogSum = rcv.LogSum()
 	t.LogSquareSum = rcv.LogSquareSum()
+	t.Latencies = rcv.LatenciesBytes()
 }
 
 func (rcv *ClassStatistics) UnPack() *ClassStatisticsT {
@@ -131,8 +138,42 @@
 	return rcv._tab.MutateFloat32Slot(12, n)
 }
 
+func (rcv *ClassStatistics) Latencies(j int) byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(14))
+	if o != 0 {
+		a := rcv._tab.Vector(o)
+		return rcv._tab.GetByte(a + flatbuffers.UOffsetT(j*1))
+	}
+	return 0
+}
+
+func (rcv *ClassStatistics) LatenciesLength() int {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(14))
+	if o != 0 {
+		return rcv._tab.VectorLen(o)
+	}
+	return 0
+}
+
+func (rcv *ClassStatistics) LatenciesBytes() []byte {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(14))
+	if o != 0 {
+		return rcv._tab.ByteVector(o + rcv._tab.Pos)
+	}
+	return nil
+}
+
+func (rcv *ClassStatistics) MutateLatencies(j int, n byte) bool {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(14))
+	if o != 0 {
+		a := rcv._tab.Vector(o)
+		return rcv._tab.MutateByte(a+flatbuffers.UOffsetT(j*1), n)
+	}
+	return false
+}
+
 func ClassStatisticsStart(builder *flatbuffers.Builder) {
-	builder.StartObject(5)
+	builder.StartObject(6)
 }
 func ClassStatisticsAddClass(builder *flatbuffers.Builder, class uint32) {
 	builder.PrependUint32Slot(0, class, 0)
@@ -149,6 +190,12 @@
 func ClassStatisticsAddLogSquareSum(builder *flatbuffers.Builder, logSquareSum float32) {
 	builder.PrependFloat32Slot(4, logSquareSum, 0.0)
 }
+func ClassStatisticsAddLatencies(builder *flatbuffers.Builder, latencies flatbuffers.UOffsetT) {
+	builder.PrependUOffsetTSlot(5, flatbuffers.UOffsetT(latencies), 0)
+}
+func ClassStatisticsStartLatenciesVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
+	return builder.StartVector(1, numElems, 1)
+}
 func ClassStatisticsEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
--- a/mesh/wire/Entry.go
+++ b/mesh/wire/Entry.go
@@ -24,6 +24,7 @@
 	RolloutsConfirmed uint32              `json:"rollouts_confirmed"`
 	RolloutOrder      uint32              `json:"rollout_order"`
 	Statistics        []*ClassStatisticsT `json:"statistics"`
+	OrderAgeMs        uint32              `json:"order_age_ms"`
 }
 
 func (t *EntryT) Pack(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
@@ -71,6 +72,7 @@
 	EntryAddRolloutsConfirmed(builder, t.RolloutsConfirmed)
 	EntryAddRolloutOrder(builder, t.RolloutOrder)
 	EntryAddStatistics(builder, statisticsOffset)
+	EntryAddOrderAgeMs(builder, t.OrderAgeMs)
 	return EntryEnd(builder)
 }
 
@@ -98,6 +100,7 @@
 		rcv.Statistics(&x, j)
 		t.Statistics[j] = x.UnPack()
 	}
+	t.OrderAgeMs = rcv.OrderAgeMs()
 }
 
 func (rcv *Entry) UnPack() *EntryT {
@@ -346,8 +349,20 @@
 	return 0
 }
 
+func (rcv *Entry) OrderAgeMs() uint32 {
+	o := flatbuffers.UOffsetT(rcv._tab.Offset(38))
+	if o != 0 {
+		return rcv._tab.GetUint32(o + rcv._tab.Pos)
+	}
+	return 0
+}
+
+func (rcv *Entry) MutateOrderAgeMs(n uint32) bool {
+	return rcv._tab.MutateUint32Slot(38, n)
+}
+
 func EntryStart(builder *flatbuffers.Builder) {
-	builder.StartObject(17)
+	builder.StartObject(18)
 }
 func EntryAddNode(builder *flatbuffers.Builder, node flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(0, flatbuffers.UOffsetT(node), 0)
@@ -406,6 +421,9 @@
 func EntryStartStatisticsVector(builder *flatbuffers.Builder, numElems int) flatbuffers.UOffsetT {
 	return builder.StartVector(4, numElems, 4)
 }
+func EntryAddOrderAgeMs(builder *flatbuffers.Builder, orderAgeMs uint32) {
+	builder.PrependUint32Slot(17, orderAgeMs, 0)
+}
 func EntryEnd(builder *flatbuffers.Builder) flatbuffers.UOffsetT {
 	return builder.EndObject()
 }
