Laboratory: relays ask the kernel for one socket in place of its table

TestFullLinkIsNoLoss was red beside a load of 40: the relays took over 0.5 s to let a new connection through, as each was looked up in the table of all the machine's sockets. Now a relay asks sock_diag for the one socket; the table is read where that is not answered. TestInodeOfTheOtherEnd holds both ways to the same answer.

--- a/lab/mesh/network.go
+++ b/lab/mesh/network.go
@@ -243,7 +243,10 @@
 
 // machineOf returns the name of the machine whose process is at the other end of a connection; empty: none of them.
 func (m *Mesh) machineOf(local, remote *net.TCPAddr) string {
-	inode := socketInode(local, remote)
+	inode := diagnoseInode(remote, local)
+	if inode == "" {
+		inode = socketInode(local, remote)
+	}
 	if inode == "" {
 		return ""
 	}
