--- a/internal/upstream/http/answer.go
+++ b/internal/upstream/http/answer.go
@@ -86,7 +86,7 @@
 			if h.success() {
 				return nil, errUnframed
 			}
-			resp.Close, resp.Body = true, http.NoBody // its head tells all that is asked of it
+			resp.Close, resp.Body = true, http.NoBody // its head is enough
 			return resp, nil
 		}
 		r.allowance.left = maxFraming * int(most)
--- a/internal/upstream/http/answer_test.go
+++ b/internal/upstream/http/answer_test.go
@@ -119,7 +119,7 @@
 func TestConnectionsRest(t *testing.T) {
 	s, u := testbed.NewScript(t, testbed.Say(200, "")), newRestingUpstream(t)
 	e := at(s.Addr)
-	if r := u.try(newAttempt(e, testbed.Patience).attempt); r.Outcome != balance.OK {
+	if r := u.perform(newAttempt(e, testbed.Patience).attempt); r.Outcome != balance.OK {
 		t.Fatalf("outcome %v", r.Outcome)
 	}
 	if c := u.pool.takeIdle(e, 0); c != nil {
--- a/internal/upstream/http/conn.go
+++ b/internal/upstream/http/conn.go
@@ -42,7 +42,7 @@
 	return c.Conn.Close()
 }
 
-// state tells whether an idle connection is open and silent, as it has to be.
+// state returns whether an idle connection is open and silent, as it has to be.
 func (c *conn) state() socket.PeekState {
 	if c.polled != nil {
 		return c.polled.peek()
--- a/internal/upstream/http/encode.go
+++ b/internal/upstream/http/encode.go
@@ -81,7 +81,7 @@
 	return append(append(dst, "\r\n"...), m.Body...)
 }
 
-// encode writes the message as it goes to a server, which is told the time that remains until cut.
+// encode writes the message as it is sent to a server, with the time that remains until cut.
 func encode(m *core.Message, cut time.Time) ([]byte, error) {
 	if m.Meta != nil && m.Stream == nil { // it came over HTTP, and was checked
 		return appendRequest(make([]byte, 0, 512+len(m.Body)), m, time.Until(cut)), nil
--- a/internal/upstream/http/late.go
+++ b/internal/upstream/http/late.go
@@ -20,9 +20,9 @@
 	lateRest   = 250 * time.Millisecond
 )
 
-// judge takes in what was found on an idle connection, and returns its endpoint if that is news. The caller holds mu.
+// judge records what was found on an idle connection, and returns its endpoint if it was not suspected before. The caller holds mu.
 func (p *pool) judge(c *conn, state socket.PeekState) *core.Endpoint {
-	if state == socket.Readable && p.heard != nil && p.heard().Sub(c.idleFrom) >= p.restTime {
+	if state == socket.Readable && p.polledUpTo != nil && p.polledUpTo().Sub(c.idleFrom) >= p.restTime {
 		c.looked = true // silent until then, or it would have been ended
 	}
 	if state != socket.Readable || !c.looked {
--- a/internal/upstream/http/late_test.go
+++ b/internal/upstream/http/late_test.go
@@ -145,7 +145,7 @@
 			m := &core.Message{Safe: true, Target: "/api", Authority: "app.svc", Meta: http.Header{}}
 			end := time.Now().Add(testbed.Patience)
 			a := &attempt{Attempt: core.NewAttempt(e, m, end, func(core.Result) {}), ctx: t.Context()}
-			r := u.try(a)
+			r := u.perform(a)
 			p.look(time.Now())
 			return r
 		}
--- a/internal/upstream/http/outcome.go
+++ b/internal/upstream/http/outcome.go
@@ -1,6 +1,6 @@
 package http
 
-// This file tells what the end of an attempt proves.
+// This file draws the evidence of the end of an attempt.
 
 import (
 	"errors"
@@ -13,7 +13,7 @@
 	"firplank/internal/httpwire"
 )
 
-// unconnected tells the server's failures from this side's own, which must not be held against it.
+// unconnected is the outcome where there is no connection: a failure of this side's own must not count against the server.
 func unconnected(a *attempt, err error) balance.Result {
 	if a.ctx.Err() != nil || errors.Is(err, errNoSocket) || !time.Now().Before(a.Deadline) {
 		return balance.NotSent
--- a/internal/upstream/http/pairing.go
+++ b/internal/upstream/http/pairing.go
@@ -21,7 +21,7 @@
 }
 
 // Take takes in what has come, or with eof that nothing follows. ours reports whether an answer belongs to the request;
-// one that does not is dropped. It returns the answer once it is whole; an error says that none can follow.
+// one that does not is dropped. It returns the answer once it is complete; after an error none can follow.
 func (p *Pairing) Take(b []byte, eof bool, ours func(http.Header) bool) (*Paired, error) {
 	p.in = append(p.in, b...)
 	for {
--- a/internal/upstream/http/poll_linux.go
+++ b/internal/upstream/http/poll_linux.go
@@ -18,22 +18,22 @@
 	"firplank/internal/timerwheel"
 )
 
-// PollBack makes attempts on the kernel's readiness: an attempt that is written in one piece and answered with what is held
-// whole has no goroutine. Its request is written where the exchange asks for it, its answer read by the one goroutine of the
-// poller. What passes through goes on a goroutine of its own, as with Back, and so does what has to be looked up by name.
+// PollBackend makes attempts on the kernel's readiness: an attempt that is written in one piece and answered with what is held
+// in memory has no goroutine. Its request is written where the exchange asks for it, its answer read by the one goroutine of the
+// poller. What passes through goes on a goroutine of its own, as with Backend, and so does what has to be looked up by name.
 //
 // Locks: a connection's comes before the pool's and before the wheel's. None is held when an attempt is ended: the exchange
 // may wait for any of them.
-type PollBack struct {
-	*Back
+type PollBackend struct {
+	*Backend
 	poller  *poller.Poller
 	scratch []byte // the poller's own
 
-	start time.Time
-	heard atomic.Int64 // since start: what came on any connection before that has been seen to
+	start      time.Time
+	polledUpTo atomic.Int64 // since start: what came on any connection before that has been handled
 
 	mu    sync.Mutex
-	wheel *timerwheel.Wheel[*sock]
+	wheel *timerwheel.Wheel[*polledConn]
 	alarm time.Duration // when the poller's is set to; 0: it is not
 }
 
@@ -44,81 +44,81 @@
 	readAtOnce   = 64 << 10
 )
 
-// NewPoll returns a back on the kernel's readiness, whose attempts end when ctx does.
-func NewPoll(ctx context.Context, cfg Config) (*PollBack, error) {
+// NewPoll returns a backend on the kernel's readiness, whose attempts end when ctx does.
+func NewPoll(ctx context.Context, cfg Config) (*PollBackend, error) {
 	p, err := poller.New()
 	if err != nil {
 		return nil, err
 	}
-	b := &PollBack{
-		Back: New(ctx, cfg), poller: p, scratch: make([]byte, readAtOnce), start: time.Now(),
-		wheel: timerwheel.New[*sock](attemptTick, attemptSlots),
+	b := &PollBackend{
+		Backend: New(ctx, cfg), poller: p, scratch: make([]byte, readAtOnce), start: time.Now(),
+		wheel: timerwheel.New[*polledConn](attemptTick, attemptSlots),
 	}
 	b.up.pool.adopt = b.adopt
-	b.up.pool.heard = func() time.Time { return b.start.Add(time.Duration(b.heard.Load())) }
+	b.up.pool.polledUpTo = func() time.Time { return b.start.Add(time.Duration(b.polledUpTo.Load())) }
 	b.running.Go(func() {
-		b.poller.Run(b.ring, func(began time.Time) { b.heard.Store(int64(began.Sub(b.start))) })
+		b.poller.Run(b.ring, func(began time.Time) { b.polledUpTo.Store(int64(began.Sub(b.start))) })
 	})
 	context.AfterFunc(ctx, b.shut)
 	return b, nil
 }
 
 // shut closes what is open; the exchange has ended, nobody waits for the attempts.
-func (b *PollBack) shut() {
+func (b *PollBackend) shut() {
 	for _, h := range b.poller.Handlers() {
-		_ = h.(*sock).Close() // nobody waits for what comes of it
+		_ = h.(*polledConn).Close() // nobody waits for what comes of it
 	}
 	b.poller.Close()
 }
 
 // Begin implements core.Backend.
-func (b *PollBack) Begin(a *core.Attempt) {
+func (b *PollBackend) Begin(a *core.Attempt) {
 	addr, err := netip.ParseAddrPort(a.Endpoint.Addr())
 	if a.Message.Stream != nil || err != nil || addr.Addr().Zone() != "" {
-		b.Back.Begin(a)
+		b.Backend.Begin(a)
 		return
 	}
-	t := &try{up: b.up, attempt: a, endpoint: a.Endpoint, cut: a.Deadline}
+	t := &polledRequest{up: b.up, attempt: a, endpoint: a.Endpoint, cut: a.Deadline}
 	a.State = t
 	b.begin(t, addr)
 }
 
 // Cancel implements core.Backend.
-func (b *PollBack) Cancel(a *core.Attempt) {
-	t, polled := a.State.(*try)
+func (b *PollBackend) Cancel(a *core.Attempt) {
+	t, polled := a.State.(*polledRequest)
 	if !polled {
-		b.Back.Cancel(a)
+		b.Backend.Cancel(a)
 		return
 	}
-	if s := t.sock; s != nil {
+	if s := t.conn; s != nil {
 		s.giveUp(t)
 	}
 }
 
 // Probe implements core.Backend.
-func (b *PollBack) Probe(e *core.Endpoint, done func(core.Result)) {
+func (b *PollBackend) Probe(e *core.Endpoint, done func(core.Result)) {
 	addr, err := netip.ParseAddrPort(e.Addr())
 	if err != nil || addr.Addr().Zone() != "" {
-		b.Back.Probe(e, done)
+		b.Backend.Probe(e, done)
 		return
 	}
-	t := &try{up: b.up, probe: done, endpoint: e, cut: time.Now().Add(b.up.pool.connectTimeout + probePatience)}
+	t := &polledRequest{up: b.up, probe: done, endpoint: e, cut: time.Now().Add(b.up.pool.connectTimeout + probePatience)}
 	b.begin(t, addr)
 }
 
-// try is an attempt or a probe.
-type try struct {
+// polledRequest is an attempt or a probe.
+type polledRequest struct {
 	up       *upstream
 	attempt  *core.Attempt // nil of a probe
 	probe    func(core.Result)
 	endpoint *core.Endpoint
 	cut      time.Time
-	sock     *sock                   // set before Begin returns, and never changed
+	conn     *polledConn             // set before Begin returns, and never changed
 	taken    atomic.Pointer[attempt] // by a goroutine, as its answer passes through
 }
 
 // over reports whether nothing may be sent for it any more.
-func (t *try) over() bool {
+func (t *polledRequest) over() bool {
 	if t.attempt != nil {
 		return t.attempt.Obsolete()
 	}
@@ -126,7 +126,7 @@
 }
 
 // encode makes its request, with the time that it has left.
-func (t *try) encode(b *PollBack) ([]byte, error) {
+func (t *polledRequest) encode(b *PollBackend) ([]byte, error) {
 	if t.attempt != nil {
 		return b.up.encode(t.attempt)
 	}
@@ -134,7 +134,7 @@
 }
 
 // end ends it, on a goroutine that may wait for the exchange.
-func (t *try) end(r core.Result) {
+func (t *polledRequest) end(r core.Result) {
 	if t.attempt != nil {
 		t.up.end(t.attempt, r)
 	} else {
@@ -143,15 +143,15 @@
 }
 
 // settle ends what was not begun, or is given up, from a goroutine that may not wait.
-func (b *PollBack) settle(t *try, outcome balance.Result) {
+func (b *PollBackend) settle(t *polledRequest, outcome balance.Result) {
 	if t.attempt == nil && outcome == balance.NotSent {
-		outcome = balance.ConnectFailed // which is all that a probe can tell
+		outcome = balance.ConnectFailed // a probe has no other failure
 	}
 	b.running.Go(func() { t.end(core.Result{Outcome: outcome}) })
 }
 
 // begin puts a request on an idle connection, or on a new one.
-func (b *PollBack) begin(t *try, addr netip.AddrPort) {
+func (b *PollBackend) begin(t *polledRequest, addr netip.AddrPort) {
 	if t.over() {
 		b.settle(t, balance.NotSent)
 		return
@@ -165,7 +165,7 @@
 		if c = p.check(c, t.endpoint); c == nil {
 			continue
 		}
-		c.polled.(*sock).begin(t)
+		c.polled.(*polledConn).begin(t)
 		return
 	}
 	if !p.reserve() {
@@ -184,8 +184,8 @@
 		return
 	}
 	c := &conn{endpoint: t.endpoint, addr: t.endpoint.Addr()}
-	s := &sock{back: b, conn: c, fd: fd, state: sockConnecting, try: t}
-	s.timeout.Owner, c.polled, t.sock = s, s, s
+	s := &polledConn{backend: b, conn: c, fd: fd, state: polledConnecting, current: t}
+	s.timeout.Owner, c.polled, t.conn = s, s, s
 	s.mu.Lock()
 	failed := b.poller.Register(fd, s, &s.place) != nil
 	if !failed {
@@ -218,7 +218,7 @@
 }
 
 // adopt takes a connection over from a goroutine. Go's own descriptor of it is closed, ours is another.
-func (b *PollBack) adopt(c *conn) bool {
+func (b *PollBackend) adopt(c *conn) bool {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return false
@@ -233,7 +233,7 @@
 		return false
 	}
 	_ = c.Conn.Close() // the connection is released even where this fails
-	s := &sock{back: b, conn: c, fd: fd}
+	s := &polledConn{backend: b, conn: c, fd: fd}
 	s.timeout.Owner = s
 	c.Conn, c.polled = nil, s
 	s.mu.Lock()
@@ -242,7 +242,7 @@
 }
 
 // setTimeout sets a connection's time-out, and the poller's alarm where it comes before all others.
-func (b *PollBack) setTimeout(s *sock, in time.Duration) {
+func (b *PollBackend) setTimeout(s *polledConn, in time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	at := (time.Since(b.start) + max(0, in) + attemptTick - 1).Truncate(attemptTick)
@@ -253,14 +253,14 @@
 	}
 }
 
-func (b *PollBack) clearTimeout(s *sock) {
+func (b *PollBackend) clearTimeout(s *polledConn) {
 	b.mu.Lock()
 	b.wheel.Clear(&s.timeout)
 	b.mu.Unlock()
 }
 
 // ring plays the time-outs that are due, on the poller's goroutine.
-func (b *PollBack) ring() {
+func (b *PollBackend) ring() {
 	b.mu.Lock()
 	due := b.wheel.Advance(time.Since(b.start), nil)
 	at, ok := b.wheel.Next()
--- a/internal/upstream/http/poll_other.go
+++ b/internal/upstream/http/poll_other.go
@@ -7,8 +7,8 @@
 	"errors"
 )
 
-// PollBack is there on Linux only.
-type PollBack struct{ *Back }
+// PollBackend is there on Linux only.
+type PollBackend struct{ *Backend }
 
-// NewPoll fails: Back has to do.
-func NewPoll(context.Context, Config) (*PollBack, error) { return nil, errors.ErrUnsupported }
+// NewPoll fails: Backend has to do.
+func NewPoll(context.Context, Config) (*PollBackend, error) { return nil, errors.ErrUnsupported }
--- a/internal/upstream/http/pool.go
+++ b/internal/upstream/http/pool.go
@@ -14,7 +14,7 @@
 	"firplank/internal/socket"
 )
 
-// errNoSocket says that no connection was tried, as this side has no socket left for it.
+// errNoSocket: no connection was tried, as this side has no socket left for it.
 var errNoSocket = errors.New("no socket to spare")
 
 // pool keeps the connections to endpoints, within a number of sockets.
@@ -39,10 +39,10 @@
 	noteLate  func(*core.Endpoint)
 	seed      maphash.Seed
 
-	// Where the kernel's readiness is waited for: adopt makes a goroutine's connection one that is polled, and heard is a
-	// time before which everything that came on idle connections has been heard of. Nil elsewhere.
-	adopt func(*conn) bool
-	heard func() time.Time
+	// Where the kernel's readiness is waited for: adopt makes a goroutine's connection one that is polled, and polledUpTo is
+	// a time before which everything that came on idle connections has been handled. Nil elsewhere.
+	adopt      func(*conn) bool
+	polledUpTo func() time.Time
 }
 
 func newPool(connectTimeout, idleTime, restTime time.Duration, most int) *pool {
@@ -61,7 +61,7 @@
 			break
 		}
 		// The server may have closed it, or died, while it was idle. A request written to it would end as a
-		// reset, which may have run; a new connection tells for sure.
+		// reset, which may have run; a new connection is sure.
 		if c = p.check(c, e); c == nil {
 			continue
 		}
@@ -156,14 +156,14 @@
 	keep := !c.endpoint.Closed() && c.idleFrom.After(p.lateOnes[c.endpoint])
 	if keep {
 		p.idle[c.endpoint] = append(p.idle[c.endpoint], c)
-		if p.heard == nil {
+		if p.polledUpTo == nil {
 			p.resting = append(p.resting, resting{c, c.uses})
 		}
 	}
 	p.mu.Unlock()
 	if !keep {
 		p.drop(c)
-	} else if p.heard == nil {
+	} else if p.polledUpTo == nil {
 		select {
 		case p.rested <- struct{}{}:
 		default:
--- a/internal/upstream/http/probe.go
+++ b/internal/upstream/http/probe.go
@@ -49,7 +49,7 @@
 	return fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", u.probe, addr)
 }
 
-// probed is what an answer to a probe says.
+// probed is the result of an answer to a probe.
 func (u *upstream) probed(h *answerHead, body []byte) core.Result {
 	r := core.Result{Outcome: balance.Failed, Report: reportOf(h.header, u.fields)}
 	if r.Report == nil {
--- a/internal/upstream/http/scan.go
+++ b/internal/upstream/http/scan.go
@@ -18,7 +18,7 @@
 type answerHead struct {
 	status  int
 	header  http.Header
-	length  int64 // of the body; -1: chunks, or the connection's end, tell
+	length  int64 // of the body; -1: it ends with its chunks or with the connection
 	chunked bool
 	last    bool // the server closes after it
 	closes  bool // the server has said that it will
@@ -122,7 +122,7 @@
 	short  bool // only its head counts: the body has no end that could be waited for
 }
 
-// next goes on over b, all that has come, and reports whether the answer is whole. eof says that nothing will follow.
+// next goes on over b, all that has come, and reports whether the answer is complete. eof: nothing will follow.
 func (in *incoming) next(b []byte, eof bool) (whole bool, err error) {
 	for in.head == nil {
 		end, err := in.findHead(b)
@@ -148,7 +148,7 @@
 			if h.success() {
 				return false, errUnframed
 			}
-			in.short, h.last = true, true // its head tells all that is asked of it
+			in.short, h.last = true, true // its head is enough
 		}
 	}
 	switch h := in.head; {
--- a/internal/upstream/http/stream.go
+++ b/internal/upstream/http/stream.go
@@ -132,7 +132,7 @@
 }
 
 // early reads the answer of a server that answers before it has the whole request. By the platform of package settings no server begins
-// before the last byte. Where a dialect judges answers, this one proves what it says, as a server may begin by the head alone; one that
+// before the last byte. Where a dialect judges answers, this one counts like any other, as a server may begin by the head alone; one that
 // closes the connection without a word has not begun.
 func (u *upstream) early(a *attempt, c *conn) core.Result {
 	if !a.extend(c, u.pool.connectTimeout) {
@@ -229,7 +229,7 @@
 	return r.kept
 }
 
-// pass ends the attempt with an answer whose body follows, and with it what was held back; without any only if told so.
+// pass ends the attempt with an answer whose body follows, and with it what was held back; without any only if empty is set.
 func (r *relaying) pass(empty bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock() // after End: the one who reads on must not end the attempt before
@@ -239,7 +239,7 @@
 	r.gone = true
 	r.a.extend(r.conn, stall)
 	if len(r.held) > 0 {
-		_ = r.pipe.Append(r.held) // fails where the client has gone, of which the next Write tells
+		_ = r.pipe.Append(r.held) // fails where the client has gone, and so does the next write
 		r.held = nil
 	}
 	report := reportOf(r.head.header, r.u.fields)
--- a/internal/upstream/http/upstream.go
+++ b/internal/upstream/http/upstream.go
@@ -1,9 +1,9 @@
 // Package http makes attempts at servers that speak HTTP/1.1: it keeps connections to them, writes a request in one
-// piece, reads the answer within bounds, and tells what its end proves of whether the request ran. Which server, and
+// piece, reads the answer within bounds, and draws from its end whether the request may have run. Which server, and
 // whether again, is not for it; it knows no client.
 //
-// Begin with Back: upstream.go makes attempts over the connections of pool.go, writes them with encode.go, reads what comes back with
-// answer.go, and outcome.go tells what it proves.
+// Begin with Backend: upstream.go makes attempts over the connections of pool.go, writes them with encode.go, reads what comes back with
+// answer.go, and outcome.go draws the evidence.
 package http
 
 import (
@@ -23,7 +23,7 @@
 	probePatience = 250 * time.Millisecond // beyond the time for a connection
 )
 
-// Config is what the back is told at its start.
+// Config holds the settings of a Backend.
 type Config struct {
 	ConnectTimeout time.Duration
 	Idle           time.Duration // after which an unused connection is closed
@@ -38,7 +38,7 @@
 	// Fresh is how long a connection may have been idle to carry what must not run twice: servers may forget idle ones without a word, and
 	// after a reset nobody knows whether a request ran. 0: as long as any.
 	Fresh time.Duration
-	// Ended is told how an attempt has ended before the exchange is. Where it returns true, it ends the attempt itself, later. Nil: nobody is.
+	// Ended is notified of how an attempt has ended, ahead of the exchange. Where it returns true, it ends the attempt itself, later. Nil: nobody is.
 	Ended func(*core.Attempt, core.Result) (later bool)
 	// Dialect words requests and judges answers, where that is not as the platform of package settings has it; nil: it is.
 	Dialect Dialect
@@ -50,7 +50,7 @@
 	// long left. Of what came with the message those go on for which Keep holds.
 	Fields(dst []byte, a *core.Attempt, left time.Duration) []byte
 	Keep(name string) bool
-	// Judge tells what a whole answer proves, of which the header is the judge's own from now on.
+	// Judge returns what a complete answer proves, of which the header is the judge's own from now on.
 	Judge(a *core.Attempt, status int, header http.Header, body []byte) core.Result
 	// Ours reports whether an answer belongs to an attempt. One that does not is dropped, and the next is read.
 	Ours(a *core.Attempt, header http.Header) bool
@@ -67,15 +67,15 @@
 	heldFor time.Duration
 }
 
-// Back makes attempts over HTTP/1.1.
-type Back struct {
+// Backend makes attempts over HTTP/1.1.
+type Backend struct {
 	up      *upstream
 	ctx     context.Context
 	running sync.WaitGroup // attempts and probes
 }
 
 // New returns a back whose attempts end when ctx does.
-func New(ctx context.Context, cfg Config) *Back {
+func New(ctx context.Context, cfg Config) *Backend {
 	p := newPool(cfg.ConnectTimeout, cfg.Idle, cfg.Rest, cfg.Sockets)
 	p.silence, p.fresh = cfg.Silence, cfg.Fresh
 	if cfg.NoteLate != nil {
@@ -85,55 +85,55 @@
 	if cfg.Reports {
 		u.probe = "/metrics/load"
 	}
-	return &Back{up: u, ctx: ctx}
+	return &Backend{up: u, ctx: ctx}
 }
 
 // Begin implements core.Backend.
-func (b *Back) Begin(a *core.Attempt) {
+func (b *Backend) Begin(a *core.Attempt) {
 	t := &attempt{Attempt: a}
 	t.ctx, t.cancel = context.WithCancel(b.ctx)
 	a.State = t
 	b.running.Go(func() {
 		defer t.cancel()
-		b.up.end(a, b.up.try(t))
+		b.up.end(a, b.up.perform(t))
 	})
 }
 
 // Cancel implements core.Backend.
-func (b *Back) Cancel(a *core.Attempt) { a.State.(*attempt).cancel() }
+func (b *Backend) Cancel(a *core.Attempt) { a.State.(*attempt).cancel() }
 
 // Probe implements core.Backend.
-func (b *Back) Probe(e *core.Endpoint, done func(core.Result)) {
+func (b *Backend) Probe(e *core.Endpoint, done func(core.Result)) {
 	b.running.Go(func() { done(b.up.ask(b.ctx, e)) })
 }
 
 // CloseIdle implements core.Backend.
-func (b *Back) CloseIdle(e *core.Endpoint) { b.up.pool.closeIdle(e) }
+func (b *Backend) CloseIdle(e *core.Endpoint) { b.up.pool.closeIdle(e) }
 
 // Evict closes the connection that has been idle for longest, and reports whether there was one.
-func (b *Back) Evict() bool { return b.up.pool.evict() }
+func (b *Backend) Evict() bool { return b.up.pool.evict() }
 
 // Open returns how many connections there are.
-func (b *Back) Open() int {
+func (b *Backend) Open() int {
 	b.up.pool.mu.Lock()
 	defer b.up.pool.mu.Unlock()
 	return b.up.pool.open
 }
 
 // Resize changes how many connections may be open; idle ones beyond it go at once.
-func (b *Back) Resize(n int) { b.up.pool.resize(max(1, n)) }
+func (b *Backend) Resize(n int) { b.up.pool.resize(max(1, n)) }
 
 // Run looks after idle connections until ctx ends.
-func (b *Back) Run(ctx context.Context) { b.up.pool.run(ctx) }
+func (b *Backend) Run(ctx context.Context) { b.up.pool.run(ctx) }
 
 // Close waits for what is out, after the context of New has ended, and closes all connections.
-func (b *Back) Close() {
+func (b *Backend) Close() {
 	b.running.Wait()
 	b.up.pool.closeAll()
 }
 
 // upstream sends attempts and probes to servers over connections of its own. It uses no http.Transport: that
-// sends a request again by itself when a kept connection turns out to be dead, and does not tell whether the
+// sends a request again by itself when a kept connection turns out to be dead, and does not report whether the
 // last byte was written, on which it hangs whether a request may have run.
 type upstream struct {
 	pool   *pool
@@ -151,13 +151,13 @@
 	}
 }
 
-// try makes an attempt and tells how it ended.
-func (u *upstream) try(a *attempt) core.Result {
+// perform makes an attempt and returns how it ended.
+func (u *upstream) perform(a *attempt) core.Result {
 	c, err := u.pool.get(a.ctx, a.Endpoint, a.Deadline, u.pool.within(a.Message))
 	if err != nil {
 		return core.Result{Outcome: unconnected(a, err)}
 	}
-	// A dial can outlast the news that the server drains, or the request itself. Nothing was sent yet.
+	// A dial may take longer than the server accepts requests, or than the request has. Nothing was sent yet.
 	if a.Obsolete() || a.ctx.Err() != nil {
 		u.pool.put(c)
 		return core.Result{Outcome: balance.NotSent}
@@ -178,7 +178,7 @@
 	stop := context.AfterFunc(a.ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	defer func() { reusable = stop() && reusable }()
 
-	// One write, so that what the kernel took tells whether the last byte went out.
+	// One write, so that it is known by what the kernel took whether the last byte went out.
 	if n, err := c.Write(request); n < len(request) {
 		if interrupted(a, err) {
 			return core.Result{Outcome: balance.NotSent}, false
--- a/internal/upstream/http/upstream_test.go
+++ b/internal/upstream/http/upstream_test.go
@@ -18,7 +18,7 @@
 // subject is a back under test: attempts on goroutines, or on the kernel's readiness.
 type subject struct {
 	*upstream
-	poll *PollBack // nil: on goroutines
+	poll *PollBackend // nil: on goroutines
 }
 
 // onEach runs a test on both kinds of backs.
@@ -52,7 +52,7 @@
 func (s *subject) do(t *testing.T, a *tried) core.Result {
 	t.Helper()
 	if s.poll == nil {
-		return s.try(a.attempt)
+		return s.perform(a.attempt)
 	}
 	s.poll.Begin(a.Attempt)
 	defer context.AfterFunc(a.ctx, func() { s.poll.Cancel(a.Attempt) })()
