--- a/internal/upstream/http/upstream.go
+++ b/internal/upstream/http/upstream.go
@@ -38,7 +38,8 @@
 	// Fresh is how long a connection may have been idle to carry what must not run twice: servers may forget idle ones without a word, and
 	// after a reset nobody knows whether a request ran. 0: as long as any.
 	Fresh time.Duration
-	// Ended is notified of how an attempt has ended, ahead of the exchange. Where it returns true, it ends the attempt itself, later. Nil: nobody is.
+	// Ended is notified of how an attempt has ended, ahead of the exchange. Where it returns true, it ends the attempt itself, later.
+	// Nil: nobody is.
 	Ended func(*core.Attempt, core.Result) (later bool)
 	// Dialect words requests and judges answers, where that is not as the platform of package settings has it; nil: it is.
 	Dialect Dialect
--- a/lab/explore/rollouts/world.go
+++ b/lab/explore/rollouts/world.go
@@ -249,8 +249,8 @@
 			if !s.cut {
 				s.contactAt = w.now
 				m = rollout.Machine{
-					Node: fmt.Sprint("branch-", i), Service: service, Version: s.version, Accepting: true, Slots: slots, LastSeen: c.clock(w.now), Confirmed: s.confirmed,
-					Order: s.order, Classes: []rollout.Statistics{s.counted},
+					Node: fmt.Sprint("branch-", i), Service: service, Version: s.version, Accepting: true, Slots: slots,
+					LastSeen: c.clock(w.now), Confirmed: s.confirmed, Order: s.order, Classes: []rollout.Statistics{s.counted},
 				}
 				if w.defect.confirmsUnseen {
 					m.Confirmed = c.set.Revision
--- a/mesh/dataplane/distribution/node_test.go
+++ b/mesh/dataplane/distribution/node_test.go
@@ -263,7 +263,8 @@
 	n, _, parent := readyNode(t)
 	c := &fakeConn{"n2"}
 	n.Handle(time.Second, FrameReceived{c, &wire.FrameT{Kind: wire.Subscribe, From: "n2"}})
-	announced := codec.EntryToWire(&directory.Entry{Node: "n2", Incarnation: 1, Sequence: 7, Server: "i-2", LastSeen: time.Second}, time.Second)
+	below := directory.Entry{Node: "n2", Incarnation: 1, Sequence: 7, Server: "i-2", LastSeen: time.Second}
+	announced := codec.EntryToWire(&below, time.Second)
 	n.Handle(time.Second, FrameReceived{c, &wire.FrameT{Kind: wire.Report, From: "n2", Entries: []*wire.EntryT{announced}}})
 	const heard, redialed = 50 * time.Second, 51 * time.Second
 	alive := codec.LivenessToWire(&directory.Entry{Node: "n2", Incarnation: 1, LastSeen: heard}, heard)
--- a/mesh/dataplane/earlyanswer_test.go
+++ b/mesh/dataplane/earlyanswer_test.go
@@ -39,8 +39,41 @@
 	return core.NewEndpoint("server", ln.Addr().String())
 }
 
-func TestAnswerAheadOfTheBodyIsNoRefusal(t *testing.T) {
+// askEarly sends a server a request whose body it doesn't read, and returns the result and how many connections are kept.
+func askEarly(t *testing.T, server *core.Endpoint, streamed bool) (r core.Result, kept int) {
+	t.Helper()
 	const bodyBytes = 16 << 20 // more than the kernel holds
+	b, err := httpback.NewPoll(t.Context(), httpback.Config{
+		ConnectTimeout: time.Second,
+		Idle:           time.Second,
+		Sockets:        4,
+		Dialect:        serverDialect{},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := &core.Message{
+		Trace:     "x",
+		Verb:      http.MethodPost,
+		Target:    "/a/",
+		Authority: "h",
+		Remaining: 5 * time.Second,
+		Meta:      header("Try-Id", "x", "Deliver-To", "i-1"),
+	}
+	if streamed {
+		m.Stream = bodypipe.New(bodyBytes)
+		go func() {
+			_ = m.Stream.WriteTimeout(make([]byte, bodyBytes/2), time.Second) // the rest never comes
+		}()
+	} else {
+		m.Body = make([]byte, bodyBytes)
+	}
+	ended := make(chan core.Result, 1)
+	b.Begin(core.NewAttempt(server, m, time.Now().Add(5*time.Second), func(r core.Result) { ended <- r }))
+	return <-ended, b.Open()
+}
+
+func TestAnswerAheadOfTheBodyIsNoRefusal(t *testing.T) {
 	answerOf := func(status int, fields string) string {
 		return fmt.Sprintf("HTTP/1.1 %d Early\r\n%sContent-Length: 2\r\n\r\nok", status, fields)
 	}
@@ -59,39 +92,12 @@
 	} {
 		for _, streamed := range []bool{true, false} {
 			t.Run(fmt.Sprintf("%s, streamed %v", c.name, streamed), func(t *testing.T) {
-				b, err := httpback.NewPoll(t.Context(), httpback.Config{
-					ConnectTimeout: time.Second,
-					Idle:           time.Second,
-					Sockets:        4,
-					Dialect:        serverDialect{},
-				})
-				if err != nil {
-					t.Fatal(err)
-				}
-				m := &core.Message{
-					Trace:     "x",
-					Verb:      http.MethodPost,
-					Target:    "/a/",
-					Authority: "h",
-					Remaining: 5 * time.Second,
-					Meta:      header("Try-Id", "x", "Deliver-To", "i-1"),
-				}
-				if streamed {
-					m.Stream = bodypipe.New(bodyBytes)
-					go func() {
-						_ = m.Stream.WriteTimeout(make([]byte, bodyBytes/2), time.Second) // the rest never comes
-					}()
-				} else {
-					m.Body = make([]byte, bodyBytes)
-				}
-				ended := make(chan core.Result, 1)
-				server := earlyServer(t, c.answer)
-				b.Begin(core.NewAttempt(server, m, time.Now().Add(5*time.Second), func(r core.Result) { ended <- r }))
-				if r := <-ended; r.Outcome != c.want {
+				r, kept := askEarly(t, earlyServer(t, c.answer), streamed)
+				if r.Outcome != c.want {
 					t.Errorf("%v, want %v", r.Outcome, c.want)
 				}
-				if open := b.Open(); open != 0 {
-					t.Errorf("%d connections are kept", open)
+				if kept != 0 {
+					t.Errorf("%d connections are kept", kept)
 				}
 			})
 		}
--- a/mesh/dataplane/identify.go
+++ b/mesh/dataplane/identify.go
@@ -29,8 +29,8 @@
 }
 
 // identifyServer identifies the local server by its health check, where nothing is known of it, or one heartbeat that may be late: what
-// an earlier process of this sidecar knew is lost, and the server's next heartbeat may be a second away. A sidecar that starts together with
-// its server waits for that.
+// an earlier process of this sidecar knew is lost, and the server's next heartbeat may be a second away. A sidecar that starts together
+// with its server waits for that.
 func (p *Proxy) identifyServer() {
 	cfg := p.cfg.Load()
 	settings := p.settings.Load()
--- a/mesh/rollout/controller.go
+++ b/mesh/rollout/controller.go
@@ -46,8 +46,8 @@
 }
 
 // Controller decides on the stages of rollouts. Times of stages count from when this process has first seen them: after a restart a stage
-// takes longer, never shorter. Only the time since the order counts from when a sidecar has first seen it. Times are measured from the start
-// of the process. It is not safe for concurrent use.
+// takes longer, never shorter. Only the time since the order counts from when a sidecar has first seen it. Times are measured from the
+// start of the process. It is not safe for concurrent use.
 type Controller struct {
 	durations     timing.Rollouts
 	exposureSlack float64
--- a/mesh/rollout/judge.go
+++ b/mesh/rollout/judge.go
@@ -200,12 +200,15 @@
 	of               func(s *Statistics) (bad, total uint32)
 }
 
-// run runs a test on what was counted since it began last, and begins it anew where it speaks for the new version. The test gets what the
-// old version's servers have counted in all, and since then.
-func run(begun map[uint32]baseline, class uint32, counted *classSamples, test func(base, recent Statistics) (event, bool)) (bad bool, reason string) {
+// test returns what to count by what the old version's servers have counted in all, and since the test began; ok is false where that is too
+// little.
+type test func(base, recent Statistics) (e event, ok bool)
+
+// run runs a test on what was counted since it began last, and begins it anew where it speaks for the new version.
+func run(begun map[uint32]baseline, class uint32, counted *classSamples, t test) (bad bool, reason string) {
 	since := begun[class]
 	base, recent := counted.old.sum(), counted.old.since(since).sum()
-	e, ok := test(base, recent)
+	e, ok := t(base, recent)
 	if !ok || e.allowed >= e.suspect {
 		return false, ""
 	}
@@ -219,7 +222,8 @@
 		return false, ""
 	}
 	failed, total := e.of(&rest)
-	return true, fmt.Sprintf("class %08x: %d of %d requests %s at the new version, %.3f allowed by the old one", class, failed, total, e.name, e.allowed)
+	return true, fmt.Sprintf("class %08x: %d of %d requests %s at the new version, %.3f allowed by the old one",
+		class, failed, total, e.name, e.allowed)
 }
 
 // logRatio is how much likelier the counts are at the suspect rate than at the allowed one, as a logarithm.
--- a/mesh/rollout/rollout_test.go
+++ b/mesh/rollout/rollout_test.go
@@ -278,6 +278,33 @@
 	return machines
 }
 
+// decided returns what a controller decides on machines that it knows some time after it has first seen the rollouts. Lost ones were last
+// seen then.
+func decided(v View, machines []Machine, after time.Duration) []Transition {
+	controller := NewController(timing.Default().Rollouts, 50)
+	begin := time.Minute
+	for i := range machines {
+		if machines[i].Lost {
+			machines[i].LastSeen = begin
+		}
+	}
+	controller.Decide(begin, v)
+	v.Machines = machines
+	return controller.Decide(begin+after, v)
+}
+
+// untried are machines whose servers of the new version have had few requests, and idle ones those of a service that has few.
+func untried() (untried, idle []Machine) {
+	untried, idle = machines(1, 0), machines(1, 0)
+	for i := range untried {
+		idle[i].Classes = answers(i >= 5, 1, 4, 0, usual, 0.6)[0].Classes
+		if i >= 5 {
+			untried[i].Classes = answers(true, 1, 4, 0, usual, 0.6)[0].Classes
+		}
+	}
+	return untried, idle
+}
+
 func TestControllerMovesStages(t *testing.T) {
 	canary := started(Set{}, "v2")
 	promoting := advanced(canary, Promoting)
@@ -286,14 +313,7 @@
 	unconfirmed := machines(promoting.Revision, 0)
 	unconfirmed[3].Confirmed--
 	few := machines(canary.Revision, 0)[:7]
-	untried, idle, known := machines(1, 0), machines(1, 0), machines(1, 0)
-	for i := range untried {
-		idle[i].Classes = answers(i >= 5, 1, 4, 0, usual, 0.6)[0].Classes
-		known[i].OrderAge = 6 * time.Second
-		if i >= 5 {
-			untried[i].Classes = answers(true, 1, 4, 0, usual, 0.6)[0].Classes
-		}
-	}
+	untried, idle := untried()
 	for _, c := range []struct {
 		name     string
 		set      Set
@@ -306,7 +326,7 @@
 		{"promoted", canary, true, machines(1, 0), 6100 * time.Millisecond, Promoting},
 		{"too little is known of the new version", canary, true, untried, 19 * time.Second, 0},
 		{"a service without requests", canary, true, idle, 6100 * time.Millisecond, Promoting},
-		{"ordered long before this process has started", canary, true, known, time.Second, Promoting},
+		{"ordered long before this process has started", canary, true, ordered(machines(1, 0)), time.Second, Promoting},
 		{"not the leader", canary, false, machines(1, 0), 7 * time.Second, 0},
 		{"bad, seen by any machine", canary, false, machines(1, 0.5), time.Second, Recalled},
 		{"too few new servers", canary, true, few, 9 * time.Second, 0},
@@ -314,24 +334,14 @@
 		{"all have confirmed", promoting, true, machines(promoting.Revision, 0), 8100 * time.Millisecond, Delivered},
 		{"the old version may still be needed", promoting, true, machines(promoting.Revision, 0), 7900 * time.Millisecond, 0},
 		{"not long enough", promoting, true, ordered(machines(promoting.Revision, 0)), 900 * time.Millisecond, 0},
-		{"all have confirmed, ordered long before", promoting, true, ordered(machines(promoting.Revision, 0)), 1100 * time.Millisecond, Delivered},
+		{"ordered long before", promoting, true, ordered(machines(promoting.Revision, 0)), 1100 * time.Millisecond, Delivered},
 		{"one has not confirmed", promoting, true, unconfirmed, 9 * time.Second, 0},
 		{"one is lost lately", promoting, true, lateLost, 2 * time.Second, 0},
 		{"one is lost for long", promoting, true, lateLost, 9 * time.Second, Delivered},
 		{"bad when it has all requests", promoting, false, machines(promoting.Revision, 0.5), time.Second, Recalled},
 		{"its servers are gone", promoting, true, machines(promoting.Revision, 0)[:5], time.Second, Recalled},
 	} {
-		controller := NewController(timing.Default().Rollouts, 50)
-		begin := time.Minute
-		for i := range c.machines {
-			if c.machines[i].Lost {
-				c.machines[i].LastSeen = begin
-			}
-		}
-		view := View{Self: "self", Leader: c.leader, Set: c.set}
-		controller.Decide(begin, view)
-		view.Machines = c.machines
-		due := controller.Decide(begin+c.after, view)
+		due := decided(View{Self: "self", Leader: c.leader, Set: c.set}, c.machines, c.after)
 		switch {
 		case c.want == 0 && len(due) == 0:
 		case len(due) == 1 && due[0].To == c.want:
