Judge of rollouts: counts are added in place of maps made anew

Sums go over the servers' counts directly, and a test's baseline is written in place. The operating curve gives the same figures, case by case.

--- a/mesh/rollout/judge.go
+++ b/mesh/rollout/judge.go
@@ -100,8 +100,23 @@
 // baseline is what the servers had counted when a test began, by node.
 type baseline map[string]Statistics
 
-// classSamples are the counts of one class of routes, by node.
-type classSamples struct{ old, candidate baseline }
+// counted is what one server has counted of one class of routes.
+type counted struct {
+	node string
+	*Statistics
+}
+
+// since returns what the server has counted since a baseline.
+func (c *counted) since(b baseline) Statistics {
+	before := b[c.node]
+	return c.Statistics.since(&before)
+}
+
+// classSamples are the counts of one class of routes, by version.
+type classSamples struct {
+	old, candidate []counted
+	base           Statistics // the sum of the old ones
+}
 
 // Judge judges what the servers have counted by now.
 func (j *Judge) Judge(stage Stage, samples []Sample) Verdict {
@@ -110,11 +125,12 @@
 	}
 	verdict := Verdict{}
 	for _, class := range classesOf(samples) {
-		counted := samplesOfClass(samples, class)
-		base, candidate := counted.old.sum(), counted.candidate.sum()
-		verdict.Requests += candidate.Requests
-		verdict.BaseRequests += base.Requests
-		if reason := j.judgeClass(stage, class, counted); reason != "" && !verdict.Bad {
+		all := samplesOfClass(samples, class)
+		verdict.BaseRequests += all.base.Requests
+		for i := range all.candidate {
+			verdict.Requests += all.candidate[i].Requests
+		}
+		if reason := j.judgeClass(stage, class, &all); reason != "" && !verdict.Bad {
 			verdict.Bad, verdict.Reason = true, reason
 		}
 	}
@@ -135,61 +151,53 @@
 	return slices.Compact(classes)
 }
 
-func samplesOfClass(samples []Sample, class uint32) classSamples {
-	counted := classSamples{old: baseline{}, candidate: baseline{}}
+func samplesOfClass(samples []Sample, class uint32) (all classSamples) {
 	for i := range samples {
 		at := slices.IndexFunc(samples[i].Classes, func(s Statistics) bool { return s.Class == class })
-		switch {
-		case at < 0:
-		case samples[i].Candidate:
-			counted.candidate[samples[i].Node] = samples[i].Classes[at]
-		default:
-			counted.old[samples[i].Node] = samples[i].Classes[at]
+		if at < 0 {
+			continue
+		}
+		one := counted{node: samples[i].Node, Statistics: &samples[i].Classes[at]}
+		if samples[i].Candidate {
+			all.candidate = append(all.candidate, one)
+		} else {
+			all.old = append(all.old, one)
+			all.base.add(one.Statistics)
 		}
 	}
-	return counted
-}
-
-// sum adds the counts of all servers.
-func (b baseline) sum() (total Statistics) {
-	for _, s := range b {
-		total.add(&s)
-	}
-	return total
+	return all
 }
 
-// since returns what the servers have counted since an earlier baseline.
-func (b baseline) since(earlier baseline) baseline {
-	grown := baseline{}
-	for node, s := range b {
-		before := earlier[node]
-		grown[node] = s.since(&before)
+// sumSince adds what servers have counted since a baseline.
+func sumSince(servers []counted, b baseline) (sum Statistics) {
+	var grown Statistics
+	for i := range servers {
+		grown = servers[i].since(b)
+		sum.add(&grown)
 	}
-	return grown
+	return sum
 }
 
-// merge returns the counts of the old and of the new version's servers together, as a test's next baseline.
-func (c *classSamples) merge() baseline {
-	all := baseline{}
-	for node, s := range c.old {
-		all[node] = s
-	}
-	for node, s := range c.candidate {
-		all[node] = s
+// setBaseline has a test begin with what the servers have counted by now.
+func (s *classSamples) setBaseline(b baseline) {
+	clear(b)
+	for _, servers := range [...][]counted{s.old, s.candidate} {
+		for i := range servers {
+			b[servers[i].node] = *servers[i].Statistics
+		}
 	}
-	return all
 }
 
 // judgeClass returns why the new version is bad for a class of routes; empty: it is not.
-func (j *Judge) judgeClass(stage Stage, class uint32, counted classSamples) string {
-	if bad, reason := run(j.failures, class, &counted, failureTest); bad {
+func (j *Judge) judgeClass(stage Stage, class uint32, all *classSamples) string {
+	if bad, reason := run(j.failures, class, all, failureTest); bad {
 		return reason
 	}
 	margin := 0
 	if stage == Promoting {
 		margin = promotingMargin
 	}
-	_, reason := run(j.slowness, class, &counted, func(base, recent Statistics) (event, bool) { return slownessTest(base, recent, margin) })
+	_, reason := run(j.slowness, class, all, func(base, recent *Statistics) (event, bool) { return slownessTest(base, recent, margin) })
 	return reason
 }
 
@@ -202,54 +210,57 @@
 
 // test returns what to count by what the old version's servers have counted in all, and since the test began; ok is false where that is too
 // little.
-type test func(base, recent Statistics) (e event, ok bool)
+type test func(base, recent *Statistics) (e event, ok bool)
 
 // run runs a test on what was counted since it began last, and begins it anew where it speaks for the new version.
-func run(begun map[uint32]baseline, class uint32, counted *classSamples, t test) (bad bool, reason string) {
+func run(begun map[uint32]baseline, class uint32, all *classSamples, t test) (bad bool, reason string) {
 	since := begun[class]
-	base, recent := counted.old.sum(), counted.old.since(since).sum()
-	e, ok := t(base, recent)
+	if since == nil {
+		since = baseline{}
+		begun[class] = since
+	}
+	recent := sumSince(all.old, since)
+	e, ok := t(&all.base, &recent)
 	if !ok || e.allowed >= e.suspect {
 		return false, ""
 	}
-	grown := counted.candidate.since(since)
-	if e.logRatio(grown.sum()) <= 0 {
-		begun[class] = counted.merge()
+	if e.logRatio(e.count(all.candidate, since, false)) <= 0 {
+		all.setBaseline(since)
 		return false, ""
 	}
-	rest := grown.withoutWorst(e)
-	if e.logRatio(rest) <= falseAlarmLog {
+	failed, total := e.count(all.candidate, since, len(all.candidate) >= minServersToExclude)
+	if e.logRatio(failed, total) <= falseAlarmLog {
 		return false, ""
 	}
-	failed, total := e.of(&rest)
 	return true, fmt.Sprintf("class %08x: %d of %d requests %s at the new version, %.3f allowed by the old one",
 		class, failed, total, e.name, e.allowed)
 }
 
-// logRatio is how much likelier the counts are at the suspect rate than at the allowed one, as a logarithm.
-func (e *event) logRatio(s Statistics) float64 {
-	bad, total := e.of(&s)
-	return float64(bad)*math.Log(e.suspect/e.allowed) + float64(total-bad)*math.Log((1-e.suspect)/(1-e.allowed))
-}
-
-// withoutWorst adds the counts of the servers but for the one with the most events, where there are enough.
-func (b baseline) withoutWorst(e event) (sum Statistics) {
-	worst, most := "", uint32(0)
-	for node, s := range b {
-		if bad, _ := e.of(&s); len(b) >= minServersToExclude && (bad > most || bad == most && (worst == "" || node < worst)) {
-			worst, most = node, bad
+// count counts the events and requests of servers since a baseline, if need be without the server with the most events.
+func (e *event) count(servers []counted, b baseline, withoutWorst bool) (bad, total uint32) {
+	worstBad, worstTotal := uint32(0), uint32(0)
+	var grown Statistics
+	for i := range servers {
+		grown = servers[i].since(b)
+		badHere, totalHere := e.of(&grown)
+		bad, total = bad+badHere, total+totalHere
+		if badHere > worstBad {
+			worstBad, worstTotal = badHere, totalHere
 		}
 	}
-	for node, s := range b {
-		if node != worst || len(b) < minServersToExclude {
-			sum.add(&s)
-		}
+	if withoutWorst {
+		return bad - worstBad, total - worstTotal
 	}
-	return sum
+	return bad, total
+}
+
+// logRatio is how much likelier so many events of so many requests are at the suspect rate than at the allowed one, as a logarithm.
+func (e *event) logRatio(bad, total uint32) float64 {
+	return float64(bad)*math.Log(e.suspect/e.allowed) + float64(total-bad)*math.Log((1-e.suspect)/(1-e.allowed))
 }
 
 // failureTest tests the share of failures.
-func failureTest(base, recent Statistics) (event, bool) {
+func failureTest(base, recent *Statistics) (event, bool) {
 	allowed := max(minFailureRate, base.failureRate(), recent.failureRate())
 	return event{
 		name:    "failed",
@@ -261,7 +272,7 @@
 
 // slownessTest tests the share of answers that are slower than all but baseTail of the old version's, in all or lately, and by margin
 // buckets more.
-func slownessTest(base, recent Statistics, margin int) (event, bool) {
+func slownessTest(base, recent *Statistics, margin int) (event, bool) {
 	if base.Latencies.count(0) < minBaseSamples {
 		return event{}, false
 	}
