--- a/lab/explore/rollouts/defects.go
+++ b/lab/explore/rollouts/defects.go
@@ -28,12 +28,12 @@
 
 // Defects are those that a search must find.
 var Defects = []Defect{
-	{Name: "a sidecar confirms with requests in flight", Seed: 109, confirmsBusy: true},
+	{Name: "a sidecar confirms with requests in flight", Seed: 48, confirmsBusy: true},
 	{Name: "a sidecar confirms what it has not received yet", Seed: 22, confirmsUnseen: true},
 	{Name: "a lost sidecar holds nothing up", Seed: 33, lostIsGone: true},
-	{Name: "a control machine that has just started decides at once", Seed: 12779, knowsAllAtStart: true},
+	{Name: "a control machine that has just started decides at once", Seed: 16554, knowsAllAtStart: true},
 	{Name: "a restarted sidecar serves before it knows the rollouts", Seed: 980, servesUntold: true, evidenceOutlives: true},
 	{Name: "both versions get requests after the delivery", Seed: 343, keepsOld: true},
 	{Name: "twice the share goes to the new version", doublesShare: true},
-	{Name: "a transition is made from any stage", Seed: 72128, anyStage: true},
+	{Name: "a transition is made from any stage", Seed: 2814, anyStage: true},
 }
