Rollouts: what befalls the service in a promotion is no fault of the version

Class: a comparison with a reference from another time.

Test: TestGarbledAnswersInThePromotionAreNoFaultOfTheVersion (15 % of 160 requests fail: recalled before; half fail: found).

--- a/mesh/rollout/rollout_test.go
+++ b/mesh/rollout/rollout_test.go
@@ -247,6 +247,18 @@
 	}
 }
 
+func TestGarbledAnswersInThePromotionAreNoFaultOfTheVersion(t *testing.T) {
+	for failing, bad := range map[float64]bool{0.15: false, 0.5: true} {
+		var judge Judge
+		old, candidate := answers(false, 10, 500, 0.004, usual, 0.6), answers(true, 8, 100, 0.004, usual, 0.6)
+		judge.Judge(Promoting, append(old, candidate...))
+		v := judge.Judge(Promoting, append(old, grown(candidate, answers(true, 8, 20, failing, usual, 0.6))...))
+		if v.Bad != bad {
+			t.Errorf("%v fail: %s", failing, v.Reason)
+		}
+	}
+}
+
 func TestBurstInThePromotionIsNoFaultOfTheVersion(t *testing.T) {
 	var judge Judge
 	old, candidate := answers(false, 10, 100, 0.004, usual, 0.6), answers(true, 8, 20, 0, usual, 0.6)
