--- a/lab/standin/standin_test.go
+++ b/lab/standin/standin_test.go
@@ -452,6 +452,7 @@
 	if err != nil || !whole.Complete || len(whole.Members) != 2 || whole.Members[0].HostPort != "127.0.0.1:7001" {
 		t.Fatalf("%+v, %v", whole, err)
 	}
+	awaitTold(t, w, 2)
 	got := make(chan List, 1)
 	go func() {
 		l, _ := ask(t, r.Addr(1), fmt.Sprintf("?from=%d&hold_ms=20000", whole.Revision))
@@ -472,11 +473,23 @@
 	if l, err := ask(t, r.Addr(0), fmt.Sprintf("?from=%d&hold_ms=1", whole.Revision+1)); err != nil || len(l.Members) != 0 {
 		t.Errorf("nothing is new: %+v, %v", l, err)
 	}
-	if told := w.list(&w.told); len(told) < 3 || told[len(told)-1] != "1 b false" {
+	if told := awaitTold(t, w, 3); told[len(told)-1] != "1 b false" {
 		t.Errorf("told %v", told)
 	}
 }
 
+// awaitTold waits until the witness has so many notes of what the roster has answered: it gets them behind the answer.
+func awaitTold(t *testing.T, w *witness, count int) (told []string) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if told = w.list(&w.told); len(told) >= count {
+			return told
+		}
+	}
+	t.Fatalf("told %v", told)
+	return nil
+}
+
 // After a restart the revision is lower, and who asks from the old one gets the whole list.
 func TestRosterRestartsLower(t *testing.T) {
 	r, _ := testRoster(t, nil)
