Orders that can be read in two ways are refused

A rollout's order with two "toEdition"s was taken for the last.

Cause: mended one symptom (something behind the last brace). encoding/json itself believes what other readers of JSON refuse or understand differently: of a repeated name the last value holds, also where the two differ in case, null leaves a field as it was, and bytes that are no UTF-8 are replaced. Class: a lenient reader where an order is accepted.

Change: internal/strictjson reads what comes from outside, completely and in one way (no name twice, nothing behind, UTF-8, no null but for a list), over github.com/go-json-experiment/json, which is the coming reader of the standard library. config.Parse and Rollouts.Start use it; a configuration without gates, fleets or the routes of a host is refused. What was committed, perhaps by an earlier release, is read by config.ParseCommitted as that release read it, so that an update takes nothing out of force: sidecars, firplankctl for what is in force. FuzzParse holds the two readers to the same result.

--- a/cmd/firplankctl/client.go
+++ b/cmd/firplankctl/client.go
@@ -77,20 +77,19 @@
 		if err != nil {
 			return nil, nil, err
 		}
-		return parseConfig(controlAddr, text)
+		c, err := config.ParseCommitted(text)
+		if err != nil {
+			return nil, nil, errors.Wrap(err, controlAddr)
+		}
+		return c, text, nil
 	}
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return nil, nil, err
 	}
-	return parseConfig(file, text)
-}
-
-// parseConfig parses and validates a configuration. Errors name the source.
-func parseConfig(source string, text []byte) (*config.Config, []byte, error) {
 	c, err := config.Parse(text)
 	if err != nil {
-		return nil, nil, errors.Wrap(err, source)
+		return nil, nil, errors.Wrap(err, file)
 	}
 	return c, text, nil
 }
--- a/lab/scale/group.go
+++ b/lab/scale/group.go
@@ -296,7 +296,7 @@
 func (g *Group) parse(edition uint32, plain []byte) bool {
 	t := g.editionText(edition)
 	t.parseOnce.Do(func() {
-		_, err := config.Parse(plain)
+		_, err := config.ParseCommitted(plain)
 		t.valid = err == nil
 	})
 	return t.valid
--- a/mesh/config/config.go
+++ b/mesh/config/config.go
@@ -8,13 +8,14 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"io"
 	"iter"
 	"strconv"
 	"strings"
 
 	"github.com/go-faster/errors"
 	validation "github.com/go-ozzo/ozzo-validation/v4"
+
+	"firplank/internal/strictjson"
 )
 
 // versionDigits is the number of hexadecimal digits of a version.
@@ -29,20 +30,46 @@
 	hosts map[string]map[string]*Route // by host in lower case, then by prefix
 }
 
-// Parse parses and validates a configuration. Its errors wrap ErrTooLarge, or are a *SyntaxError with the line or an *InvalidError with the
-// field. The text is not retained.
+// Parse parses and validates a configuration that an operator sends. It has to be readable completely and in one way, as package strictjson
+// describes, and to have both lists. Its errors wrap ErrTooLarge, or are a *SyntaxError with the line or an *InvalidError with the field. The
+// text is not retained.
 func Parse(text []byte) (*Config, error) {
-	if len(text) > MaxBytes {
-		return nil, errors.Wrapf(ErrTooLarge, "%d bytes, more than %d", len(text), MaxBytes)
+	if err := checkSize(text); err != nil {
+		return nil, err
+	}
+	doc := &Document{}
+	if err := strictjson.Unmarshal(text, doc); err != nil {
+		return nil, syntaxError(text, err)
+	}
+	if err := doc.checkLists(); err != nil {
+		return nil, err
+	}
+	return newConfig(doc)
+}
+
+// ParseCommitted parses a configuration that was committed, perhaps by a release whose Parse accepted more. It reads such a text as that
+// release did: of a name that is repeated the last value holds, and what follows the document is ignored. Of a text that Parse accepts both
+// return the same. Errors are those of Parse.
+func ParseCommitted(text []byte) (*Config, error) {
+	if err := checkSize(text); err != nil {
+		return nil, err
 	}
 	doc := &Document{}
-	decoder := json.NewDecoder(bytes.NewReader(text))
-	if err := decoder.Decode(doc); err != nil {
+	if err := json.NewDecoder(bytes.NewReader(text)).Decode(doc); err != nil {
 		return nil, syntaxError(text, err)
 	}
-	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return nil, &SyntaxError{Line: lineAt(text, decoder.InputOffset()), Err: errors.New("something follows the configuration")}
+	return newConfig(doc)
+}
+
+func checkSize(text []byte) error {
+	if len(text) > MaxBytes {
+		return errors.Wrapf(ErrTooLarge, "%d bytes, more than %d", len(text), MaxBytes)
 	}
+	return nil
+}
+
+// newConfig validates and indexes a document.
+func newConfig(doc *Document) (*Config, error) {
 	version, err := strconv.ParseUint(doc.Version, 16, 32)
 	if err != nil || len(doc.Version) != versionDigits {
 		return nil, invalid("edition", errors.Errorf("%q is not eight hexadecimal digits", doc.Version))
--- a/mesh/config/config_test.go
+++ b/mesh/config/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -133,12 +134,18 @@
 	}
 }
 
+// Sidecars put in force exactly what a control machine has accepted.
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(valid))
-	f.Fuzz(func(_ *testing.T, text []byte) {
-		if c, err := Parse(text); err == nil {
-			c.Match("a.example", "/x/y/1")
-			Diff(c, c)
+	f.Fuzz(func(t *testing.T, text []byte) {
+		c, err := Parse(text)
+		if err != nil {
+			return
+		}
+		c.Match("a.example", "/x/y/1")
+		committed, err := ParseCommitted(text)
+		if err != nil || !reflect.DeepEqual(committed.Document, c.Document) || len(Diff(c, committed)) > 0 {
+			t.Fatalf("sidecars read %q differently: %v", text, err)
 		}
 	})
 }
@@ -215,3 +222,54 @@
 		}
 	}
 }
+
+// An order that readers of JSON understand differently, or that lacks a list, was acknowledged: one with its "gates" twice removed every
+// route, and one with two versions was in force under the last.
+func TestAmbiguousConfigIsRejected(t *testing.T) {
+	for _, c := range []struct{ name, old, replacement, want string }{
+		{"gates twice", `"fleets":`, `"gates":[],"fleets":`, "/gates: jsontext: duplicate"},
+		{"two versions", `"caps":`, `"edition":"0000000d","caps":`, "/edition: jsontext: duplicate"},
+		{"two versions that differ in case", `"caps":`, `"Edition":"0000000d","caps":`, "duplicate"},
+		{"fleets twice", `"gates":`, `"fleets":[],"gates":`, "/fleets: jsontext: duplicate"},
+		{"caps twice", `"gates":`, `"caps":{},"gates":`, "/caps: jsontext: duplicate"},
+		{"the routes of a host twice", `"depot":"A.example"`, `"depot":"A.example","regulations":[]`, "/gates/0/regulations: jsontext: duplicate"},
+		{"two services of a route", `"deadlineS":3`, `"line":"two","deadlineS":3`, "/gates/0/regulations/0/dispatch/line: jsontext: duplicate"},
+		{"two kinds", `"routeKind":"unsafe"`, `"routeKind":"unsafe","routeKind":"safe"`, "/gates/0/regulations/1/routeKind: jsontext: duplicate"},
+		{"an unknown name twice", `"caps":`, `"later":1,"later":2,"caps":`, "/later: jsontext: duplicate"},
+		{"gates are null", `"gates":[`, `"gates":null,"unread":[`, "gates: is missing"},
+		{"the routes of a host are null", `"regulations":[`, `"regulations":null,"unread":[`, "gates[0].regulations: is missing"},
+		{"a precedence is null", `"precedence":2`, `"precedence":null`, "line 3"},
+		{"caps are null", `"caps":{"envelopeBytes":16384}`, `"caps":null`, "/caps"},
+		{"no gates", `"gates":[`, `"unread":[`, "gates: is missing"},
+		{"no fleets", `"fleets":[`, `"unread":[`, "fleets: is missing"},
+		{"a host without routes", `"regulations":[`, `"unread":[`, "gates[0].regulations: is missing"},
+		{"a byte that is not UTF-8", "A.example", "\xff.example", "UTF-8"},
+		{"half a surrogate pair", "A.example", `\ud800.example`, "surrogate"},
+	} {
+		_, err := Parse([]byte(strings.Replace(valid, c.old, c.replacement, 1)))
+		if err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v, want %q", c.name, err, c.want)
+		}
+	}
+}
+
+// A configuration that an earlier release has acknowledged stays in force after an update, read as that release read it.
+func TestCommittedConfigStaysReadable(t *testing.T) {
+	for name, text := range map[string]string{
+		"as it was sent":      valid,
+		"something behind it": valid + `]{"edition":"0000000d"`,
+		"two versions":        strings.Replace(valid, `"edition":`, `"edition":"0000000b","edition":`, 1),
+		"no caps":             strings.Replace(valid, `"caps":{"envelopeBytes":16384},`, "", 1),
+	} {
+		c, err := ParseCommitted([]byte(text))
+		if err != nil || c.Version != 0xc || c.RouteCount() != 3 {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if _, err := ParseCommitted([]byte(valid[:len(valid)-1])); err == nil {
+		t.Error("a text that is cut short is accepted")
+	}
+	if _, err := ParseCommitted(make([]byte, MaxBytes+1)); !errors.Is(err, ErrTooLarge) {
+		t.Errorf("a text beyond the bound: %v", err)
+	}
+}
--- a/mesh/config/document.go
+++ b/mesh/config/document.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"fmt"
 	"math"
 
 	"github.com/go-faster/errors"
@@ -101,6 +102,22 @@
 	MaxConns int `json:"maxConns"`
 }
 
+// checkLists reports a list that is not there. Without one, a configuration would remove all that the list had.
+func (d *Document) checkLists() error {
+	switch {
+	case d.VirtualHosts == nil:
+		return invalid("gates", ErrMissing)
+	case d.Services == nil:
+		return invalid("fleets", ErrMissing)
+	}
+	for i := range d.VirtualHosts {
+		if d.VirtualHosts[i].Routes == nil {
+			return invalid(fmt.Sprintf("gates[%d].regulations", i), ErrMissing)
+		}
+	}
+	return nil
+}
+
 // Validate implements validation.Validatable.
 func (l ClientLimits) Validate() error {
 	return validation.ValidateStruct(&l,
--- a/mesh/config/errors.go
+++ b/mesh/config/errors.go
@@ -6,6 +6,8 @@
 	"fmt"
 
 	"github.com/go-faster/errors"
+
+	"firplank/internal/strictjson"
 )
 
 // ErrTooLarge is wrapped by the errors for a configuration of more than MaxBytes.
@@ -13,7 +15,7 @@
 
 // Errors that an InvalidError may wrap.
 var (
-	// ErrMissing reports that a name is empty.
+	// ErrMissing reports that a name is empty, or that there is no list where one has to be, if only an empty one.
 	ErrMissing = errors.New("is missing")
 	// ErrDuplicate reports that two services have the same name, or two routes the same host and prefix.
 	ErrDuplicate = errors.New("is there twice")
@@ -21,14 +23,14 @@
 	ErrUnknownService = errors.New("unknown service")
 )
 
-// SyntaxError reports that a text is not JSON, or that a field has the wrong type.
+// SyntaxError reports that a text is not JSON, that a field has the wrong type, or that it is there twice.
 type SyntaxError struct {
 	Line  int    // counted from 1
-	Field string // path of the field whose type is wrong; empty: the text is not JSON
+	Field string // path of the field that is wrong; empty: the text is not JSON
 	Err   error
 }
 
-// Error states the line, and the field if its type is wrong.
+// Error states the line, and the field if there is one.
 func (e *SyntaxError) Error() string {
 	if e.Field != "" {
 		return fmt.Sprintf("line %d: %s: %v", e.Line, e.Field, e.Err)
@@ -58,11 +60,14 @@
 
 func invalid(path string, err error) error { return &InvalidError{Path: path, Err: err} }
 
-// syntaxError returns an error of the JSON decoder with its line.
+// syntaxError returns an error of a JSON decoder with its line.
 func syntaxError(text []byte, err error) error {
+	var strict *strictjson.Error
 	var syntax *json.SyntaxError
 	var wrongType *json.UnmarshalTypeError
 	switch {
+	case errors.As(err, &strict):
+		return &SyntaxError{Line: strict.Line, Field: strict.Field, Err: strict.Err}
 	case errors.As(err, &syntax):
 		return &SyntaxError{Line: lineAt(text, syntax.Offset), Err: err}
 	case errors.As(err, &wrongType):
--- a/mesh/controlplane/rollouts.go
+++ b/mesh/controlplane/rollouts.go
@@ -1,7 +1,6 @@
 package controlplane
 
 import (
-	"encoding/json"
 	"net/http"
 	"time"
 
@@ -9,6 +8,7 @@
 	"github.com/go-kit/log/level"
 	validation "github.com/go-ozzo/ozzo-validation/v4"
 
+	"firplank/internal/strictjson"
 	"firplank/mesh/api"
 	"firplank/mesh/config"
 	"firplank/mesh/controlplane/operations"
@@ -133,7 +133,7 @@
 func (s *Server) startRollout(c *api.Request) api.Response {
 	receivedAt := time.Now()
 	var requested rolloutOrder
-	if err := json.Unmarshal(c.Body, &requested); err != nil {
+	if err := strictjson.Unmarshal(c.Body, &requested); err != nil {
 		return api.ErrorResponse(http.StatusBadRequest, err)
 	}
 	if err := requested.Validate(); err != nil {
@@ -180,7 +180,7 @@
 	if err != nil {
 		return false, err
 	}
-	cfg, err := config.Parse(text)
+	cfg, err := config.ParseCommitted(text)
 	if err != nil {
 		return false, err
 	}
--- a/mesh/controlplane/rollouts_test.go
+++ b/mesh/controlplane/rollouts_test.go
@@ -89,3 +89,34 @@
 		t.Errorf("after a restart: %s, want %s", response, want)
 	}
 }
+
+// Orders that readers of JSON understand differently are rejected, and what was committed before stays in force.
+func TestAmbiguousOrdersAreRejected(t *testing.T) {
+	m := newSoleMachine(t)
+	m.start()
+	defer m.end()
+	const good = `{"edition":"00000001","gates":[{"depot":"h","regulations":[{"name":"r","routeKind":"safe","targetS":1,"precedence":0,
+		"sorting":{"lanePrefix":"/"},"dispatch":{"line":"one","deadlineS":1,"attempts":1}}]}],"fleets":[{"name":"one"}]}`
+	m.callUntil(http.StatusOK, http.MethodPost, "/Timetable.Replace", good)
+	for path, bodies := range map[string][]string{
+		"/Timetable.Replace": {
+			`{"edition":"00000002","gates":[{"depot":"h","regulations":[]}],"fleets":[],"gates":[]}`,
+			`{"edition":"00000002","edition":"00000003","gates":[],"fleets":[]}`,
+			`{"edition":"00000002","gates":null,"fleets":[]}`,
+			`{"edition":"00000002","gates":[],"fleets":[]}}`,
+		},
+		"/Rollouts.Start": {
+			`{"line":"one","toEdition":"v2","toEdition":"v3","overS":5}`,
+			`{"line":"one","toEdition":"v2","overS":5}{}`,
+		},
+	} {
+		for _, body := range bodies {
+			if status, response := callOperatorAPI(t, m.settings.Addresses.Control, http.MethodPost, path, body); status != http.StatusBadRequest {
+				t.Errorf("%s %s: %d %s", path, body, status, response)
+			}
+		}
+	}
+	if text := m.callUntil(http.StatusOK, http.MethodGet, "/Timetable.Read", ""); text != good {
+		t.Errorf("the configuration is %s", text)
+	}
+}
--- a/mesh/dataplane/host.go
+++ b/mesh/dataplane/host.go
@@ -36,7 +36,7 @@
 // unexpected, as the control machines check each text.
 func (h *host) Adopt(version uint32, text []byte) (inForce uint32) {
 	p := h.p
-	next, err := config.Parse(text)
+	next, err := config.ParseCommitted(text)
 	if err != nil {
 		_ = level.Error(p.log).Log("msg", "configuration invalid: the present one stays in force", "edition", version, "error", err)
 		if cfg := p.cfg.Load(); cfg != nil {
