Heartbeats that can be read in two ways are refused

What callers saw: nothing yet. A heartbeat with two conditions was acknowledged and counted by the last, so a server that had said "closing" could stay in use, or the reverse.

Change: heartbeats are read by internal/strictjson; others get 400 and change nothing.

--- a/mesh/dataplane/heartbeats.go
+++ b/mesh/dataplane/heartbeats.go
@@ -1,7 +1,6 @@
 package dataplane
 
 import (
-	"encoding/json"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -9,6 +8,7 @@
 	"github.com/go-faster/errors"
 	validation "github.com/go-ozzo/ozzo-validation/v4"
 
+	"firplank/internal/strictjson"
 	"firplank/mesh/admission"
 	"firplank/mesh/api"
 )
@@ -93,7 +93,7 @@
 
 func (a *serverAPI) heartbeat(c *api.Request) api.Response {
 	var r heartbeatRequest
-	if err := json.Unmarshal(c.Body, &r); err != nil {
+	if err := strictjson.Unmarshal(c.Body, &r); err != nil {
 		return api.ErrorResponse(http.StatusBadRequest, err)
 	}
 	if err := r.Validate(); err != nil {
--- a/mesh/dataplane/heartbeats_test.go
+++ b/mesh/dataplane/heartbeats_test.go
@@ -133,3 +133,20 @@
 		}
 	}
 }
+
+// A heartbeat that readers of JSON understand differently is not believed: the server's condition would depend on the reader.
+func TestAmbiguousHeartbeatIsRejected(t *testing.T) {
+	for name, body := range map[string]string{
+		"two conditions":        `{"line":"one","condition":"closing","condition":"accepting","sequence":1}`,
+		"two lines, by case":    `{"line":"one","Line":"two","condition":"accepting","sequence":1}`,
+		"something behind it":   `{"line":"one","condition":"accepting","sequence":1}]`,
+		"a sequence of null":    `{"line":"one","condition":"accepting","sequence":null}`,
+		"a byte that isn't one": "{\"line\":\"\xff\",\"condition\":\"accepting\",\"sequence\":1}",
+	} {
+		a, record, _ := newServerAPI(true)
+		response := a.heartbeat(&api.Request{Args: []string{"i-1"}, Body: []byte(body)})
+		if response.Status != http.StatusBadRequest || len(record.heartbeats) > 0 {
+			t.Errorf("%s: status %d, %d heartbeats recorded", name, response.Status, len(record.heartbeats))
+		}
+	}
+}
