Settings with a second document or a bound twice are refused

What callers saw: nothing yet. Of a settings file with two YAML documents the first was used, of a bound that is there twice the last.

Cause: yaml.Unmarshal stops after the first document, and bounds are a list of texts, so that YAML's own check of keys doesn't reach them.

Change: anything behind the first document and a known bound that is repeated are errors.

Test: TestAmbiguousSettingsAreRejected; 3 of its 6 cases failed before (keys twice were refused already).

--- a/mesh/bootstrap/bounds.go
+++ b/mesh/bootstrap/bounds.go
@@ -63,7 +63,7 @@
 	}
 }
 
-// parseBounds parses bounds of the form "name=value", with times in seconds. Unknown names are ignored.
+// parseBounds parses bounds of the form "name=value", with times in seconds. Unknown names are ignored; a known one may occur once.
 func parseBounds(entries []string) (Bounds, error) {
 	b := DefaultBounds()
 	durations := map[string]*time.Duration{
@@ -85,12 +85,17 @@
 		"exposureShare": &b.ExposureShare,
 		"exposureSlack": &b.ExposureSlack,
 	}
+	seen := map[string]bool{}
 	for i, entry := range entries {
 		name, valueText, _ := strings.Cut(entry, "=")
 		duration, number := durations[name], numbers[name]
 		if duration == nil && number == nil {
 			continue
 		}
+		if seen[name] {
+			return b, errors.Wrapf(ErrDuplicateBound, "bounds[%d]: %q", i, name)
+		}
+		seen[name] = true
 		value, err := strconv.ParseFloat(valueText, 64)
 		switch {
 		case err != nil || !(value >= 0 && value < maxBound):
--- a/mesh/bootstrap/file.go
+++ b/mesh/bootstrap/file.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"os"
 
 	"github.com/go-faster/errors"
@@ -39,12 +40,25 @@
 	return s, nil
 }
 
-// Parse parses and validates settings in YAML. Its errors state the line, the field or the bound that is wrong.
+// Errors that Parse may wrap.
+var (
+	// ErrTrailing reports that something follows the settings, such as a second YAML document.
+	ErrTrailing = errors.New("something follows the settings")
+	// ErrDuplicateBound reports that a bound is there twice.
+	ErrDuplicateBound = errors.New("is there twice")
+)
+
+// Parse parses and validates settings in YAML. A text with a key twice, or with anything after its first document, is an error. Errors
+// state the line, the field or the bound that is wrong.
 func Parse(text []byte) (*Settings, error) {
 	s := &Settings{}
-	if err := yaml.Unmarshal(text, s); err != nil { // the error states the line
+	decoder := yaml.NewDecoder(bytes.NewReader(text))
+	if err := decoder.Decode(s); err != nil && !errors.Is(err, io.EOF) { // the error states the line; an empty text lacks all settings
 		return nil, err
 	}
+	if err := decoder.Decode(&yaml.Node{}); !errors.Is(err, io.EOF) {
+		return nil, errors.Join(ErrTrailing, err)
+	}
 	if err := s.Validate(); err != nil {
 		return nil, err
 	}
--- a/mesh/bootstrap/settings_test.go
+++ b/mesh/bootstrap/settings_test.go
@@ -96,3 +96,22 @@
 		}
 	}
 }
+
+// Settings that can be read in two ways, or only in part, are not used.
+func TestAmbiguousSettingsAreRejected(t *testing.T) {
+	for _, c := range []struct{ name, text, want string }{
+		{"a key twice", valid + "zone: \"y\"\n", `"zone" already defined`},
+		{"a nested key twice", strings.Replace(valid, "  control:", "  incoming: \"10.1.0.9:8300\"\n  control:", 1), `"incoming" already defined`},
+		{"a second document", valid + "---\nzone: \"y\"\n", ErrTrailing.Error()},
+		{"a second document that is no YAML", valid + "---\nzone: [\n", ErrTrailing.Error()},
+		{"a bound twice", strings.Replace(valid, "somethingNew=9", "inForceS=9", 1), `bounds[2]: "inForceS": is there twice`},
+		{"an empty file", "", "NodeName: cannot be blank"},
+	} {
+		if _, err := Parse([]byte(c.text)); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v, want %q", c.name, err, c.want)
+		}
+	}
+	if _, err := Parse([]byte("---\n" + valid + "...\n")); err != nil {
+		t.Errorf("one document with its marks: %v", err)
+	}
+}
