The sidecar's configuration, settings, lists and params are read strictly

What callers saw: nothing yet.

Cause: encoding/json, as for orders.

Change: internal/strictjson reads them too. Null stays allowed there, for a value that isn't given. The line of an error comes from strictjson, so that the sidecar's own copy of that code goes.

--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -21,6 +21,7 @@
 	"github.com/tinylib/msgp/msgp"
 
 	"firplank/internal/output"
+	"firplank/internal/strictjson"
 	codec "firplank/msgpackrpc"
 )
 
@@ -197,15 +198,16 @@
 
 // parseParams encodes a JSON array as params. Integers stay integers.
 func parseParams(text string) ([]byte, error) {
+	text = cmp.Or(text, "[]")
+	if err := strictjson.Check([]byte(text)); err != nil {
+		return nil, fmt.Errorf("call: params are not a JSON array: %w", err)
+	}
 	var params []any
-	d := json.NewDecoder(strings.NewReader(cmp.Or(text, "[]")))
+	d := json.NewDecoder(strings.NewReader(text))
 	d.UseNumber()
 	if err := d.Decode(&params); err != nil {
 		return nil, fmt.Errorf("call: params are not a JSON array: %w", err)
 	}
-	if d.More() {
-		return nil, errors.New("call: params are not a JSON array: text after the array")
-	}
 	b, err := msgp.AppendIntf(nil, convertNumbers(params))
 	if err != nil {
 		return nil, fmt.Errorf("call: encode params: %w", err)
--- a/internal/call/call_test.go
+++ b/internal/call/call_test.go
@@ -92,7 +92,7 @@
 func TestInvalidCalls(t *testing.T) {
 	for _, c := range [][2]string{
 		{"ftp://127.0.0.1:9", "[]"}, {"msgpack-rpc://127.0.0.1:9", "{}"}, {"msgpack-rpc://127.0.0.1:9", "[] []"},
-		{"msgpack-rpc://127.0.0.1:9", "[1"},
+		{"msgpack-rpc://127.0.0.1:9", "[1"}, {"msgpack-rpc://127.0.0.1:9", "[]]"}, {"msgpack-rpc://127.0.0.1:9", `[{"a":1,"a":2}]`},
 	} {
 		if out, err := do(t, &Request{Params: c[1]}, c[0]); err == nil || out != "" || strings.Contains(err.Error(), "refused") {
 			t.Errorf("%v: %q, %v", c, out, err)
--- a/internal/roster/follower.go
+++ b/internal/roster/follower.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -22,6 +21,7 @@
 
 	"firplank/balance"
 	"firplank/internal/roster/follow"
+	"firplank/internal/strictjson"
 )
 
 // maxListBytes bounds the body of a response.
@@ -356,7 +356,7 @@
 		return nil, fmt.Errorf("%w: %s", errStatus, resp.Status)
 	}
 	l := &List{}
-	if err := json.Unmarshal(body, l); err != nil {
+	if err := strictjson.UnmarshalNullable(body, l); err != nil {
 		return nil, errors.Wrap(err, "discovery")
 	}
 	if err := l.Check(); err != nil {
--- a/internal/roster/follower_test.go
+++ b/internal/roster/follower_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"firplank/internal/strictjson"
 	"firplank/internal/testbed"
 )
 
@@ -121,6 +122,19 @@
 	}
 }
 
+// A list that has its members twice is no list: which servers there are would depend on the reader.
+func TestAmbiguousListIsReportedAndRetried(t *testing.T) {
+	s := testbed.NewScriptedServer(t, testbed.Respond(200, `{"revision":42,"complete":true,"members":[{"id":"s-1"}],"members":[]}`),
+		testbed.Respond(200, `{"revision":42}`), testbed.WriteAndStall(""))
+	events := start(t, Config{Addr: s.Addr, Known: knownList(41)})
+	if ev, ok := testbed.Next[any](t, events).(error); !ok || !errors.Is(ev, strictjson.ErrDuplicateName) {
+		t.Errorf("received %v", ev)
+	}
+	if l, ok := testbed.Next[any](t, events).(*List); !ok || l.Revision != 42 {
+		t.Errorf("received %v", l)
+	}
+}
+
 // A response may be truncated or invalid. Its changes count as acknowledged, and may include a draining server: the call is repeated at
 // once, also if the next one fails.
 func TestRetriesAtOnceAfterTruncatedResponse(t *testing.T) {
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"bytes"
 	"cmp"
 	"encoding/json"
 	"hash/fnv"
@@ -23,6 +22,7 @@
 	"firplank/internal/options"
 	"firplank/internal/poller"
 	"firplank/internal/roster"
+	"firplank/internal/strictjson"
 	"firplank/settings"
 )
 
@@ -123,8 +123,8 @@
 		Known      roster.List     `json:"known"`
 		Settings   json.RawMessage `json:"settings"`
 	}
-	if err := json.Unmarshal(text, &file); err != nil {
-		return nil, addLineNumber(text, err)
+	if err := strictjson.UnmarshalNullable(text, &file); err != nil {
+		return nil, err // it states the line
 	}
 	cfg := &Config{
 		Name:           cmp.Or(getenv("NODE_NAME"), file.Name),
@@ -155,23 +155,6 @@
 	return cfg, cfg.bindNames(parsed)
 }
 
-// addLineNumber adds the line number to an error of the JSON decoder that contains an offset.
-func addLineNumber(text []byte, err error) error {
-	var syntaxErr *json.SyntaxError
-	var typeErr *json.UnmarshalTypeError
-	offset := int64(-1)
-	switch {
-	case errors.As(err, &syntaxErr):
-		offset = syntaxErr.Offset
-	case errors.As(err, &typeErr):
-		offset = typeErr.Offset
-	}
-	if offset < 0 || offset > int64(len(text)) {
-		return err
-	}
-	return errors.Wrapf(err, "line %d", 1+bytes.Count(text[:offset], []byte("\n")))
-}
-
 // check validates the addresses, limits and known servers, and sets the default number of sockets.
 func (c *Config) check() error {
 	if _, err := netip.ParseAddrPort(c.Listen); err != nil {
--- a/internal/sidecar/config_test.go
+++ b/internal/sidecar/config_test.go
@@ -35,6 +35,7 @@
 		{`{`, ``}, {`"127.0.0.1:0"`, `"here"`}, {`"127.0.0.1:9", "seed"`, `"", "seed"`}, {`"memory_mb": 192`, `"memory_mb": -1`},
 		{`"sockets": 1024`, `"sockets": 5`}, {`"settings"`, `"other"`}, {`"read_like"`, `"x"`}, {`"phase": "ready"`, `"phase": "x"`},
 		{`"id": "s-1"`, `"id": ""`}, {`"name": "bolt"`, `"name": "acme"`}, {`"127.0.0.1:9", "locality"`, `"", "locality"`},
+		{`{`, `{"listen": "127.0.0.1:1", `}, {`"cores"`, `"Cores": 2, "cores"`}, {`"known"`, `"known": {}, "known"`}, // a name twice
 	} {
 		text := strings.Replace(string(good), change[0], change[1], 1)
 		path := filepath.Join(t.TempDir(), "config.json")
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -4,11 +4,11 @@
 package settings
 
 import (
-	"encoding/json"
 	"fmt"
 	"math"
 
 	"firplank/balance"
+	"firplank/internal/strictjson"
 )
 
 // Settings holds the checked settings of a deployment.
@@ -125,7 +125,7 @@
 // Parse reads and checks the settings; seed is for the balancer's random numbers. An error names the invalid key.
 func Parse(seed uint64, text []byte) (*Settings, error) {
 	var s settings
-	if err := json.Unmarshal(text, &s); err != nil {
+	if err := strictjson.UnmarshalNullable(text, &s); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	cfg, err := s.config(seed)
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -84,6 +84,9 @@
 func TestInvalidSettingsAreErrors(t *testing.T) {
 	const class = `"classes": [{"effect": "read_like", "hard_limit_ms": 500}]`
 	for _, bad := range []string{
+		`{` + class + `, ` + class + `}`, // a name twice
+		`{` + class + `, "limits": {"open_cap": 4, "open_cap": 5}}`,
+		`{` + class + `}]`,
 		`{` + class + `, "rules": {"cold_ms": -1}}`,
 		`{` + class + `, "rules": {"cold_from": 1.5}}`,
 		`{` + class + `, "rules": {"cold_ms": 5000}}`, // fall_multiple and fall_ms are missing
