Only an unsent request is proved not to have run by its connection's end

The client is told "503 refused, trying again is harmless", files again, and the filing runs twice.

Cause: mended one symptom (an answer ahead of the body) and kept "a connection that ends without a byte proves that nothing began", the rule of the older platform, where a server begins with the last byte. Each place in the upstream drew its own conclusion. The same wrong proof came from a client's body that breaks off, from a cancellation, and from the deadline, for streamed bodies and for those that the kernel doesn't take at once; at the last hop it became "unmet", barred the attempt in the log of outcomes and counted as a refused connection.

Change: upstream.unansweredOutcome alone concludes from an end without a response: nothing sent proves that nothing ran; from the first byte on, with a dialect, nothing does. balance.Result.ProvesNotSent is the one list of such outcomes for balance, the last hop and the invariants. A sending sidecar whose upload to a last hop breaks now asks that last hop for the outcome, as it does for other requests. While a body makes no progress, in either direction, the connection is looked at each 50 ms: a response ahead of the body waited for up to 10 s behind a blocked write, and for a minute behind a client that pauses.

--- a/balance/api.go
+++ b/balance/api.go
@@ -237,7 +237,10 @@
 )
 
 // ProvesNotExecuted reports whether the result proves that the attempt was not executed.
-func (r Result) ProvesNotExecuted() bool { return r == Rejected || r == ConnectFailed || r == NotSent }
+func (r Result) ProvesNotExecuted() bool { return r == Rejected || r.ProvesNotSent() }
+
+// ProvesNotSent reports whether the result proves that no byte of the attempt has reached a server.
+func (r Result) ProvesNotSent() bool { return r == ConnectFailed || r == NotSent }
 
 // Outcome reports the end of an attempt; every attempt has exactly one.
 type Outcome struct {
--- a/balance/events.go
+++ b/balance/events.go
@@ -162,7 +162,7 @@
 	}
 	a := &r.attempts[ev.Attempt]
 	a.inFlight, a.notExecuted, a.reset = false, ev.Result.ProvesNotExecuted(), ev.Result == Reset
-	a.notDelivered = ev.NotDelivered || b.cfg.LastHop && (ev.Result == ConnectFailed || ev.Result == NotSent)
+	a.notDelivered = ev.NotDelivered || b.cfg.LastHop && ev.Result.ProvesNotSent()
 	b.releaseAttempt(r, a, ev.Result)
 	b.recordReport(a.server, ev.Report)
 	b.connectFailureShare -= b.connectFailureShare / connectFailureWindow
--- a/internal/core/invariants.go
+++ b/internal/core/invariants.go
@@ -4,7 +4,6 @@
 	"math"
 	"time"
 
-	"firplank/balance"
 	"firplank/internal/invariant"
 )
 
@@ -26,11 +25,7 @@
 	if !a.recorded {
 		return true
 	}
-	switch a.result.Outcome {
-	case balance.ConnectFailed, balance.NotSent, balance.Rejected:
-		return false
-	}
-	return !a.result.NotDelivered
+	return !a.result.Outcome.ProvesNotExecuted() && !a.result.NotDelivered
 }
 
 // uncertainAttempt returns an attempt of a request by which it may have been executed; nil: there is none.
--- a/internal/upstream/http/polledconn_linux.go
+++ b/internal/upstream/http/polledconn_linux.go
@@ -40,6 +40,7 @@
 	state    polledState
 	current  *polledRequest // nil while idle
 	unsent   []byte         // rest of the request
+	sentAny  bool           // a byte of the request was accepted by the kernel
 	received []byte         // bytes of a response that is not yet complete
 	parser   responseParser
 	// headCompletedAt is when the head of a streamable response was complete.
@@ -75,12 +76,28 @@
 	}
 	s.state, s.unsent = polledWriting, request
 	s.backend.setTimeout(s, time.Until(s.current.deadline))
-	if err := s.write(); err != nil { // the last byte was not sent, and no response was read
-		return s.fail(balance.ConnectFailed)
+	if err := s.write(); err != nil { // no response was read
+		return s.failUnanswered(endedByConnection)
 	}
 	return nil
 }
 
+// progress returns how much of the current request was sent. The caller holds mu.
+func (s *polledConn) progress() progress {
+	switch {
+	case s.state == polledWaiting:
+		return completelySent
+	case s.sentAny:
+		return partlySent
+	}
+	return nothingSent
+}
+
+// failUnanswered ends the current request without a response. The caller holds mu.
+func (s *polledConn) failUnanswered(why ending) *endedRequest {
+	return s.fail(s.backend.up.unansweredOutcome(s.progress(), why))
+}
+
 // endedRequest is a request with its result, to be reported when no lock is held.
 type endedRequest struct {
 	conn     *polledConn
@@ -93,7 +110,7 @@
 func (s *polledConn) end(r core.Result, reusable bool) *endedRequest {
 	e := &endedRequest{s, s.current, r, reusable}
 	s.backend.clearTimeout(s)
-	s.current, s.unsent, s.parser = nil, nil, responseParser{}
+	s.current, s.unsent, s.sentAny, s.parser = nil, nil, false, responseParser{}
 	if s.state != polledReleased {
 		s.state = polledIdle
 	}
@@ -139,7 +156,7 @@
 		case err != nil:
 			return err
 		default:
-			s.unsent = s.unsent[n:]
+			s.unsent, s.sentAny = s.unsent[n:], true
 		}
 	}
 	s.unsent, s.state = nil, polledWaiting
@@ -179,7 +196,7 @@
 	if e := s.read(true); e != nil || s.state == polledReleased {
 		return e
 	}
-	return s.fail(balance.ConnectFailed)
+	return s.failUnanswered(endedByConnection)
 }
 
 // handleConnected handles the result of connecting. The caller holds mu.
@@ -187,9 +204,9 @@
 	switch code, err := unix.GetsockoptInt(s.fd, unix.SOL_SOCKET, unix.SO_ERROR); {
 	case err != nil || code != 0:
 		if code != 0 && socket.Exhausted(unix.Errno(code)) {
-			return s.fail(balance.NotSent)
+			return s.failUnanswered(endedByCancel)
 		}
-		return s.fail(balance.ConnectFailed)
+		return s.failUnanswered(endedByConnection)
 	}
 	// Connecting may have taken until the server stopped accepting requests or the deadline passed. Nothing was sent
 	// yet.
@@ -256,11 +273,7 @@
 		}
 		return
 	}
-	outcome := balance.NotSent
-	if s.state == polledWaiting || s.responseStarted() {
-		outcome = balance.Cancelled
-	}
-	e := s.fail(outcome)
+	e := s.failUnanswered(endedByCancel)
 	s.mu.Unlock()
 	s.backend.running.Go(e.report)
 }
@@ -276,11 +289,11 @@
 		pastDeadline := !time.Now().Before(t.deadline)
 		switch {
 		case s.state == polledConnecting && pastDeadline, s.state == polledWriting && !s.responseStarted():
-			e = s.fail(balance.NotSent)
+			e = s.failUnanswered(endedByDeadline)
 		case s.state == polledConnecting:
-			e = s.fail(balance.ConnectFailed)
+			e = s.failUnanswered(endedByConnection)
 		case pastDeadline:
-			e = s.fail(balance.TimedOut)
+			e = s.failUnanswered(endedByDeadline)
 		case len(s.parser.chunks.Body) > 0 || len(s.received) > s.parser.offset && s.parser.head != nil && !s.parser.head.chunked:
 			s.handOver(s.received, holdTimeout) // the length is unknown, and the body did not end within holdTimeout
 		default: // no byte of the body was received
--- a/internal/upstream/http/polledresponse_linux.go
+++ b/internal/upstream/http/polledresponse_linux.go
@@ -37,10 +37,10 @@
 // handleInput handles bytes of the response, or its end. The caller holds mu.
 func (s *polledConn) handleInput(b []byte, eof bool, err error) *endedRequest {
 	if s.state == polledWriting && !s.acceptsEarlyResponse(b) {
-		return s.fail(balance.ConnectFailed)
+		return s.failUnanswered(endedByConnection)
 	}
 	if err != nil { // a failed connection doesn't delimit a body
-		return s.fail(balance.Reset)
+		return s.failUnanswered(endedByConnection)
 	}
 	if s.received != nil {
 		s.received = append(s.received, b...)
@@ -120,8 +120,7 @@
 }
 
 // acceptsEarlyResponse reports whether input before the request is written counts as a response: only if a dialect
-// evaluates it, and a byte of it is in b or was received before. Otherwise the server has not started the request. The
-// caller holds mu.
+// evaluates it, and a byte of it is in b or was received before. The caller holds mu.
 func (s *polledConn) acceptsEarlyResponse(b []byte) bool {
 	return s.backend.up.dialect != nil && s.current.attempt != nil && (len(b) > 0 || s.responseStarted())
 }
--- a/internal/upstream/http/response.go
+++ b/internal/upstream/http/response.go
@@ -95,13 +95,6 @@
 	}
 }
 
-// waitForByte waits for the first byte of a response and reports whether one was received.
-func (r responseReader) waitForByte() bool {
-	r.limit.remaining = maxResponseHeadBytes
-	_, err := r.Peek(1)
-	return err == nil
-}
-
 // discardInterim waits for the head of a response and discards it if the response is an interim one. It reports whether
 // it did.
 func (r responseReader) discardInterim() bool {
--- a/internal/upstream/http/stream.go
+++ b/internal/upstream/http/stream.go
@@ -31,6 +31,8 @@
 	// uploadReadTimeout bounds the wait for the next part of a request body. The front end cancels requests that arrive
 	// too slowly.
 	uploadReadTimeout = time.Minute
+	// earlyResponseInterval is how long a request body may make no progress before the connection is checked for a response.
+	earlyResponseInterval = 50 * time.Millisecond
 )
 
 var copyBuffers = sync.Pool{New: func() any { return new([copyBufferBytes]byte) }}
@@ -63,19 +65,19 @@
 	uploadFailed                       // the rest can't be written
 )
 
-// upload writes a request body as it is received. The outcome is valid if the upload failed.
-func (u *upstream) upload(a *attempt, c *conn) (end uploadEnd, outcome balance.Result) {
+// upload writes the body of a request, whose head was written, as the body is received. It also returns how much of the request was sent.
+func (u *upstream) upload(a *attempt, c *conn) (end uploadEnd, sent progress) {
 	s := a.Message.Stream
 	buf := copyBuffers.Get().(*[copyBufferBytes]byte)
 	defer copyBuffers.Put(buf)
 	const chunkHeadBytes = 10 // for the size line before a chunk; 2 bytes for the line end after it
 	for {
-		if u.hasEarlyResponse(c) {
-			return uploadInterrupted, 0
-		}
-		n, err := s.ReadTimeout(buf[chunkHeadBytes:copyBufferBytes-2], uploadReadTimeout)
-		if err != nil && !errors.Is(err, io.EOF) {
-			return uploadFailed, balance.NotSent // a failure of the client, not of the server
+		responded, n, err := u.readPart(a, c, buf[chunkHeadBytes:copyBufferBytes-2])
+		switch {
+		case responded:
+			return uploadInterrupted, partlySent
+		case err != nil && !errors.Is(err, io.EOF):
+			return uploadFailed, partlySent // a failure of the client, not of the server
 		}
 		out := buf[chunkHeadBytes : chunkHeadBytes+n]
 		if s.Length() < 0 {
@@ -90,26 +92,62 @@
 				out = append(out, "0\r\n\r\n"...)
 			}
 		}
-		if !a.extendDeadline(c, stallTimeout) {
-			return uploadFailed, balance.NotSent
-		}
-		if len(out) > 0 {
-			if _, writeErr := c.Write(out); writeErr != nil {
-				if a.ctx.Err() != nil {
-					return uploadFailed, balance.NotSent
-				}
-				return uploadInterrupted, 0 // the connection is closed, perhaps after a response
-			}
+		var writeErr error
+		responded, writeErr = u.writePart(a, c, out)
+		switch {
+		case a.ctx.Err() != nil:
+			return uploadFailed, partlySent
+		case responded || writeErr != nil: // after an error the connection is closed, perhaps after a response
+			return uploadInterrupted, partlySent
 		}
 		if errors.Is(err, io.EOF) {
 			if !a.extendDeadline(c, a.Message.Remaining) {
-				return uploadFailed, 0
+				return uploadFailed, completelySent
 			}
-			return uploadComplete, 0
+			return uploadComplete, completelySent
 		}
 	}
 }
 
+// readPart reads the next part of a request body from the client. It returns early if the server has responded meanwhile, or closed the
+// connection.
+func (u *upstream) readPart(a *attempt, c *conn, buf []byte) (responded bool, n int, err error) {
+	for waited := time.Duration(0); ; waited += earlyResponseInterval {
+		if u.hasEarlyResponse(c) {
+			return true, 0, nil
+		}
+		n, err = a.Message.Stream.ReadTimeout(buf, earlyResponseInterval)
+		if !errors.Is(err, bodypipe.ErrStalled) || a.ctx.Err() != nil || waited >= uploadReadTimeout {
+			return false, n, err
+		}
+	}
+}
+
+// writePart writes a part of a request body, which blocks while the server reads nothing. It returns early if the server has responded
+// meanwhile. It fails if the attempt is cancelled, or if the server accepts nothing for stallTimeout.
+func (u *upstream) writePart(a *attempt, c *conn, part []byte) (responded bool, err error) {
+	for lastProgress := time.Now(); len(part) > 0; {
+		if !a.extendDeadline(c, earlyResponseInterval) {
+			return false, a.ctx.Err()
+		}
+		n, err := c.Write(part)
+		part = part[n:]
+		switch {
+		case err == nil:
+		case !errors.Is(err, os.ErrDeadlineExceeded):
+			return false, err
+		case n > 0:
+			lastProgress = time.Now()
+		case time.Since(lastProgress) >= stallTimeout:
+			return false, err
+		}
+		if len(part) > 0 && a.extendDeadline(c, stallTimeout) && u.hasEarlyResponse(c) {
+			return true, nil
+		}
+	}
+	return false, nil
+}
+
 // extendDeadline sets the deadline of a connection to d from now, and reports whether the attempt is still wanted.
 func (a *attempt) extendDeadline(c *conn, d time.Duration) bool {
 	_ = c.SetDeadline(time.Now().Add(d)) // fails only on a closed connection, and so does the next call
@@ -131,33 +169,38 @@
 	return false
 }
 
-// readEarlyResponse reads the response of a server that responds before it received the whole request. In the platform
-// of package settings no server starts a request before its last byte. With a dialect the response counts like any
-// other, as a server may start after the head; a server that closes the connection without a response has not started.
+// readEarlyResponse reads the response of a server that responds before it received the whole request, or closes the connection. With a
+// dialect the response counts like any other; in the platform of package settings it counts only if it states that the request was
+// rejected.
 func (u *upstream) readEarlyResponse(a *attempt, c *conn) core.Result {
-	if !a.extendDeadline(c, u.pool.connectTimeout) {
-		return core.Result{Outcome: balance.NotSent}
+	if !a.extendDeadline(c, u.earlyResponseTimeout(a)) {
+		return core.Result{Outcome: u.unansweredOutcome(partlySent, endedByCancel)}
 	}
 	if u.dialect == nil {
 		return core.Result{Outcome: u.earlyOutcome(c)}
 	}
-	if !c.reader.waitForByte() {
-		return core.Result{Outcome: balance.ConnectFailed}
-	}
-	if !a.extendDeadline(c, a.Message.Remaining) {
-		return core.Result{Outcome: balance.Cancelled}
-	}
 	r, _ := u.receive(a, c) // the connection can't be reused after an incomplete request
 	return r
 }
 
+// earlyResponseTimeout returns how long to wait for the rest of an early response.
+func (u *upstream) earlyResponseTimeout(a *attempt) time.Duration {
+	switch {
+	case u.dialect == nil:
+		return u.pool.connectTimeout
+	case a.Message.Stream == nil:
+		return time.Until(a.Deadline)
+	}
+	return a.Message.Remaining
+}
+
 // earlyOutcome returns the outcome that an early response proves in the platform of package settings.
 func (u *upstream) earlyOutcome(c *conn) balance.Result {
 	resp, err := c.reader.readHead(http.MethodPost, httpwire.MaxStreamedBody)
 	if err == nil && headOf(resp).outcome() == balance.Rejected {
 		return balance.Rejected
 	}
-	return balance.ConnectFailed
+	return u.unansweredOutcome(partlySent, endedByConnection)
 }
 
 // streamResponse forwards a response whose body is of unknown length or exceeds what is buffered. A response that turns
@@ -273,7 +316,7 @@
 	if !r.keepWhole() {
 		r.pipe.CloseWrite(errors.Join(errResponseAborted, err))
 	}
-	return core.Result{Outcome: r.a.failureOutcome(err)}
+	return core.Result{Outcome: r.u.responseFailure(r.a, err)}
 }
 
 var errResponseAborted = errors.New("response was aborted")
--- a/internal/upstream/http/upstream.go
+++ b/internal/upstream/http/upstream.go
@@ -158,7 +158,7 @@
 func (u *upstream) perform(a *attempt) core.Result {
 	c, err := u.pool.get(a.ctx, a.Endpoint, a.Deadline, u.pool.maxIdle(a.Message))
 	if err != nil {
-		return core.Result{Outcome: connectOutcome(a, err)}
+		return core.Result{Outcome: u.connectOutcome(a, err)}
 	}
 	// Connecting may have taken until the server stopped accepting requests or the deadline passed. Nothing was sent
 	// yet.
@@ -182,19 +182,16 @@
 	stop := context.AfterFunc(a.ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	defer func() { reusable = stop() && reusable }()
 
-	// A single write, so that the number of bytes accepted by the kernel tells whether the last byte was sent.
+	// A single write, so that the number of bytes accepted by the kernel tells how much was sent.
 	if n, err := c.Write(request); n < len(request) {
-		if interrupted(a, err) {
-			return core.Result{Outcome: balance.NotSent}, false
-		}
-		return core.Result{Outcome: balance.ConnectFailed}, false
+		return u.incompleteRequest(a, c, n, err), false
 	}
 	if a.Message.Stream != nil {
-		switch end, outcome := u.upload(a, c); end {
+		switch end, sent := u.upload(a, c); end {
 		case uploadInterrupted:
 			return u.readEarlyResponse(a, c), false
 		case uploadFailed:
-			return core.Result{Outcome: outcome}, false
+			return core.Result{Outcome: u.unansweredOutcome(sent, endedByCancel)}, false
 		case uploadComplete:
 		}
 	}
@@ -202,6 +199,18 @@
 	return u.receive(a, c)
 }
 
+// incompleteRequest returns the result of a request of which n bytes were written before err.
+func (u *upstream) incompleteRequest(a *attempt, c *conn, n int, err error) core.Result {
+	why := a.endingBy(err)
+	switch {
+	case n == 0:
+		return core.Result{Outcome: u.unansweredOutcome(nothingSent, why)}
+	case why == endedByConnection && u.dialect != nil:
+		return u.readEarlyResponse(a, c)
+	}
+	return core.Result{Outcome: u.unansweredOutcome(partlySent, why)}
+}
+
 // receive reads the response to a request that was written completely.
 func (u *upstream) receive(a *attempt, c *conn) (r core.Result, reusable bool) {
 	maxBodyBytes := int64(httpwire.MaxBufferedBody)
@@ -210,7 +219,7 @@
 	}
 	resp, err := c.reader.readHead(methodOf(a.Message), maxBodyBytes)
 	if err != nil {
-		return core.Result{Outcome: a.failureOutcome(err)}, false
+		return core.Result{Outcome: u.responseFailure(a, err)}, false
 	}
 	if u.dialect != nil && !u.dialect.Matches(a.Attempt, resp.Header) {
 		return core.Result{Outcome: balance.Reset}, false
@@ -222,7 +231,7 @@
 	var body []byte
 	if resp.Body != http.NoBody {
 		if body, err = c.reader.readBody(resp); err != nil {
-			return core.Result{Outcome: a.failureOutcome(err)}, false
+			return core.Result{Outcome: u.responseFailure(a, err)}, false
 		}
 	}
 	return u.result(a.Attempt, c, headOf(resp), body, c.reader.Buffered())
--- a/lab/mesh/server.go
+++ b/lab/mesh/server.go
@@ -21,8 +21,21 @@
 	Garble float64       // share of the requests that it runs, and answers with bytes that are no HTTP response
 	Refuse float64       // share of the requests that it rejects with 503 and Not-Delivered, without running them
 	Fail   float64       // share of the requests that it runs, and answers with 500
+	// Upload is how it handles requests with a body.
+	Upload UploadBehaviour
 }
 
+// UploadBehaviour is how a server handles requests with a body.
+type UploadBehaviour uint8
+
+// The behaviours. All but the first begin to run a request by its head.
+const (
+	RunWhenReceived UploadBehaviour = iota // it runs a request once the body was received
+	RunAtHead                              // it receives the body while it runs the request
+	CloseAtHead                            // it closes the connection without a response and without reading the body
+	ResetAtHead                            // the same, by a reset
+)
+
 // Arrival is a request that begins to run at a server.
 type Arrival struct {
 	RequestID, Server, Service, Version, Sender string
@@ -201,13 +214,13 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	_, _ = io.Copy(io.Discard, r.Body) // the body is not used
 	began := time.Now()
 	failed := rand.Float64() < b.Fail
 	dropped, garbled := rand.Float64() < b.Drop, rand.Float64() < b.Garble
-	s.record(Arrival{
-		RequestID: id, Sender: r.Header.Get("Sender-Line"), Remaining: remaining(r), Aborted: dropped || garbled,
-	})
+	arrival := Arrival{RequestID: id, Sender: r.Header.Get("Sender-Line"), Remaining: remaining(r), Aborted: dropped || garbled}
+	if !s.receiveBody(w, r, b.Upload, arrival) {
+		return
+	}
 	select {
 	case <-time.After(s.machine.mesh.cfg.Work + b.Delay + extraWork(r)):
 	case <-r.Context().Done():
@@ -230,6 +243,27 @@
 	}
 }
 
+// receiveBody receives the body of a request and records that the request begins to run. It reports false if it has ended the connection.
+func (s *Server) receiveBody(w http.ResponseWriter, r *http.Request, behaviour UploadBehaviour, arrival Arrival) bool {
+	if behaviour == RunWhenReceived || r.ContentLength == 0 {
+		_, _ = io.Copy(io.Discard, r.Body) // the body is not used
+		s.record(arrival)
+		return true
+	}
+	arrival.Aborted = arrival.Aborted || behaviour != RunAtHead
+	s.record(arrival)
+	switch behaviour {
+	case CloseAtHead:
+		closeConnection(w, "")
+		return false
+	case ResetAtHead:
+		resetConnection(w)
+		return false
+	}
+	_, _ = io.Copy(io.Discard, r.Body) // the body is not used
+	return true
+}
+
 // makeCall makes the call that a request asks for, through the server's own sidecar: for "/look/x?calls=3" the server calls
 // "/look/x?calls=2". Its deadline is that of the request, of which elapsed is over. makeCall reports whether the call succeeded, or true if
 // the request asks for none.
@@ -327,3 +361,13 @@
 	_, _ = conn.Write([]byte(text)) // the connection is closed even where this fails
 	_ = conn.Close()
 }
+
+// resetConnection resets a request's connection.
+func resetConnection(w http.ResponseWriter) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	_ = conn.(*net.TCPConn).SetLinger(0) // the connection is closed even where this fails
+	_ = conn.Close()
+}
--- /dev/null
+++ b/mesh/dataplane/brokenupload_test.go
@@ -0,0 +1,149 @@
+package dataplane
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"firplank/balance"
+	"firplank/internal/bodypipe"
+	"firplank/internal/core"
+	httpback "firplank/internal/upstream/http"
+	"firplank/mesh/attempts"
+)
+
+// longBody is the length of a body that exceeds what the kernel buffers.
+const longBody = 16 << 20
+
+// acceptingServer returns a server that passes each accepted connection to handle.
+func acceptingServer(t *testing.T, handle func(net.Conn)) *core.Endpoint {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() }) // an error loses nothing
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			handle(c)
+		}
+	}()
+	return core.NewEndpoint("server", ln.Addr().String())
+}
+
+// upload is an attempt at a server with a long body, of which a streamed one breaks off in its middle or stops coming there.
+type upload struct {
+	streamed, breaksOff bool
+	timeout             time.Duration
+}
+
+// begin begins the attempt and returns it with the channel of its result.
+func (u upload) begin(t *testing.T, pool *httpback.PollBackend, server *core.Endpoint) (*core.Attempt, chan core.Result) {
+	t.Helper()
+	m := &core.Message{
+		Trace:     "x",
+		Verb:      http.MethodPost,
+		Target:    "/a/",
+		Authority: "h",
+		Remaining: u.timeout,
+		Meta:      header("Try-Id", "x", "Deliver-To", "i-1"),
+	}
+	if u.streamed {
+		m.Stream = bodypipe.New(longBody)
+		go func() {
+			_ = m.Stream.WriteTimeout(make([]byte, 4<<10), time.Second) // fails if the attempt has ended
+			if u.breaksOff {
+				m.Stream.CloseWrite(io.ErrUnexpectedEOF)
+			}
+		}()
+	} else {
+		m.Body = make([]byte, longBody)
+	}
+	ended := make(chan core.Result, 1)
+	a := core.NewAttempt(server, m, time.Now().Add(u.timeout), func(r core.Result) { ended <- r })
+	pool.Begin(a)
+	return a, ended
+}
+
+func newServerPool(t *testing.T) *httpback.PollBackend {
+	t.Helper()
+	pool, err := httpback.NewPoll(t.Context(), httpback.Config{
+		ConnectTimeout: time.Second, IdleTimeout: time.Second, MaxConns: 4, Dialect: serverDialect{},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return pool
+}
+
+// A server may start a request by its head. However the attempt ends before the body's end, nothing proves that the server has not started
+// it: neither the end of the connection, nor of the client's body, nor of the time, nor a cancellation.
+func TestUnfinishedUploadProvesNothing(t *testing.T) {
+	readHead := func(c net.Conn) { _, _ = c.Read(make([]byte, 1<<10)) } // the rest of the test fails where this does
+	closed := func(c net.Conn) { readHead(c); _ = c.Close() }
+	reset := func(c net.Conn) { readHead(c); _ = c.(*net.TCPConn).SetLinger(0); _ = c.Close() }
+	open := func(c net.Conn) { readHead(c); t.Cleanup(func() { _ = c.Close() }) }
+	for _, c := range []struct {
+		name   string
+		handle func(net.Conn)
+		upload upload
+		cancel bool
+		want   balance.Result
+	}{
+		{"streamed, the server closes", closed, upload{streamed: true, timeout: 5 * time.Second}, false, balance.Reset},
+		{"streamed, the server resets", reset, upload{streamed: true, timeout: 5 * time.Second}, false, balance.Reset},
+		{"the server closes", closed, upload{timeout: 5 * time.Second}, false, balance.Reset},
+		{"the server resets", reset, upload{timeout: 5 * time.Second}, false, balance.Reset},
+		{"streamed, the client breaks off", open, upload{streamed: true, breaksOff: true, timeout: 5 * time.Second}, false, balance.Cancelled},
+		{"streamed, cancelled", open, upload{streamed: true, timeout: 5 * time.Second}, true, balance.Cancelled},
+		{"cancelled", open, upload{timeout: 5 * time.Second}, true, balance.Cancelled},
+		{"out of time", open, upload{timeout: 200 * time.Millisecond}, false, balance.TimedOut},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			pool, reached := newServerPool(t), make(chan struct{}, 1)
+			server := acceptingServer(t, func(conn net.Conn) { c.handle(conn); reached <- struct{}{} })
+			a, ended := c.upload.begin(t, pool, server)
+			<-reached
+			if c.cancel && a.TryCancel() {
+				pool.Cancel(a)
+			}
+			r := <-ended
+			if r.Outcome != c.want {
+				t.Errorf("outcome %v, want %v", r.Outcome, c.want)
+			}
+			if neverStarted(r) || r.Outcome.ProvesNotExecuted() {
+				t.Errorf("outcome %v counts as a proof that the server has not started the request", r.Outcome)
+			}
+			answer := lastHopAnswer(r)
+			evidence := attempts.FromLastHop(attempts.Outcome(http.Header(answer.Meta).Get(outcomeHeader)), attempts.Response{})
+			if evidence != attempts.Inconclusive && evidence != attempts.TimedOut {
+				t.Errorf("the sending sidecar concludes %v", evidence)
+			}
+		})
+	}
+}
+
+// A connection that is refused has carried nothing: the request can be sent elsewhere.
+func TestRefusedConnectionProvesNothingSent(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := core.NewEndpoint("server", ln.Addr().String())
+	if err := ln.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+		t.Fatal(err)
+	}
+	for _, streamed := range []bool{true, false} {
+		_, ended := upload{streamed: streamed, timeout: time.Second}.begin(t, newServerPool(t), server)
+		if r := <-ended; r.Outcome != balance.ConnectFailed || !neverStarted(r) {
+			t.Errorf("streamed %v: outcome %v", streamed, r.Outcome)
+		}
+	}
+}
--- a/mesh/dataplane/earlyanswer_test.go
+++ b/mesh/dataplane/earlyanswer_test.go
@@ -69,12 +69,17 @@
 		m.Body = make([]byte, bodyBytes)
 	}
 	ended := make(chan core.Result, 1)
-	pool.Begin(core.NewAttempt(server, m, time.Now().Add(5*time.Second), func(r core.Result) { ended <- r }))
-	return <-ended, pool.Open()
+	deadline := time.Now().Add(5 * time.Second)
+	pool.Begin(core.NewAttempt(server, m, deadline, func(r core.Result) { ended <- r }))
+	r = <-ended
+	if time.Now().After(deadline) {
+		t.Error("the response is used after the deadline only")
+	}
+	return r, pool.Open()
 }
 
 // A server may respond before it has read the whole body. That response counts like any other, and is no refused connection; the
-// connection is not reused.
+// connection is not reused. If the connection ends without a response, the server may have started the request all the same.
 func TestResponseBeforeRequestBodyIsUsed(t *testing.T) {
 	answerOf := func(status int, fields string) string {
 		return fmt.Sprintf("HTTP/1.1 %d Early\r\n%sContent-Length: 2\r\n\r\nok", status, fields)
@@ -90,7 +95,7 @@
 		{"a response to another request", answerOf(200, "Try-Id: y\r\nPostmark: p\r\nConnection: close\r\n"), balance.Reset},
 		{"rejected", answerOf(503, "Try-Id: x\r\nNot-Delivered: 1\r\n"), balance.Rejected},
 		{"not HTTP", "\x80\x8a\r\n\r\n", balance.Reset},
-		{"no response, and the connection ends", "", balance.ConnectFailed},
+		{"no response, and the connection ends", "", balance.Reset},
 	} {
 		for _, streamed := range []bool{true, false} {
 			t.Run(fmt.Sprintf("%s, streamed %v", c.name, streamed), func(t *testing.T) {
--- a/mesh/dataplane/outcomes.go
+++ b/mesh/dataplane/outcomes.go
@@ -54,10 +54,10 @@
 		}
 		return a
 	}
-	switch r.Outcome {
-	case balance.ConnectFailed, balance.NotSent:
+	switch {
+	case neverStarted(r):
 		return ownAnswer(http.StatusServiceUnavailable, attempts.NotReceived, "the server was not reached", 0)
-	case balance.TimedOut:
+	case r.Outcome == balance.TimedOut:
 		return ownAnswer(http.StatusGatewayTimeout, attempts.DeadlineExceeded, "out of time", 0)
 	}
 	return ownAnswer(http.StatusBadGateway, attempts.Indeterminate, "the server broke off", 0)
@@ -75,9 +75,7 @@
 }
 
 // neverStarted reports whether a request that ended with r has not reached the server.
-func neverStarted(r core.Result) bool {
-	return r.Answer == nil && (r.Outcome == balance.ConnectFailed || r.Outcome == balance.NotSent)
-}
+func neverStarted(r core.Result) bool { return r.Answer == nil && r.Outcome.ProvesNotSent() }
 
 // answerOverheadBytes estimates the memory of an answer besides its headers and body.
 const answerOverheadBytes = 256
