A long body that stops coming is not answered 408

What callers saw (REFUSED): a client stops sending a long filing that its server has begun by the head. It is answered 408, which promises that the filing has not run and never will, and files again.

Cause: the front's time-out of a streamed body answers like that of one that was never submitted. At the last hop the same answer says "unmet" (NotReceived), by which the sending sidecar would even send the filing to another server. Class: a status or outcome that is a promise, chosen without asking whether the request was sent.

Change: httpfront.Dialect has UploadErrorAnswer for errors after a request was submitted: 504 at the client's sidecar, which promises nothing, "broken" (Indeterminate) at the last hop. The older platform, whose servers begin with the last byte, keeps 408.

TestStalledBodyProvesNothing holds what the sending sidecar concludes.

--- a/internal/front/http/late_test.go
+++ b/internal/front/http/late_test.go
@@ -39,6 +39,10 @@
 	return &core.Answer{Status: status, Body: []byte(text)}
 }
 
+func (plainDialect) UploadErrorAnswer(text string) *core.Answer {
+	return &core.Answer{Status: http.StatusGatewayTimeout, Body: []byte(text)}
+}
+
 // A front with a dialect does not know its requests' deadlines, so an answer may arrive at any time. An answer that arrives later than
 // writeTimeout after its request must still be written, also on a connection that carried another one before.
 func TestLateAnswerIsWritten(t *testing.T) {
--- a/internal/front/http/parse.go
+++ b/internal/front/http/parse.go
@@ -25,8 +25,11 @@
 	// Fill sets the fields of a call from a request, or returns the answer to it, or the error in it. The call owns the body and
 	// the header afterwards.
 	Fill(c *core.Call, r *Request, body []byte) (*core.Answer, error)
-	// ErrorAnswer returns the answer for an error of Fill or of reading a request.
+	// ErrorAnswer returns the answer for an error of Fill or of reading a request that was not submitted.
 	ErrorAnswer(status int, text string) *core.Answer
+	// UploadErrorAnswer returns the answer for an error of reading the body of a request that was submitted before. A server may have started
+	// it.
+	UploadErrorAnswer(text string) *core.Answer
 }
 
 // Request is the head of a request as it was received.
--- a/internal/front/http/pollconn_linux.go
+++ b/internal/front/http/pollconn_linux.go
@@ -98,7 +98,7 @@
 	case c.state == pollReading && c.head != nil && c.bodyTimeLeft() > 0:
 		c.setTimeout(c.bodyTimeLeft())
 	case c.state == pollReading && c.head != nil:
-		c.reject(&badRequest{http.StatusRequestTimeout, "the body does not come"})
+		c.reject(errBodyTimeout)
 	case c.state == pollReading && c.requestStarted:
 		c.reject(&badRequest{http.StatusRequestTimeout, "the head does not come"})
 	default:
--- a/internal/front/http/stream_linux.go
+++ b/internal/front/http/stream_linux.go
@@ -165,9 +165,22 @@
 	}
 	c.upload.CloseWrite(errBodyTimeout)
 	c.upload, c.call = nil, nil
-	c.reject(errBodyTimeout)
+	c.rejectUpload()
 }
 
+// rejectUpload answers a request whose body stopped coming after the request was submitted. In the platform of package settings no server
+// starts it before its last byte, so that it is answered like one that was not submitted. The caller holds mu.
+func (c *pollConn) rejectUpload() {
+	d := c.front.cfg.Dialect
+	if d == nil {
+		c.reject(errBodyTimeout)
+		return
+	}
+	c.closeAfter, c.mustLinger = true, true
+	c.sendAnswer(d.UploadErrorAnswer(errBodyTimeout.text))
+}
+
+// errBodyTimeout reports that a request's body does not come in time.
 var errBodyTimeout = &badRequest{http.StatusRequestTimeout, "the body does not come"}
 
 // resumeDownload continues to write a streamed answer after its pipe has received more. It may be called on any goroutine.
--- a/lab/mesh/upload_test.go
+++ b/lab/mesh/upload_test.go
@@ -1,10 +1,15 @@
 package mesh
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
+	"net"
 	"net/http"
+	"strconv"
+	"sync"
 	"testing"
+	"time"
 )
 
 // uploadBytes is the length of a body that sidecars forward while they receive it.
@@ -51,3 +56,51 @@
 		}
 	}
 }
+
+// A client stops sending a long filing that a server has begun to run by its head. It was answered 408, which promises that the filing has
+// not run and never will.
+func TestStalledUploadsAreNotRefused(t *testing.T) {
+	m := startWithBounds(t, Config{Net: 58, Core: 3})
+	for _, x := range m.Branch {
+		x.CurrentServer().SetBehaviour(Behaviour{Upload: RunAtHead})
+	}
+	for i, x := range m.Branch {
+		must(t, Await(5*time.Second, x.Name+" knows the servers", func() bool {
+			status, _, err := x.Send(http.MethodPost, "plates.example", "/file/x", fmt.Sprintf("known-%d", i), nil)
+			return err == nil && status == http.StatusOK
+		}))
+	}
+	var tasks sync.WaitGroup
+	for i, x := range m.Branch {
+		tasks.Go(func() {
+			id := fmt.Sprintf("stalled-%d", i)
+			status, err := sendHalf(x, id)
+			if checkUploadAnswer(t, m, id, status, err) == 0 {
+				t.Errorf("%s: it has not run", id)
+			}
+		})
+	}
+	tasks.Wait()
+}
+
+// sendHalf sends a filing without the second half of its body, and returns the status of the response.
+func sendHalf(x *Machine, id string) (status int, err error) {
+	conn, err := net.Dial("tcp", net.JoinHostPort(x.IP, strconv.Itoa(basePort+4)))
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = conn.Close() }() // the response was read
+	if err := conn.SetDeadline(time.Now().Add(20 * time.Second)); err != nil {
+		return 0, err
+	}
+	head := fmt.Sprintf("POST /file/x HTTP/1.1\r\nHost: plates.example\r\nTry-Id: %s\r\nDeadline-Ms: 3000\r\nContent-Length: %d\r\n\r\n",
+		id, uploadBytes)
+	if _, err := conn.Write(append([]byte(head), make([]byte, uploadBytes/2)...)); err != nil {
+		return 0, err
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, err
+	}
+	return response.StatusCode, response.Body.Close()
+}
--- a/mesh/dataplane/brokenupload_test.go
+++ b/mesh/dataplane/brokenupload_test.go
@@ -147,3 +147,17 @@
 		}
 	}
 }
+
+// A body that stops coming after its request was submitted proves nothing to the sending sidecar, and its client gets no status that
+// promises that the request has not run.
+func TestStalledBodyProvesNothing(t *testing.T) {
+	answer := incomingDialect{}.UploadErrorAnswer("the body does not come")
+	outcome := attempts.Outcome(http.Header(answer.Meta).Get(outcomeHeader))
+	if e := attempts.FromLastHop(outcome, attempts.Response{MatchesRequest: true}); e != attempts.Inconclusive {
+		t.Errorf("the sending sidecar concludes %v", e)
+	}
+	switch status := (clientDialect{}).UploadErrorAnswer("the body does not come").Status; status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		t.Errorf("status %d", status)
+	}
+}
--- a/mesh/dataplane/incoming.go
+++ b/mesh/dataplane/incoming.go
@@ -74,7 +74,12 @@
 	return route == nil || !route.Allows(*d.service.Load())
 }
 
-// ErrorAnswer implements httpfront.Dialect: a request that the front rejects has not reached the server.
+// ErrorAnswer implements httpfront.Dialect: a request that the front rejects before it is submitted has not reached the server.
 func (incomingDialect) ErrorAnswer(status int, text string) *core.Answer {
 	return ownAnswer(status, attempts.NotReceived, text, 0)
 }
+
+// UploadErrorAnswer implements httpfront.Dialect.
+func (incomingDialect) UploadErrorAnswer(text string) *core.Answer {
+	return ownAnswer(http.StatusGatewayTimeout, attempts.Indeterminate, text, 0)
+}
--- a/mesh/dataplane/outgoing.go
+++ b/mesh/dataplane/outgoing.go
@@ -76,6 +76,11 @@
 	return ownAnswer(status, "", text, 0)
 }
 
+// UploadErrorAnswer implements httpfront.Dialect: its status, unlike 408, makes no promise.
+func (clientDialect) UploadErrorAnswer(text string) *core.Answer {
+	return ownAnswer(http.StatusGatewayTimeout, "", text, 0)
+}
+
 // hashUnit maps a request ID to a number in [0, 1). The same ID always has the same number.
 func hashUnit(id string) float64 {
 	h := fnv.New64a()
