A body that stops coming while its pipe is full times out

Cause: the client's time doesn't run while the pipe is full, and ran on only when more of the body was read from the socket, of which there is none.

Change: the time runs on once the pipe has space.

--- a/internal/front/http/stalledupload_linux_test.go
+++ b/internal/front/http/stalledupload_linux_test.go
@@ -81,3 +81,11 @@
 		t.Errorf("status %d", status)
 	}
 }
+
+// A body that stops coming just when its pipe is full still times out once the pipe was read. The client waited for its answer for as long
+// as an upload may take.
+func TestStalledUploadTimesOutAfterAFullPipe(t *testing.T) {
+	if status := stalledUploadStatus(t, bodypipe.BufferLimit, 300*time.Millisecond); status != http.StatusGatewayTimeout {
+		t.Errorf("status %d", status)
+	}
+}
--- a/internal/front/http/stream_linux.go
+++ b/internal/front/http/stream_linux.go
@@ -77,7 +77,7 @@
 	f := c.front
 	room := c.upload.Space()
 	if room <= 0 {
-		if c.upload.OnSpace(c.rearm) {
+		if c.upload.OnSpace(c.resumeUpload) {
 			c.blockedSince = f.now()
 			return false
 		}
@@ -85,10 +85,7 @@
 			room = len(f.readBuffer)
 		}
 	}
-	if c.blockedSince != 0 { // the client's time did not run meanwhile
-		c.bodyStart += f.now() - c.blockedSince
-		c.blockedSince = 0
-	}
+	c.endBlock()
 	room = min(room, len(f.readBuffer))
 	if c.uploadLeft >= 0 {
 		room = int(min(int64(room), c.uploadLeft))
@@ -139,15 +136,24 @@
 	return done, err
 }
 
-// rearm makes the poller report the connection's pending events again. It may be called on any goroutine.
-func (c *pollConn) rearm() {
+// resumeUpload continues to receive a body after its pipe has space again. It may be called on any goroutine.
+func (c *pollConn) resumeUpload() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.state != pollClosed {
+		c.endBlock() // here, as the client may send nothing more
 		c.rearmLocked()
 	}
 }
 
+// endBlock notes that the pipe of the body has space. The client's time did not run while it had none. The caller holds mu.
+func (c *pollConn) endBlock() {
+	if c.blockedSince != 0 {
+		c.bodyStart += c.front.now() - c.blockedSince
+		c.blockedSince = 0
+	}
+}
+
 // rearmLocked makes the kernel report the connection's pending events again. The caller holds mu.
 func (c *pollConn) rearmLocked() {
 	_ = c.front.poller.Rearm(c.fd, c.registration) // fails only on a closed descriptor, and the connection's is open
