Soak: long bodies, and servers that begin by the head and end the connection

Change: a tenth of the requests with a body have a long one (up to 400 kB, also in chunks), and ask their server for a behaviour: to run it by its head, and to close or reset the connection then.

--- a/lab/mesh/server.go
+++ b/lab/mesh/server.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -218,7 +219,7 @@
 	failed := rand.Float64() < b.Fail
 	dropped, garbled := rand.Float64() < b.Drop, rand.Float64() < b.Garble
 	arrival := Arrival{RequestID: id, Sender: r.Header.Get("Sender-Line"), Remaining: remaining(r), Aborted: dropped || garbled}
-	if !s.receiveBody(w, r, b.Upload, arrival) {
+	if !s.receiveBody(w, r, cmp.Or(b.Upload, requestedUpload(r)), arrival) {
 		return
 	}
 	select {
@@ -243,6 +244,14 @@
 	}
 }
 
+// UploadQuery returns the query by which a request asks for a behaviour, with the question mark: "/file/x?upload=2".
+func UploadQuery(b UploadBehaviour) string { return fmt.Sprintf("?upload=%d", b) }
+
+// requestedUpload returns the behaviour that a request asks for, or RunWhenReceived if it asks for none.
+func requestedUpload(r *http.Request) UploadBehaviour {
+	return UploadBehaviour(min(queryNumber(r, "upload"), int(ResetAtHead)))
+}
+
 // receiveBody receives the body of a request and records that the request begins to run. It reports false if it has ended the connection.
 func (s *Server) receiveBody(w http.ResponseWriter, r *http.Request, behaviour UploadBehaviour, arrival Arrival) bool {
 	if behaviour == RunWhenReceived || r.ContentLength == 0 {
--- a/lab/soak/load.go
+++ b/lab/soak/load.go
@@ -27,6 +27,8 @@
 	maxCallDepth   = 4
 	longShare      = 0.06
 	chunkedShare   = 0.3 // of the requests with a body
+	uploadShare    = 0.1 // of the requests with a body: those with a long one
+	maxUploadBytes = 400_000
 	maxPullBytes   = 200_000
 	longWork       = 1500 * time.Millisecond
 	clientDeadline = 2500 * time.Millisecond
@@ -97,6 +99,9 @@
 	switch kind := random.Float64(); {
 	case kind < unsafeShare:
 		e.unsafe, e.services = true, []string{unsafeService}
+		if random.Float64() < uploadShare {
+			return drawUpload(random)
+		}
 		o = clientRequest{
 			http.MethodPost, filePrefix + "x", bytes.Repeat([]byte("b"), random.IntN(maxBodyBytes)), random.Float64() < chunkedShare,
 		}
@@ -121,6 +126,14 @@
 	return o
 }
 
+// drawUpload draws a request with a long body and how its server handles it: some servers run it by its head, and end the
+// connection without a response.
+func drawUpload(random *rand.Rand) clientRequest {
+	behaviour := mesh.UploadBehaviour(random.IntN(int(mesh.ResetAtHead) + 1))
+	body := bytes.Repeat([]byte("b"), random.IntN(maxUploadBytes))
+	return clientRequest{http.MethodPost, filePrefix + "x" + mesh.UploadQuery(behaviour), body, random.Float64() < chunkedShare}
+}
+
 // roundTrip sends a request and records its response in e.
 func (l *load) roundTrip(
 	ctx context.Context, client *http.Client, x *mesh.Machine, o clientRequest, timeout time.Duration, e *exchange,
