--- a/mesh/dataplane/brokenupload_test.go
+++ b/mesh/dataplane/brokenupload_test.go
@@ -32,15 +32,16 @@
 			if err != nil {
 				return
 			}
-			handle(c)
+			go handle(c)
 		}
 	}()
 	return core.NewEndpoint("server", ln.Addr().String())
 }
 
-// upload is an attempt at a server with a long body, of which a streamed one breaks off in its middle or stops coming there.
+// upload is an attempt at a server with a long body. A streamed one breaks off, or stops coming, after sentBytes.
 type upload struct {
 	streamed, breaksOff bool
+	sentBytes           int
 	timeout             time.Duration
 }
 
@@ -58,7 +59,7 @@
 	if u.streamed {
 		m.Stream = bodypipe.New(longBody)
 		go func() {
-			_ = m.Stream.WriteTimeout(make([]byte, 4<<10), time.Second) // fails if the attempt has ended
+			_ = m.Stream.WriteTimeout(make([]byte, u.sentBytes), time.Second) // fails if the attempt has ended
 			if u.breaksOff {
 				m.Stream.CloseWrite(io.ErrUnexpectedEOF)
 			}
@@ -86,6 +87,10 @@
 // A server may start a request by its head. However the attempt ends before the body's end, nothing proves that the server has not started
 // it: neither the end of the connection, nor of the client's body, nor of the time, nor a cancellation.
 func TestUnfinishedUploadProvesNothing(t *testing.T) {
+	const part = 4 << 10 // bytes of a streamed body, before it stops coming
+	streamed := upload{streamed: true, sentBytes: part, timeout: 5 * time.Second}
+	broken := upload{streamed: true, breaksOff: true, sentBytes: part, timeout: 5 * time.Second}
+	whole, hurried := upload{timeout: 5 * time.Second}, upload{timeout: 200 * time.Millisecond}
 	readHead := func(c net.Conn) { _, _ = c.Read(make([]byte, 1<<10)) } // the rest of the test fails where this does
 	closed := func(c net.Conn) { readHead(c); _ = c.Close() }
 	reset := func(c net.Conn) { readHead(c); _ = c.(*net.TCPConn).SetLinger(0); _ = c.Close() }
@@ -97,14 +102,14 @@
 		cancel bool
 		want   balance.Result
 	}{
-		{"streamed, the server closes", closed, upload{streamed: true, timeout: 5 * time.Second}, false, balance.Reset},
-		{"streamed, the server resets", reset, upload{streamed: true, timeout: 5 * time.Second}, false, balance.Reset},
-		{"the server closes", closed, upload{timeout: 5 * time.Second}, false, balance.Reset},
-		{"the server resets", reset, upload{timeout: 5 * time.Second}, false, balance.Reset},
-		{"streamed, the client breaks off", open, upload{streamed: true, breaksOff: true, timeout: 5 * time.Second}, false, balance.Cancelled},
-		{"streamed, cancelled", open, upload{streamed: true, timeout: 5 * time.Second}, true, balance.Cancelled},
-		{"cancelled", open, upload{timeout: 5 * time.Second}, true, balance.Cancelled},
-		{"out of time", open, upload{timeout: 200 * time.Millisecond}, false, balance.TimedOut},
+		{"streamed, the server closes", closed, streamed, false, balance.Reset},
+		{"streamed, the server resets", reset, streamed, false, balance.Reset},
+		{"the server closes", closed, whole, false, balance.Reset},
+		{"the server resets", reset, whole, false, balance.Reset},
+		{"streamed, the client breaks off", open, broken, false, balance.Cancelled},
+		{"streamed, cancelled", open, streamed, true, balance.Cancelled},
+		{"cancelled", open, whole, true, balance.Cancelled},
+		{"out of time", open, hurried, false, balance.TimedOut},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			pool, reached := newServerPool(t), make(chan struct{}, 1)
--- a/mesh/dataplane/earlyanswer_test.go
+++ b/mesh/dataplane/earlyanswer_test.go
@@ -10,23 +10,12 @@
 	"time"
 
 	"firplank/balance"
-	"firplank/internal/bodypipe"
 	"firplank/internal/core"
-	httpback "firplank/internal/upstream/http"
 )
 
 // newEarlyResponseServer returns a server that responds to a request as soon as its headers are received, without reading the body.
 func newEarlyResponseServer(t *testing.T, answer string) *core.Endpoint {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = ln.Close() }) // an error loses nothing
-	go func() {
-		c, err := ln.Accept()
-		if err != nil {
-			return
-		}
+	return acceptingServer(t, func(c net.Conn) {
 		defer func() { _ = c.Close() }() // an error loses nothing
 		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
 			return
@@ -35,44 +24,16 @@
 			return
 		}
 		<-t.Context().Done()
-	}()
-	return core.NewEndpoint("server", ln.Addr().String())
+	})
 }
 
 // sendToEarlyServer sends a request whose body the server does not read. It returns the result and the number of open connections.
 func sendToEarlyServer(t *testing.T, server *core.Endpoint, streamed bool) (r core.Result, openConns int) {
 	t.Helper()
-	const bodyBytes = 16 << 20 // more than the kernel buffers
-	pool, err := httpback.NewPoll(t.Context(), httpback.Config{
-		ConnectTimeout: time.Second,
-		IdleTimeout:    time.Second,
-		MaxConns:       4,
-		Dialect:        serverDialect{},
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	m := &core.Message{
-		Trace:     "x",
-		Verb:      http.MethodPost,
-		Target:    "/a/",
-		Authority: "h",
-		Remaining: 5 * time.Second,
-		Meta:      header("Try-Id", "x", "Deliver-To", "i-1"),
-	}
-	if streamed {
-		m.Stream = bodypipe.New(bodyBytes)
-		go func() {
-			_ = m.Stream.WriteTimeout(make([]byte, bodyBytes/2), time.Second) // the rest is never written
-		}()
-	} else {
-		m.Body = make([]byte, bodyBytes)
-	}
-	ended := make(chan core.Result, 1)
-	deadline := time.Now().Add(5 * time.Second)
-	pool.Begin(core.NewAttempt(server, m, deadline, func(r core.Result) { ended <- r }))
+	pool := newServerPool(t)
+	a, ended := upload{streamed: streamed, sentBytes: longBody / 2, timeout: 5 * time.Second}.begin(t, pool, server)
 	r = <-ended
-	if time.Now().After(deadline) {
+	if time.Now().After(a.Deadline) {
 		t.Error("the response is used after the deadline only")
 	}
 	return r, pool.Open()
