A settings file counts once it has been read twice

What callers saw: nothing yet. A settings file that is read while it is being written may be valid YAML up to there; `line` and `bounds` come last, and a sidecar that read it so would have sent requests in the name of no service (UNASKED) until its next read.

Cause: a changed file was believed at its first reading; YAML has no end mark.

Change: a running sidecar takes over a change after it has read the same content twice, 0.1 s apart (bootstrap.File.ReadIfSettled). The first read of a process is as before.

Test: TestFileIsReadOnceItHasSettled.

--- a/mesh/bootstrap/file.go
+++ b/mesh/bootstrap/file.go
@@ -16,12 +16,38 @@
 type File struct {
 	Path string
 
-	lastContent []byte // when the file was read last; nil: it was not read yet
+	lastContent   []byte // of the settings that were returned last, or of those that were invalid; nil: none yet
+	unsettledText []byte // read once by ReadIfSettled; nil: none
 }
 
 // ReadIfChanged returns the settings if the content of the file has changed since the last call, and otherwise nil. So an error in the
 // content is returned once, not at each call.
 func (f *File) ReadIfChanged() (*Settings, error) {
+	text, err := f.read()
+	if err != nil || f.isLast(text) {
+		return nil, err
+	}
+	return f.parse(text)
+}
+
+// ReadIfSettled is like ReadIfChanged, for a file that may just be being written: a part of a settings file may be valid. A change counts
+// once two calls in a row have read it; after the first of them settled is false, and the caller calls again soon.
+func (f *File) ReadIfSettled() (s *Settings, settled bool, err error) {
+	text, err := f.read()
+	if err != nil || f.isLast(text) {
+		f.unsettledText = nil
+		return nil, true, err
+	}
+	if f.unsettledText == nil || !bytes.Equal(text, f.unsettledText) {
+		f.unsettledText = text
+		return nil, false, nil
+	}
+	f.unsettledText = nil
+	s, err = f.parse(text)
+	return s, true, err
+}
+
+func (f *File) read() ([]byte, error) {
 	if f.Path == "" {
 		return nil, errors.Errorf("%s is not set: no settings file", EnvVariable)
 	}
@@ -29,9 +55,14 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "settings")
 	}
-	if f.lastContent != nil && bytes.Equal(text, f.lastContent) {
-		return nil, nil
-	}
+	return text, nil
+}
+
+func (f *File) isLast(text []byte) bool {
+	return f.lastContent != nil && bytes.Equal(text, f.lastContent)
+}
+
+func (f *File) parse(text []byte) (*Settings, error) {
 	f.lastContent = text
 	s, err := Parse(text)
 	if err != nil {
--- a/mesh/bootstrap/settings_test.go
+++ b/mesh/bootstrap/settings_test.go
@@ -115,3 +115,40 @@
 		t.Errorf("one document with its marks: %v", err)
 	}
 }
+
+// A settings file that is read while it is being written may be valid up to there: without its last lines a sidecar would send its requests
+// in the name of no service. It counts once it has been read twice.
+func TestFileIsReadOnceItHasSettled(t *testing.T) {
+	whole := valid + "line: \"huvo11a\"\n"
+	f := File{Path: filepath.Join(t.TempDir(), "settings.yaml")}
+	write := func(text string) {
+		t.Helper()
+		if err := os.WriteFile(f.Path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(whole)
+	if s, err := f.ReadIfChanged(); err != nil || s.Service != "huvo11a" {
+		t.Fatalf("%v, %v", s, err)
+	}
+	changed := strings.Replace(whole, "inForceS=2.5", "inForceS=3", 1)
+	for i, c := range []struct {
+		text                  string
+		wantRead, wantSettled bool
+		wantErr               bool
+	}{
+		{whole, false, true, false},
+		{"", false, false, false},                                   // truncated
+		{changed[:len(changed)-16], false, false, false},            // without its last line
+		{changed, false, false, false},                              // complete
+		{changed, true, true, false}, {changed, false, true, false}, // settled, and known
+		{"nodeName: [", false, false, false}, {"nodeName: [", false, true, true}, {"nodeName: [", false, true, false},
+		{whole, false, false, false}, {changed, false, false, false}, {whole, false, false, false}, {whole, true, true, false},
+	} {
+		write(c.text)
+		s, settled, err := f.ReadIfSettled()
+		if (s != nil) != c.wantRead || settled != c.wantSettled || (err != nil) != c.wantErr {
+			t.Errorf("%d: %v, settled %v, %v", i, s, settled, err)
+		}
+	}
+}
--- a/mesh/dataplane/loop.go
+++ b/mesh/dataplane/loop.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 	"github.com/go-kit/log/level"
 
+	"firplank/mesh/bootstrap"
 	"firplank/mesh/dataplane/distribution"
 	"firplank/mesh/dataplane/liveness"
 	"firplank/mesh/dataplane/subscription"
@@ -19,6 +20,8 @@
 const (
 	// settingsPollInterval is how often the settings file is checked for changes without a signal.
 	settingsPollInterval = 2 * time.Second
+	// settingsSettleTime is how long after a change of the settings file was seen the file is read again.
+	settingsSettleTime = 100 * time.Millisecond
 	// eventQueueSize bounds the events that are queued for the loop.
 	eventQueueSize = 2048
 )
@@ -67,8 +70,7 @@
 			nextTick = now + p.durations.Subscription.TickInterval
 			p.tick(now)
 			if now >= nextSettingsPoll {
-				nextSettingsPoll = now + settingsPollInterval
-				p.reload()
+				nextSettingsPoll = now + p.reload()
 			}
 		}
 		wakeAt := min(nextTick, p.reconcile(now))
@@ -81,7 +83,7 @@
 				p.handle(<-p.events)
 			}
 		case <-reloads:
-			p.reload()
+			nextSettingsPoll = p.now() + p.reload()
 		case <-p.ctx.Done():
 			return
 		}
@@ -183,16 +185,23 @@
 		"held", a.PresentVersion)
 }
 
-// reload reads the settings file again if it has changed. Invalid settings leave the present ones in force.
-func (p *Proxy) reload() {
-	settings, err := p.settingsFile.ReadIfChanged()
-	if err != nil {
+// reload reads the settings file again, and returns the time until it has to be read next. Invalid settings leave the present ones in
+// force.
+func (p *Proxy) reload() (next time.Duration) {
+	settings, settled, err := p.settingsFile.ReadIfSettled()
+	switch {
+	case err != nil:
 		_ = level.Warn(p.log).Log("msg", "settings invalid: the present ones stay in force", "error", err)
-		return
-	}
-	if settings == nil {
-		return
+	case !settled:
+		return settingsSettleTime
+	case settings != nil:
+		p.adoptSettings(settings)
 	}
+	return settingsPollInterval
+}
+
+// adoptSettings puts changed settings in force, as far as they can change while the process runs.
+func (p *Proxy) adoptSettings(settings *bootstrap.Settings) {
 	previous := p.settings.Load()
 	p.settings.Store(settings)
 	p.node.SetSeeds(settings.SeedPeerAddrs())
