--- a/cmd/firplankctl/config.go
+++ b/cmd/firplankctl/config.go
@@ -20,7 +20,7 @@
 	if err != nil {
 		return err
 	}
-	printer.Printf("%s: edition %08x, %d routes, %d services\n", c.File, cfg.Version, cfg.RouteCount(), len(cfg.Services))
+	printer.Printf("%s: edition %v, %d routes, %d services\n", c.File, cfg.Version, cfg.RouteCount(), len(cfg.Services))
 	for _, name := range cfg.UnusedServices() {
 		printer.Printf("no route leads to %s\n", name)
 	}
@@ -59,10 +59,10 @@
 	}
 	switch answer.statusCode {
 	case http.StatusOK:
-		printer.Printf("edition %08x, or a higher one, is on a majority of disks\n", cfg.Version)
+		printer.Printf("edition %v, or a higher one, is on a majority of disks\n", cfg.Version)
 		return printer.Err()
 	case http.StatusConflict:
-		return errors.Errorf("edition %08x is another operator's: the control plane has accepted other content under that number and "+
+		return errors.Errorf("edition %v is another operator's: the control plane has accepted other content under that number and "+
 			"rejects %s. Read the configuration in force (firplankctl read), plan your change again and put it under a higher number.\n"+
 			"Response of the control machine: %s",
 			cfg.Version, c.File, answer.reason)
--- a/cmd/firplankctl/explain.go
+++ b/cmd/firplankctl/explain.go
@@ -23,10 +23,10 @@
 	}
 	route := cfg.Match(c.Host, c.Path)
 	if route == nil {
-		printer.Printf("no route of edition %08x takes %s%s: the answer is 404\n", cfg.Version, c.Host, c.Path)
+		printer.Printf("no route of edition %v takes %s%s: the answer is 404\n", cfg.Version, c.Host, c.Path)
 		return printer.Err()
 	}
-	printer.Printf("route %s of edition %08x: its prefix %s is the longest of %s that begins the path\n", route.Name,
+	printer.Printf("route %s of edition %v: its prefix %s is the longest of %s that begins the path\n", route.Name,
 		cfg.Version, route.Match.Prefix, c.Host)
 	for _, s := range route.Services {
 		printer.Printf("to %s (share %v)\n", s.Service, s.Weight)
--- a/cmd/firplankctl/fsck.go
+++ b/cmd/firplankctl/fsck.go
@@ -7,6 +7,7 @@
 
 	"firplank/internal/output"
 	"firplank/mesh/config"
+	"firplank/mesh/configversion"
 	"firplank/mesh/storage"
 )
 
@@ -33,15 +34,15 @@
 	}
 	value := &state.Value
 	printer.Printf("promised %d by %s\n", state.Promised.Number, state.Promised.Proposer)
-	printer.Printf("accepted %d by %s: edition %08x, %d bytes packed\n", state.Accepted.Number, state.Accepted.Proposer,
+	printer.Printf("accepted %d by %s: edition %v, %d bytes packed\n", state.Accepted.Number, state.Accepted.Proposer,
 		value.Version, len(value.Body))
 	printer.Printf("members %v", value.Members)
 	if len(value.PriorMembers) > 0 {
 		printer.Printf(", members before the unfinished change %v", value.PriorMembers)
 	}
 	printer.Printf("\nvoter %v, incarnation %d\n", state.Voter, state.Incarnation)
-	printer.Printf("the history records the contents of %d editions, all above %08x\n", len(value.History.Records), value.History.Floor)
-	if value.Version == 0 {
+	printer.Printf("the history records the contents of %d editions, all above %v\n", len(value.History.Records), value.History.Floor)
+	if value.Version == configversion.None {
 		return printer.Err()
 	}
 	cfg, err := config.ParsePacked(value.Body)
--- a/cmd/firplankctl/plan.go
+++ b/cmd/firplankctl/plan.go
@@ -25,13 +25,13 @@
 		return err
 	}
 	if to.Version <= from.Version {
-		printer.Printf("edition %08x is not above %08x: the control plane would change nothing. It would acknowledge the content that it "+
+		printer.Printf("edition %v is not above %v: the control plane would change nothing. It would acknowledge the content that it "+
 			"accepted under that number and reject any other\n",
 			to.Version, from.Version)
 		return printer.Err()
 	}
 	changes := config.Diff(from, to)
-	printer.Printf("edition %08x to %08x: %d of %d routes differ\n", from.Version, to.Version, len(changes), from.RouteCount())
+	printer.Printf("edition %v to %v: %d of %d routes differ\n", from.Version, to.Version, len(changes), from.RouteCount())
 	for _, change := range changes {
 		printer.Printf("%3.0f%% moved  %s%s: %s\n", 100*change.MovedShare, change.Host, change.Prefix, change.Description)
 	}
--- a/cmd/firplankctl/status.go
+++ b/cmd/firplankctl/status.go
@@ -10,6 +10,7 @@
 
 	"firplank/internal/output"
 	"firplank/mesh/api"
+	"firplank/mesh/configversion"
 )
 
 var errNotFullyReplicated = errors.New("not all members have full copies")
@@ -49,7 +50,7 @@
 
 func printStatus(out io.Writer, s *api.ControlStatus) error {
 	printer := output.New(out)
-	printer.Printf("as %s knows it: version %08x, written in round %s\n", s.Self, s.Version, s.Ballot)
+	printer.Printf("as %s knows it: version %v, written in round %s\n", s.Self, configversion.FromOptional(s.Version), s.Ballot)
 	printer.Printf("members %s\n", strings.Join(s.Members, " "))
 	if len(s.PreviousMembers) > 0 {
 		printer.Printf("a change of members is under way; before it %s, which count as well\n", strings.Join(s.PreviousMembers, " "))
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -37,7 +37,7 @@
 	Verb          string // HTTP method, if it does not follow from Safe
 	Priority      int    // 0 is the most urgent
 	ForwardCount  int    // number of times that the request was forwarded before
-	ConfigVersion uint64 // version of the configuration by which it was routed; 0: none
+	ConfigVersion uint64 // version of the configuration by which it was routed; only the mesh sets it
 	Authority     string // authority in the client's request; empty: none
 
 	// Meta holds the headers by name; nil if the front's protocol has none. It includes the headers of the fields above as
--- a/lab/explore/catchup/clients.go
+++ b/lab/explore/catchup/clients.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"firplank/mesh/configversion"
 	"firplank/mesh/register"
 )
 
@@ -18,13 +19,13 @@
 type clients struct {
 	lastID       uint64
 	pending      map[uint64]*operation // by request ID
-	lastVersion  uint32                // of the last change that was started
+	lastVersion  configversion.Version // of the last change that was started
 	acknowledged int                   // changes
 }
 
 // operation is a change, or a read.
 type operation struct {
-	version uint32 // 0: a read
+	version configversion.Version // 0: a read
 	body    []byte
 	began   time.Duration
 	machine *machine // that the operation was sent to; nil once it has stopped
--- a/lab/explore/catchup/recovery.go
+++ b/lab/explore/catchup/recovery.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"firplank/mesh/configversion"
 )
 
 const (
@@ -18,10 +20,10 @@
 
 // CatchUp has the worst figures of all machines that caught up after a start.
 type CatchUp struct {
-	Starts int           // starts after which the machine caught up
-	Time   time.Duration // until the newest version was published and on disk
-	Values float64       // bytes sent to the machine until then, in values of the largest size
-	Missed uint32        // changes missed before the start
+	Starts int                   // starts after which the machine caught up
+	Time   time.Duration         // until the newest version was published and on disk
+	Values float64               // bytes sent to the machine until then, in values of the largest size
+	Missed configversion.Version // changes missed before the start
 }
 
 // String implements fmt.Stringer.
@@ -33,15 +35,15 @@
 // catchingUp is the progress of a machine that has started and not caught up yet.
 type catchingUp struct {
 	since         time.Duration // start of the period that CatchUpTime bounds
-	wantedVersion uint32
-	missedChanges uint32
+	wantedVersion configversion.Version
+	missedChanges configversion.Version
 	bytes         int // received since the start
 	published     bool
 	changesSince  int // acknowledged since the start
 }
 
 // started records that a machine started with a version on its disk.
-func (h *history) started(machine string, version uint32, now time.Duration) {
+func (h *history) started(machine string, version configversion.Version, now time.Duration) {
 	want := h.highestBefore(now + 1)
 	h.catchingUp[machine] = &catchingUp{since: now, wantedVersion: want, missedChanges: want - min(want, version)}
 }
@@ -68,7 +70,7 @@
 }
 
 // onDisk records the version on a machine's disk. A machine that has published the newest version has then caught up.
-func (h *history) onDisk(machine string, version uint32, now time.Duration) {
+func (h *history) onDisk(machine string, version configversion.Version, now time.Duration) {
 	c := h.catchingUp[machine]
 	if c == nil || !c.published || version < c.wantedVersion {
 		return
--- a/lab/explore/cutoff/check.go
+++ b/lab/explore/cutoff/check.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"firplank/mesh/configversion"
 )
 
 // Bounds that a day is checked against: those of the timing rules, and those that docs/design/control-safety-1.md states.
@@ -25,14 +27,14 @@
 // acknowledgement is the highest version that was acknowledged up to a time.
 type acknowledgement struct {
 	at      time.Duration
-	version uint32
+	version configversion.Version
 }
 
 // pendingCall is a call without a response yet.
 type pendingCall struct {
 	at      time.Duration
 	machine int
-	version uint32
+	version configversion.Version
 	read    bool
 }
 
@@ -40,7 +42,7 @@
 type sidecarState struct {
 	running, ready, targetOnly bool // targetOnly: of the control machines it reaches only the one that is cut off
 	started                    time.Duration
-	version                    uint32
+	version                    configversion.Version
 	parent                     int
 	parentSince                time.Duration // when it joined the parent; below 0 if it has none
 }
@@ -53,8 +55,8 @@
 	endTime     time.Duration
 	machines    int
 	acks        []acknowledgement
-	textHashes  map[uint32]uint64
-	firstSent   map[uint32]time.Duration
+	textHashes  map[configversion.Version]uint64
+	firstSent   map[configversion.Version]time.Duration
 	calls       map[int]pendingCall
 	sidecars    map[int]*sidecarState
 	cut         bool
@@ -75,8 +77,9 @@
 
 func newChecker(h *History) *checker {
 	return &checker{
-		nextSample: sampleInterval, endTime: h.Ends, machines: h.Machines, textHashes: map[uint32]uint64{}, firstSent: map[uint32]time.Duration{},
-		calls: map[int]pendingCall{}, sidecars: map[int]*sidecarState{},
+		nextSample: sampleInterval, endTime: h.Ends, machines: h.Machines, textHashes: map[configversion.Version]uint64{},
+		firstSent: map[configversion.Version]time.Duration{},
+		calls:     map[int]pendingCall{}, sidecars: map[int]*sidecarState{},
 		healedAt: -1,
 	}
 }
@@ -150,7 +153,7 @@
 }
 
 // ackedVersion returns the highest version that was acknowledged up to a time.
-func (c *checker) ackedVersion(at time.Duration) uint32 {
+func (c *checker) ackedVersion(at time.Duration) configversion.Version {
 	for i := len(c.acks) - 1; i >= 0; i-- {
 		if c.acks[i].at <= at {
 			return c.acks[i].version
@@ -175,7 +178,7 @@
 		return fmt.Errorf("machine %d is cut off and answered a call sent at %.3f s", call.machine, call.at.Seconds())
 	case call.read:
 		if acked := c.ackedVersion(call.at); e.Version < acked {
-			return fmt.Errorf("machine %d read version %d, but %d was acknowledged before", call.machine, e.Version, acked)
+			return fmt.Errorf("machine %d read version %v, but %v was acknowledged before", call.machine, e.Version, acked)
 		}
 		return nil
 	}
@@ -218,10 +221,10 @@
 }
 
 // checkInForceEverywhere finds sidecars in contact that lack a version which is acknowledged without waiting for sidecars.
-func (c *checker) checkInForceEverywhere(version uint32) error {
+func (c *checker) checkInForceEverywhere(version configversion.Version) error {
 	for id, s := range c.sidecars {
 		if c.inContact(s, c.now) && s.ready && c.connected(s) && s.version < version {
-			return fmt.Errorf("version %d is acknowledged at once, but sidecar %d has %d", version, id, s.version)
+			return fmt.Errorf("version %v is acknowledged at once, but sidecar %d has %v", version, id, s.version)
 		}
 	}
 	return nil
@@ -259,7 +262,7 @@
 	s := c.sidecar(e.Sidecar)
 	s.ready = true
 	if acked := c.ackedVersion(e.At - inForceBound); c.reachesMajority(s, s.started) && e.Version < acked {
-		return fmt.Errorf("sidecar %d is ready with version %d, but %d should be in force", e.Sidecar, e.Version, acked)
+		return fmt.Errorf("sidecar %d is ready with version %v, but %v should be in force", e.Sidecar, e.Version, acked)
 	}
 	return nil
 }
@@ -268,9 +271,9 @@
 	s := c.sidecar(e.Sidecar)
 	switch {
 	case e.Version < s.version:
-		return fmt.Errorf("sidecar %d goes back from version %d to %d", e.Sidecar, s.version, e.Version)
+		return fmt.Errorf("sidecar %d goes back from version %v to %v", e.Sidecar, s.version, e.Version)
 	case c.textHashes[e.Version] != e.Text:
-		return fmt.Errorf("sidecar %d has a text that differs from that of version %d", e.Sidecar, e.Version)
+		return fmt.Errorf("sidecar %d has a text that differs from that of version %v", e.Sidecar, e.Version)
 	}
 	s.version = e.Version
 	return nil
@@ -285,7 +288,7 @@
 	}
 	for version, since := range c.firstSent {
 		if at-since > ackBound {
-			return fmt.Errorf("version %d, sent at %.3f s, is not acknowledged in time", version, since.Seconds())
+			return fmt.Errorf("version %v, sent at %.3f s, is not acknowledged in time", version, since.Seconds())
 		}
 	}
 	return nil
@@ -315,7 +318,7 @@
 		return nil
 	}
 	if acked := c.ackedVersion(at - bound); s.version < acked {
-		return fmt.Errorf("sidecar %d has version %d, but %d was acknowledged %v before", id, s.version, acked, bound)
+		return fmt.Errorf("sidecar %d has version %v, but %v was acknowledged %v before", id, s.version, acked, bound)
 	}
 	return nil
 }
--- a/lab/explore/cutoff/control.go
+++ b/lab/explore/cutoff/control.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"firplank/mesh/codec"
+	"firplank/mesh/configversion"
 	"firplank/mesh/controlplane/operations"
 	"firplank/mesh/controlplane/peers"
 	"firplank/mesh/controlplane/persistence"
@@ -30,13 +31,13 @@
 type (
 	hello struct {
 		from   int
-		lowest uint32
+		lowest configversion.Version
 		status codec.NodeStatus
 		known  []dissemination.ControlMachine // LastSeen is the negative age
 	}
 	inForceReport struct {
 		from   int
-		lowest uint32
+		lowest configversion.Version
 	}
 	subscribe struct{ ack dissemination.Ack }
 	ack       struct{ ack dissemination.Ack }
@@ -51,7 +52,7 @@
 type operation struct {
 	id       int
 	put      bool
-	version  uint32
+	version  configversion.Version
 	machine  *controlMachine // the machine that received it
 	answered bool
 }
@@ -216,7 +217,7 @@
 }
 
 // lowest returns the lowest version in force below this machine.
-func (c *controlMachine) lowest() uint32 {
+func (c *controlMachine) lowest() configversion.Version {
 	if c.w.defect.skipsSidecarAcks {
 		return dissemination.Unconstrained
 	}
@@ -339,7 +340,7 @@
 }
 
 // handleInForce handles the lowest version in force below another machine.
-func (c *controlMachine) handleInForce(from int, lowest uint32, now time.Duration) {
+func (c *controlMachine) handleInForce(from int, lowest configversion.Version, now time.Duration) {
 	if !c.w.defect.skipsSidecarAcks {
 		c.operations.PeerAcknowledged(addr(from), lowest, now)
 	}
--- a/lab/explore/cutoff/history.go
+++ b/lab/explore/cutoff/history.go
@@ -1,6 +1,10 @@
 package cutoff
 
-import "time"
+import (
+	"time"
+
+	"firplank/mesh/configversion"
+)
 
 // Kind is the kind of an Event.
 type Kind uint8
@@ -31,7 +35,7 @@
 	Machine int
 	Sidecar int
 	Parent  int // a control machine if below Machines, else a sidecar
-	Version uint32
+	Version configversion.Version
 	Text    uint64
 	Status  int
 }
--- a/lab/explore/cutoff/operator.go
+++ b/lab/explore/cutoff/operator.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"firplank/mesh/configversion"
 	"firplank/mesh/delta"
 )
 
@@ -15,7 +16,7 @@
 // operator sends writes and reads to control machines, as the protocol describes it.
 type operator struct {
 	w       *world
-	version uint32
+	version configversion.Version
 	calls   int
 	pending map[int]func(status int) // callbacks of calls without a response yet
 }
@@ -46,13 +47,13 @@
 	return drawn
 }
 
-func (o *operator) write(version uint32, to int) {
+func (o *operator) write(version configversion.Version, to int) {
 	text := textOf(version)
 	o.w.history.add(Event{At: o.w.now, Kind: WriteSent, Version: version, Text: delta.Hash(text)})
 	o.tryWrite(version, text, o.firstMachine(to))
 }
 
-func (o *operator) tryWrite(version uint32, text []byte, to int) {
+func (o *operator) tryWrite(version configversion.Version, text []byte, to int) {
 	retry := func() {
 		o.w.after(retryDelay, func() { o.tryWrite(version, text, (to+1+o.w.rng.IntN(machines-1))%machines) })
 	}
@@ -99,7 +100,7 @@
 }
 
 // answer sends a machine's response to the operator, which ignores it after the time-out.
-func (w *world) answer(call, machine, status int, version uint32) {
+func (w *world) answer(call, machine, status int, version configversion.Version) {
 	w.after(latency, func() {
 		o := &w.operator
 		if o.pending[call] == nil {
--- a/lab/explore/cutoff/sidecar.go
+++ b/lab/explore/cutoff/sidecar.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"firplank/mesh/codec"
+	"firplank/mesh/configversion"
 	"firplank/mesh/dataplane/distribution"
 	"firplank/mesh/dataplane/subscribers"
 	"firplank/mesh/delta"
@@ -37,7 +38,7 @@
 	seeds       []string
 	policy      *dissemination.Subscriber
 	node        *distribution.Node
-	inForce     uint32
+	inForce     configversion.Version
 	ready       bool
 	wakeAt      time.Duration
 }
@@ -245,7 +246,7 @@
 // forceDeltas makes deltas that do not apply count as applied.
 func (s *sidecar) forceDeltas(f *wire.FrameT) {
 	state := s.node.State()
-	if len(f.Deltas) == 0 || f.Version <= state.Version {
+	if len(f.Deltas) == 0 || configversion.FromOptional(f.Version) <= state.Version {
 		return
 	}
 	if _, _, ok := state.ApplyDeltas(codec.DeltasFromFrame(f), 1<<20); !ok {
@@ -261,16 +262,16 @@
 var _ subscribers.Conn = link{}
 
 // Unpack implements distribution.Host.
-func (host) Unpack(_ uint32, text []byte) ([]byte, error) { return text, nil }
+func (host) Unpack(_ configversion.Version, text []byte) ([]byte, error) { return text, nil }
 
 // Intern implements distribution.Host.
-func (host) Intern(_ uint32, text []byte) []byte { return text }
+func (host) Intern(_ configversion.Version, text []byte) []byte { return text }
 
 // Pack implements distribution.Host.
-func (host) Pack(_ uint32, text []byte) []byte { return text }
+func (host) Pack(_ configversion.Version, text []byte) []byte { return text }
 
 // Adopt implements distribution.Host. Every configuration is usable.
-func (h host) Adopt(version uint32, text []byte) (inForce uint32) {
+func (h host) Adopt(version configversion.Version, text []byte) (inForce configversion.Version) {
 	s := h.s
 	s.inForce = version
 	s.w.history.add(Event{At: s.w.now, Kind: Adopted, Sidecar: s.id, Version: version, Text: delta.Hash(text)})
--- a/lab/explore/cutoff/world.go
+++ b/lab/explore/cutoff/world.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"firplank/mesh/configversion"
 	"firplank/mesh/dissemination"
 )
 
@@ -260,12 +261,13 @@
 }
 
 // textOf returns the configuration of a version. Each version differs from the previous one in one route.
-func textOf(version uint32) []byte {
+func textOf(version configversion.Version) []byte {
+	number := version.Number()
 	var out []byte
 	for route := range uint32(routes) {
 		edited := uint32(0) // the version at which the route was last edited
-		if version >= route {
-			edited = version - (version-route)%routes
+		if number >= route {
+			edited = number - (number-route)%routes
 		}
 		out = fmt.Appendf(out, `{"name":"r-%08x","lanePrefix":"/%x/","deadlineS":%d.%03d},`, route*2654435761, route*40503,
 			1+edited%7, edited%997)
--- a/lab/explore/liveness/liveness.go
+++ b/lab/explore/liveness/liveness.go
@@ -16,6 +16,7 @@
 
 	"github.com/go-faster/errors"
 
+	"firplank/mesh/configversion"
 	"firplank/mesh/controlplane/persistence"
 	"firplank/mesh/dissemination"
 	"firplank/mesh/lease"
@@ -110,7 +111,7 @@
 	pipeline       *persistence.Pipeline
 	hasWriter      bool // an operator writes at this machine
 	pendingChanges int  // changes of that operator that have not completed
-	version        uint32
+	version        configversion.Version
 	refusingTime   time.Duration // total time for which it would have refused operations for lack of a quorum, after its first contact
 }
 
@@ -164,7 +165,7 @@
 
 // put has the operator write its next change.
 func (m *machine) put() {
-	m.version += uint32(m.world.environment.Machines)
+	m.version += configversion.Version(m.world.environment.Machines)
 	body := fmt.Appendf(nil, "change %d", m.version)
 	m.pipeline.Apply(m.world.now, register.Put{
 		ID: uint64(m.pendingChanges), Version: m.version, Content: register.ContentOf(body), Body: body,
@@ -181,7 +182,7 @@
 		members = append(members, machineName(i))
 	}
 	for i := range environment.Machines {
-		m := &machine{world: w, index: i, machines: &machines, version: uint32(i + 1), hasWriter: i < environment.Writers}
+		m := &machine{world: w, index: i, machines: &machines, version: configversion.Version(i + 1), hasWriter: i < environment.Writers}
 		replica := register.New(machineName(i), members, true, nil, seed<<8+uint64(i))
 		replica.SetTiming(t)
 		m.pipeline = persistence.New(replica, replica.State(), m)
--- a/lab/explore/members/history.go
+++ b/lab/explore/members/history.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"firplank/mesh/configversion"
 )
 
 // ErrLost and ErrUnavailable are the two kinds of breaches.
@@ -24,17 +26,17 @@
 
 // operation is a write of a version, or a read.
 type operation struct {
-	version uint32 // 0 for a read
+	version configversion.Version // 0 for a read
 	beganAt time.Duration
 }
 
 type answer struct {
-	version uint32
+	version configversion.Version
 	endedAt time.Duration
 }
 
 // Begin records that an operator has started a write of a version, or a read if version is 0.
-func (h *History) Begin(id uint64, version uint32, now time.Duration) {
+func (h *History) Begin(id uint64, version configversion.Version, now time.Duration) {
 	if h.pending == nil {
 		h.pending = map[uint64]operation{}
 	}
@@ -43,7 +45,7 @@
 
 // End records the response, which is the current version. It must not be below the version that was written, nor below any version that
 // was returned before the operation began.
-func (h *History) End(id uint64, version uint32, now time.Duration) {
+func (h *History) End(id uint64, version configversion.Version, now time.Duration) {
 	o, ok := h.pending[id]
 	if !ok {
 		return
--- a/lab/explore/members/members.go
+++ b/lab/explore/members/members.go
@@ -14,6 +14,7 @@
 	"math/rand/v2"
 	"time"
 
+	"firplank/mesh/configversion"
 	"firplank/mesh/controlplane/operations"
 )
 
@@ -44,7 +45,7 @@
 	inFlight  []delivery
 	history   History
 	lastID    uint64
-	version   uint32
+	version   configversion.Version
 	nextOp    time.Duration
 	readOnly  bool // operators only read
 	events    []string
--- a/lab/explore/numbers/defects.go
+++ b/lab/explore/numbers/defects.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"firplank/mesh/configversion"
 	"firplank/mesh/register"
 )
 
@@ -65,20 +66,20 @@
 	{Name: "a conflict is answered from the machine's own disk", Bounds: TwoOperators, Seed: 3016,
 		answerLocally: func(r *register.Replica, put request) (answer, bool) {
 			v := r.State().Value
-			recorded := v.History.StateOf(uint32(put.number), register.ContentOf([]byte(put.content)))
+			recorded := v.History.StateOf(configversion.Version(put.number), register.ContentOf([]byte(put.content)))
 			return answer{refused: true}, recorded == register.RecordedDifferent
 		}},
 	{Name: "a put is confirmed from the machine's own disk", Bounds: TwoOperators, Seed: 385,
 		answerLocally: func(r *register.Replica, put request) (answer, bool) {
 			v := r.State().Value
-			recorded := v.History.StateOf(uint32(put.number), register.ContentOf([]byte(put.content)))
+			recorded := v.History.StateOf(configversion.Version(put.number), register.ContentOf([]byte(put.content)))
 			return answer{}, recorded == register.RecordedSame
 		}},
 	{Name: "a lower number is confirmed and not remembered", Bounds: TwoOperators, Seed: 2,
 		answerLocally: func(r *register.Replica, put request) (answer, bool) {
 			v, _, ok := r.Committed()
-			_, taken := v.History.Find(uint32(put.number))
-			return answer{}, ok && !taken && uint32(put.number) < v.Version
+			_, taken := v.History.Find(configversion.Version(put.number))
+			return answer{}, ok && !taken && configversion.Version(put.number) < v.Version
 		}},
 	{Name: "a put is confirmed by the first other disk", Bounds: TwoOperators, Seed: 1, confirmsOnFirstAck: true},
 	{Name: "answers leave before the disk has synced", Bounds: ManyFaults, Seed: 2184, repliesBeforeSync: true},
--- a/lab/explore/numbers/numbers.go
+++ b/lab/explore/numbers/numbers.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"firplank/lab/explore"
+	"firplank/mesh/configversion"
 	"firplank/mesh/controlplane/operations"
 	"firplank/mesh/controlplane/persistence"
 	"firplank/mesh/persist"
@@ -98,7 +99,8 @@
 	completedAt time.Duration // time of the last completed operation
 }
 
-// request is a put of a content under a number, or a read if the number is 0.
+// request is a put of a content under a number, or a read if the number is 0. Numbers are configversion.Versions: the lowest one, 1, is the
+// version that operators write as 00000000.
 type request struct {
 	number  int
 	content string
@@ -148,7 +150,7 @@
 		replica := register.New(m.name, s.initialMembers(), true, nil, uint64(i+1))
 		first := replica.State()
 		if b.InitialNumbers > 0 {
-			first.Value.Version, first.Value.Body, first.Value.History = uint32(b.InitialNumbers), []byte("taken"), taken
+			first.Value.Version, first.Value.Body, first.Value.History = configversion.Version(b.InitialNumbers), []byte("taken"), taken
 			replica = register.New(m.name, s.initialMembers(), false, &first, uint64(i+1))
 		}
 		m.disk = &first
@@ -174,7 +176,7 @@
 // initialHistory returns the history that the machines start with.
 func (s *system) initialHistory() (h register.History) {
 	for number := range s.bounds.InitialNumbers {
-		h = h.With(register.Record{Version: uint32(number + 1), Content: register.ContentOf([]byte("taken"))})
+		h = h.With(register.Record{Version: configversion.Version(number + 1), Content: register.ContentOf([]byte("taken"))})
 	}
 	return h
 }
@@ -293,7 +295,7 @@
 		}
 	}
 	body := []byte(o.request.content)
-	write := operations.Write{Version: uint32(o.request.number), Content: register.ContentOf(body), Body: body}
+	write := operations.Write{Version: configversion.Version(o.request.number), Content: register.ContentOf(body), Body: body}
 	m.operations.Propose(s.now, write, responder{s, o.pendingCall})
 }
 
--- a/lab/explore/register/history.go
+++ b/lab/explore/register/history.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+
+	"firplank/mesh/configversion"
 )
 
 // operation is a put or read whose response an operator is waiting for.
@@ -15,14 +17,14 @@
 
 // write is a version and its body.
 type write struct {
-	version uint32
+	version configversion.Version
 	body    string
 }
 
 // answer is the version that was returned for an operation.
 type answer struct {
 	endStep int
-	version uint32
+	version configversion.Version
 }
 
 // history checks the responses to operators: each version has one body, a body is never both rejected and confirmed, and no operation
@@ -30,13 +32,13 @@
 type history struct {
 	pending  map[uint64]operation
 	answers  []answer
-	bodies   map[uint32]string // bodies of the versions that were read or confirmed
+	bodies   map[configversion.Version]string // bodies of the versions that were read or confirmed
 	rejected map[write]bool
 	breach   error // first breach of an invariant
 }
 
 func newHistory() history {
-	return history{pending: map[uint64]operation{}, bodies: map[uint32]string{}, rejected: map[write]bool{}}
+	return history{pending: map[uint64]operation{}, bodies: map[configversion.Version]string{}, rejected: map[write]bool{}}
 }
 
 // begin records that an operation has started.
--- a/lab/explore/register/system.go
+++ b/lab/explore/register/system.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"firplank/lab/explore"
+	"firplank/mesh/configversion"
 	"firplank/mesh/register"
 )
 
@@ -33,7 +34,7 @@
 	now      time.Duration
 	step     int
 	lastID   uint64
-	version  uint32 // highest version that was put
+	version  configversion.Version // highest version that was put
 	history  history
 
 	fingerprint explore.OrderFingerprint
@@ -137,7 +138,7 @@
 }
 
 // put has an operator put a version with a unique body.
-func (s *system) put(i int, version uint32) {
+func (s *system) put(i int, version configversion.Version) {
 	s.bounds.Puts--
 	s.version = max(s.version, version)
 	s.lastID++
--- a/lab/scale/control.go
+++ b/lab/scale/control.go
@@ -51,7 +51,10 @@
 		if conn == nil {
 			conn, _ = transport.Dial(ctx, addr, timing.Default().Subscription.DialTimeout, l)
 		}
-		if conn != nil && !conn.Send(&wire.FrameT{Kind: wire.Hello, From: l.addr, Text: "listener", LowestVersion: dissemination.Unconstrained}) {
+		hello := &wire.FrameT{
+			Kind: wire.Hello, From: l.addr, Text: "listener", LowestVersion: dissemination.Unconstrained.Optional(),
+		}
+		if conn != nil && !conn.Send(hello) {
 			conn = nil
 		}
 		select {
--- a/lab/scale/group.go
+++ b/lab/scale/group.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"firplank/mesh/config"
+	"firplank/mesh/configversion"
 	"firplank/mesh/membership"
 	"firplank/mesh/wire"
 )
@@ -61,7 +62,7 @@
 
 	mu           sync.Mutex
 	traffic      *TrafficCounter
-	texts        map[uint32]*editionText
+	texts        map[configversion.Version]*editionText
 	members      []*member
 	adoptions    []Adoption
 	readyS       []float64
@@ -91,7 +92,7 @@
 func RunGroup(ctx context.Context, in io.Reader, out io.Writer) error {
 	ctx, stop := context.WithCancel(ctx)
 	lines, answers := json.NewDecoder(in), json.NewEncoder(out)
-	g := &Group{traffic: NewTrafficCounter(), texts: map[uint32]*editionText{}}
+	g := &Group{traffic: NewTrafficCounter(), texts: map[configversion.Version]*editionText{}}
 	if err := lines.Decode(&g.spec); err != nil {
 		stop()
 		return fmt.Errorf("read group spec: %w", err)
@@ -257,7 +258,7 @@
 	g.mu.Unlock()
 }
 
-func (g *Group) editionText(edition uint32) *editionText {
+func (g *Group) editionText(edition configversion.Version) *editionText {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	t := g.texts[edition]
@@ -272,28 +273,28 @@
 }
 
 // intern returns the group's shared copy of an edition's text.
-func (g *Group) intern(edition uint32, plain []byte) []byte {
+func (g *Group) intern(edition configversion.Version, plain []byte) []byte {
 	t := g.editionText(edition)
 	t.unpackOnce.Do(func() { t.plain = plain })
 	return t.plain
 }
 
 // unpack returns the text of an edition that was received compressed. It reports false if the text is corrupt.
-func (g *Group) unpack(edition uint32, packed []byte) (plain []byte, ok bool) {
+func (g *Group) unpack(edition configversion.Version, packed []byte) (plain []byte, ok bool) {
 	t := g.editionText(edition)
 	t.unpackOnce.Do(func() { t.plain, _ = config.Unpack(packed) })
 	return t.plain, t.plain != nil
 }
 
 // pack returns the compressed text of an edition.
-func (g *Group) pack(edition uint32, plain []byte) []byte {
+func (g *Group) pack(edition configversion.Version, plain []byte) []byte {
 	t := g.editionText(edition)
 	t.packOnce.Do(func() { t.packed = config.Pack(plain) })
 	return t.packed
 }
 
 // parse reports whether an edition is a valid configuration.
-func (g *Group) parse(edition uint32, plain []byte) bool {
+func (g *Group) parse(edition configversion.Version, plain []byte) bool {
 	t := g.editionText(edition)
 	t.parseOnce.Do(func() {
 		_, err := config.ParseCommitted(plain)
@@ -303,10 +304,10 @@
 }
 
 // recordAdoption records that a sidecar put an edition in force, and the time until it was ready if this is its first.
-func (g *Group) recordAdoption(h *Hollow, edition uint32, at time.Time) {
+func (g *Group) recordAdoption(h *Hollow, edition configversion.Version, at time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.adoptions = append(g.adoptions, Adoption{edition, at.UnixNano()})
+	g.adoptions = append(g.adoptions, Adoption{edition.Number(), at.UnixNano()})
 	if !h.ready.Load() {
 		g.readyS = append(g.readyS, time.Since(h.start).Seconds())
 	}
--- a/lab/scale/group_test.go
+++ b/lab/scale/group_test.go
@@ -21,7 +21,7 @@
 func (p *fakeParent) HandleFrame(c *transport.Conn, f *wire.FrameT) {
 	switch {
 	case f.Kind == wire.Subscribe:
-		c.Send(&wire.FrameT{Kind: wire.Update, Version: 1, AgeMs: 1, Value: &wire.ValueT{Version: 1, Body: p.body}})
+		c.Send(&wire.FrameT{Kind: wire.Update, Version: new(uint32(1)), AgeMs: 1, Value: &wire.ValueT{Version: new(uint32(1)), Body: p.body}})
 	case f.Kind == wire.Report && len(f.Entries) == 1 && f.Entries[0].ServerId != "":
 		p.announced <- f.From
 	}
--- a/lab/scale/hollow.go
+++ b/lab/scale/hollow.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"firplank/mesh/configversion"
 	"firplank/mesh/dataplane/distribution"
 	"firplank/mesh/dataplane/links"
 	"firplank/mesh/dataplane/subscription"
@@ -47,7 +48,7 @@
 	events  chan distribution.Event
 	node    *distribution.Node
 	links   *links.Links
-	inForce uint32
+	inForce configversion.Version
 
 	ready       atomic.Bool
 	subscribers atomic.Int32
@@ -170,7 +171,7 @@
 type host struct{ h *Hollow }
 
 // Unpack implements distribution.Host.
-func (o host) Unpack(edition uint32, packed []byte) ([]byte, error) {
+func (o host) Unpack(edition configversion.Version, packed []byte) ([]byte, error) {
 	text, ok := o.h.group.unpack(edition, packed)
 	if !ok {
 		return nil, errCorruptText
@@ -179,13 +180,17 @@
 }
 
 // Intern implements distribution.Host.
-func (o host) Intern(edition uint32, text []byte) []byte { return o.h.group.intern(edition, text) }
+func (o host) Intern(edition configversion.Version, text []byte) []byte {
+	return o.h.group.intern(edition, text)
+}
 
 // Pack implements distribution.Host.
-func (o host) Pack(edition uint32, text []byte) []byte { return o.h.group.pack(edition, text) }
+func (o host) Pack(edition configversion.Version, text []byte) []byte {
+	return o.h.group.pack(edition, text)
+}
 
 // Adopt implements distribution.Host.
-func (o host) Adopt(edition uint32, text []byte) (inForce uint32) {
+func (o host) Adopt(edition configversion.Version, text []byte) (inForce configversion.Version) {
 	h := o.h
 	if h.group.parse(edition, text) {
 		h.inForce = edition
--- a/lab/scale/hollow_test.go
+++ b/lab/scale/hollow_test.go
@@ -19,16 +19,16 @@
 
 func (p *changingParent) HandleFrame(c *transport.Conn, f *wire.FrameT) {
 	switch {
-	case f.Kind == wire.Subscribe && f.Version == 0:
+	case f.Kind == wire.Subscribe && f.Version == nil:
 		p.send(c, 1)
-	case f.Kind == wire.Report && f.Version == 1:
+	case f.Kind == wire.Report && f.Version != nil && *f.Version == 1:
 		p.send(c, 2)
 	}
 }
 
 func (p *changingParent) send(c *transport.Conn, version uint32) {
-	value := &wire.ValueT{Version: version, Body: p.bodies[version-1]}
-	c.Send(&wire.FrameT{Kind: wire.Update, Version: version, AgeMs: 1, Value: value})
+	value := &wire.ValueT{Version: &version, Body: p.bodies[version-1]}
+	c.Send(&wire.FrameT{Kind: wire.Update, Version: &version, AgeMs: 1, Value: value})
 }
 
 func (*changingParent) HandleClose(*transport.Conn) {}
--- a/lab/scale/plan_test.go
+++ b/lab/scale/plan_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"firplank/mesh/config"
+	"firplank/mesh/configversion"
 )
 
 func testPlan() Plan {
@@ -60,8 +61,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if cfg.Version != 2 || cfg.RouteCount() != 660 || len(cfg.Services) != 330 {
-		t.Errorf("edition %d, %d routes, %d services", cfg.Version, cfg.RouteCount(), len(cfg.Services))
+	if cfg.Version != configversion.Of(2) || cfg.RouteCount() != 660 || len(cfg.Services) != 330 {
+		t.Errorf("edition %v, %d routes, %d services", cfg.Version, cfg.RouteCount(), len(cfg.Services))
 	}
 	changed := 0
 	for i := range one.VirtualHosts {
--- a/lab/scale/traffic_test.go
+++ b/lab/scale/traffic_test.go
@@ -21,15 +21,18 @@
 func TestMeasureIsExactForShortFrames(t *testing.T) {
 	whole, alive := codec.EntryToWire(entry(1), 0), codec.LivenessToWire(entry(2), 0)
 	for name, f := range map[string]*wire.FrameT{
-		"bare":          {Kind: wire.Subscribe, From: "hollow-000001"},
-		"alive":         {Kind: wire.Report, From: "hollow-000001", Entries: []*wire.EntryT{alive}},
-		"both":          {Kind: wire.Report, From: "hollow-000001", Entries: []*wire.EntryT{whole, alive, alive}},
-		"news":          codec.UpdateToFrame(&dissemination.Update{Version: 7, AsOf: 0}, nil, 0),
-		"difference":    codec.UpdateToFrame(&dissemination.Update{Version: 7, Deltas: oneDelta()}, nil, 0),
-		"bye":           {Kind: wire.GoAway},
-		"configuration": {Kind: wire.Update, Version: 7, Entries: []*wire.EntryT{}, Value: &wire.ValueT{Version: 7, Body: make([]byte, 5000)}},
+		"bare":       {Kind: wire.Subscribe, From: "hollow-000001"},
+		"alive":      {Kind: wire.Report, From: "hollow-000001", Entries: []*wire.EntryT{alive}},
+		"both":       {Kind: wire.Report, From: "hollow-000001", Entries: []*wire.EntryT{whole, alive, alive}},
+		"news":       codec.UpdateToFrame(&dissemination.Update{Version: 7, AsOf: 0}, nil, 0),
+		"difference": codec.UpdateToFrame(&dissemination.Update{Version: 7, Deltas: oneDelta()}, nil, 0),
+		"bye":        {Kind: wire.GoAway},
+		"configuration": {
+			Kind: wire.Update, Version: new(uint32(7)), Entries: []*wire.EntryT{},
+			Value: &wire.ValueT{Version: new(uint32(7)), Body: make([]byte, 5000)},
+		},
 		"machines": {
-			Kind: wire.Update, Version: 7, Entries: []*wire.EntryT{},
+			Kind: wire.Update, Version: new(uint32(7)), Entries: []*wire.EntryT{},
 			Machines: []*wire.MachineT{{Addr: "127.78.0.1:7320", Zone: "zone-1", AgeMs: 12}},
 		},
 	} {
@@ -48,7 +51,7 @@
 }
 
 func TestMeasureSplitsBytesByContent(t *testing.T) {
-	f := &wire.FrameT{Kind: wire.Update, Version: 7, Value: &wire.ValueT{Version: 7, Body: make([]byte, 5000)}}
+	f := &wire.FrameT{Kind: wire.Update, Version: new(uint32(7)), Value: &wire.ValueT{Version: new(uint32(7)), Body: make([]byte, 5000)}}
 	for i := range 10 {
 		f.Entries = append(f.Entries, codec.EntryToWire(entry(i), 0), codec.LivenessToWire(entry(i), 0))
 	}
--- a/mesh/api/router_test.go
+++ b/mesh/api/router_test.go
@@ -66,10 +66,11 @@
 	}
 }
 
-// The keys must not change, as operators' scripts and other releases of firplankctl read them.
+// The keys must not change, as operators' scripts and other releases of firplankctl read them. Without a configuration the version is null,
+// as 0 is a version.
 func TestStatusKeysAreStable(t *testing.T) {
 	got := JSONResponse(http.StatusOK, ControlStatus{PreviousMembers: []string{"a"}, Machines: []ControlMachine{{}}})
-	const want = `{"self":"","members":null,"membersBefore":["a"],"version":0,"ballot":"","leaseHolder":"","fullCopies":false,` +
+	const want = `{"self":"","members":null,"membersBefore":["a"],"version":null,"ballot":"","leaseHolder":"","fullCopies":false,` +
 		`"machines":[{"address":"","zone":"","member":false,"voter":false,"linked":false,"heardS":0,"leaving":false,` +
 		`"diskFails":false,"ballot":"","copied":false}]}`
 	if string(got.Body) != want {
--- a/mesh/api/status.go
+++ b/mesh/api/status.go
@@ -19,8 +19,8 @@
 	Members []string `json:"members"`
 	// PreviousMembers are set while a change of members is in progress: a quorum needs a majority of these as well.
 	PreviousMembers []string `json:"membersBefore,omitempty"`
-	// Version is the newest version that the machine knows to be on a majority of disks.
-	Version uint32 `json:"version"`
+	// Version is the newest version that the machine knows to be on a majority of disks; nil: it knows of none.
+	Version *uint32 `json:"version"`
 	// Ballot is the ballot at which that version was accepted.
 	Ballot string `json:"ballot"`
 	// LeaseHolder is the machine that replaces lost members; empty: none is known.
--- a/mesh/codec/dissemination.go
+++ b/mesh/codec/dissemination.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"firplank/mesh/configversion"
 	"firplank/mesh/dissemination"
 	"firplank/mesh/wire"
 )
@@ -13,7 +14,7 @@
 	f := &wire.FrameT{
 		Kind:     wire.Update,
 		Id:       u.Nonce,
-		Version:  u.Version,
+		Version:  u.Version.Optional(),
 		AgeMs:    unknownAge,
 		Deltas:   deltasToWire(u.Deltas),
 		Entries:  EntriesToWire(u.Entries, now),
@@ -26,7 +27,7 @@
 		f.Rollouts, f.RolloutRevision = rolloutsToWire(*u.Rollouts), u.Rollouts.Revision
 	}
 	if u.FullText {
-		f.Value = &wire.ValueT{Version: u.Version, Body: packed}
+		f.Value = &wire.ValueT{Version: u.Version.Optional(), Body: packed}
 	}
 	return f
 }
@@ -43,7 +44,7 @@
 func deltasToWire(deltas []dissemination.Delta) []*wire.DeltaT {
 	var converted []*wire.DeltaT
 	for _, d := range deltas {
-		converted = append(converted, &wire.DeltaT{Base: d.Base, Version: d.Version, Bytes: d.Bytes})
+		converted = append(converted, &wire.DeltaT{Base: d.Base.Number(), Version: d.Version.Number(), Bytes: d.Bytes})
 	}
 	return converted
 }
@@ -52,19 +53,23 @@
 func DeltasFromFrame(f *wire.FrameT) []dissemination.Delta {
 	var deltas []dissemination.Delta
 	for _, d := range f.Deltas {
-		deltas = append(deltas, dissemination.Delta{Base: d.Base, Version: d.Version, Bytes: d.Bytes})
+		deltas = append(deltas, dissemination.Delta{Base: configversion.Of(d.Base), Version: configversion.Of(d.Version), Bytes: d.Bytes})
 	}
 	return deltas
 }
 
 // AckFromFrame returns the acknowledgement in a frame of kind wire.Subscribe or wire.Report.
 func AckFromFrame(f *wire.FrameT) dissemination.Ack {
-	return dissemination.Ack{Nonce: f.Id, Version: f.Version, LowestInForce: f.LowestVersion}
+	return dissemination.Ack{
+		Nonce:         f.Id,
+		Version:       configversion.FromOptional(f.Version),
+		LowestInForce: configversion.FromOptional(f.LowestVersion),
+	}
 }
 
 // SetAck sets the acknowledgement in a frame of kind wire.Subscribe or wire.Report, and returns the frame.
 func SetAck(f *wire.FrameT, a dissemination.Ack) *wire.FrameT {
-	f.Id, f.Version, f.LowestVersion = a.Nonce, a.Version, a.LowestInForce
+	f.Id, f.Version, f.LowestVersion = a.Nonce, a.Version.Optional(), a.LowestInForce.Optional()
 	return f
 }
 
--- a/mesh/codec/fixtures_test.go
+++ b/mesh/codec/fixtures_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"firplank/mesh/codec"
+	"firplank/mesh/configversion"
 	"firplank/mesh/directory"
 	"firplank/mesh/dissemination"
 	"firplank/mesh/membership"
@@ -26,17 +27,17 @@
 		Promised: &wire.BallotT{Number: 12, Proposer: "promised"},
 		Accepted: &wire.BallotT{Number: 13, Proposer: "accepted"},
 		Value: &wire.ValueT{
-			Version:      14,
+			Version:      new(uint32(14)),
 			Body:         []byte("body"),
 			Members:      []string{"member-1", "member-2"},
 			PriorMembers: []string{"prior-1", "prior-2"},
 			Records:      []byte("records, of 20 bytes"),
-			Floor:        15,
+			Floor:        new(uint32(15)),
 		},
 		Incarnations: []*wire.IncarnationT{{Node: "node-1", Number: 16}, {Node: "", Number: 17}},
 		Incarnation:  18,
 		AgeMs:        19,
-		Version:      20,
+		Version:      new(uint32(20)),
 		Reserved:     0x1112131415161718,
 		Entries:      []*wire.EntryT{fullEntry(30), {}, fullEntry(50)},
 		Machines: []*wire.MachineT{
@@ -53,7 +54,7 @@
 		},
 		Text:          "text",
 		Deltas:        []*wire.DeltaT{{Base: 24, Version: 25, Bytes: []byte("delta")}, {Base: 26, Version: 27}},
-		LowestVersion: 28,
+		LowestVersion: new(uint32(28)),
 	}
 }
 
@@ -132,15 +133,15 @@
 		Promised: register.Ballot{Number: 43, Proposer: "10.2.0.11:7620"},
 		Accepted: register.Ballot{Number: 44, Proposer: "10.3.0.11:7620"},
 		Value: &register.Value{
-			Version:      45,
+			Version:      configversion.Of(45),
 			Body:         []byte(`{"gates":[]}`),
 			Members:      []string{"10.1.0.13:7620", "10.2.0.11:7620", "10.3.0.12:7620"},
 			PriorMembers: []string{"10.1.0.13:7620", "10.2.0.11:7620", "10.3.0.11:7620"},
 			History: register.History{
-				Floor: 43,
+				Floor: configversion.Of(43),
 				Records: []register.Record{
-					{Version: 44, Content: register.ContentOf([]byte("44"))},
-					{Version: 45, Content: register.ContentOf([]byte("45"))},
+					{Version: configversion.Of(44), Content: register.ContentOf([]byte("44"))},
+					{Version: configversion.Of(45), Content: register.ContentOf([]byte("45"))},
 				},
 			},
 		},
@@ -217,15 +218,15 @@
 		SubscriberID:    71,
 		Nonce:           72,
 		AsOf:            fixtureNow - 73*time.Millisecond,
-		Version:         74,
-		Deltas:          []dissemination.Delta{{Base: 75, Version: 76, Bytes: []byte("delta")}},
+		Version:         configversion.Of(74),
+		Deltas:          []dissemination.Delta{{Base: configversion.Of(75), Version: configversion.Of(76), Bytes: []byte("delta")}},
 		FullText:        true,
 		Entries:         entries(),
 		ControlMachines: machines(),
 	}
 }
 
-var fullAck = dissemination.Ack{Nonce: 81, Version: 82, LowestInForce: 83}
+var fullAck = dissemination.Ack{Nonce: 81, Version: configversion.Of(82), LowestInForce: configversion.Of(83)}
 
 var fullStatus = codec.NodeStatus{
 	Voter:       true,
@@ -239,7 +240,7 @@
 		Kind:          wire.Hello,
 		From:          "10.1.0.13:7620",
 		Text:          "zone-1",
-		LowestVersion: 91,
+		LowestVersion: new(uint32(91)),
 		Machines:      codec.MachinesToWire(machines(), fixtureNow),
 	}
 	codec.SetNodeStatus(hello, fullStatus)
--- a/mesh/codec/history.go
+++ b/mesh/codec/history.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 
+	"firplank/mesh/configversion"
 	"firplank/mesh/register"
 	"firplank/mesh/wire"
 )
@@ -18,7 +19,7 @@
 	}
 	packed := make([]byte, 0, len(records)*register.RecordSize)
 	for _, r := range records {
-		packed = binary.LittleEndian.AppendUint32(packed, r.Version)
+		packed = binary.LittleEndian.AppendUint32(packed, r.Version.Number())
 		packed = append(packed, r.Content[:]...)
 	}
 	return packed
@@ -28,15 +29,16 @@
 // written by a release without histories. The contents of its own version and of earlier ones are unknown, so that its
 // version is the floor.
 func historyFromWire(v *wire.ValueT) register.History {
+	floor := configversion.FromOptional(v.Floor)
 	if len(v.Records) == 0 {
-		return register.History{Floor: max(v.Floor, v.Version)}
+		return register.History{Floor: max(floor, configversion.FromOptional(v.Version))}
 	}
 	n := min(len(v.Records)/register.RecordSize, register.MaxRecords)
 	records := make([]register.Record, n)
 	for i := range records {
 		packed := v.Records[i*register.RecordSize:]
-		records[i].Version = binary.LittleEndian.Uint32(packed)
+		records[i].Version = configversion.Of(binary.LittleEndian.Uint32(packed))
 		copy(records[i].Content[:], packed[versionSize:register.RecordSize])
 	}
-	return register.History{Floor: v.Floor, Records: records}
+	return register.History{Floor: floor, Records: records}
 }
--- a/mesh/codec/register.go
+++ b/mesh/codec/register.go
@@ -1,6 +1,7 @@
 package codec
 
 import (
+	"firplank/mesh/configversion"
 	"firplank/mesh/register"
 	"firplank/mesh/wire"
 )
@@ -117,12 +118,12 @@
 		return nil
 	}
 	return &wire.ValueT{
-		Version:      v.Version,
+		Version:      v.Version.Optional(),
 		Body:         v.Body,
 		Members:      v.Members,
 		PriorMembers: v.PriorMembers,
 		Records:      recordsToWire(v.History.Records),
-		Floor:        v.History.Floor,
+		Floor:        v.History.Floor.Optional(),
 
 		Rollouts:        rolloutsToWire(v.Rollouts),
 		RolloutRevision: v.Rollouts.Revision,
@@ -134,7 +135,7 @@
 		return nil
 	}
 	return &register.Value{
-		Version:      v.Version,
+		Version:      configversion.FromOptional(v.Version),
 		Body:         v.Body,
 		Members:      v.Members,
 		PriorMembers: v.PriorMembers,
--- a/mesh/config/config.go
+++ b/mesh/config/config.go
@@ -16,6 +16,7 @@
 	validation "github.com/go-ozzo/ozzo-validation/v4"
 
 	"firplank/internal/strictjson"
+	"firplank/mesh/configversion"
 )
 
 // versionDigits is the number of hexadecimal digits of a version.
@@ -23,7 +24,7 @@
 
 // Config is a validated configuration, indexed for matching. It is immutable, and safe for concurrent use.
 type Config struct {
-	Version  uint32
+	Version  configversion.Version
 	Document *Document
 	Services map[string]*Service // by name
 
@@ -75,7 +76,7 @@
 		return nil, invalid("edition", errors.Errorf("%q is not eight hexadecimal digits", doc.Version))
 	}
 	c := &Config{
-		Version:  uint32(version),
+		Version:  configversion.Of(uint32(version)),
 		Document: doc,
 		Services: map[string]*Service{},
 		hosts:    map[string]map[string]*Route{},
--- a/mesh/config/config_test.go
+++ b/mesh/config/config_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"github.com/go-faster/errors"
+
+	"firplank/mesh/configversion"
 )
 
 // valid is a configuration that tests use as it is or with replacements.
@@ -262,7 +264,7 @@
 		"no caps":             strings.Replace(valid, `"caps":{"envelopeBytes":16384},`, "", 1),
 	} {
 		c, err := ParseCommitted([]byte(text))
-		if err != nil || c.Version != 0xc || c.RouteCount() != 3 {
+		if err != nil || c.Version != configversion.Of(0xc) || c.RouteCount() != 3 {
 			t.Errorf("%s: %v", name, err)
 		}
 	}
--- a/mesh/controlplane/metrics.go
+++ b/mesh/controlplane/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/go-kit/log/level"
 
 	"firplank/internal/telemetry"
+	"firplank/mesh/configversion"
 	"firplank/mesh/controlplane/operations"
 	"firplank/mesh/dissemination"
 )
@@ -53,11 +54,26 @@
 	return close
 }
 
+// Values of the gauges of versions where there is none.
+const (
+	noCommittedVersion = -1 // nothing is committed
+	noSubscribers      = -1 // no subscriber constrains the lowest version in force
+	noVersionInForce   = -2 // a subscriber has no configuration
+)
+
+// gaugeOf returns a version's number for a gauge, or absent for configversion.None.
+func gaugeOf(v configversion.Version, absent int64) int64 {
+	if v == configversion.None {
+		return absent
+	}
+	return int64(v.Number())
+}
+
 // updateMetrics sets the gauges to their current values.
 func (s *Server) updateMetrics() {
 	f, now := s.metrics, s.now()
 	committed := s.pipeline.Committed()
-	f.committedVersion.Store(int64(committed.Value.Version))
+	f.committedVersion.Store(gaugeOf(committed.Value.Version, noCommittedVersion))
 	f.members.Store(int64(len(committed.Value.Members)))
 	f.pendingOperations.Store(int64(s.operations.Len()))
 	f.subscribers.Store(int64(s.hub.Publisher.Subscribers()))
@@ -65,9 +81,9 @@
 	if committed.Known {
 		f.quorumAgeMillis.Store((now - committed.AsOf).Milliseconds())
 	}
-	f.lowestInForce.Store(-1)
+	f.lowestInForce.Store(noSubscribers)
 	if lowest := s.hub.LowestInForce(now); lowest != dissemination.Unconstrained {
-		f.lowestInForce.Store(int64(lowest))
+		f.lowestInForce.Store(gaugeOf(lowest, noVersionInForce))
 	}
 	connected := 0
 	for _, p := range s.peers.All() {
@@ -84,7 +100,7 @@
 	logFields := []any{"msg", "operation failed", "operation", kind}
 	if write, ok := call.Request.(operations.Write); ok {
 		kind = "write"
-		logFields = []any{"msg", "operation failed", "operation", kind, "version", formatVersion(write.Version), "content", write.Content}
+		logFields = []any{"msg", "operation failed", "operation", kind, "version", write.Version, "content", write.Content}
 	}
 	result := "completed"
 	if err != nil {
--- a/mesh/controlplane/operations/errors.go
+++ b/mesh/controlplane/operations/errors.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-faster/errors"
 
+	"firplank/mesh/configversion"
 	"firplank/mesh/register"
 )
 
@@ -24,7 +25,7 @@
 // VersionTakenError reports that the version of a write was committed with another content before. The write never comes into force under
 // that version; the client has to send it under a version above Newest.
 type VersionTakenError struct {
-	Version, Newest           uint32
+	Version, Newest           configversion.Version
 	Content, CommittedContent register.Content // of the rejected write, and of the committed version
 }
 
@@ -35,8 +36,8 @@
 
 // Error returns the text that the operator reads in the response to the call.
 func (e *VersionTakenError) Error() string {
-	return fmt.Sprintf("edition %08x was taken with another content (%s): this one (%s) is not in force and never will be under that number; "+
-		"the newest edition is %08x, send yours under a higher one", e.Version, e.CommittedContent, e.Content, e.Newest)
+	return fmt.Sprintf("edition %v was taken with another content (%s): this one (%s) is not in force and never will be under that number; "+
+		"the newest edition is %v, send yours under a higher one", e.Version, e.CommittedContent, e.Content, e.Newest)
 }
 
 // ErrorName returns a short name for an error of this package. It is used as a metric label, so there are few of them. All other errors
--- a/mesh/controlplane/operations/invariants_test.go
+++ b/mesh/controlplane/operations/invariants_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"firplank/internal/invariant"
+	"firplank/mesh/configversion"
 	"firplank/mesh/register"
 )
 
@@ -20,12 +21,12 @@
 // A write may be acknowledged only if the committed value records it, and a read has to return at least what was acknowledged before.
 func TestResultInvariantsAreReported(t *testing.T) {
 	mine, other := register.ContentOf([]byte("mine")), register.ContentOf([]byte("other"))
-	recorded := func(version uint32, content register.Content) register.Value {
+	recorded := func(version configversion.Version, content register.Content) register.Value {
 		return register.Value{Version: version, History: register.History{}.With(register.Record{Version: version, Content: content})}
 	}
 	for _, c := range []struct {
 		name                string
-		highestAcknowledged uint32
+		highestAcknowledged configversion.Version
 		request             Request
 		value               register.Value
 		want                []invariant.Name
--- a/mesh/controlplane/operations/operations.go
+++ b/mesh/controlplane/operations/operations.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"firplank/internal/invariant"
+	"firplank/mesh/configversion"
 	"firplank/mesh/dissemination"
 	"firplank/mesh/register"
 	"firplank/mesh/rollout"
@@ -27,7 +28,7 @@
 
 // Write commits a configuration under a version.
 type Write struct {
-	Version uint32
+	Version configversion.Version
 	Content register.Content // hash of the text as the client sent it
 	Body    []byte           // the compressed text
 }
@@ -126,8 +127,8 @@
 	durations           timing.Durations
 	confirmations       *dissemination.Confirmations
 	invariants          invariant.Reporter
-	highestAcknowledged uint32        // the highest version whose write was acknowledged to a client here
-	servingSince        time.Duration // when FailPending last found that this machine can't commit operations
+	highestAcknowledged configversion.Version // the highest version whose write was acknowledged to a client here
+	servingSince        time.Duration         // when FailPending last found that this machine can't commit operations
 }
 
 // NewTable returns an empty table over a register. nextID returns a number that no other operation of this replica has.
@@ -161,7 +162,7 @@
 
 // Complete records the outcome of an operation that a quorum has decided. A confirmed write waits until its version is in force at all
 // sidecars; lowest is the lowest version in force among this machine's subscribers. Other operations are answered at once.
-func (t *Table) Complete(now time.Duration, o register.Outcome, lowest uint32) {
+func (t *Table) Complete(now time.Duration, o register.Outcome, lowest configversion.Version) {
 	op := t.pending[o.ID]
 	if op == nil {
 		return
@@ -185,7 +186,7 @@
 // Acknowledge answers the writes whose version is in force among the subscribers of this machine, where lowest is the lowest version, and
 // of the other control machines, and those that have waited for timing.Dissemination.AckTimeout. It returns when it is to be called again
 // at the latest.
-func (t *Table) Acknowledge(now time.Duration, lowest uint32) (next time.Duration) {
+func (t *Table) Acknowledge(now time.Duration, lowest configversion.Version) (next time.Duration) {
 	ids, next := t.confirmations.Release(lowest, now)
 	for _, id := range ids {
 		if op := t.pending[id]; op != nil {
@@ -196,7 +197,7 @@
 }
 
 // PeerAcknowledged records the lowest version in force among another control machine's subscribers.
-func (t *Table) PeerAcknowledged(peer string, lowest uint32, now time.Duration) {
+func (t *Table) PeerAcknowledged(peer string, lowest configversion.Version, now time.Duration) {
 	t.confirmations.RecordPeer(peer, lowest, now)
 }
 
--- a/mesh/controlplane/operations/operations_test.go
+++ b/mesh/controlplane/operations/operations_test.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/goleak"
 
+	"firplank/mesh/configversion"
 	"firplank/mesh/dissemination"
 	"firplank/mesh/register"
 	"firplank/mesh/timing"
@@ -180,10 +181,10 @@
 		name                      string
 		request                   Request
 		result                    register.Result
-		lowestHere, lowestOfPeers uint32
-		ackedLowest               uint32        // the lowest version in force among this machine's subscribers, ...
-		after                     time.Duration // ... this long after the request
-		held, waits               bool          // the response is held back on completion, and still after that time
+		lowestHere, lowestOfPeers configversion.Version
+		ackedLowest               configversion.Version // the lowest version in force among this machine's subscribers, ...
+		after                     time.Duration         // ... this long after the request
+		held, waits               bool                  // the response is held back on completion, and still after that time
 	}{
 		{"in force everywhere", Write{Version: 7}, register.Confirmed, 7, 7, 7, 0, false, false},
 		{"behind below this machine", Write{Version: 7}, register.Confirmed, 6, 7, 6, ackTimeout - 1, true, true},
@@ -246,11 +247,12 @@
 // version, above which the operator has to send it.
 func TestVersionTakenErrorNamesVersionsAndContents(t *testing.T) {
 	mine, taken := register.ContentOf([]byte("mine")), register.ContentOf([]byte("taken"))
-	history := register.History{}.With(register.Record{Version: 7, Content: taken})
+	history := register.History{}.With(register.Record{Version: configversion.Of(7), Content: taken})
 	table, _ := newTable()
 	var got results
-	id := table.Propose(now, Write{Version: 7, Content: mine}, &got)
-	table.Complete(now, register.Outcome{ID: id, Result: register.Conflict, Value: register.Value{Version: 12, History: history}}, 0)
+	id := table.Propose(now, Write{Version: configversion.Of(7), Content: mine}, &got)
+	newest := register.Value{Version: configversion.Of(12), History: history}
+	table.Complete(now, register.Outcome{ID: id, Result: register.Conflict, Value: newest}, 0)
 	var conflict *VersionTakenError
 	if len(got) != 1 || !errors.As(got[0].Err, &conflict) {
 		t.Fatalf("results %v", got)
--- a/mesh/controlplane/operators.go
+++ b/mesh/controlplane/operators.go
@@ -1,7 +1,6 @@
 package controlplane
 
 import (
-	"fmt"
 	"net/http"
 	"time"
 
@@ -10,6 +9,7 @@
 
 	"firplank/mesh/api"
 	"firplank/mesh/config"
+	"firplank/mesh/configversion"
 	"firplank/mesh/controlplane/operations"
 	"firplank/mesh/register"
 )
@@ -87,20 +87,17 @@
 }
 
 func (s *Server) logVersionTaken(e *operations.VersionTakenError) {
-	_ = level.Warn(s.log).Log("msg", "configuration rejected: version taken with another content", "version", formatVersion(e.Version),
-		"content", e.Content, "taken", e.CommittedContent, "newest", formatVersion(e.Newest))
+	_ = level.Warn(s.log).Log("msg", "configuration rejected: version taken with another content", "version", e.Version,
+		"content", e.Content, "taken", e.CommittedContent, "newest", e.Newest)
 }
 
-// formatVersion writes a version as operators write it.
-func formatVersion(version uint32) string { return fmt.Sprintf("%08x", version) }
-
 // readConfig returns the newest committed configuration.
 func (s *Server) readConfig(*api.Request) api.Response {
 	o, err := s.commit(operations.Read{})
 	switch {
 	case err != nil:
 		return unavailable(err)
-	case o.Value.Version == 0:
+	case o.Value.Version == configversion.None:
 		return api.ErrorResponse(http.StatusNotFound, errNoConfig)
 	}
 	body, err := config.Unpack(o.Value.Body)
--- a/mesh/controlplane/peers.go
+++ b/mesh/controlplane/peers.go
@@ -65,7 +65,7 @@
 		Kind:          wire.Hello,
 		From:          s.self,
 		Text:          s.settings.Zone,
-		LowestVersion: s.hub.LowestInForce(now),
+		LowestVersion: s.hub.LowestInForce(now).Optional(),
 		Machines:      codec.MachinesToWire(s.knownMachines(now), now),
 	}
 	codec.SetNodeStatus(f, s.reconciler.Status(now))
--- a/mesh/controlplane/persistence/invariants_test.go
+++ b/mesh/controlplane/persistence/invariants_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"firplank/internal/invariant"
+	"firplank/mesh/configversion"
 	"firplank/mesh/persist"
 	"firplank/mesh/register"
 )
@@ -65,7 +66,7 @@
 
 // A committed value has members, and is not followed by an older version or by another text of the same version.
 func TestCommittedValueInvariantsAreReported(t *testing.T) {
-	value := func(version uint32, body string) persist.Committed {
+	value := func(version configversion.Version, body string) persist.Committed {
 		return persist.Committed{Known: true, Value: register.Value{Version: version, Body: []byte(body), Members: []string{"a"}}}
 	}
 	memberless := value(8, "text")
--- a/mesh/controlplane/persistence/pipeline_test.go
+++ b/mesh/controlplane/persistence/pipeline_test.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/goleak"
 
+	"firplank/mesh/configversion"
 	"firplank/mesh/controlplane/operations"
 	"firplank/mesh/persist"
 	"firplank/mesh/register"
@@ -93,15 +94,15 @@
 	w := newTestReplica("a")
 	now := w.runSteps(0, 10)
 	w.log = nil
-	w.pipeline.Apply(now, register.Put{ID: 7, Version: 1, Body: []byte("x")})
+	w.pipeline.Apply(now, register.Put{ID: 7, Version: configversion.Of(1), Body: []byte("x")})
 	for attempt := range 3 {
 		if w.write == nil {
 			t.Fatalf("attempt %d: no write is in flight", attempt)
 		}
-		if len(w.outcomes) > 0 || w.committed.Value.Version > 0 || w.pipeline.Committed().Value.Version > 0 {
+		if len(w.outcomes) > 0 || w.committed.Value.Version != configversion.None || w.pipeline.Committed().Value.Version != configversion.None {
 			t.Fatalf("attempt %d: %v", attempt, w.log)
 		}
-		if on := w.pipeline.OnDisk(); on.Accepted == w.write.State.Accepted || on.Value.Version > 0 {
+		if on := w.pipeline.OnDisk(); on.Accepted == w.write.State.Accepted || on.Value.Version != configversion.None {
 			t.Fatalf("attempt %d: %v is reported as on disk", attempt, on.Accepted)
 		}
 		w.completeWrite(now, errDisk)
@@ -110,10 +111,10 @@
 	}
 	w.log = nil
 	w.runSteps(now, 10)
-	if w.pipeline.OnDisk().Value.Version != 1 || w.pipeline.Committed().Value.Version != 1 {
-		t.Errorf("on disk %d, committed %d", w.pipeline.OnDisk().Value.Version, w.pipeline.Committed().Value.Version)
+	if w.pipeline.OnDisk().Value.Version != configversion.Of(1) || w.pipeline.Committed().Value.Version != configversion.Of(1) {
+		t.Errorf("on disk %v, committed %v", w.pipeline.OnDisk().Value.Version, w.pipeline.Committed().Value.Version)
 	}
-	publish, complete := slices.Index(w.log, "publish 1"), slices.Index(w.log, "complete 7")
+	publish, complete := slices.Index(w.log, "publish 00000001"), slices.Index(w.log, "complete 7")
 	if publish < 0 || complete < publish {
 		t.Errorf("an outcome is completed before its value is published: %v", w.log)
 	}
@@ -158,7 +159,7 @@
 	if h := w.pipeline.Health(now); h.LastQuorum < now-time.Second || h.CheckAccepting(now, quorumTimeout) != nil {
 		t.Errorf("at %v, with a working disk: %+v", now, h)
 	}
-	w.pipeline.Apply(now, register.Put{ID: 7, Version: 1, Body: []byte("x")})
+	w.pipeline.Apply(now, register.Put{ID: 7, Version: configversion.Of(1), Body: []byte("x")})
 	stalled := now + 10*time.Second
 	for at := now; at < stalled; at += 50 * ms {
 		w.pipeline.Tick(at)
--- a/mesh/controlplane/persistence_test.go
+++ b/mesh/controlplane/persistence_test.go
@@ -12,6 +12,7 @@
 	kitlog "github.com/go-kit/log"
 
 	"firplank/mesh/bootstrap"
+	"firplank/mesh/configversion"
 	"firplank/mesh/controlplane/operations"
 	"firplank/mesh/persist"
 	"firplank/mesh/register"
@@ -29,7 +30,7 @@
 func (s *Server) advanceClock(elapsed time.Duration) { s.startedAt = s.startedAt.Add(-elapsed) }
 
 // proposeWrite proposes an operator's write and returns where its result is recorded.
-func (s *Server) proposeWrite(version uint32) *recordedResult {
+func (s *Server) proposeWrite(version configversion.Version) *recordedResult {
 	r := &recordedResult{}
 	s.operations.Propose(s.now(), operations.Write{Version: version, Body: []byte("x")}, r)
 	return r
--- a/mesh/controlplane/publishing.go
+++ b/mesh/controlplane/publishing.go
@@ -6,6 +6,7 @@
 	"github.com/go-kit/log/level"
 
 	"firplank/mesh/codec"
+	"firplank/mesh/configversion"
 	"firplank/mesh/persist"
 	"firplank/mesh/wire"
 )
@@ -54,10 +55,10 @@
 }
 
 // broadcastInForce sends the peers the lowest version in force among this machine's subscribers.
-func (s *Server) broadcastInForce(lowest uint32) {
+func (s *Server) broadcastInForce(lowest configversion.Version) {
 	for _, p := range s.peers.All() {
 		if p.Connected() {
-			p.Conn.Send(&wire.FrameT{Kind: wire.InForce, From: s.self, LowestVersion: lowest})
+			p.Conn.Send(&wire.FrameT{Kind: wire.InForce, From: s.self, LowestVersion: lowest.Optional()})
 		}
 	}
 }
@@ -65,6 +66,6 @@
 // handleInForce records the lowest version in force among a peer's subscribers.
 func (s *Server) handleInForce(f *wire.FrameT, now time.Duration) {
 	if s.peers.Get(f.From) != nil {
-		s.operations.PeerAcknowledged(f.From, f.LowestVersion, now)
+		s.operations.PeerAcknowledged(f.From, configversion.FromOptional(f.LowestVersion), now)
 	}
 }
--- a/mesh/controlplane/publishing/hub.go
+++ b/mesh/controlplane/publishing/hub.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-faster/errors"
 
+	"firplank/mesh/configversion"
 	"firplank/mesh/directory"
 	"firplank/mesh/dissemination"
 	"firplank/mesh/persist"
@@ -39,8 +40,8 @@
 	ids          map[C]uint64
 	conns        map[uint64]C
 	lastID       uint64
-	announced    uint32            // the lowest version in force that was announced last
-	seenDirectly map[string]uint64 // incarnations, by node, of the sidecars that were seen directly since ReportSent
+	announced    configversion.Version // the lowest version in force that was announced last
+	seenDirectly map[string]uint64     // incarnations, by node, of the sidecars that were seen directly since ReportSent
 }
 
 // New returns a hub that publishes nothing yet. unpack decompresses a committed configuration.
@@ -60,7 +61,7 @@
 func (h *Hub[C]) Publish(committed persist.Committed) (newer bool, err error) {
 	v := &committed.Value
 	h.Publisher.SetRollouts(v.Rollouts)
-	if !committed.Known || v.Version == 0 {
+	if !committed.Known || v.Version == configversion.None {
 		return false, nil
 	}
 	if v.Version <= h.Publisher.Version {
@@ -69,7 +70,7 @@
 	}
 	text, err := h.unpack(v.Body)
 	if err != nil {
-		return false, errors.Wrapf(err, "decompress version %08x", v.Version)
+		return false, errors.Wrapf(err, "decompress version %v", v.Version)
 	}
 	h.packed = v.Body
 	return h.Publisher.SetConfig(v.Version, text, nil, committed.AsOf), nil
@@ -131,11 +132,13 @@
 }
 
 // LowestInForce returns the lowest version in force among the subscribers, or dissemination.Unconstrained if there are none.
-func (h *Hub[C]) LowestInForce(now time.Duration) uint32 { return h.Publisher.LowestInForce(now) }
+func (h *Hub[C]) LowestInForce(now time.Duration) configversion.Version {
+	return h.Publisher.LowestInForce(now)
+}
 
 // Announce returns the lowest version in force, and whether it has changed since the last call. If so, the caller announces it to the other
 // control machines.
-func (h *Hub[C]) Announce(now time.Duration) (lowest uint32, changed bool) {
+func (h *Hub[C]) Announce(now time.Duration) (lowest configversion.Version, changed bool) {
 	lowest = h.LowestInForce(now)
 	changed = lowest != h.announced
 	h.announced = lowest
--- a/mesh/controlplane/publishing/hub_test.go
+++ b/mesh/controlplane/publishing/hub_test.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/goleak"
 
+	"firplank/mesh/configversion"
 	"firplank/mesh/directory"
 	"firplank/mesh/dissemination"
 	"firplank/mesh/persist"
@@ -31,7 +32,7 @@
 	return slices.Concat([]byte("text of "), packed), nil
 }
 
-func committed(version uint32, body string, asOf time.Duration) persist.Committed {
+func committed(version configversion.Version, body string, asOf time.Duration) persist.Committed {
 	return persist.Committed{Known: true, Value: register.Value{Version: version, Body: []byte(body)}, AsOf: asOf}
 }
 
@@ -43,7 +44,7 @@
 		committed   persist.Committed
 		newer       bool
 		err         error
-		version     uint32
+		version     configversion.Version
 		text        string
 		packed      string
 		publishedAt time.Duration
@@ -124,8 +125,8 @@
 	for _, c := range []struct {
 		name    string
 		now     time.Duration
-		ack     uint32 // 0: none
-		lowest  uint32
+		ack     configversion.Version // or None
+		lowest  configversion.Version
 		changed bool
 	}{
 		{"the first", 0, 0, 7, true},
--- a/mesh/controlplane/rollouts.go
+++ b/mesh/controlplane/rollouts.go
@@ -11,6 +11,7 @@
 	"firplank/internal/strictjson"
 	"firplank/mesh/api"
 	"firplank/mesh/config"
+	"firplank/mesh/configversion"
 	"firplank/mesh/controlplane/operations"
 	"firplank/mesh/directory"
 	"firplank/mesh/register"
@@ -173,7 +174,7 @@
 
 // hasService reports whether a committed configuration has a service.
 func hasService(v *register.Value, service string) (bool, error) {
-	if v.Version == 0 {
+	if v.Version == configversion.None {
 		return false, errNoConfig
 	}
 	text, err := config.Unpack(v.Body)
--- a/mesh/controlplane/run_test.go
+++ b/mesh/controlplane/run_test.go
@@ -45,16 +45,26 @@
 	return resp.StatusCode, string(b)
 }
 
+// Guards against a first configuration of the version 00000000 that is acknowledged and cannot be read back, and against a second content
+// under that version that is acknowledged as well: both were taken for a version whose record had been dropped.
+func TestRunServesTheLowestVersion(t *testing.T) {
+	testRunServesOperators(t, `{"edition":"00000000","gates":[],"fleets":[]}`)
+}
+
 // The only control machine commits a configuration, returns it, rejects another under the same version, and returns from Run when its
 // context ends; TestMain checks that no goroutine is left.
 func TestRunServesOperatorsAndEnds(t *testing.T) {
+	testRunServesOperators(t, `{"edition":"0000000a","gates":[],"fleets":[]}`)
+}
+
+func testRunServesOperators(t *testing.T, configuration string) {
+	t.Helper()
 	settings := newSoleMachine(t).settings
 	control := settings.Addresses.Control
 	ctx, stop := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- Run(ctx, settings, kitlog.NewNopLogger()) }()
 	call := func(method, path, body string) (int, string) { return callOperatorAPI(t, control, method, path, body) }
-	const configuration = `{"edition":"0000000a","gates":[],"fleets":[]}`
 	status, response := 0, ""
 	for end := time.Now().Add(10 * time.Second); status != http.StatusOK && time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		status, response = call(http.MethodPost, "/Timetable.Replace", configuration)
--- a/mesh/controlplane/status.go
+++ b/mesh/controlplane/status.go
@@ -33,7 +33,7 @@
 		Self:            s.self,
 		Members:         group.Members,
 		PreviousMembers: group.PriorMembers,
-		Version:         value.Version,
+		Version:         value.Version.Optional(),
 		Ballot:          s.pipeline.Replica().CommittedBallot().String(),
 		LeaseHolder:     s.reconciler.LeaseHolder(now),
 		FullyReplicated: reconcile.FullyReplicated(group),
--- a/mesh/dataplane/distribution/event.go
+++ b/mesh/dataplane/distribution/event.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"firplank/mesh/configversion"
 	"firplank/mesh/dataplane/subscribers"
 	"firplank/mesh/dataplane/subscription"
 	"firplank/mesh/wire"
@@ -61,9 +62,9 @@
 // UpdateRejected reports, for the log, that the configuration of an update could not be applied. The Node requests the
 // full text from its parent.
 type UpdateRejected struct {
-	Version        uint32 // carried by the update
-	PresentVersion uint32 // held by the sidecar
-	Err            error  // wraps updates.ErrCorrupt or updates.ErrDeltaMismatch
+	Version        configversion.Version // carried by the update
+	PresentVersion configversion.Version // held by the sidecar
+	Err            error                 // wraps updates.ErrCorrupt or updates.ErrDeltaMismatch
 }
 
 func (Dial) action()           {}
--- a/mesh/dataplane/distribution/node.go
+++ b/mesh/dataplane/distribution/node.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"firplank/mesh/codec"
+	"firplank/mesh/configversion"
 	"firplank/mesh/dataplane/subscribers"
 	"firplank/mesh/dataplane/subscription"
 	"firplank/mesh/dataplane/updates"
@@ -32,8 +33,8 @@
 	updates.ConfigTexts
 	subscribers.Packer
 	// Adopt puts a version of the configuration in force if it is valid. It returns the version that is in force
-	// afterwards, or 0 if there is none.
-	Adopt(version uint32, text []byte) (inForce uint32)
+	// afterwards, or None.
+	Adopt(version configversion.Version, text []byte) (inForce configversion.Version)
 	// DescribeServer updates the fields of the sidecar's own entry that describe the local server.
 	DescribeServer(own *directory.Entry)
 	// RestoreServer restores what another incarnation of this sidecar has announced about the local server.
@@ -59,7 +60,7 @@
 	subscribers  *subscribers.Subscribers
 	parent       Conn // nil if there is none
 
-	inForce  uint32
+	inForce  configversion.Version
 	ready    bool
 	draining bool
 	actions  []Action
@@ -199,7 +200,7 @@
 		n.subscription.SetNeedsFullState(err != nil)
 	}
 	if err != nil {
-		n.actions = append(n.actions, UpdateRejected{Version: f.Version, PresentVersion: presentVersion, Err: err})
+		n.actions = append(n.actions, UpdateRejected{Version: configversion.FromOptional(f.Version), PresentVersion: presentVersion, Err: err})
 	}
 	n.subscription.UpdateApplied(f.Id)
 	n.CheckReady(now)
@@ -228,7 +229,7 @@
 	if n.ready || !n.policy.Ready(now, n.state.Version, n.state.AsOf, n.state.ControlMachines) {
 		return
 	}
-	if n.adopt(); n.inForce == 0 {
+	if n.adopt(); n.inForce == configversion.None {
 		return
 	}
 	n.ready = true
--- a/mesh/dataplane/distribution/node_test.go
+++ b/mesh/dataplane/distribution/node_test.go
@@ -8,6 +8,7 @@
 
 	"firplank/mesh/codec"
 	"firplank/mesh/config"
+	"firplank/mesh/configversion"
 	"firplank/mesh/dataplane/subscription"
 	"firplank/mesh/dataplane/updates"
 	"firplank/mesh/directory"
@@ -24,8 +25,8 @@
 
 // fakeHost adopts every configuration except the versions in invalid.
 type fakeHost struct {
-	invalid     map[uint32]bool
-	inForce     uint32
+	invalid     map[configversion.Version]bool
+	inForce     configversion.Version
 	text        string
 	state       directory.State
 	restored    []directory.Entry
@@ -34,15 +35,17 @@
 	packCount   int
 }
 
-func (*fakeHost) Unpack(_ uint32, packed []byte) ([]byte, error) { return config.Unpack(packed) }
-func (*fakeHost) Intern(_ uint32, text []byte) []byte            { return text }
+func (*fakeHost) Unpack(_ configversion.Version, packed []byte) ([]byte, error) {
+	return config.Unpack(packed)
+}
+func (*fakeHost) Intern(_ configversion.Version, text []byte) []byte { return text }
 
-func (h *fakeHost) Pack(_ uint32, text []byte) []byte {
+func (h *fakeHost) Pack(_ configversion.Version, text []byte) []byte {
 	h.packCount++
 	return config.Pack(text)
 }
 
-func (h *fakeHost) Adopt(version uint32, text []byte) uint32 {
+func (h *fakeHost) Adopt(version configversion.Version, text []byte) configversion.Version {
 	if !h.invalid[version] {
 		h.inForce, h.text = version, string(text)
 	}
@@ -60,6 +63,18 @@
 
 const self = "n1"
 
+// subscriberFrame returns a frame of the subscriber n2 that has a version in force.
+func subscriberFrame(kind wire.Kind, version uint32, entries []*wire.EntryT) *wire.FrameT {
+	f := &wire.FrameT{Kind: kind, From: "n2", Entries: entries}
+	return codec.SetAck(f, dissemination.Ack{Version: configversion.Of(version), LowestInForce: configversion.Of(version)})
+}
+
+// acknowledges reports whether a frame states the version that its sender has, and the lowest in force at the sender and below it.
+func acknowledges(f *wire.FrameT, version, lowest configversion.Version) bool {
+	ack := codec.AckFromFrame(f)
+	return ack.Version == version && ack.LowestInForce == lowest
+}
+
 // durations are those of a deployment with an inForceS of 2 s.
 var durations = timing.DefaultInForce(2 * time.Second)
 
@@ -100,11 +115,11 @@
 }
 
 // updateFor returns the update that a publisher with versions 1 to len(texts) sends to a subscriber with presentVersion.
-func updateFor(t *testing.T, presentVersion uint32, texts ...[]byte) *wire.FrameT {
+func updateFor(t *testing.T, presentVersion configversion.Version, texts ...[]byte) *wire.FrameT {
 	t.Helper()
 	publisher := dissemination.NewPublisher(durations.Dissemination)
 	for i, text := range texts {
-		publisher.SetConfig(uint32(i+1), text, nil, 0)
+		publisher.SetConfig(configversion.Of(uint32(i+1)), text, nil, 0)
 	}
 	publisher.Subscribe(1, presentVersion, 0)
 	due, _ := publisher.Tick(0)
@@ -126,9 +141,9 @@
 	t.Helper()
 	n, h := newNode("c1:1")
 	parent, _ := connect(t, n, 0)
-	n.Handle(0, FrameReceived{parent, updateFor(t, 0, configText("00000001"))})
-	if !n.Ready() || h.readyCount != 1 || h.inForce != 1 {
-		t.Fatalf("ready %v, %d times, with version %d", n.Ready(), h.readyCount, h.inForce)
+	n.Handle(0, FrameReceived{parent, updateFor(t, configversion.None, configText("00000001"))})
+	if !n.Ready() || h.readyCount != 1 || h.inForce != configversion.Of(1) {
+		t.Fatalf("ready %v, %d times, with version %v", n.Ready(), h.readyCount, h.inForce)
 	}
 	n.Publish(0)
 	n.TakeActions()
@@ -140,25 +155,26 @@
 func TestSidecarRequestsFullTextAfterDeltaMismatch(t *testing.T) {
 	n, h, parent := readyNode(t)
 	mismatched := append(configText("00000001"), ' ')
-	n.Handle(time.Second, FrameReceived{parent, updateFor(t, 1, mismatched, configText("00000002"))})
+	n.Handle(time.Second, FrameReceived{parent, updateFor(t, configversion.Of(1), mismatched, configText("00000002"))})
 	rejected, ok := lastAction(n.TakeActions()).(UpdateRejected)
-	if !ok || !errors.Is(rejected.Err, updates.ErrDeltaMismatch) || rejected.Version != 2 || rejected.PresentVersion != 1 {
+	if !ok || !errors.Is(rejected.Err, updates.ErrDeltaMismatch) || rejected.Version != configversion.Of(2) ||
+		rejected.PresentVersion != configversion.Of(1) {
 		t.Errorf("logged %+v", rejected)
 	}
 	n.Adopt()
 	n.Publish(time.Second)
 	sent := frames(n.TakeActions(), parent)
-	if len(sent) != 1 || sent[0].Version != 0 || sent[0].LowestVersion != 1 {
+	if len(sent) != 1 || !acknowledges(sent[0], configversion.None, configversion.Of(1)) {
 		t.Fatalf("reports %+v", sent)
 	}
-	if n.State().Version != 1 {
-		t.Errorf("has version %d", n.State().Version)
+	if n.State().Version != configversion.Of(1) {
+		t.Errorf("has version %v", n.State().Version)
 	}
-	n.Handle(time.Second, FrameReceived{parent, updateFor(t, 0, mismatched, configText("00000002"))})
+	n.Handle(time.Second, FrameReceived{parent, updateFor(t, configversion.None, mismatched, configText("00000002"))})
 	n.Adopt()
 	n.Publish(time.Second)
 	sent = frames(n.TakeActions(), parent)
-	if len(sent) != 1 || sent[0].Version != 2 || sent[0].LowestVersion != 2 || h.text != string(configText("00000002")) {
+	if len(sent) != 1 || !acknowledges(sent[0], configversion.Of(2), configversion.Of(2)) || h.text != string(configText("00000002")) {
 		t.Errorf("reports %+v with %s", sent, h.text)
 	}
 }
@@ -168,7 +184,7 @@
 func TestUpdateOlderThanTheProcessKeepsItsAge(t *testing.T) {
 	n, _ := newNode("c1:1")
 	parent, _ := connect(t, n, 0)
-	f := updateFor(t, 0, configText("00000001"))
+	f := updateFor(t, configversion.None, configText("00000001"))
 	f.AgeMs = 8000
 	n.Handle(100*time.Millisecond, FrameReceived{parent, f})
 	if age := 100*time.Millisecond - n.State().AsOf; age != 8*time.Second {
@@ -183,18 +199,18 @@
 // A sidecar without a present one must not become ready.
 func TestInvalidConfigurationIsNotInForce(t *testing.T) {
 	n, h, parent := readyNode(t)
-	h.invalid = map[uint32]bool{2: true}
-	n.Handle(time.Second, FrameReceived{parent, updateFor(t, 0, configText("00000001"), configText("00000002"))})
+	h.invalid = map[configversion.Version]bool{configversion.Of(2): true}
+	n.Handle(time.Second, FrameReceived{parent, updateFor(t, configversion.None, configText("00000001"), configText("00000002"))})
 	n.Adopt()
 	n.Publish(time.Second)
 	sent := frames(n.TakeActions(), parent)
-	if len(sent) != 1 || sent[0].Version != 2 || sent[0].LowestVersion != 1 || h.inForce != 1 {
-		t.Errorf("reports %+v with version %d", sent, h.inForce)
+	if len(sent) != 1 || !acknowledges(sent[0], configversion.Of(2), configversion.Of(1)) || h.inForce != configversion.Of(1) {
+		t.Errorf("reports %+v with version %v", sent, h.inForce)
 	}
 	n, h = newNode("c1:1")
-	h.invalid = map[uint32]bool{1: true}
+	h.invalid = map[configversion.Version]bool{configversion.Of(1): true}
 	parent, _ = connect(t, n, 0)
-	n.Handle(0, FrameReceived{parent, updateFor(t, 0, configText("00000001"))})
+	n.Handle(0, FrameReceived{parent, updateFor(t, configversion.None, configText("00000001"))})
 	if n.Ready() || h.readyCount != 0 {
 		t.Error("is ready without a configuration")
 	}
@@ -247,7 +263,7 @@
 		codec.EntryToWire(&directory.Entry{Node: "n2", Incarnation: 1, Sequence: 1, LastSeen: time.Second}, time.Second),
 		codec.EntryToWire(&directory.Entry{Node: "n3", Incarnation: 1, Sequence: 1, LastSeen: time.Second, Lost: true}, time.Second),
 	}
-	n.Handle(time.Second, FrameReceived{c, &wire.FrameT{Kind: wire.Report, From: "n2", Entries: entries, Version: 1, LowestVersion: 1}})
+	n.Handle(time.Second, FrameReceived{c, subscriberFrame(wire.Report, 1, entries)})
 	sent := frames(n.TakeActions(), parent)
 	if len(sent) != 1 || len(sent[0].Entries) != 2 || sent[0].From != self {
 		t.Errorf("the parent was sent %+v", sent)
@@ -293,20 +309,20 @@
 func TestRelayReportsTheLowestVersion(t *testing.T) {
 	n, _, parent := readyNode(t)
 	c := &fakeConn{"n2"}
-	n.Handle(time.Second, FrameReceived{c, &wire.FrameT{Kind: wire.Subscribe, From: "n2", Version: 1, LowestVersion: 1}})
-	n.Handle(time.Second, FrameReceived{parent, updateFor(t, 1, configText("00000001"), configText("00000002"))})
+	n.Handle(time.Second, FrameReceived{c, subscriberFrame(wire.Subscribe, 1, nil)})
+	n.Handle(time.Second, FrameReceived{parent, updateFor(t, configversion.Of(1), configText("00000001"), configText("00000002"))})
 	n.Adopt()
 	n.Publish(time.Second)
 	sent := frames(n.TakeActions(), parent)
-	if len(sent) != 1 || sent[0].Version != 2 || sent[0].LowestVersion != 1 {
+	if len(sent) != 1 || !acknowledges(sent[0], configversion.Of(2), configversion.Of(1)) {
 		t.Fatalf("reports %+v", sent)
 	}
-	n.Handle(time.Second, FrameReceived{c, &wire.FrameT{Kind: wire.Report, From: "n2", Version: 2, LowestVersion: 2}})
+	n.Handle(time.Second, FrameReceived{c, subscriberFrame(wire.Report, 2, nil)})
 	n.Publish(time.Second)
-	if sent = frames(n.TakeActions(), parent); len(sent) != 1 || sent[0].LowestVersion != 2 {
+	if sent = frames(n.TakeActions(), parent); len(sent) != 1 || !acknowledges(sent[0], configversion.Of(2), configversion.Of(2)) {
 		t.Errorf("reports %+v", sent)
 	}
-	n.Handle(time.Second, FrameReceived{c, &wire.FrameT{Kind: wire.Report, From: "n2", Version: 1, LowestVersion: 1}})
+	n.Handle(time.Second, FrameReceived{c, subscriberFrame(wire.Report, 1, nil)})
 	n.Handle(time.Second, ConnClosed{c})
 	n.Publish(time.Second)
 	if sent = frames(n.TakeActions(), parent); len(sent) != 0 || n.Subscribers() != 0 {
@@ -355,7 +371,7 @@
 	entries = append(entries, codec.EntryToWire(&directory.Entry{Node: self, Incarnation: 10}, 0))
 	n.Handle(time.Second, FrameReceived{parent, &wire.FrameT{Kind: wire.Update, AgeMs: 1, Entries: entries}})
 	version := n.State().Version
-	n.Handle(10*time.Second, FrameReceived{parent, &wire.FrameT{Kind: wire.Update, Version: version, AgeMs: 1}})
+	n.Handle(10*time.Second, FrameReceived{parent, &wire.FrameT{Kind: wire.Update, Version: version.Optional(), AgeMs: 1}})
 	n.TakeActions()
 	n.Reparent(10 * time.Second)
 	if c, ok := lastAction(n.TakeActions()).(Close); !ok || c.Conn != parent || c.Reason != subscription.RelayFound {
@@ -385,10 +401,10 @@
 // Frames of a former parent, or of a connection that was never the parent, must be ignored.
 func TestFramesOfOtherConnectionsAreIgnored(t *testing.T) {
 	n, h, _ := readyNode(t)
-	n.Handle(time.Second, FrameReceived{&fakeConn{"other"}, updateFor(t, 0, configText("00000001"), configText("00000002"))})
+	n.Handle(time.Second, FrameReceived{&fakeConn{"other"}, updateFor(t, configversion.None, configText("00000001"), configText("00000002"))})
 	n.Adopt()
-	if n.State().Version != 1 || h.inForce != 1 {
-		t.Errorf("has version %d", n.State().Version)
+	if n.State().Version != configversion.Of(1) || h.inForce != configversion.Of(1) {
+		t.Errorf("has version %v", n.State().Version)
 	}
 	n.Handle(time.Second, FrameReceived{&fakeConn{"other"}, &wire.FrameT{Kind: wire.GoAway}})
 	if n.Parent() == nil {
--- a/mesh/dataplane/host.go
+++ b/mesh/dataplane/host.go
@@ -7,6 +7,7 @@
 
 	"firplank/internal/invariant"
 	"firplank/mesh/config"
+	"firplank/mesh/configversion"
 	"firplank/mesh/directory"
 )
 
@@ -15,17 +16,19 @@
 	p *Proxy
 
 	packed        []byte // the compressed text of version packedVersion, shared by all subscribers
-	packedVersion uint32
+	packedVersion configversion.Version
 }
 
 // Unpack implements distribution.Host.
-func (*host) Unpack(_ uint32, packed []byte) ([]byte, error) { return config.Unpack(packed) }
+func (*host) Unpack(_ configversion.Version, packed []byte) ([]byte, error) {
+	return config.Unpack(packed)
+}
 
 // Intern implements distribution.Host. A process has one sidecar and so one copy of the text; nothing is shared.
-func (*host) Intern(_ uint32, text []byte) []byte { return text }
+func (*host) Intern(_ configversion.Version, text []byte) []byte { return text }
 
 // Pack implements distribution.Host.
-func (h *host) Pack(version uint32, text []byte) []byte {
+func (h *host) Pack(version configversion.Version, text []byte) []byte {
 	if h.packedVersion != version {
 		h.packedVersion, h.packed = version, config.Pack(text)
 	}
@@ -34,7 +37,7 @@
 
 // Adopt implements distribution.Host. A text that cannot be parsed leaves the present configuration in force. That is
 // unexpected, as the control machines check each text.
-func (h *host) Adopt(version uint32, text []byte) (inForce uint32) {
+func (h *host) Adopt(version configversion.Version, text []byte) (inForce configversion.Version) {
 	p := h.p
 	next, err := config.ParseCommitted(text)
 	if err != nil {
@@ -42,7 +45,7 @@
 		if cfg := p.cfg.Load(); cfg != nil {
 			return cfg.Version
 		}
-		return 0
+		return configversion.None
 	}
 	p.checkAdoptedConfig(version, next)
 	names := make([]string, 0, len(next.Services))
@@ -88,7 +91,7 @@
 }
 
 // checkAdoptedConfig reports invariants that a configuration would violate, before it is put in force.
-func (p *Proxy) checkAdoptedConfig(version uint32, next *config.Config) {
+func (p *Proxy) checkAdoptedConfig(version configversion.Version, next *config.Config) {
 	if next.Version != version {
 		p.invariants.Violated(invariant.AdoptedVersionMatches, "sent", version, "text", next.Version)
 	}
--- a/mesh/dataplane/incoming.go
+++ b/mesh/dataplane/incoming.go
@@ -12,6 +12,7 @@
 	httpfront "firplank/internal/front/http"
 	"firplank/mesh/attempts"
 	"firplank/mesh/config"
+	"firplank/mesh/configversion"
 )
 
 const (
@@ -67,7 +68,7 @@
 func (d incomingDialect) routedByOutdatedConfig(r *httpfront.Request) bool {
 	cfg := d.config.Load()
 	version, err := strconv.ParseUint(r.Header.Get(versionHeader), 16, 32)
-	if cfg == nil || err != nil || uint32(version) >= cfg.Version {
+	if cfg == nil || err != nil || configversion.Of(uint32(version)) >= cfg.Version {
 		return false
 	}
 	route := cfg.Match(r.Host, routePath(r))
--- a/mesh/dataplane/invariants_test.go
+++ b/mesh/dataplane/invariants_test.go
@@ -13,6 +13,7 @@
 	"firplank/internal/core"
 	"firplank/internal/invariant"
 	"firplank/mesh/config"
+	"firplank/mesh/configversion"
 	"firplank/mesh/dataplane/lasthop"
 )
 
@@ -61,7 +62,7 @@
 func TestAdoptedConfigurationFaultsAreReported(t *testing.T) {
 	for _, c := range []struct {
 		name                string
-		sent, inForce, next uint32
+		sent, inForce, next configversion.Version
 		want                []invariant.Name
 	}{
 		{"the first one", 7, 0, 7, nil},
--- a/mesh/dataplane/links/links_test.go
+++ b/mesh/dataplane/links/links_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/goleak"
 
 	"firplank/mesh/config"
+	"firplank/mesh/configversion"
 	"firplank/mesh/dataplane/distribution"
 	"firplank/mesh/directory"
 	"firplank/mesh/dissemination"
@@ -23,14 +24,16 @@
 // host adopts every configuration.
 type host struct{}
 
-func (host) Unpack(_ uint32, packed []byte) ([]byte, error) { return config.Unpack(packed) }
-func (host) Intern(_ uint32, text []byte) []byte            { return text }
-func (host) Pack(_ uint32, text []byte) []byte              { return config.Pack(text) }
-func (host) Adopt(version uint32, _ []byte) uint32          { return version }
-func (host) DescribeServer(*directory.Entry)                {}
-func (host) RestoreServer(time.Duration, *directory.Entry)  {}
-func (host) IncarnationChanged(uint64)                      {}
-func (host) BecameReady(time.Duration)                      {}
+func (host) Unpack(_ configversion.Version, packed []byte) ([]byte, error) {
+	return config.Unpack(packed)
+}
+func (host) Intern(_ configversion.Version, text []byte) []byte                  { return text }
+func (host) Pack(_ configversion.Version, text []byte) []byte                    { return config.Pack(text) }
+func (host) Adopt(version configversion.Version, _ []byte) configversion.Version { return version }
+func (host) DescribeServer(*directory.Entry)                                     {}
+func (host) RestoreServer(time.Duration, *directory.Entry)                       {}
+func (host) IncarnationChanged(uint64)                                           {}
+func (host) BecameReady(time.Duration)                                           {}
 
 // fakeControlMachine records received frames and ended connections.
 type fakeControlMachine struct {
--- a/mesh/dataplane/metrics.go
+++ b/mesh/dataplane/metrics.go
@@ -111,8 +111,9 @@
 // updateMetrics sets the gauges. It is called by the loop.
 func (p *Proxy) updateMetrics(now time.Duration) {
 	m, state := p.metrics, p.node.State()
+	m.configVersion.Store(-1)
 	if cfg := p.cfg.Load(); cfg != nil {
-		m.configVersion.Store(int64(cfg.Version))
+		m.configVersion.Store(int64(cfg.Version.Number()))
 	}
 	m.configAgeMillis.Store(-1)
 	if state.AsOf != dissemination.TimeUnknown {
--- a/mesh/dataplane/outgoing.go
+++ b/mesh/dataplane/outgoing.go
@@ -58,7 +58,7 @@
 	}
 	c.Message = messageOf(r, body, c.Message.Stream)
 	c.Message.Safe = route.Idempotent()
-	c.Message.ConfigVersion = uint64(cfg.Version)
+	c.Message.ConfigVersion = uint64(cfg.Version.Number())
 	c.Message.Priority = route.Rank
 	c.Request = balance.Request{
 		Class:       svc.classNumber(route),
--- a/mesh/dataplane/subscribers/subscribers.go
+++ b/mesh/dataplane/subscribers/subscribers.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"firplank/mesh/codec"
+	"firplank/mesh/configversion"
 	"firplank/mesh/directory"
 	"firplank/mesh/dissemination"
 	"firplank/mesh/wire"
@@ -34,7 +35,7 @@
 // Packer compresses the text of a version of the configuration, for subscribers that need the full text. It may cache
 // the result.
 type Packer interface {
-	Pack(version uint32, text []byte) []byte
+	Pack(version configversion.Version, text []byte) []byte
 }
 
 // Subscribers is the set of sidecars that subscribe to this one, at most dissemination.MaxSubscribers. It is not safe
@@ -73,7 +74,7 @@
 		return false, nil
 	}
 	s.lastID++
-	if !relaying || !s.state.Subscribe(s.lastID, f.Version, now) {
+	if !relaying || !s.state.Subscribe(s.lastID, configversion.FromOptional(f.Version), now) {
 		return false, []Send{{c, &wire.FrameT{Kind: wire.GoAway}}}
 	}
 	s.ids[c], s.conns[s.lastID] = s.lastID, c
--- a/mesh/dataplane/subscription/subscription.go
+++ b/mesh/dataplane/subscription/subscription.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"firplank/mesh/codec"
+	"firplank/mesh/configversion"
 	"firplank/mesh/directory"
 	"firplank/mesh/dissemination"
 	"firplank/mesh/timing"
@@ -73,7 +74,7 @@
 	self   *directory.Entry         // the sidecar's own entry; read only
 
 	ready   bool
-	inForce uint32 // version of the configuration in force, or 0
+	inForce configversion.Version // of the configuration in force, or None
 
 	phase phase
 	addr  string // of the present parent, or the last one
@@ -102,7 +103,7 @@
 func (s *Subscription) ParentIsRelay() bool { return s.relay }
 
 // SetInForce sets the version of the configuration that is in force on this sidecar. Acknowledgements contain it.
-func (s *Subscription) SetInForce(version uint32) { s.inForce = version }
+func (s *Subscription) SetInForce(version configversion.Version) { s.inForce = version }
 
 // SetReady marks the sidecar as ready. It may subscribe to relays from then on, and searches for one from reparentAt
 // on.
@@ -248,7 +249,7 @@
 }
 
 // ack returns the acknowledgement for this sidecar and its subscribers: the last update applied and the lowest version
-// in force. Version 0 requests the full text.
+// in force. Without a version it requests the full text.
 func (s *Subscription) ack(now time.Duration) dissemination.Ack {
 	a := dissemination.Ack{
 		Nonce:         s.nonce,
@@ -256,7 +257,7 @@
 		LowestInForce: min(s.inForce, s.state.LowestInForce(now)),
 	}
 	if s.needsFullState {
-		a.Version = 0
+		a.Version = configversion.None
 	}
 	return a
 }
--- a/mesh/dataplane/subscription/subscription_test.go
+++ b/mesh/dataplane/subscription/subscription_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"firplank/mesh/codec"
+	"firplank/mesh/configversion"
 	"firplank/mesh/directory"
 	"firplank/mesh/dissemination"
 	"firplank/mesh/timing"
@@ -61,8 +63,14 @@
 	return addr
 }
 
+// acknowledges reports whether a frame states the version that its sender has, and the lowest in force at the sender and below it.
+func acknowledges(f *wire.FrameT, version, lowest configversion.Version) bool {
+	ack := codec.AckFromFrame(f)
+	return ack.Version == version && ack.LowestInForce == lowest
+}
+
 // ready makes the sidecar and its policy ready with a version that is confirmed as the newest at now.
-func (f fixture) ready(t *testing.T, version uint32, now, reparentAt time.Duration) {
+func (f fixture) ready(t *testing.T, version configversion.Version, now, reparentAt time.Duration) {
 	t.Helper()
 	f.state.SetConfig(version, []byte("text"), nil, now)
 	if !f.policy.Ready(now, version, now, nil) {
@@ -143,7 +151,7 @@
 func TestStaleParentIsLeftForAnother(t *testing.T) {
 	f := newFixture(first, second)
 	a := f.connect(t, 0)
-	f.ready(t, 1, 0, time.Hour)
+	f.ready(t, configversion.Of(1), 0, time.Hour)
 	f.UpdateReceived()
 	for now := time.Duration(0); now < 10*time.Second; now += 50 * time.Millisecond {
 		for _, action := range f.Maintain(now, 0) {
@@ -166,7 +174,7 @@
 func TestArrivingFrameKeepsTheParent(t *testing.T) {
 	f := newFixture(first, second)
 	f.connect(t, 0)
-	f.ready(t, 1, 0, time.Hour)
+	f.ready(t, configversion.Of(1), 0, time.Hour)
 	f.UpdateReceived()
 	for now := time.Duration(0); now < 2500*time.Millisecond; now += 50 * time.Millisecond {
 		for _, action := range f.Maintain(now, int64(now)) {
@@ -180,11 +188,11 @@
 func TestHeartbeatsAreSentWhenDueOnceReady(t *testing.T) {
 	f := newFixture(first)
 	f.connect(t, 0)
-	f.state.SetConfig(1, []byte("text"), nil, 0)
+	f.state.SetConfig(configversion.Of(1), []byte("text"), nil, 0)
 	if got := onlyFrame(t, f.Maintain(reportInterval, 0)); got != nil {
 		t.Errorf("sends %+v before it is ready", got)
 	}
-	f.ready(t, 1, reportInterval, time.Hour)
+	f.ready(t, configversion.Of(1), reportInterval, time.Hour)
 	got := onlyFrame(t, f.Maintain(reportInterval, 0))
 	if got == nil || got.Kind != wire.Report || len(got.Entries) != 1 || got.Entries[0].Incarnation != 7 || got.Entries[0].Addr != "" {
 		t.Fatalf("sends %+v", got)
@@ -195,7 +203,7 @@
 	if got = onlyFrame(t, f.Announce(2*reportInterval-1)); got == nil || got.Entries[0].PeerAddr != "n1:1" {
 		t.Errorf("announces %+v", got)
 	}
-	f.state.SetConfig(1, nil, nil, 2*reportInterval)
+	f.state.SetConfig(configversion.Of(1), nil, nil, 2*reportInterval)
 	if got = onlyFrame(t, f.Maintain(3*reportInterval-2, 0)); got != nil {
 		t.Errorf("sends %+v although an announcement has served as a heartbeat", got)
 	}
@@ -208,15 +216,15 @@
 	f := newFixture(first)
 	f.dialedAddr(0)
 	got := onlyFrame(t, f.Dialed(0))
-	if got.Kind != wire.Subscribe || got.From != "n1" || len(got.Entries) != 0 || got.Version != 0 {
+	if got.Kind != wire.Subscribe || got.From != "n1" || len(got.Entries) != 0 || got.Version != nil {
 		t.Errorf("a new sidecar subscribes with %+v", got)
 	}
 	f.ConnectionLost(0)
-	f.ready(t, 3, 0, time.Hour)
+	f.ready(t, configversion.Of(3), 0, time.Hour)
 	f.self.Sequence = 2
 	f.dialedAddr(redialDelay)
 	got = onlyFrame(t, f.Dialed(redialDelay))
-	if len(got.Entries) != 1 || got.Entries[0].Sequence != 2 || got.Version != 3 || got.LowestVersion != 3 {
+	if len(got.Entries) != 1 || got.Entries[0].Sequence != 2 || !acknowledges(got, configversion.Of(3), configversion.Of(3)) {
 		t.Errorf("an announced sidecar subscribes with %+v", got)
 	}
 }
@@ -224,14 +232,14 @@
 func TestChangesAreAcknowledgedOnce(t *testing.T) {
 	f := newFixture(first)
 	f.connect(t, 0)
-	f.ready(t, 4, 0, time.Hour)
+	f.ready(t, configversion.Of(4), 0, time.Hour)
 	if got := onlyFrame(t, f.Acknowledge(0)); got != nil {
 		t.Errorf("acknowledges %+v before an update was received", got)
 	}
 	f.UpdateReceived()
 	f.UpdateApplied(9)
 	got := onlyFrame(t, f.Acknowledge(0))
-	if got == nil || got.Id != 9 || got.Version != 4 || got.LowestVersion != 4 || len(got.Entries) != 0 {
+	if got == nil || got.Id != 9 || !acknowledges(got, configversion.Of(4), configversion.Of(4)) || len(got.Entries) != 0 {
 		t.Fatalf("acknowledges %+v", got)
 	}
 	if got = onlyFrame(t, f.Acknowledge(0)); got != nil {
@@ -240,8 +248,8 @@
 	if f.UpdateApplied(0); onlyFrame(t, f.Acknowledge(0)) != nil {
 		t.Error("acknowledges an update that needs none")
 	}
-	f.state.Subscribe(1, 2, 0)
-	if got = onlyFrame(t, f.Acknowledge(0)); got == nil || got.LowestVersion != 2 {
+	f.state.Subscribe(1, configversion.Of(2), 0)
+	if got = onlyFrame(t, f.Acknowledge(0)); got == nil || configversion.FromOptional(got.LowestVersion) != configversion.Of(2) {
 		t.Errorf("with a subscriber at an earlier version: %+v", got)
 	}
 }
@@ -249,16 +257,16 @@
 func TestFullStateIsRequestedUntilTheNextParent(t *testing.T) {
 	f := newFixture(first)
 	f.connect(t, 0)
-	f.ready(t, 4, 0, time.Hour)
+	f.ready(t, configversion.Of(4), 0, time.Hour)
 	f.UpdateReceived()
 	f.UpdateApplied(9)
 	f.SetNeedsFullState(true)
-	if got := onlyFrame(t, f.Acknowledge(0)); got == nil || got.Version != 0 || got.LowestVersion != 4 || got.Id != 9 {
+	if got := onlyFrame(t, f.Acknowledge(0)); got == nil || !acknowledges(got, configversion.None, configversion.Of(4)) || got.Id != 9 {
 		t.Errorf("acknowledges %+v", got)
 	}
 	f.ConnectionLost(0)
 	f.dialedAddr(redialDelay)
-	if got := onlyFrame(t, f.Dialed(redialDelay)); got.Version != 4 || got.Id != 0 {
+	if got := onlyFrame(t, f.Dialed(redialDelay)); configversion.FromOptional(got.Version) != configversion.Of(4) || got.Id != 0 {
 		t.Errorf("subscribes to the next parent with %+v", got)
 	}
 }
@@ -266,7 +274,7 @@
 func TestRelayIsSoughtFromReparentTimeOn(t *testing.T) {
 	f := newFixture(first)
 	f.connect(t, 0)
-	f.ready(t, 1, 0, 3*time.Second)
+	f.ready(t, configversion.Of(1), 0, 3*time.Second)
 	f.state.Directory.Merge(*f.self, 0)
 	if got := f.Reparent(3*time.Second - 1); got != nil {
 		t.Errorf("searches before reparentAt: %+v", got)
@@ -281,7 +289,7 @@
 	if got := f.Reparent(3*time.Second + reparentInterval - 1); got != nil {
 		t.Errorf("searches again too early: %+v", got)
 	}
-	f.state.SetConfig(1, nil, nil, 3*time.Second+reparentInterval)
+	f.state.SetConfig(configversion.Of(1), nil, nil, 3*time.Second+reparentInterval)
 	got := f.Reparent(3*time.Second + reparentInterval)
 	if len(got) != 1 || got[0] != (Disconnect{Addr: first, Reason: RelayFound}) {
 		t.Fatalf("actions %+v", got)
@@ -299,7 +307,7 @@
 
 func TestNothingIsSentWithoutAParent(t *testing.T) {
 	f := newFixture(first)
-	f.ready(t, 1, 0, 1)
+	f.ready(t, configversion.Of(1), 0, 1)
 	f.UpdateReceived()
 	for name, actions := range map[string][]Action{
 		"a report":           f.Report(0, nil),
--- a/mesh/dataplane/updates/updates.go
+++ b/mesh/dataplane/updates/updates.go
@@ -11,6 +11,7 @@
 
 	"firplank/mesh/codec"
 	"firplank/mesh/config"
+	"firplank/mesh/configversion"
 	"firplank/mesh/directory"
 	"firplank/mesh/dissemination"
 	"firplank/mesh/wire"
@@ -28,9 +29,9 @@
 // to save memory.
 type ConfigTexts interface {
 	// Unpack decompresses the text of a version.
-	Unpack(version uint32, packed []byte) ([]byte, error)
+	Unpack(version configversion.Version, packed []byte) ([]byte, error)
 	// Intern returns the text of a version, or an equal shared one.
-	Intern(version uint32, text []byte) []byte
+	Intern(version configversion.Version, text []byte) []byte
 }
 
 // ApplyEntries applies the entries of an update to the directory, in order. Entries of the sidecar itself are passed to
@@ -67,23 +68,23 @@
 // confirmation that the present version is the newest. It reports whether the update carries a newer version. If the
 // newer version cannot be applied, the error wraps ErrCorrupt or ErrDeltaMismatch and the present text remains.
 func ApplyConfig(state *dissemination.Publisher, texts ConfigTexts, f *wire.FrameT, now time.Duration) (newer bool, err error) {
-	asOf := codec.AsOfFromFrame(f, now)
-	if f.Value == nil && len(f.Deltas) == 0 || f.Version <= state.Version {
-		state.SetConfig(f.Version, nil, nil, asOf)
+	asOf, version := codec.AsOfFromFrame(f, now), configversion.FromOptional(f.Version)
+	if f.Value == nil && len(f.Deltas) == 0 || version <= state.Version {
+		state.SetConfig(version, nil, nil, asOf)
 		return false, nil
 	}
 	if f.Value != nil {
-		text, err := texts.Unpack(f.Version, f.Value.Body)
-		state.SetConfig(f.Version, text, nil, asOf)
+		text, err := texts.Unpack(version, f.Value.Body)
+		state.SetConfig(version, text, nil, asOf)
 		if err != nil {
-			return true, fmt.Errorf("version %d: %w: %w", f.Version, ErrCorrupt, err)
+			return true, fmt.Errorf("version %v: %w: %w", version, ErrCorrupt, err)
 		}
 		return true, nil
 	}
 	text, used, ok := state.ApplyDeltas(codec.DeltasFromFrame(f), config.MaxBytes)
 	if !ok {
-		return true, fmt.Errorf("version %d from %d: %w", f.Version, state.Version, ErrDeltaMismatch)
+		return true, fmt.Errorf("version %v from %v: %w", version, state.Version, ErrDeltaMismatch)
 	}
-	state.SetConfig(f.Version, texts.Intern(f.Version, text), used, asOf)
+	state.SetConfig(version, texts.Intern(version, text), used, asOf)
 	return true, nil
 }
--- a/mesh/dataplane/updates/updates_test.go
+++ b/mesh/dataplane/updates/updates_test.go
@@ -9,6 +9,7 @@
 
 	"firplank/mesh/codec"
 	"firplank/mesh/config"
+	"firplank/mesh/configversion"
 	"firplank/mesh/directory"
 	"firplank/mesh/dissemination"
 	"firplank/mesh/timing"
@@ -16,26 +17,36 @@
 )
 
 // recordingTexts records the versions to be interned, without sharing them.
-type recordingTexts struct{ interned []uint32 }
+// The lowest versions, and that there is none.
+const (
+	none   = configversion.None
+	first  = none + 1
+	second = first + 1
+	third  = second + 1
+)
+
+type recordingTexts struct{ interned []configversion.Version }
 
-func (*recordingTexts) Unpack(_ uint32, packed []byte) ([]byte, error) { return config.Unpack(packed) }
+func (*recordingTexts) Unpack(_ configversion.Version, packed []byte) ([]byte, error) {
+	return config.Unpack(packed)
+}
 
-func (t *recordingTexts) Intern(version uint32, text []byte) []byte {
+func (t *recordingTexts) Intern(version configversion.Version, text []byte) []byte {
 	t.interned = append(t.interned, version)
 	return text
 }
 
-// stateWith returns a state whose versions 1 to len(texts) have these texts.
+// stateWith returns a state whose versions from the lowest one on have these texts.
 func stateWith(texts ...string) *dissemination.Publisher {
 	p := dissemination.NewPublisher(timing.Default().Dissemination)
 	for i, text := range texts {
-		p.SetConfig(uint32(i+1), []byte(text), nil, time.Second)
+		p.SetConfig(configversion.Of(uint32(i)), []byte(text), nil, time.Second)
 	}
 	return p
 }
 
 // updateFor returns the update that p sends to a subscriber with presentVersion.
-func updateFor(p *dissemination.Publisher, presentVersion uint32) *wire.FrameT {
+func updateFor(p *dissemination.Publisher, presentVersion configversion.Version) *wire.FrameT {
 	p.Subscribe(99, presentVersion, time.Second)
 	defer p.Unsubscribe(99)
 	updates, _ := p.Tick(time.Second)
@@ -44,9 +55,9 @@
 
 func TestApplyConfig(t *testing.T) {
 	two, three := stateWith("one", "two"), stateWith("one", "two", "three")
-	corrupt := updateFor(two, 0)
+	corrupt := updateFor(two, none)
 	corrupt.Value.Body = []byte("nothing that was packed")
-	broken := updateFor(two, 1)
+	broken := updateFor(two, first)
 	broken.Deltas[0].Bytes = broken.Deltas[0].Bytes[:1]
 	for _, c := range []struct {
 		name    string
@@ -54,23 +65,23 @@
 		frame   *wire.FrameT
 		newer   bool
 		err     error
-		version uint32
+		version configversion.Version
 		text    string
 		intern  string
 		asOf    time.Duration
 	}{
-		{"the first version", nil, updateFor(stateWith("one"), 0), true, nil, 1, "one", "[]", 4 * time.Second},
-		{"a full text", []string{"one"}, updateFor(two, 0), true, nil, 2, "two", "[]", 4 * time.Second},
-		{"a delta", []string{"one"}, updateFor(two, 1), true, nil, 2, "two", "[2]", 4 * time.Second},
-		{"deltas over two versions", []string{"one"}, updateFor(three, 1), true, nil, 3, "three", "[3]", 4 * time.Second},
-		{"deltas with an earlier base", []string{"one", "two"}, updateFor(three, 1), true, nil, 3, "three", "[3]", 4 * time.Second},
-		{"a confirmation", []string{"one"}, updateFor(stateWith("one"), 1), false, nil, 1, "one", "[]", 4 * time.Second},
-		{"the same text again", []string{"one"}, updateFor(stateWith("one"), 0), false, nil, 1, "one", "[]", 4 * time.Second},
-		{"an older version", []string{"one", "two"}, updateFor(stateWith("one"), 0), false, nil, 2, "two", "[]", time.Second},
-		{"a corrupt text", []string{"one"}, corrupt, true, ErrCorrupt, 1, "one", "[]", time.Second},
-		{"a delta with a different base text", []string{"uno"}, updateFor(two, 1), true, ErrDeltaMismatch, 1, "uno", "[]", time.Second},
-		{"a delta with a later base version", []string{"one"}, updateFor(three, 2), true, ErrDeltaMismatch, 1, "one", "[]", time.Second},
-		{"a truncated delta", []string{"one"}, broken, true, ErrDeltaMismatch, 1, "one", "[]", time.Second},
+		{"the first version", nil, updateFor(stateWith("one"), none), true, nil, first, "one", "[]", 4 * time.Second},
+		{"a full text", []string{"one"}, updateFor(two, none), true, nil, second, "two", "[]", 4 * time.Second},
+		{"a delta", []string{"one"}, updateFor(two, first), true, nil, second, "two", "[00000001]", 4 * time.Second},
+		{"deltas over two versions", []string{"one"}, updateFor(three, first), true, nil, third, "three", "[00000002]", 4 * time.Second},
+		{"deltas of earlier bases", []string{"one", "two"}, updateFor(three, first), true, nil, third, "three", "[00000002]", 4 * time.Second},
+		{"a confirmation", []string{"one"}, updateFor(stateWith("one"), first), false, nil, first, "one", "[]", 4 * time.Second},
+		{"the same text again", []string{"one"}, updateFor(stateWith("one"), none), false, nil, first, "one", "[]", 4 * time.Second},
+		{"an older version", []string{"one", "two"}, updateFor(stateWith("one"), none), false, nil, second, "two", "[]", time.Second},
+		{"a corrupt text", []string{"one"}, corrupt, true, ErrCorrupt, first, "one", "[]", time.Second},
+		{"a delta with a different base text", []string{"uno"}, updateFor(two, first), true, ErrDeltaMismatch, first, "uno", "[]", time.Second},
+		{"a delta with a later base version", []string{"one"}, updateFor(three, second), true, ErrDeltaMismatch, first, "one", "[]", time.Second},
+		{"a truncated delta", []string{"one"}, broken, true, ErrDeltaMismatch, first, "one", "[]", time.Second},
 	} {
 		state, shared := stateWith(c.held...), &recordingTexts{}
 		c.frame.AgeMs = 1000
@@ -79,7 +90,7 @@
 			t.Errorf("%s: newer %v, %v", c.name, newer, err)
 		}
 		if state.Version != c.version || string(state.Text) != c.text || state.AsOf != c.asOf || fmt.Sprint(shared.interned) != c.intern {
-			t.Errorf("%s: version %d, %q of %v, interned %v", c.name, state.Version, state.Text, state.AsOf, shared.interned)
+			t.Errorf("%s: version %v, %q of %v, interned %v", c.name, state.Version, state.Text, state.AsOf, shared.interned)
 		}
 	}
 }
--- a/mesh/dissemination/confirmations.go
+++ b/mesh/dissemination/confirmations.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"firplank/mesh/configversion"
 	"firplank/mesh/timing"
 )
 
@@ -31,24 +32,24 @@
 
 // peerReport is the lowest version in force at the subscribers of another control machine, and when that was reported.
 type peerReport struct {
-	lowestInForce uint32
+	lowestInForce configversion.Version
 	receivedAt    time.Duration
 }
 
 type pendingOperation struct {
 	id       uint64
-	version  uint32
+	version  configversion.Version
 	deadline time.Duration
 }
 
 // RecordPeer records the lowest version in force that another control machine reports for its subscribers.
-func (c *Confirmations) RecordPeer(peer string, lowest uint32, now time.Duration) {
+func (c *Confirmations) RecordPeer(peer string, lowest configversion.Version, now time.Duration) {
 	c.peers[peer] = peerReport{lowestInForce: lowest, receivedAt: now}
 }
 
 // lowestInForce returns the lowest version in force at any sidecar. The argument lowest is the one of this machine's subscribers. Expired
 // peer reports are deleted.
-func (c *Confirmations) lowestInForce(lowest uint32, now time.Duration) uint32 {
+func (c *Confirmations) lowestInForce(lowest configversion.Version, now time.Duration) configversion.Version {
 	for peer, report := range c.peers {
 		if now-report.receivedAt > c.durations.PeerReportTTL {
 			delete(c.peers, peer)
@@ -61,7 +62,7 @@
 
 // Defer defers the confirmation of an operation whose request arrived at arrivedAt. localLowest is the lowest version in force at this
 // machine's subscribers. Defer returns false if the operation is to be confirmed at once.
-func (c *Confirmations) Defer(id uint64, version, localLowest uint32, arrivedAt, now time.Duration) bool {
+func (c *Confirmations) Defer(id uint64, version, localLowest configversion.Version, arrivedAt, now time.Duration) bool {
 	deadline := arrivedAt + c.durations.AckTimeout
 	if len(c.pending) >= maxPendingOperations || now >= deadline || c.lowestInForce(localLowest, now) >= version {
 		return false
@@ -72,7 +73,7 @@
 
 // Release removes the operations that are to be confirmed now and returns their IDs. next is when to call it again if no report arrives
 // earlier.
-func (c *Confirmations) Release(localLowest uint32, now time.Duration) (confirmed []uint64, next time.Duration) {
+func (c *Confirmations) Release(localLowest configversion.Version, now time.Duration) (confirmed []uint64, next time.Duration) {
 	next = now + c.durations.AckTimeout
 	if len(c.pending) == 0 {
 		return nil, next
--- a/mesh/dissemination/deltahistory.go
+++ b/mesh/dissemination/deltahistory.go
@@ -1,5 +1,7 @@
 package dissemination
 
+import "firplank/mesh/configversion"
+
 // Bounds of the deltas that a publisher keeps. A subscriber whose version is older gets the full text.
 const (
 	maxDeltas     = 64
@@ -29,7 +31,7 @@
 }
 
 // since returns the deltas that lead from a version to the current one, or nil if the version is not in the chain.
-func (h *deltaHistory) since(version uint32) []Delta {
+func (h *deltaHistory) since(version configversion.Version) []Delta {
 	for i := range h.deltas {
 		if h.deltas[i].Base == version {
 			return h.deltas[i:len(h.deltas):len(h.deltas)]
--- a/mesh/dissemination/deltahistory_test.go
+++ b/mesh/dissemination/deltahistory_test.go
@@ -1,6 +1,10 @@
 package dissemination
 
-import "testing"
+import (
+	"testing"
+
+	"firplank/mesh/configversion"
+)
 
 func TestDeltaHistoryIsClearedAtGap(t *testing.T) {
 	var h deltaHistory
@@ -20,7 +24,7 @@
 
 func TestDeltaHistoryIsBounded(t *testing.T) {
 	var h deltaHistory
-	for v := range uint32(2 * maxDeltas) {
+	for v := range configversion.Version(2 * maxDeltas) {
 		h.add([]Delta{{Base: v, Version: v + 1, Bytes: []byte("x")}})
 	}
 	if len(h.deltas) != maxDeltas || h.bytes != maxDeltas {
--- a/mesh/dissemination/publisher.go
+++ b/mesh/dissemination/publisher.go
@@ -17,6 +17,7 @@
 import (
 	"time"
 
+	"firplank/mesh/configversion"
 	"firplank/mesh/delta"
 	"firplank/mesh/directory"
 	"firplank/mesh/rollout"
@@ -37,8 +38,8 @@
 type Publisher struct {
 	// Directory is the published directory. The owner changes it by the directory's own methods.
 	Directory *directory.Directory
-	// Version is the published version of the configuration, or 0 if there is none.
-	Version uint32
+	// Version is the published version of the configuration, or None.
+	Version configversion.Version
 	// Text is the configuration's text. It is shared and must not be modified.
 	Text []byte
 	// AsOf is a time at which Version was the newest version that a majority had, or TimeUnknown.
@@ -61,7 +62,7 @@
 // SetConfig records that a version was the newest at asOf. text may be nil if the version is the current one. deltas lead from the current
 // version to the new one; if there are none, one is computed. SetConfig reports whether the version is newer than the current one and is
 // now published.
-func (p *Publisher) SetConfig(version uint32, text []byte, deltas []Delta, asOf time.Duration) bool {
+func (p *Publisher) SetConfig(version configversion.Version, text []byte, deltas []Delta, asOf time.Duration) bool {
 	newer := version > p.Version && text != nil
 	if newer {
 		if len(deltas) == 0 {
@@ -86,8 +87,8 @@
 	return true
 }
 
-func (p *Publisher) computeDelta(version uint32, text []byte) []Delta {
-	if p.Version == 0 || len(p.Text) > maxDiffBytes || len(text) > maxDiffBytes {
+func (p *Publisher) computeDelta(version configversion.Version, text []byte) []Delta {
+	if p.Version == configversion.None || len(p.Text) > maxDiffBytes || len(text) > maxDiffBytes {
 		return nil
 	}
 	return []Delta{{Base: p.Version, Version: version, Bytes: delta.Encode(p.Text, text)}}
@@ -113,9 +114,9 @@
 	return text, used, len(used) > 0
 }
 
-// Subscribe adds a subscriber that has a version of the configuration (0 for none) and no directory entries. It returns false if there are
+// Subscribe adds a subscriber that has a version of the configuration (or None) and no directory entries. It returns false if there are
 // MaxSubscribers already.
-func (p *Publisher) Subscribe(id uint64, version uint32, now time.Duration) bool {
+func (p *Publisher) Subscribe(id uint64, version configversion.Version, now time.Duration) bool {
 	if len(p.subscriptions) >= MaxSubscribers {
 		return false
 	}
@@ -138,8 +139,8 @@
 
 // LowestInForce returns the lowest version in force among the subscribers that have reported within SubscriberTimeout, or Unconstrained if
 // there are none.
-func (p *Publisher) LowestInForce(now time.Duration) uint32 {
-	lowest := uint32(Unconstrained)
+func (p *Publisher) LowestInForce(now time.Duration) configversion.Version {
+	lowest := Unconstrained
 	for _, s := range p.subscriptions {
 		if now-s.lastAck <= p.durations.SubscriberTimeout {
 			lowest = min(lowest, s.lowestInForce)
--- a/mesh/dissemination/publisher_test.go
+++ b/mesh/dissemination/publisher_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"firplank/mesh/configversion"
 	"firplank/mesh/delta"
 	"firplank/mesh/directory"
 	"firplank/mesh/rollout"
@@ -61,7 +62,7 @@
 	p := NewPublisher(durations)
 	p.SetConfig(1, []byte("text number 1"), nil, 0)
 	p.Subscribe(1, 1, 0)
-	text, version, nonce := []byte("text number 1"), uint32(1), uint64(0)
+	text, version, nonce := []byte("text number 1"), configversion.Version(1), uint64(0)
 	updates := 0
 	for now := time.Duration(0); now <= 10*time.Second; now += 50 * time.Millisecond {
 		if now < 9*time.Second {
--- a/mesh/dissemination/subscriber.go
+++ b/mesh/dissemination/subscriber.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"firplank/mesh/configversion"
 	"firplank/mesh/timing"
 )
 
@@ -62,13 +63,13 @@
 	s.lastFailure[addr] = now
 }
 
-// Ready reports whether the sidecar is ready. Once ready, it stays ready. version is the sidecar's configuration version (0 for none),
+// Ready reports whether the sidecar is ready. Once ready, it stays ready. version is the sidecar's configuration version (or None),
 // which was the newest at asOf (TimeUnknown if that is not known).
-func (s *Subscriber) Ready(now time.Duration, version uint32, asOf time.Duration, machines []ControlMachine) bool {
+func (s *Subscriber) Ready(now time.Duration, version configversion.Version, asOf time.Duration, machines []ControlMachine) bool {
 	searchedFor := now - s.StartedAt
 	switch {
 	case s.ready:
-	case version == 0 || asOf == TimeUnknown:
+	case version == configversion.None || asOf == TimeUnknown:
 	case now-asOf <= s.durations.MaxReadyAge:
 		s.ready = true
 	case searchedFor >= maxSearchFactor*s.durations.StaleFallbackDelay:
--- a/mesh/dissemination/subscriber_test.go
+++ b/mesh/dissemination/subscriber_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"firplank/mesh/configversion"
 	"firplank/mesh/timing"
 )
 
@@ -17,7 +18,7 @@
 	for _, c := range []struct {
 		name      string
 		now, asOf time.Duration
-		version   uint32
+		version   configversion.Version
 		failed    []string
 		want      bool
 	}{
--- a/mesh/dissemination/subscription.go
+++ b/mesh/dissemination/subscription.go
@@ -1,6 +1,10 @@
 package dissemination
 
-import "time"
+import (
+	"time"
+
+	"firplank/mesh/configversion"
+)
 
 const (
 	// maxUnackedEntries is the maximum number of entries that are pushed without awaiting an acknowledgement, or together with a
@@ -14,21 +18,21 @@
 
 // subscription is a publisher's state for one subscriber.
 type subscription struct {
-	directoryRevision      uint64 // revision of the directory up to which entries were pushed
-	sentRolloutRevision    uint32 // revision of the rollouts that were pushed
-	sentVersion            uint32 // version that the subscriber has after applying all updates pushed so far
-	nonce                  uint64 // of the last update with a nonce
-	awaitingAck            bool   // the update with that nonce is not acknowledged yet
-	lowestInForce          uint32
+	directoryRevision      uint64                // revision of the directory up to which entries were pushed
+	sentRolloutRevision    uint32                // revision of the rollouts that were pushed
+	sentVersion            configversion.Version // version that the subscriber has after applying all updates pushed so far
+	nonce                  uint64                // of the last update with a nonce
+	awaitingAck            bool                  // the update with that nonce is not acknowledged yet
+	lowestInForce          configversion.Version
 	lastAck                time.Duration
 	lastPush               time.Duration
 	changedAt              time.Duration // when the oldest change not yet pushed was detected, or noChange
 	pushesUntilMachineList int           // number of pushes until the list of control machines is sent again
 }
 
-// newSubscription returns the state for a subscriber that has a version of the configuration (0 for none). Its first push is due a
+// newSubscription returns the state for a subscriber that has a version of the configuration (or None). Its first push is due a
 // heartbeat interval after lastPush, or batchDelay after now, whichever is earlier.
-func newSubscription(version uint32, lastPush, now time.Duration) *subscription {
+func newSubscription(version configversion.Version, lastPush, now time.Duration) *subscription {
 	return &subscription{
 		sentVersion:   version,
 		lowestInForce: version,
--- a/mesh/dissemination/update.go
+++ b/mesh/dissemination/update.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"firplank/mesh/configversion"
 	"firplank/mesh/directory"
 	"firplank/mesh/rollout"
 )
@@ -13,7 +14,7 @@
 const TimeUnknown = time.Duration(math.MinInt64)
 
 // Unconstrained is the value of LowestInForce for a process without subscribers that a configuration has to reach.
-const Unconstrained = math.MaxUint32
+const Unconstrained = configversion.Highest
 
 // ControlMachine is a control machine that sidecars can subscribe to.
 type ControlMachine struct {
@@ -24,9 +25,9 @@
 
 // Delta is the difference between the texts of two versions of the configuration.
 type Delta struct {
-	Base    uint32 // version that the delta applies to
-	Version uint32 // version that results, later than Base
-	Bytes   []byte // encoded by package delta; must not be modified
+	Base    configversion.Version // version that the delta applies to
+	Version configversion.Version // version that results, later than Base
+	Bytes   []byte                // encoded by package delta; must not be modified
 }
 
 // Update is one push to a subscriber. Its slices are shared and must not be modified.
@@ -36,7 +37,7 @@
 	// entries are pushed until the acknowledgement arrives.
 	Nonce uint64
 	// Version is the version of the configuration that the subscriber has after applying the update.
-	Version uint32
+	Version configversion.Version
 	// AsOf is a time at which Version was the newest version that a majority had, by the publisher's clock. With TimeUnknown the update
 	// says nothing about the age of Version.
 	AsOf time.Duration
@@ -58,7 +59,7 @@
 	Nonce uint64
 	// Version is the version that the subscriber has. A version lower than the pushed one means that a delta did not apply and the full
 	// text is needed (a NACK in xDS).
-	Version uint32
+	Version configversion.Version
 	// LowestInForce is the lowest version in force at the subscriber and its own subscribers, or Unconstrained.
-	LowestInForce uint32
+	LowestInForce configversion.Version
 }
--- a/mesh/register/event.go
+++ b/mesh/register/event.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"firplank/mesh/configversion"
 	"firplank/mesh/rollout"
 )
 
@@ -26,7 +27,7 @@
 // version's record in favor of higher versions. It is a Conflict once a quorum has recorded another content for the version.
 type Put struct {
 	ID      uint64
-	Version uint32
+	Version configversion.Version
 	Content Content // hash of the bytes that the operator sent; Body may be an encoding of them
 	Body    []byte
 }
--- a/mesh/register/history.go
+++ b/mesh/register/history.go
@@ -5,6 +5,8 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"slices"
+
+	"firplank/mesh/configversion"
 )
 
 // MaxRecords is the maximum number of records in a History, which keeps those of the highest versions. With RecordSize bytes each they
@@ -29,14 +31,14 @@
 
 // Record states with which content a version was written.
 type Record struct {
-	Version uint32
+	Version configversion.Version
 	Content Content
 }
 
 // History records the content of the versions that were written. It is immutable: With returns another one.
 type History struct {
-	Floor   uint32   // records of versions up to this one were dropped
-	Records []Record // sorted by version, all above Floor, at most MaxRecords
+	Floor   configversion.Version // records of versions up to this one were dropped; None: none were
+	Records []Record              // sorted by version, all above Floor, at most MaxRecords
 }
 
 // RecordState is the relation of a version and its content to the records of a History.
@@ -59,7 +61,7 @@
 }
 
 // Find returns the record of a version. ok is false if there is none.
-func (h History) Find(version uint32) (record Record, ok bool) {
+func (h History) Find(version configversion.Version) (record Record, ok bool) {
 	i, found := h.search(version)
 	if !found {
 		return Record{}, false
@@ -68,14 +70,14 @@
 }
 
 // search returns the index of a version's record, or the index at which it would be inserted.
-func (h History) search(version uint32) (index int, found bool) {
-	return slices.BinarySearchFunc(h.Records, version, func(r Record, version uint32) int {
+func (h History) search(version configversion.Version) (index int, found bool) {
+	return slices.BinarySearchFunc(h.Records, version, func(r Record, version configversion.Version) int {
 		return cmp.Compare(r.Version, version)
 	})
 }
 
 // StateOf returns the state of a version that is to be written with a content.
-func (h History) StateOf(version uint32, content Content) RecordState {
+func (h History) StateOf(version configversion.Version, content Content) RecordState {
 	record, found := h.Find(version)
 	switch {
 	case found && record.Content == content:
--- a/mesh/register/history_test.go
+++ b/mesh/register/history_test.go
@@ -3,13 +3,15 @@
 import (
 	"slices"
 	"testing"
+
+	"firplank/mesh/configversion"
 )
 
 // A history keeps the records of the MaxRecords highest versions, and reports versions whose record it may have dropped as BelowFloor.
 func TestFullHistoryDropsLowestVersion(t *testing.T) {
 	x, y := ContentOf([]byte("x")), ContentOf([]byte("y"))
 	var h History
-	for version := uint32(2); version <= 2*(MaxRecords+10); version += 2 {
+	for version := configversion.Version(2); version <= 2*(MaxRecords+10); version += 2 {
 		before := slices.Clone(h.Records)
 		next := h.With(Record{version, x})
 		if !slices.Equal(h.Records, before) {
@@ -23,7 +25,7 @@
 	h = h.With(Record{41, y})
 	for _, c := range []struct {
 		name    string
-		version uint32
+		version configversion.Version
 		content Content
 		want    RecordState
 	}{
--- a/mesh/register/message.go
+++ b/mesh/register/message.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 
+	"firplank/mesh/configversion"
 	"firplank/mesh/rollout"
 )
 
@@ -23,11 +24,11 @@
 
 // Value is the content of the register. A Value is immutable, because its slices are shared.
 type Value struct {
-	Version      uint32   // of the configuration; 0: there is none yet
-	Body         []byte   // the configuration, as in its Put
-	History      History  // the content that each version was written with
-	Members      []string // addresses, sorted
-	PriorMembers []string // while a change of members is under way: the members before it; otherwise empty
+	Version      configversion.Version // of the configuration
+	Body         []byte                // the configuration, as in its Put
+	History      History               // the content that each version was written with
+	Members      []string              // addresses, sorted
+	PriorMembers []string              // while a change of members is under way: the members before it; otherwise empty
 	Rollouts     rollout.Set
 }
 
--- a/mesh/register/timeline_test.go
+++ b/mesh/register/timeline_test.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/datadriven"
 
 	"firplank/lab/timeline"
+	"firplank/mesh/configversion"
 )
 
 // linkDelay is how long a message takes between two replicas of a cluster.
@@ -68,7 +69,7 @@
 	}
 	for _, o := range output.Outcomes {
 		if operation, ok := c.pendingOperations[o.ID]; ok {
-			c.logf(now, "%s: %s, version %d %s", c.names[i], operation+resultSuffixes[o.Result], o.Value.Version, o.Value.Body)
+			c.logf(now, "%s: %s, version %s %s", c.names[i], operation+resultSuffixes[o.Result], versionText(o.Value.Version), o.Value.Body)
 			delete(c.pendingOperations, o.ID)
 		}
 	}
@@ -132,13 +133,21 @@
 		delete(c.disconnected, i)
 	case "show":
 		state := c.replicas[i].State()
-		c.logf(now, "%s has version %d on disk, members %v, prior %v", c.names[i], state.Value.Version, state.Value.Members,
+		c.logf(now, "%s has version %s on disk, members %v, prior %v", c.names[i], versionText(state.Value.Version), state.Value.Members,
 			state.Value.PriorMembers)
 	default:
 		c.runOperationCell(now, i, verb, argument)
 	}
 }
 
+// versionText returns the number of a version in a timeline's log.
+func versionText(v configversion.Version) string {
+	if v == configversion.None {
+		return "none"
+	}
+	return strconv.FormatUint(uint64(v.Number()), 10)
+}
+
 // runOperationCell executes a cell that starts an operation.
 func (c *cluster) runOperationCell(now time.Duration, i int, verb, argument string) {
 	switch verb {
@@ -146,7 +155,7 @@
 		version, body, _ := strings.Cut(argument, "=")
 		number, _ := strconv.Atoi(version)
 		c.startOperation(now, i, "put "+argument, func(id uint64) Event {
-			return Put{ID: id, Version: uint32(number), Content: ContentOf([]byte(body)), Body: []byte(body)}
+			return Put{ID: id, Version: configversion.Of(uint32(number)), Content: ContentOf([]byte(body)), Body: []byte(body)}
 		})
 	case "read":
 		c.startOperation(now, i, "read", func(id uint64) Event { return LinearizableRead{id} })
--- a/mesh/storage/bench_test.go
+++ b/mesh/storage/bench_test.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/pebble/v2/vfs"
 
 	"firplank/mesh/config"
+	"firplank/mesh/configversion"
 	"firplank/mesh/register"
 )
 
@@ -99,8 +100,8 @@
 		return err
 	}
 	s.Accepted = ballot
-	s.Value.Version, s.Value.Body = uint32(version), body
-	s.Value.History = s.Value.History.With(register.Record{Version: uint32(version), Content: register.ContentOf(body)})
+	s.Value.Version, s.Value.Body = configversion.Of(uint32(version)), body
+	s.Value.History = s.Value.History.With(register.Record{Version: configversion.Of(uint32(version)), Content: register.ContentOf(body)})
 	return save(s)
 }
 
--- a/mesh/storage/compatibility_test.go
+++ b/mesh/storage/compatibility_test.go
@@ -8,6 +8,7 @@
 	"reflect"
 	"testing"
 
+	"firplank/mesh/configversion"
 	"firplank/mesh/register"
 )
 
@@ -17,15 +18,15 @@
 		Promised: register.Ballot{Number: uint64(version) + 5, Proposer: "10.3.0.12:7620"},
 		Accepted: register.Ballot{Number: uint64(version), Proposer: "10.2.0.11:7620"},
 		Value: register.Value{
-			Version:      version,
+			Version:      configversion.Of(version),
 			Body:         bytes.Repeat(fmt.Appendf(nil, `{"edition":%d}`, version), 100),
 			Members:      []string{"10.1.0.13:7620", "10.2.0.11:7620", "10.3.0.12:7620"},
 			PriorMembers: []string{"10.1.0.13:7620", "10.2.0.11:7620", "10.3.0.11:7620"},
 			History: register.History{
-				Floor: version - 2,
+				Floor: configversion.Of(version - 2),
 				Records: []register.Record{
-					{Version: version - 1, Content: register.ContentOf([]byte("before"))},
-					{Version: version, Content: register.ContentOf([]byte("content"))},
+					{Version: configversion.Of(version - 1), Content: register.ContentOf([]byte("before"))},
+					{Version: configversion.Of(version), Content: register.ContentOf([]byte("content"))},
 				},
 			},
 		},
--- a/mesh/storage/failstop_test.go
+++ b/mesh/storage/failstop_test.go
@@ -12,6 +12,8 @@
 	"github.com/cockroachdb/pebble/v2/vfs"
 	"github.com/cockroachdb/pebble/v2/vfs/errorfs"
 	"github.com/go-faster/errors"
+
+	"firplank/mesh/configversion"
 )
 
 // writeErrorInjector fails, while it is enabled, all changes to paths that contain pathPart.
@@ -66,7 +68,7 @@
 			t.Errorf("%s: %d generations are not closed", pathPart, n)
 		}
 		closeStore(t, store)
-		if c, err := ReadFS(memory, testFolder); err != nil || c.State.Value.Version != 50 {
+		if c, err := ReadFS(memory, testFolder); err != nil || c.State.Value.Version != configversion.Of(50) {
 			t.Errorf("%s: %+v, %v", pathPart, c, err)
 		}
 	}
@@ -173,7 +175,7 @@
 	if err := store.Save(testState(2)); err != nil || store.closingGenerations.Load() != 1 {
 		t.Errorf("save with %d stalled generations: %v", store.closingGenerations.Load(), err)
 	}
-	if c, err := ReadFS(disk, testFolder); err != nil || c.State.Value.Version != 2 {
+	if c, err := ReadFS(disk, testFolder); err != nil || c.State.Value.Version != configversion.Of(2) {
 		t.Errorf("%+v, %v", c, err)
 	}
 	close(disk.release)
--- a/mesh/storage/store_test.go
+++ b/mesh/storage/store_test.go
@@ -17,6 +17,7 @@
 	"github.com/cockroachdb/pebble/v2/vfs/errorfs"
 	"github.com/go-faster/errors"
 
+	"firplank/mesh/configversion"
 	"firplank/mesh/register"
 )
 
@@ -31,12 +32,12 @@
 		Promised: register.Ballot{Number: 9, Proposer: "a"},
 		Accepted: register.Ballot{Number: uint64(version), Proposer: "b"},
 		Value: register.Value{
-			Version:      version,
+			Version:      configversion.Of(version),
 			Body:         bytes.Repeat([]byte{byte(version)}, bodySize),
 			Members:      []string{"a", "b", "c"},
 			PriorMembers: []string{"a"},
 			History: register.History{
-				Records: []register.Record{{Version: version, Content: register.ContentOf([]byte("x"))}},
+				Records: []register.Record{{Version: configversion.Of(version), Content: register.ContentOf([]byte("x"))}},
 			},
 		},
 		Incarnations:     map[string]uint32{"c": 4},
--- a/mesh/transport/transport_test.go
+++ b/mesh/transport/transport_test.go
@@ -12,6 +12,7 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/goleak"
 
+	"firplank/mesh/configversion"
 	"firplank/mesh/wire"
 )
 
@@ -225,17 +226,21 @@
 			t.Fatal("the large frame is not queued")
 		}
 		time.Sleep(stall / 4) // writeLoop blocks on the large frame, as the peer does not read
-		if !c.Send(&wire.FrameT{Kind: wire.Update, AgeMs: ageMs, Version: 7}) {
+		if !c.Send(&wire.FrameT{Kind: wire.Update, AgeMs: ageMs, Version: new(uint32(7))}) {
 			t.Fatal("the update is not queued")
 		}
 		time.Sleep(stall)
 		for _, want := range []struct {
-			version uint32
+			version configversion.Version
 			age     time.Duration
-		}{{0, 0}, {7, stall}} {
+		}{{configversion.None, 0}, {configversion.Of(7), stall}} {
 			f, err := wire.ReadFrame(far)
-			if err != nil || f.Version != want.version || time.Duration(f.AgeMs)*time.Millisecond < want.age {
-				t.Errorf("%v: version %d with an age of %d ms, want version %d with at least %v", err, f.Version, f.AgeMs, want.version, want.age)
+			if err != nil {
+				t.Fatal(err)
+			}
+			version := configversion.FromOptional(f.Version)
+			if version != want.version || time.Duration(f.AgeMs)*time.Millisecond < want.age {
+				t.Errorf("version %v with an age of %d ms, want version %v with at least %v", version, f.AgeMs, want.version, want.age)
 			}
 		}
 	})
--- a/mesh/wire/Frame.go
+++ b/mesh/wire/Frame.go
@@ -18,13 +18,13 @@
 	Incarnations    []*IncarnationT `json:"incarnations"`
 	Incarnation     uint32          `json:"incarnation"`
 	AgeMs           uint32          `json:"age_ms"`
-	Version         uint32          `json:"version"`
+	Version         *uint32         `json:"version"`
 	Reserved        uint64          `json:"reserved"`
 	Entries         []*EntryT       `json:"entries"`
 	Machines        []*MachineT     `json:"machines"`
 	Text            string          `json:"text"`
 	Deltas          []*DeltaT       `json:"deltas"`
-	LowestVersion   uint32          `json:"lowest_version"`
+	LowestVersion   *uint32         `json:"lowest_version"`
 	Rollouts        []*RolloutT     `json:"rollouts"`
 	RolloutRevision uint32          `json:"rollout_revision"`
 }
@@ -116,13 +116,17 @@
 	FrameAddIncarnations(builder, incarnationsOffset)
 	FrameAddIncarnation(builder, t.Incarnation)
 	FrameAddAgeMs(builder, t.AgeMs)
-	FrameAddVersion(builder, t.Version)
+	if t.Version != nil {
+		FrameAddVersion(builder, *t.Version)
+	}
 	FrameAddReserved(builder, t.Reserved)
 	FrameAddEntries(builder, entriesOffset)
 	FrameAddMachines(builder, machinesOffset)
 	FrameAddText(builder, textOffset)
 	FrameAddDeltas(builder, deltasOffset)
-	FrameAddLowestVersion(builder, t.LowestVersion)
+	if t.LowestVersion != nil {
+		FrameAddLowestVersion(builder, *t.LowestVersion)
+	}
 	FrameAddRollouts(builder, rolloutsOffset)
 	FrameAddRolloutRevision(builder, t.RolloutRevision)
 	return FrameEnd(builder)
@@ -357,12 +361,13 @@
 	return rcv._tab.MutateUint32Slot(24, n)
 }
 
-func (rcv *Frame) Version() uint32 {
+func (rcv *Frame) Version() *uint32 {
 	o := flatbuffers.UOffsetT(rcv._tab.Offset(26))
 	if o != 0 {
-		return rcv._tab.GetUint32(o + rcv._tab.Pos)
+		v := rcv._tab.GetUint32(o + rcv._tab.Pos)
+		return &v
 	}
-	return 0
+	return nil
 }
 
 func (rcv *Frame) MutateVersion(n uint32) bool {
@@ -449,12 +454,13 @@
 	return 0
 }
 
-func (rcv *Frame) LowestVersion() uint32 {
+func (rcv *Frame) LowestVersion() *uint32 {
 	o := flatbuffers.UOffsetT(rcv._tab.Offset(38))
 	if o != 0 {
-		return rcv._tab.GetUint32(o + rcv._tab.Pos)
+		v := rcv._tab.GetUint32(o + rcv._tab.Pos)
+		return &v
 	}
-	return 0
+	return nil
 }
 
 func (rcv *Frame) MutateLowestVersion(n uint32) bool {
@@ -533,7 +539,8 @@
 	builder.PrependUint32Slot(10, ageMs, 0)
 }
 func FrameAddVersion(builder *flatbuffers.Builder, version uint32) {
-	builder.PrependUint32Slot(11, version, 0)
+	builder.PrependUint32(version)
+	builder.Slot(11)
 }
 func FrameAddReserved(builder *flatbuffers.Builder, reserved uint64) {
 	builder.PrependUint64Slot(12, reserved, 0)
@@ -560,7 +567,8 @@
 	return builder.StartVector(4, numElems, 4)
 }
 func FrameAddLowestVersion(builder *flatbuffers.Builder, lowestVersion uint32) {
-	builder.PrependUint32Slot(17, lowestVersion, 0)
+	builder.PrependUint32(lowestVersion)
+	builder.Slot(17)
 }
 func FrameAddRollouts(builder *flatbuffers.Builder, rollouts flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(18, flatbuffers.UOffsetT(rollouts), 0)
--- a/mesh/wire/Value.go
+++ b/mesh/wire/Value.go
@@ -7,12 +7,12 @@
 )
 
 type ValueT struct {
-	Version         uint32      `json:"version"`
+	Version         *uint32     `json:"version"`
 	Body            []byte      `json:"body"`
 	Members         []string    `json:"members"`
 	PriorMembers    []string    `json:"prior_members"`
 	Records         []byte      `json:"records"`
-	Floor           uint32      `json:"floor"`
+	Floor           *uint32     `json:"floor"`
 	Rollouts        []*RolloutT `json:"rollouts"`
 	RolloutRevision uint32      `json:"rollout_revision"`
 }
@@ -69,12 +69,16 @@
 		rolloutsOffset = builder.EndVector(rolloutsLength)
 	}
 	ValueStart(builder)
-	ValueAddVersion(builder, t.Version)
+	if t.Version != nil {
+		ValueAddVersion(builder, *t.Version)
+	}
 	ValueAddBody(builder, bodyOffset)
 	ValueAddMembers(builder, membersOffset)
 	ValueAddPriorMembers(builder, priorMembersOffset)
 	ValueAddRecords(builder, recordsOffset)
-	ValueAddFloor(builder, t.Floor)
+	if t.Floor != nil {
+		ValueAddFloor(builder, *t.Floor)
+	}
 	ValueAddRollouts(builder, rolloutsOffset)
 	ValueAddRolloutRevision(builder, t.RolloutRevision)
 	return ValueEnd(builder)
@@ -141,12 +145,13 @@
 	return rcv._tab
 }
 
-func (rcv *Value) Version() uint32 {
+func (rcv *Value) Version() *uint32 {
 	o := flatbuffers.UOffsetT(rcv._tab.Offset(4))
 	if o != 0 {
-		return rcv._tab.GetUint32(o + rcv._tab.Pos)
+		v := rcv._tab.GetUint32(o + rcv._tab.Pos)
+		return &v
 	}
-	return 0
+	return nil
 }
 
 func (rcv *Value) MutateVersion(n uint32) bool {
@@ -255,12 +260,13 @@
 	return false
 }
 
-func (rcv *Value) Floor() uint32 {
+func (rcv *Value) Floor() *uint32 {
 	o := flatbuffers.UOffsetT(rcv._tab.Offset(14))
 	if o != 0 {
-		return rcv._tab.GetUint32(o + rcv._tab.Pos)
+		v := rcv._tab.GetUint32(o + rcv._tab.Pos)
+		return &v
 	}
-	return 0
+	return nil
 }
 
 func (rcv *Value) MutateFloor(n uint32) bool {
@@ -303,7 +309,8 @@
 	builder.StartObject(8)
 }
 func ValueAddVersion(builder *flatbuffers.Builder, version uint32) {
-	builder.PrependUint32Slot(0, version, 0)
+	builder.PrependUint32(version)
+	builder.Slot(0)
 }
 func ValueAddBody(builder *flatbuffers.Builder, body flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(1, flatbuffers.UOffsetT(body), 0)
@@ -330,7 +337,8 @@
 	return builder.StartVector(1, numElems, 1)
 }
 func ValueAddFloor(builder *flatbuffers.Builder, floor uint32) {
-	builder.PrependUint32Slot(5, floor, 0)
+	builder.PrependUint32(floor)
+	builder.Slot(5)
 }
 func ValueAddRollouts(builder *flatbuffers.Builder, rollouts flatbuffers.UOffsetT) {
 	builder.PrependUOffsetTSlot(6, flatbuffers.UOffsetT(rollouts), 0)
--- a/mesh/wire/age_test.go
+++ b/mesh/wire/age_test.go
@@ -21,10 +21,10 @@
 		{"very old", Update, UnknownAge - 5, 1, time.Second, UnknownAge - 1, 1001},
 		{"another frame", Hello, 40, 900, time.Second, 40, 900},
 	} {
-		encoded := Encode(&FrameT{Kind: c.kind, AgeMs: c.age, Version: 7, Entries: []*EntryT{{Node: "n", AgeMs: c.entry}}})
+		encoded := Encode(&FrameT{Kind: c.kind, AgeMs: c.age, Version: new(uint32(7)), Entries: []*EntryT{{Node: "n", AgeMs: c.entry}}})
 		AddAge(encoded, c.waited)
 		f, err := Decode(encoded[LengthSize:])
-		if err != nil || f.AgeMs != c.wantAge || f.Entries[0].AgeMs != c.wantEntry || f.Version != 7 {
+		if err != nil || f.AgeMs != c.wantAge || f.Entries[0].AgeMs != c.wantEntry || *f.Version != 7 {
 			t.Errorf("%s: %v, %+v with %+v", c.name, err, f, f.Entries[0])
 		}
 	}
--- a/mesh/wire/budget_test.go
+++ b/mesh/wire/budget_test.go
@@ -10,7 +10,8 @@
 // fullFrame has something in each vector.
 func fullFrame() *FrameT {
 	value := &ValueT{
-		Version: 3, Body: []byte("body"), Members: []string{"a:1", "b:1"}, PriorMembers: []string{"c:1"}, Records: make([]byte, 20), Floor: 1,
+		Version: new(uint32(3)), Body: []byte("body"), Members: []string{"a:1", "b:1"}, PriorMembers: []string{"c:1"},
+		Records: make([]byte, 20), Floor: new(uint32(1)),
 	}
 	ballot := &BallotT{Number: 9, Proposer: "a:1"}
 	return &FrameT{
--- a/mesh/wire/kinds.go
+++ b/mesh/wire/kinds.go
@@ -4,7 +4,8 @@
 // later.
 type Kind = byte
 
-// The kinds, with the fields that each uses. Those of the register carry a register.Message (package codec).
+// The kinds, with the fields that each uses. Those of the register carry a register.Message (package codec). Version and LowestVersion are
+// nil where there is no configuration.
 const (
 	// Prepare requests a promise to Ballot.
 	Prepare Kind = iota + 1
