--- a/cmd/firplank-lab/explore.go
+++ b/cmd/firplank-lab/explore.go
@@ -13,19 +13,21 @@
 	"firplank/lab/explore/register"
 	"firplank/lab/explore/rollouts"
 	"firplank/lab/explore/talk"
+	"firplank/lab/explore/tombstones"
 )
 
 type exploreCommand struct {
-	Fleet    exploreFleetCommand    `cmd:"" help:"${fleetHelp}"`
-	Register exploreRegisterCommand `cmd:"" help:"${registerHelp}"`
-	Lease    exploreLeaseCommand    `cmd:"" help:"${leaseHelp}"`
-	Numbers  exploreNumbersCommand  `cmd:"" help:"${numbersHelp}"`
-	Cutoff   exploreCutoffCommand   `cmd:"" help:"${cutoffHelp}"`
-	Members  exploreMembersCommand  `cmd:"" help:"${membersHelp}"`
-	Calls    exploreCallsCommand    `cmd:"" help:"${callsHelp}"`
-	Rollouts exploreRolloutsCommand `cmd:"" help:"Rollouts of versions, under partitions and restarts."`
-	Catchup  exploreCatchupCommand  `cmd:"" help:"${catchupHelp}"`
-	Roster   exploreRosterCommand   `cmd:"" help:"${rosterHelp}"`
+	Fleet      exploreFleetCommand      `cmd:"" help:"${fleetHelp}"`
+	Register   exploreRegisterCommand   `cmd:"" help:"${registerHelp}"`
+	Lease      exploreLeaseCommand      `cmd:"" help:"${leaseHelp}"`
+	Numbers    exploreNumbersCommand    `cmd:"" help:"${numbersHelp}"`
+	Cutoff     exploreCutoffCommand     `cmd:"" help:"${cutoffHelp}"`
+	Members    exploreMembersCommand    `cmd:"" help:"${membersHelp}"`
+	Calls      exploreCallsCommand      `cmd:"" help:"${callsHelp}"`
+	Rollouts   exploreRolloutsCommand   `cmd:"" help:"Rollouts of versions, under partitions and restarts."`
+	Tombstones exploreTombstonesCommand `cmd:"" help:"${tombstonesHelp}"`
+	Catchup    exploreCatchupCommand    `cmd:"" help:"${catchupHelp}"`
+	Roster     exploreRosterCommand     `cmd:"" help:"${rosterHelp}"`
 }
 
 // defectsFlag is the flag for a search of planted defects.
@@ -132,6 +134,30 @@
 		explore.Random(lease.Start(lease.DefaultBounds, nil), c.Seed, c.Runs, c.Deep))
 }
 
+type exploreTombstonesCommand struct {
+	Depth int    `help:"Length of the orders of choices that are searched exhaustively." default:"4"`
+	Runs  int    `help:"Random orders of choices in addition." default:"20000"`
+	Deep  int    `help:"Length of a random order." default:"90"`
+	Seed  uint64 `help:"Seed of the random orders." default:"1"`
+	defectsFlag
+}
+
+func (c *exploreTombstonesCommand) Run(_ context.Context, out io.Writer) error {
+	printer := output.New(out)
+	if !c.Defects {
+		singleFault := tombstones.DefaultBounds
+		singleFault.Faults = 1
+		return reportSearches(printer, explore.Exhaust(tombstones.Start(singleFault, nil), explore.Limits{Depth: c.Depth, States: 300_000}),
+			explore.Random(tombstones.Start(tombstones.DefaultBounds, nil), c.Seed, c.Runs, c.Deep))
+	}
+	missed := 0
+	for i := range tombstones.Defects {
+		d := &tombstones.Defects[i]
+		missed += reportDefect(printer, d.Name, explore.Random(tombstones.Start(tombstones.DefaultBounds, d), c.Seed, c.Runs, c.Deep))
+	}
+	return missedDefectsError(printer, missed)
+}
+
 type exploreRolloutsCommand struct {
 	Runs int    `help:"Random orders." default:"20000"`
 	Deep int    `help:"Length of an order." default:"40"`
--- a/cmd/firplank-lab/help.go
+++ b/cmd/firplank-lab/help.go
@@ -24,6 +24,8 @@
 		"lost, reverted or changed?",
 	"leaseHelp": "A lease that one control machine holds, over faulty links, clocks and machines: do two machines ever hold it at " +
 		"once, and does one hold it after all is repaired?",
+	"tombstonesHelp": "The records of servers that shut down, on the control machines of a mesh, over faulty links, disks and processes: " +
+		"does a sidecar that restarts read every shutdown that was acknowledged?",
 	"numbersHelp": "Operators' writes under edition numbers that rise, fall and are in use, repeated after lost responses, over " +
 		"the register of the mesh's control plane: does each number have one content?",
 	"cutoffHelp": "A control machine that is partitioned for twenty seconds, with sidecar restarts and a storm of changes: does it " +
--- a/lab/explore/cutoff/sidecar.go
+++ b/lab/explore/cutoff/sidecar.go
@@ -287,6 +287,12 @@
 	}
 }
 
+// TombstoneRecorded implements distribution.Host.
+func (host) TombstoneRecorded(time.Duration, string) {}
+
+// TombstonesFetched implements distribution.Host.
+func (host) TombstonesFetched([]string) bool { return false }
+
 // DescribeServer implements distribution.Host.
 func (host) DescribeServer(*directory.Entry) {}
 
--- a/lab/scale/hollow.go
+++ b/lab/scale/hollow.go
@@ -208,5 +208,11 @@
 // IncarnationChanged implements distribution.Host.
 func (host) IncarnationChanged(uint64) {}
 
+// TombstoneRecorded implements distribution.Host.
+func (host) TombstoneRecorded(time.Duration, string) {}
+
+// TombstonesFetched implements distribution.Host.
+func (host) TombstonesFetched([]string) bool { return false }
+
 // BecameReady implements distribution.Host.
 func (o host) BecameReady(time.Duration) { o.h.ready.Store(true) }
--- a/mesh/admission/controller.go
+++ b/mesh/admission/controller.go
@@ -66,6 +66,8 @@
 	sequence  uint64
 	warmUntil time.Duration
 	departed  map[string]bool // ids of servers that have departed, so that a late heartbeat does not register them again
+	// departedInOrder has the same ids, in the order in which they departed.
+	departedInOrder []string
 	// confirmBy is when the server has to be confirmed as not shutting down, even if it responds to requests: an earlier process of the
 	// sidecar may have acknowledged its shutdown. 0 means that it is confirmed.
 	confirmBy     time.Duration
--- a/mesh/admission/controller_test.go
+++ b/mesh/admission/controller_test.go
@@ -44,6 +44,8 @@
 		p.logIf(c.HandleHeartbeat(now, h), now, "%s is heard", name)
 	case "leave":
 		p.logIf(c.HandleDeregistration(name), now, "%s has left", name)
+	case "tombstone":
+		p.logIf(c.HandleTombstone(arg), now, "%s has begun to shut down", arg)
 	case "refuse":
 		p.logIf(c.ConnectionRefused(), now, "connection refused")
 	case "answer":
--- a/mesh/admission/server.go
+++ b/mesh/admission/server.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"slices"
 	"time"
 
 	"firplank/mesh/directory"
@@ -31,6 +32,9 @@
 	confirmed := c.confirms(h)
 	c.lastHeartbeat = h
 	if !confirmed && h.ServerID != c.serverID && c.confirmBy == 0 && c.state == directory.Accepting {
+		if h.Closing {
+			c.markDeparted(h.ServerID)
+		}
 		return false // a late heartbeat must not replace the running server
 	}
 	c.awaitConfirmation(h.ServerID, confirmed)
@@ -91,18 +95,28 @@
 	return true
 }
 
-// markDeparted records a server as departed. If there are too many records, it replaces an arbitrary one.
+// HandleTombstone handles the record that a server has begun to shut down, which an earlier process of this sidecar has acknowledged. The
+// server gets no requests, whatever its heartbeats and health checks say. It reports whether the server's entry changed.
+func (c *Controller) HandleTombstone(serverID string) (changed bool) {
+	c.markDeparted(serverID)
+	if serverID != c.serverID || c.state == directory.Closing || c.state == directory.Departed {
+		return false
+	}
+	c.state = directory.Closing
+	return true
+}
+
+// markDeparted records a server as departed. If there are too many records, it replaces the one that was made first.
 func (c *Controller) markDeparted(serverID string) {
-	if serverID == "" {
+	if serverID == "" || c.departed[serverID] {
 		return
 	}
-	if len(c.departed) >= maxDepartedServers {
-		for evicted := range c.departed {
-			delete(c.departed, evicted)
-			break
-		}
+	if len(c.departedInOrder) >= maxDepartedServers {
+		delete(c.departed, c.departedInOrder[0])
+		c.departedInOrder = slices.Delete(c.departedInOrder, 0, 1)
 	}
 	c.departed[serverID] = true
+	c.departedInOrder = append(c.departedInOrder, serverID)
 }
 
 // Restore restores the server from the entry that an earlier incarnation of this sidecar announced, unless a server is known already; then
--- a/mesh/controlplane/events.go
+++ b/mesh/controlplane/events.go
@@ -5,6 +5,7 @@
 	"firplank/mesh/codec"
 	"firplank/mesh/controlplane/operations"
 	"firplank/mesh/register"
+	"firplank/mesh/tombstone"
 	"firplank/mesh/transport"
 	"firplank/mesh/wire"
 )
@@ -78,6 +79,8 @@
 		e.call.ID = s.operations.Propose(s.now(), e.call.Request, e.call)
 	case writeCompleted:
 		s.handleWriteCompleted(e)
+	case tombstonesWritten:
+		s.handleTombstonesWritten(e)
 	case statusRequested:
 		e.reply <- s.status(s.now())
 	case rolloutsRequested:
@@ -96,6 +99,11 @@
 		s.pipeline.Apply(now, register.MessageReceived{Message: m})
 		return
 	}
+	if m, ok := codec.TombstoneMessageFromFrame(f); ok {
+		m.To = s.self
+		s.applyTombstones(now, tombstone.MessageReceived{Message: m})
+		return
+	}
 	switch f.Kind {
 	case wire.VoteRequest, wire.VoteResponse, wire.LeaseRelease:
 		s.handleLease(f, now)
@@ -109,5 +117,7 @@
 		s.mergeEntries(f.Entries, now, true)
 	case wire.InForce:
 		s.handleInForce(f, now)
+	case wire.RecordTombstone, wire.FetchTombstones:
+		s.handleTombstoneRequest(c, f, now)
 	}
 }
--- a/mesh/controlplane/peers.go
+++ b/mesh/controlplane/peers.go
@@ -7,6 +7,7 @@
 	"firplank/mesh/controlplane/peers"
 	"firplank/mesh/dissemination"
 	"firplank/mesh/register"
+	"firplank/mesh/tombstone"
 	"firplank/mesh/transport"
 	"firplank/mesh/wire"
 )
@@ -63,6 +64,7 @@
 	}
 	f := &wire.FrameT{
 		Kind:          wire.Hello,
+		Id:            s.tombstones.replica.Digest(now),
 		From:          s.self,
 		Text:          s.settings.Zone,
 		LowestVersion: s.hub.LowestInForce(now).Optional(),
@@ -89,6 +91,7 @@
 	s.hub.Publisher.ControlMachines = s.knownMachines(now)
 	if seen := s.peers.Seen(); len(seen) > 0 {
 		s.pipeline.Apply(now, register.PeersUpdated{Peers: seen})
+		s.updateTombstonePeers(now, seen)
 	}
 }
 
@@ -107,4 +110,7 @@
 	}
 	s.handleInForce(f, now)
 	s.mergeEntries(f.Entries, now, false)
+	if f.Id != 0 {
+		s.applyTombstones(now, tombstone.DigestReceived{From: f.From, Digest: f.Id})
+	}
 }
--- a/mesh/controlplane/persistence_test.go
+++ b/mesh/controlplane/persistence_test.go
@@ -16,6 +16,7 @@
 	"firplank/mesh/controlplane/operations"
 	"firplank/mesh/persist"
 	"firplank/mesh/register"
+	"firplank/mesh/storage"
 )
 
 // newTestServer returns a server that is the only member. The test completes its disk writes by hand.
@@ -23,6 +24,7 @@
 	s := newServer(&bootstrap.Settings{Bounds: bootstrap.DefaultBounds()}, "a", kitlog.NewNopLogger())
 	s.ctx = context.Background()
 	s.setReplica(register.New("a", []string{"a"}, true, nil, 1), register.State{})
+	s.setTombstones(nil, storage.RecoveredTombstones{Complete: true})
 	return s
 }
 
--- a/mesh/controlplane/server.go
+++ b/mesh/controlplane/server.go
@@ -9,6 +9,7 @@
 //   - peers: the other control machines and the connections to them
 //   - reconcile: replacement of lost members, and the graceful shutdown of this machine
 //   - publishing: subscribers, the published configuration and the directory
+//   - tombstone: the replica of the records of servers that have begun to shut down, whose log this package writes
 //
 // The explorers in lab/explore run the same components in virtual time. docs/ARCHITECTURE.md describes the path of a request and of an
 // update.
@@ -65,6 +66,7 @@
 	reconciler *reconcile.Reconciler
 	hub        *publishing.Hub[*transport.Conn]
 	rollouts   *rolloutDriver
+	tombstones tombstoneStore
 	metrics    *controlMetrics
 	// unknownCallLog limits the rate at which unknown calls are logged.
 	unknownCallLog rate.Sometimes
@@ -131,9 +133,17 @@
 	}
 	s.store = store
 	s.setReplica(replica, replica.State())
-	writesEnded := make(chan struct{})
+	tombstoneLog, tombstones, err := openTombstones(
+		ctx, *settings.DataPath, s.self, replica.State(), s.durations.Tombstones.Retention, log)
+	if err != nil {
+		return errors.Join(err, store.Close())
+	}
+	s.setTombstones(tombstoneLog, tombstones)
+	writesEnded, tombstonesEnded := make(chan struct{}), make(chan struct{})
 	go s.writeStates(writesEnded)
 	defer s.closeStore(writesEnded)
+	go s.writeTombstones(tombstonesEnded)
+	defer s.closeTombstones(tombstonesEnded)
 	closeListeners, err := s.listen()
 	if err != nil {
 		return err
@@ -217,6 +227,7 @@
 		s.nextHello = now + s.durations.Replacement.HelloInterval
 		s.broadcastHello(now)
 		s.hub.Expire(now)
+		s.expireTombstoneRequests(now)
 	}
 	if now >= s.reconciler.NextTick() {
 		s.reconcileMembers(now)
@@ -227,7 +238,7 @@
 	s.advanceRollouts(now)
 	s.pipeline.Tick(now)
 	next = s.updateSubscribers(s.now())
-	next = min(next, s.acknowledgeWrites(s.now()), s.reconciler.NextTick(), s.nextHello, s.rollouts.nextTick)
+	next = min(next, s.acknowledgeWrites(s.now()), s.tickTombstones(s.now()), s.reconciler.NextTick(), s.nextHello, s.rollouts.nextTick)
 	if pipelineTick, ok := s.pipeline.NextTick(s.now()); ok {
 		next = min(next, pipelineTick)
 	}
--- a/mesh/dataplane/distribution/node.go
+++ b/mesh/dataplane/distribution/node.go
@@ -44,6 +44,11 @@
 	IncarnationChanged(incarnation uint64)
 	// BecameReady reports, once, that the sidecar is ready.
 	BecameReady(now time.Duration)
+	// TombstoneRecorded reports that the shutdown of a local server, recorded by Node.RecordTombstone, is durable.
+	TombstoneRecorded(now time.Duration, server string)
+	// TombstonesFetched reports, after Node.FetchTombstones, the local servers whose shutdowns were recorded.
+	// It reports whether the state of the local server has changed.
+	TombstonesFetched(servers []string) (changed bool)
 }
 
 // Node is one sidecar's side of the distribution tree. It is not safe for concurrent use.
@@ -52,12 +57,10 @@
 	policy *dissemination.Subscriber
 	state  *dissemination.Publisher
 	own    directory.Entry
-	// confirmedSequence is the highest sequence of the own entry, in this incarnation, that a parent has sent back and
-	// therefore received.
-	confirmedSequence uint64
 
 	subscription *subscription.Subscription
 	subscribers  *subscribers.Subscribers
+	tombstones   tombstoneRequests
 	parent       Conn // nil if there is none
 
 	inForce  configversion.Version
@@ -76,6 +79,7 @@
 	}
 	n.subscription = subscription.New(policy, n.state, &n.own, durations.Subscription)
 	n.subscribers = subscribers.New(n.state, host)
+	n.tombstones = newTombstoneRequests(own.Incarnation, durations.Tombstones)
 	return n
 }
 
@@ -132,6 +136,7 @@
 	}
 	n.parent = e.Conn
 	n.queueActions(n.subscription.Dialed(now))
+	n.tombstones.resendAll(now)
 	// The parent may have restarted and lost its directory. The subscribers of this sidecar do not announce themselves again, as their own
 	// connections have not changed, so this sidecar sends their entries.
 	if entries := n.subscribers.Entries(); len(entries) > 0 {
@@ -155,6 +160,10 @@
 		n.applyUpdate(now, f)
 	case fromParent && f.Kind == wire.GoAway:
 		n.queueActions(n.subscription.GoAwayReceived(now))
+	case fromParent && (f.Kind == wire.TombstoneRecorded || f.Kind == wire.TombstonesFetched):
+		n.tombstonesAnswered(now, f)
+	case f.Kind == wire.RecordTombstone, f.Kind == wire.FetchTombstones:
+		n.forwardTombstoneRequest(f)
 	case f.Kind == wire.Subscribe:
 		n.subscribe(now, c, f)
 	case f.Kind == wire.Report:
@@ -206,17 +215,15 @@
 	n.CheckReady(now)
 }
 
-// reconcileOwnEntry handles an entry of this sidecar that the parent has sent. An entry of the present incarnation confirms announcements.
-// A later incarnation belongs to a process that ran before the machine's clock was set back. The sidecar then switches to an incarnation
+// reconcileOwnEntry handles an entry of this sidecar that the parent has sent. One of the present incarnation has nothing new. A later
+// incarnation belongs to a process that ran before the machine's clock was set back. The sidecar then switches to an incarnation
 // that is later still.
 func (n *Node) reconcileOwnEntry(now time.Duration, e *directory.Entry) {
 	switch {
-	case e.Incarnation == n.own.Incarnation:
-		n.confirmedSequence = max(n.confirmedSequence, e.Sequence)
 	case e.Incarnation < n.own.Incarnation:
 		n.host.RestoreServer(now, e)
 	case e.Incarnation > n.own.Incarnation:
-		n.own.Incarnation, n.confirmedSequence = e.Incarnation+1, 0
+		n.own.Incarnation = e.Incarnation + 1
 		n.host.IncarnationChanged(n.own.Incarnation)
 		n.host.RestoreServer(now, e)
 		n.Announce(now)
@@ -262,13 +269,6 @@
 	n.queueActions(n.subscription.Announce(now))
 }
 
-// AnnouncedSequence returns the sequence of the last announcement of the own entry. The announcement is confirmed once ConfirmedSequence
-// has reached it. A parent keeps a confirmed entry when this process ends and sends it to the sidecar's next process.
-func (n *Node) AnnouncedSequence() uint64 { return n.own.Sequence }
-
-// ConfirmedSequence returns the highest sequence of the own entry that a parent has sent back.
-func (n *Node) ConfirmedSequence() uint64 { return n.confirmedSequence }
-
 // Drain starts the shutdown: the sidecar announces that it is draining and accepts no further subscribers.
 func (n *Node) Drain(now time.Duration) {
 	n.draining = true
@@ -294,6 +294,7 @@
 // is the number of bytes received of an incomplete frame from the parent.
 func (n *Node) Maintain(now time.Duration, partialBytes int64) {
 	n.queueActions(n.subscription.Maintain(now, partialBytes))
+	n.sendTombstoneRequests(now)
 }
 
 // Publish sends the parent an acknowledgement if it has changed, and the subscribers the updates that are due. The
--- a/mesh/dataplane/heartbeats.go
+++ b/mesh/dataplane/heartbeats.go
@@ -16,16 +16,11 @@
 // maxServerIDLength bounds the ID of a server.
 const maxServerIDLength = 200
 
-// errNotAnnounced is the response to a server's leave that no other process has received yet.
-var errNotAnnounced = errors.New("no other machine knows it yet")
+// errNotDurable is the response to a server's leave that is not known to be on the disks of a majority of the control machines.
+var errNotDurable = errors.New("it is not on a majority of disks yet")
 
-const (
-	// confirmTimeout is how long a leave of the local server waits until its announcement has reached another process. It is below the
-	// second after which the server treats the call as failed.
-	confirmTimeout = 700 * time.Millisecond
-	// confirmRetryAfter is the Retry-After of a leave that timed out.
-	confirmRetryAfter = 200 * time.Millisecond
-)
+// shutdownRetryAfter is the Retry-After of a leave that timed out.
+const shutdownRetryAfter = 200 * time.Millisecond
 
 // errServerIDTooLong is the response to an ID above maxServerIDLength.
 var errServerIDTooLong = errors.New("id: too long")
@@ -79,8 +74,8 @@
 	record   serverRecord
 	service  *atomic.Pointer[string] // of the server, from its heartbeats
 	onChange func()                  // called after a change, on the goroutine of the call
-	// confirm announces the server's state if changed is set, and reports whether the announcement has reached another process.
-	confirm func(changed bool) bool
+	// recordShutdown announces the server's state if it has changed, and reports whether the server's shutdown is durable.
+	recordShutdown func(id string, changed bool) (durable bool)
 }
 
 // router returns the router of the calls, whose paths have the users' names.
@@ -117,7 +112,7 @@
 	}
 	switch {
 	case r.Condition == conditionDraining:
-		return a.acknowledgeLeave(changed)
+		return a.acknowledgeLeave(id, changed)
 	case changed:
 		a.onChange()
 	}
@@ -125,16 +120,19 @@
 }
 
 func (a *serverAPI) leave(c *api.Request) api.Response {
-	return a.acknowledgeLeave(a.record.serverLeft(c.Args[0]))
+	id := c.Args[0]
+	if len(id) > maxServerIDLength {
+		return api.ErrorResponse(http.StatusBadRequest, errServerIDTooLong)
+	}
+	return a.acknowledgeLeave(id, a.record.serverLeft(id))
 }
 
-// acknowledgeLeave acknowledges that a server leaves, or is draining, once another process has received it. The acknowledgement has to hold
-// for this sidecar's next process too, which restores it from that other process. Until then the server is asked to retry. In either case
-// it gets no more requests.
-func (a *serverAPI) acknowledgeLeave(changed bool) api.Response {
-	if !a.confirm(changed) {
-		response := api.ErrorResponse(http.StatusServiceUnavailable, errNotAnnounced)
-		response.RetryAfter = confirmRetryAfter
+// acknowledgeLeave acknowledges that a server leaves, or is draining, once that is durable: the acknowledgement binds whichever processes
+// are killed next, this sidecar's included. Until then the server is asked to retry. In either case it gets no more requests.
+func (a *serverAPI) acknowledgeLeave(id string, changed bool) api.Response {
+	if !a.recordShutdown(id, changed) {
+		response := api.ErrorResponse(http.StatusServiceUnavailable, errNotDurable)
+		response.RetryAfter = shutdownRetryAfter
 		return response
 	}
 	return api.JSONResponse(http.StatusOK, struct{}{})
--- a/mesh/dataplane/heartbeats_test.go
+++ b/mesh/dataplane/heartbeats_test.go
@@ -14,10 +14,11 @@
 
 // fakeServerRecord is a serverRecord that records its calls.
 type fakeServerRecord struct {
-	heartbeats  []admission.Heartbeat
-	departed    []string
-	changed     bool
-	unconfirmed bool // no other process has received the announcement
+	heartbeats []admission.Heartbeat
+	departed   []string
+	changed    bool
+	notDurable bool // no shutdown is recorded on a majority of disks
+	requested  []string
 }
 
 func (r *fakeServerRecord) handleHeartbeat(h admission.Heartbeat) bool {
@@ -35,13 +36,14 @@
 	before := "before"
 	service.Store(&before)
 	record = &fakeServerRecord{changed: changes}
-	confirm := func(changed bool) bool {
+	recordShutdown := func(id string, changed bool) bool {
 		if changed {
 			count++
 		}
-		return !record.unconfirmed
+		record.requested = append(record.requested, id)
+		return !record.notDurable
 	}
-	return &serverAPI{record: record, service: &service, onChange: func() { count++ }, confirm: confirm}, record, &count
+	return &serverAPI{record: record, service: &service, onChange: func() { count++ }, recordShutdown: recordShutdown}, record, &count
 }
 
 // heartbeatBody returns a valid heartbeat in which one field is replaced, or left out if value is empty.
@@ -111,25 +113,34 @@
 	}
 }
 
-// A leave that was acknowledged before another process has received it would be lost if the sidecar restarted. Until then the server is
-// asked to retry. Heartbeats of an accepting server do not wait.
-func TestLeaveIsAcknowledgedAfterConfirmation(t *testing.T) {
-	a, record, _ := newServerAPI(true)
-	record.unconfirmed = true
+// A leave that was acknowledged before it is durable would be lost with the processes that know it. Until then the server is asked to
+// retry, whether or not its state has changed. Heartbeats of an accepting server do not wait.
+func TestLeaveIsAcknowledgedOnceDurable(t *testing.T) {
+	for _, changes := range []bool{true, false} {
+		testLeaveIsAcknowledgedOnceDurable(t, changes)
+	}
+}
+
+func testLeaveIsAcknowledgedOnceDurable(t *testing.T, changes bool) {
+	a, record, _ := newServerAPI(changes)
+	record.notDurable = true
 	closing := &api.Request{Args: []string{"i-1"}, Body: heartbeatBody("condition", `"closing"`)}
 	accepting := &api.Request{Args: []string{"i-1"}, Body: heartbeatBody("condition", `"accepting"`)}
 	for _, got := range []api.Response{a.heartbeat(closing), a.leave(&api.Request{Args: []string{"i-1"}})} {
 		if got.Status != http.StatusServiceUnavailable || got.RetryAfter == 0 {
-			t.Errorf("an unconfirmed leave is answered by %d, retry after %v", got.Status, got.RetryAfter)
+			t.Errorf("a leave that is not durable is answered by %d, retry after %v", got.Status, got.RetryAfter)
 		}
 	}
 	if got := a.heartbeat(accepting); got.Status != http.StatusOK {
 		t.Errorf("a heartbeat of an accepting server is answered by %d", got.Status)
 	}
-	record.unconfirmed = false
+	if fmt.Sprint(record.requested) != "[i-1 i-1]" {
+		t.Errorf("recorded the shutdown of %v", record.requested)
+	}
+	record.notDurable = false
 	for _, got := range []api.Response{a.heartbeat(closing), a.leave(&api.Request{Args: []string{"i-1"}})} {
 		if got.Status != http.StatusOK {
-			t.Errorf("a confirmed leave is answered by %d", got.Status)
+			t.Errorf("a durable leave is answered by %d", got.Status)
 		}
 	}
 }
--- a/mesh/dataplane/host.go
+++ b/mesh/dataplane/host.go
@@ -90,6 +90,21 @@
 	p.beginIdentifyingServer()
 }
 
+// TombstoneRecorded implements distribution.Host.
+func (h *host) TombstoneRecorded(now time.Duration, server string) {
+	h.p.tombstones.recorded(now, server)
+}
+
+// TombstonesFetched implements distribution.Host.
+func (h *host) TombstonesFetched(servers []string) (changed bool) {
+	p := h.p
+	changed = p.lastHop.serversShutDown(servers)
+	if changed {
+		p.lastHop.logServerState("a shutdown that an earlier process acknowledged")
+	}
+	return changed
+}
+
 // checkAdoptedConfig reports invariants that a configuration would violate, before it is put in force.
 func (p *Proxy) checkAdoptedConfig(version configversion.Version, next *config.Config) {
 	if next.Version != version {
--- a/mesh/dataplane/lasthop.go
+++ b/mesh/dataplane/lasthop.go
@@ -320,6 +320,18 @@
 	return l.gate.Admission.HandleDeregistration(id)
 }
 
+// serversShutDown records that servers have begun to shut down, as an earlier process has acknowledged. It reports whether the local
+// server's state has changed.
+func (l *lastHop) serversShutDown(ids []string) (changed bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, id := range ids {
+		l.guard.RecordClosing(l.now(), id)
+		changed = l.gate.Admission.HandleTombstone(id) || changed
+	}
+	return changed
+}
+
 // serverConfirmed reports whether the local server is known, so that a health check would add nothing.
 func (l *lastHop) serverConfirmed() bool {
 	l.mu.Lock()
--- a/mesh/dataplane/lifecycle.go
+++ b/mesh/dataplane/lifecycle.go
@@ -199,7 +199,7 @@
 // serverAPI returns the handlers for calls of the local server.
 func (p *Proxy) serverAPI() *serverAPI {
 	return &serverAPI{
-		record: p.lastHop, service: &p.serviceName, onChange: func() { p.post(serverChanged{}) }, confirm: p.confirmAnnouncement,
+		record: p.lastHop, service: &p.serviceName, onChange: func() { p.post(serverChanged{}) }, recordShutdown: p.recordTombstone,
 	}
 }
 
--- a/mesh/dataplane/links/links_test.go
+++ b/mesh/dataplane/links/links_test.go
@@ -33,6 +33,8 @@
 func (host) DescribeServer(*directory.Entry)                                     {}
 func (host) RestoreServer(time.Duration, *directory.Entry)                       {}
 func (host) IncarnationChanged(uint64)                                           {}
+func (host) TombstoneRecorded(time.Duration, string)                             {}
+func (host) TombstonesFetched([]string) bool                                     { return false }
 func (host) BecameReady(time.Duration)                                           {}
 
 // fakeControlMachine records received frames and ended connections.
--- a/mesh/dataplane/loop.go
+++ b/mesh/dataplane/loop.go
@@ -93,7 +93,6 @@
 func (p *Proxy) handle(e event) {
 	e.handle(p, p.now())
 	p.links.Perform()
-	p.confirmations.closeConfirmed(p.now(), p.node)
 }
 
 // tick performs periodic work: changes that follow from time alone, and checks that are due.
@@ -108,7 +107,7 @@
 	}
 	p.node.CheckReady(now)
 	p.node.Reparent(now)
-	p.confirmations.closeConfirmed(now, p.node)
+	p.tombstones.expire(now)
 	p.checkRollouts(now)
 	p.updateMetrics(now)
 	if p.ready.Load() && !p.shuttingDown.Load() {
--- a/mesh/dataplane/proxy.go
+++ b/mesh/dataplane/proxy.go
@@ -102,14 +102,14 @@
 	sidecarPool upstream
 
 	// The control side, owned by the loop.
-	node          *distribution.Node
-	links         *links.Links // of node; also handles accepted connections
-	exchanges     *exchanges.Set[*service]
-	liveness      *liveness.Monitor // except RecordReachable, which any goroutine may call
-	probes        *probeSocket      // nil without a socket
-	streamPings   *streamPings
-	confirmations pendingConfirmations
-	rollouts      rolloutTracker
+	node        *distribution.Node
+	links       *links.Links // of node; also handles accepted connections
+	exchanges   *exchanges.Set[*service]
+	liveness    *liveness.Monitor // except RecordReachable, which any goroutine may call
+	probes      *probeSocket      // nil without a socket
+	streamPings *streamPings
+	tombstones  tombstoneWaiters
+	rollouts    rolloutTracker
 }
 
 // incarnationRandomBits is the number of random low bits of an incarnation. They keep two processes from sharing one
@@ -204,6 +204,10 @@
 	policy := dissemination.NewSubscriber(settings.NodeName, settings.Zone, durations.Dissemination, p.now())
 	policy.Seeds = settings.SeedPeerAddrs()
 	p.node = distribution.New(own, policy, &host{p: p}, durations)
+	p.tombstones = newTombstoneWaiters(durations.Tombstones.CallTimeout, durations.Tombstones.RefreshAge)
+	if !settings.FirstStart {
+		p.node.FetchTombstones(p.now())
+	}
 	post := func(e distribution.Event) bool { return p.post(distributionEvent{e}) }
 	p.links = links.New(ctx, p.node, post, p.logAction)
 	p.exchanges = exchanges.New(p.newService, p.setEndpoints)
--- a/mesh/dataplane/subscribers/subscribers.go
+++ b/mesh/dataplane/subscribers/subscribers.go
@@ -105,6 +105,16 @@
 	return entries
 }
 
+// ConnOf returns the connection of the subscriber with a node's name, or nil.
+func (s *Subscribers) ConnOf(node string) Conn {
+	for c, last := range s.contacts {
+		if last.node == node {
+			return c
+		}
+	}
+	return nil
+}
+
 // Remove removes the subscriber whose connection has ended, if there is one.
 func (s *Subscribers) Remove(c Conn) {
 	if id, ok := s.ids[c]; ok {
--- a/mesh/storage/files.go
+++ b/mesh/storage/files.go
@@ -21,6 +21,7 @@
 //	book/                    a store of format 1 (format1.go)
 //	register.damaged/        a corrupt register that was set aside
 //	book.damaged/            a corrupt store of format 1 that was set aside
+//	tombstones/log-NUMBER    a log of tombstones (tombstones.go)
 const (
 	lockName         = "lock"
 	startingName     = "starting"
--- a/mesh/timing/timing.go
+++ b/mesh/timing/timing.go
@@ -57,6 +57,7 @@
 	Shutdown      Shutdown
 	Server        Server
 	Rollouts      Rollouts
+	Tombstones    Tombstones
 	// Conflicts are the inequalities that the settings do not allow. They are reported, and the nearest values are used.
 	Conflicts []Conflict
 }
@@ -73,6 +74,7 @@
 		Shutdown:      newShutdown(b.Grace),
 		Server:        newServer(b, s.ServerHeartbeat),
 		Rollouts:      newRollouts(b),
+		Tombstones:    newTombstones(AssumedEnvironment()),
 	}
 	d.Subscription = newSubscription(b)
 	d.Register = newRegister(b, &d.Replacement)
--- a/mesh/wire/kinds.go
+++ b/mesh/wire/kinds.go
@@ -27,8 +27,8 @@
 	RejoinReply
 	// Commit announces that Value was accepted at Ballot by a majority.
 	Commit
-	// Hello goes between control machines: From, Text (the sender's zone), LowestVersion, Machines (the sender first), and
-	// changed Entries.
+	// Hello goes between control machines: From, Text (the sender's zone), LowestVersion, Machines (the sender first),
+	// changed Entries, and Id, the digest of the sender's tombstones (0 from a release without them).
 	Hello
 	// Subscribe goes from a sidecar to its parent: From, Entries, and a report (Id, Version, LowestVersion).
 	Subscribe
@@ -54,4 +54,21 @@
 	InForce
 	// LeaseRelease goes between control machines: From releases the lease numbered Id.
 	LeaseRelease
+	// RecordTombstone goes from a sidecar to its parent, which passes it on to a control machine: From requests that Entries (of Node and
+	// ServerId) become durable. Id is the number of the request.
+	RecordTombstone
+	// TombstoneRecorded answers it, on the way back: From and Id are those of the request.
+	TombstoneRecorded
+	// FetchTombstones takes the way of RecordTombstone: From requests its tombstones.
+	FetchTombstones
+	// TombstonesFetched answers it: From and Id are those of the request, Entries the tombstones.
+	TombstonesFetched
+	// StoreTombstones goes between control machines, as do the following kinds, which carry a tombstone.Message (package codec).
+	StoreTombstones
+	// TombstonesStored answers it.
+	TombstonesStored
+	// ReadTombstones requests the tombstones of the nodes of Entries, or all.
+	ReadTombstones
+	// TombstonesRead answers it, with Entries, and Ok where the sender is complete.
+	TombstonesRead
 )
