Heartbeats: the sequence 0 is a number, not the absence of one

What callers could see: a server that counts its heartbeats from 0 falls silent, and its first heartbeat, delivered late, puts it back into rotation; a late one with any other number is ignored.

A heartbeat without a number also reset the number of the last one.

Change: a heartbeat's sequence is a type of its own, which states whether there is a number; on the wire it is absent or not.

Heartbeats from 0 confirm a server after a restart, and those without numbers do not (confirmed-by-heartbeats-that-are-numbered-from-0, restarted-sidecar-and-heartbeats-without-numbers).

--- a/mesh/admission/controller.go
+++ b/mesh/admission/controller.go
@@ -63,7 +63,7 @@
 	version   string
 	slots     int
 	state     directory.State
-	sequence  uint64
+	sequence  Sequence // of the last heartbeat with a number
 	warmUntil time.Duration
 	departed  map[string]bool // ids of servers that have departed, so that a late heartbeat does not register them again
 	// departedInOrder has the same ids, in the order in which they departed.
--- a/mesh/admission/controller_test.go
+++ b/mesh/admission/controller_test.go
@@ -39,8 +39,10 @@
 	verb, arg, _ := strings.Cut(cell, ":")
 	switch verb {
 	case "beat", "closing":
-		sequence, _ := strconv.ParseUint(arg, 10, 64)
-		h := Heartbeat{ServerID: name, Service: "records", Slots: 2, Closing: verb == "closing", Sequence: sequence}
+		h := Heartbeat{ServerID: name, Service: "records", Slots: 2, Closing: verb == "closing"}
+		if number, err := strconv.ParseUint(arg, 10, 64); err == nil { // otherwise the heartbeat has no number
+			h.Sequence = NewSequence(number)
+		}
 		p.logIf(c.HandleHeartbeat(now, h), now, "%s is heard", name)
 	case "leave":
 		p.logIf(c.HandleDeregistration(name), now, "%s has left", name)
--- a/mesh/admission/server.go
+++ b/mesh/admission/server.go
@@ -15,9 +15,24 @@
 	Slots      int    // requests that it can process at once
 	Closing    bool   // its shutdown has begun; otherwise it accepts requests
 	WarmUpLeft time.Duration
-	Sequence   uint64 // number of the heartbeat; 0: not numbered
+	Sequence   Sequence
 }
 
+// Sequence is the number of a heartbeat, by which a late one is known. The zero Sequence is that of a heartbeat without a number.
+type Sequence struct {
+	Number   uint64 // any, 0 included
+	Numbered bool
+}
+
+// NewSequence returns the sequence of a heartbeat with a number.
+func NewSequence(number uint64) Sequence { return Sequence{Number: number, Numbered: true} }
+
+// after reports whether two heartbeats of a server have numbers that show that this one was sent after the other one.
+func (s Sequence) after(o Sequence) bool { return s.Numbered && o.Numbered && s.Number > o.Number }
+
+// notAfter reports whether the numbers show that this heartbeat was not sent after the other one.
+func (s Sequence) notAfter(o Sequence) bool { return s.Numbered && o.Numbered && s.Number <= o.Number }
+
 // MarkRestarted records that earlier processes of this sidecar may have acknowledged shutdowns of servers that this process does not know
 // of. A single heartbeat may be a late one of such a server. A server is then confirmed only by a second, later heartbeat or by a health
 // check that has passed since.
@@ -26,7 +41,7 @@
 // HandleHeartbeat handles a heartbeat. It ignores one that is older than the last, or of a departed server. It reports whether the server's
 // entry changed.
 func (c *Controller) HandleHeartbeat(now time.Duration, h Heartbeat) (changed bool) {
-	if c.departed[h.ServerID] || h.ServerID == c.serverID && h.Sequence <= c.sequence && h.Sequence > 0 {
+	if c.departed[h.ServerID] || h.ServerID == c.serverID && h.Sequence.notAfter(c.sequence) {
 		return false
 	}
 	confirmed := c.confirms(h)
@@ -47,12 +62,15 @@
 	}
 	if h.ServerID != c.serverID {
 		c.markDeparted(c.serverID)
-		c.inFlight, c.health = 0, Health{}
+		c.inFlight, c.health, c.sequence = 0, Health{}, Sequence{}
 	}
 	changed = h.ServerID != c.serverID || state != c.state || h.Service != c.service || h.Slots != c.slots ||
 		h.Version != c.version
 	c.serverID, c.service, c.version, c.slots = h.ServerID, h.Service, h.Version, h.Slots
-	c.state, c.sequence = state, h.Sequence
+	c.state = state
+	if h.Sequence.Numbered {
+		c.sequence = h.Sequence
+	}
 	c.warmUntil, c.lastSeen = now+h.WarmUpLeft, now
 	return changed
 }
@@ -66,7 +84,7 @@
 	case h.ServerID == c.serverID && c.confirmBy == 0:
 		return true
 	}
-	return h.ServerID == c.lastHeartbeat.ServerID && h.Sequence > c.lastHeartbeat.Sequence
+	return h.ServerID == c.lastHeartbeat.ServerID && h.Sequence.after(c.lastHeartbeat.Sequence)
 }
 
 // awaitConfirmation sets the time by which the sender of a heartbeat has to be confirmed, or clears it if the server is confirmed.
--- a/mesh/dataplane/heartbeats.go
+++ b/mesh/dataplane/heartbeats.go
@@ -34,7 +34,8 @@
 	Slots       int     `json:"berths"`
 	Condition   string  `json:"condition"`
 	WarmUpLeftS float64 `json:"coldLeftS"`
-	Sequence    uint64  `json:"sequence"`
+	// Sequence is nil in a heartbeat without a number.
+	Sequence *uint64 `json:"sequence"`
 }
 
 // Conditions in a heartbeat, in the users' terms.
@@ -98,15 +99,18 @@
 	if len(id) > maxServerIDLength {
 		return api.ErrorResponse(http.StatusBadRequest, errServerIDTooLong)
 	}
-	changed := a.record.handleHeartbeat(admission.Heartbeat{
+	h := admission.Heartbeat{
 		ServerID:   id,
 		Service:    r.Service,
 		Version:    r.Edition,
 		Slots:      r.Slots,
 		Closing:    r.Condition == conditionDraining,
 		WarmUpLeft: time.Duration(r.WarmUpLeftS * float64(time.Second)),
-		Sequence:   r.Sequence,
-	})
+	}
+	if r.Sequence != nil {
+		h.Sequence = admission.NewSequence(*r.Sequence)
+	}
+	changed := a.record.handleHeartbeat(h)
 	if changed {
 		a.service.Store(&r.Service)
 	}
--- a/mesh/dataplane/lasthop/gate_test.go
+++ b/mesh/dataplane/lasthop/gate_test.go
@@ -26,7 +26,7 @@
 		Link:      admission.NewLink(mbps),
 		Outcomes:  attempts.New[string, string](incarnation),
 	}
-	g.Admission.HandleHeartbeat(0, admission.Heartbeat{ServerID: "i1", Service: "one", Slots: slots, Sequence: 1})
+	g.Admission.HandleHeartbeat(0, admission.Heartbeat{ServerID: "i1", Service: "one", Slots: slots, Sequence: admission.NewSequence(1)})
 	return g
 }
 
@@ -56,7 +56,7 @@
 		{"after a query", func(g *Gate[string, string]) { g.Query(0, request(1).Attempt, "q") }, request(1), rejected(attempts.AlreadyBarred)},
 		{"duplicate while the server is closing", func(g *Gate[string, string]) {
 			g.Begin(0, request(1))
-			g.Admission.HandleHeartbeat(0, admission.Heartbeat{ServerID: "i1", Closing: true, Sequence: 2})
+			g.Admission.HandleHeartbeat(0, admission.Heartbeat{ServerID: "i1", Closing: true, Sequence: admission.NewSequence(2)})
 		}, request(1), rejected(attempts.Duplicate)},
 		{"beyond the slots", func(g *Gate[string, string]) {
 			for n := range uint64(3 * slots) {
@@ -124,7 +124,7 @@
 				t.Errorf("%s: %v %q, want %v %q", c.name, status, response, c.want, c.response)
 			}
 			if c.changed { // the server counts as unresponsive until its next heartbeat
-				g.Admission.HandleHeartbeat(0, admission.Heartbeat{ServerID: "i1", Slots: slots, Sequence: n + 2})
+				g.Admission.HandleHeartbeat(0, admission.Heartbeat{ServerID: "i1", Slots: slots, Sequence: admission.NewSequence(n + 2)})
 			}
 		}
 	}
--- a/mesh/dataplane/lasthop_test.go
+++ b/mesh/dataplane/lasthop_test.go
@@ -41,7 +41,7 @@
 			Outcomes:  attempts.New[*core.Call, *core.Answer](7),
 		})
 	l.pool = server
-	l.gate.Admission.HandleHeartbeat(0, admission.Heartbeat{ServerID: "i1", Service: "one", Slots: 9, Sequence: 1})
+	l.gate.Admission.HandleHeartbeat(0, admission.Heartbeat{ServerID: "i1", Service: "one", Slots: 9, Sequence: admission.NewSequence(1)})
 	l.gate.Admission.ResponseReceived(0)
 	return l, func(field, text string) *recordingClient {
 		a := &recordingClient{}
--- a/mesh/dataplane/proxy_test.go
+++ b/mesh/dataplane/proxy_test.go
@@ -213,7 +213,7 @@
 			return p
 		}
 		first := newIncarnationProxy(1)
-		heartbeat := admission.Heartbeat{ServerID: "i1", Service: service, Slots: 4, Closing: c.closing, Sequence: 1}
+		heartbeat := admission.Heartbeat{ServerID: "i1", Service: service, Slots: 4, Closing: c.closing, Sequence: admission.NewSequence(1)}
 		first.lastHop.gate.Admission.HandleHeartbeat(0, heartbeat)
 		first.shuttingDown.Store(true)
 		first.node.Announce(0)
--- a/mesh/dataplane/sidecar_headers_test.go
+++ b/mesh/dataplane/sidecar_headers_test.go
@@ -82,7 +82,7 @@
 	name := "one"
 	dialect.service.Store(&name)
 	dialect.config.Store(parseTestConfig(t, "0000000a", "one"))
-	heartbeat := admission.Heartbeat{ServerID: "i1", Service: "one", Slots: 9, Sequence: 1}
+	heartbeat := admission.Heartbeat{ServerID: "i1", Service: "one", Slots: 9, Sequence: admission.NewSequence(1)}
 	switch state {
 	case "closing":
 		heartbeat.Closing = true
