Deadlines: Deadline-Ms 0 has passed, it is not missing

What callers could see: the request of a client that waits no longer was sent on with the route's whole time-out; between sidecars with 60 s.

Change: whether a deadline is stated is a result of its own. What is not a number, or missing, leaves the route's time-out as before.

--- a/mesh/dataplane/headers.go
+++ b/mesh/dataplane/headers.go
@@ -1,6 +1,7 @@
 package dataplane
 
 import (
+	"math"
 	"net/http"
 	"net/textproto"
 	"strconv"
@@ -74,13 +75,14 @@
 	return &core.Answer{Kind: kind, Status: status, Meta: meta, Body: []byte(text + "\n")}
 }
 
-// remainingMillis returns how long the client still waits, in milliseconds, or 0 without a valid deadline header.
-func remainingMillis(h http.Header) float64 {
+// remainingMillis returns how long the client still waits, in milliseconds: 0 if its deadline has passed. stated is false without a valid
+// deadline header.
+func remainingMillis(h http.Header) (remaining float64, stated bool) {
 	v, err := strconv.ParseFloat(h.Get(deadlineHeader), 64)
-	if err != nil || !(v > 0) {
-		return 0
+	if err != nil || math.IsNaN(v) {
+		return 0, false
 	}
-	return min(v, maxRemainingMillis)
+	return min(max(0, v), maxRemainingMillis), true
 }
 
 // formatIncarnation formats an incarnation for a header, in hexadecimal.
--- a/mesh/dataplane/incoming.go
+++ b/mesh/dataplane/incoming.go
@@ -33,8 +33,8 @@
 	if r.Header.Get(queryHeader) == "" && d.routedByOutdatedConfig(r) {
 		return ownAnswer(http.StatusServiceUnavailable, attempts.NotReceived, "the configuration is a newer one", 0), nil
 	}
-	remaining := remainingMillis(r.Header)
-	if remaining <= 0 {
+	remaining, stated := remainingMillis(r.Header)
+	if !stated {
 		remaining = defaultRemainingMillis
 	}
 	c.Received = time.Now()
--- a/mesh/dataplane/outgoing.go
+++ b/mesh/dataplane/outgoing.go
@@ -48,7 +48,7 @@
 		return ownAnswer(http.StatusServiceUnavailable, "", "the service is not known yet", retryAfterNoService), nil
 	}
 	remaining := route.Action.TimeoutS * millisPerSecond
-	if clientRemaining := remainingMillis(r.Header); clientRemaining > 0 {
+	if clientRemaining, stated := remainingMillis(r.Header); stated {
 		remaining = min(remaining, clientRemaining)
 	}
 	c.Received = time.Now()
