--- a/lab/explore/calls/lasthop.go
+++ b/lab/explore/calls/lasthop.go
@@ -53,7 +53,7 @@
 func (h *lastHop) heartbeat() {
 	h.heartbeats++
 	h.gate.Admission.HandleHeartbeat(h.w.now, admission.Heartbeat{
-		ServerID: serverID(h.number), Service: "one", Slots: serverSlots, Sequence: h.heartbeats,
+		ServerID: serverID(h.number), Service: "one", Slots: serverSlots, Sequence: admission.NewSequence(h.heartbeats),
 	})
 }
 
--- a/mesh/dataplane/heartbeats_test.go
+++ b/mesh/dataplane/heartbeats_test.go
@@ -67,7 +67,9 @@
 		if got := a.heartbeat(&api.Request{Args: []string{"i-1"}, Body: heartbeatBody("condition", `"closing"`)}); got.Status != http.StatusOK {
 			t.Errorf("answered by %d", got.Status)
 		}
-		want := admission.Heartbeat{ServerID: "i-1", Service: "one", Slots: 5, Closing: true, WarmUpLeft: 1500 * time.Millisecond, Sequence: admission.NewSequence(3)}
+		want := admission.Heartbeat{
+			ServerID: "i-1", Service: "one", Slots: 5, Closing: true, WarmUpLeft: 1500 * time.Millisecond, Sequence: admission.NewSequence(3),
+		}
 		if len(record.heartbeats) != 1 || record.heartbeats[0] != want {
 			t.Errorf("recorded %+v", record.heartbeats)
 		}
