Tombstones: a sidecar's requests back off

Cause: sidecars that restart while no majority of the control machines answers would each ask seven times a second, for as long as that lasts. Change: the interval doubles up to eight times, and begins anew with each parent. Result: TestTombstonesAreFetchedUntilAnswered holds that it grows; the tests of mesh/dataplane pass. The load itself was not measured.

--- a/mesh/dataplane/distribution/node_test.go
+++ b/mesh/dataplane/distribution/node_test.go
@@ -498,6 +498,9 @@
 	if first == nil || again == nil || first.Id != again.Id || first.From != self {
 		t.Fatalf("sent %+v, then %+v", first, again)
 	}
+	if third := tombstoneFrame(t, n, 2*durations.Tombstones.ResendInterval, c, wire.FetchTombstones); third != nil {
+		t.Error("the interval does not grow while no majority answers")
+	}
 	before, _ := n.State().Directory.Get(self)
 	fetched := []*wire.EntryT{{ServerId: "i-1"}, {ServerId: "i-2"}}
 	answer := &wire.FrameT{Kind: wire.TombstonesFetched, From: self, Id: first.Id, Entries: fetched}
--- a/mesh/dataplane/distribution/tombstones.go
+++ b/mesh/dataplane/distribution/tombstones.go
@@ -14,6 +14,7 @@
 
 // tombstoneRequests are this sidecar's requests to the control machines to record or to return tombstones of its servers. Each is sent to
 // the parent until it is answered: a parent, or the control machine behind it, may be lost with a request.
+// The interval doubles: many sidecars may have started while no majority answers.
 type tombstoneRequests struct {
 	durations timing.Tombstones
 	lastID    uint64
@@ -25,6 +26,7 @@
 type tombstoneRequest struct {
 	id       uint64
 	resendAt time.Duration
+	interval time.Duration // until the request is sent once more after the next time
 	expires  time.Duration // of a record
 }
 
@@ -36,16 +38,16 @@
 
 func (r *tombstoneRequests) newRequest(now time.Duration) *tombstoneRequest {
 	r.lastID++
-	return &tombstoneRequest{id: r.lastID, resendAt: now, expires: now + r.durations.CallTimeout}
+	return &tombstoneRequest{id: r.lastID, resendAt: now, interval: r.durations.ResendInterval, expires: now + r.durations.CallTimeout}
 }
 
-// resendAll makes all requests due.
+// resendAll makes all requests due, for a new parent.
 func (r *tombstoneRequests) resendAll(now time.Duration) {
 	for _, request := range r.records {
-		request.resendAt = now
+		request.resendAt, request.interval = now, r.durations.ResendInterval
 	}
 	if r.fetch != nil {
-		r.fetch.resendAt = now
+		r.fetch.resendAt, r.fetch.interval = now, r.durations.ResendInterval
 	}
 }
 
@@ -85,7 +87,8 @@
 	if n.parent == nil || now < request.resendAt {
 		return
 	}
-	request.resendAt = now + n.tombstones.durations.ResendInterval
+	request.resendAt = now + request.interval
+	request.interval = min(2*request.interval, n.tombstones.durations.MaxResendInterval)
 	f := &wire.FrameT{Kind: kind, From: n.own.Node, Id: request.id, Entries: entries}
 	n.actions = append(n.actions, Send{To: n.parent, Frame: f})
 }
--- a/mesh/timing/tombstones.go
+++ b/mesh/timing/tombstones.go
@@ -11,6 +11,8 @@
 	// ResendInterval is how long a request or a message waits for its reply before it is sent again: a round trip, a sync and the time
 	// until two processes run, so that several fit into CallTimeout.
 	ResendInterval time.Duration
+	// MaxResendInterval is what the interval grows to while a sidecar's request is not answered: eight times ResendInterval.
+	MaxResendInterval time.Duration
 	// Retention is how long a tombstone is kept after it was requested last. It exceeds by far the seconds by which a heartbeat may be late,
 	// and the tombstone of a server that still sends heartbeats is refreshed.
 	Retention time.Duration
@@ -23,10 +25,15 @@
 }
 
 func newTombstones(e Environment) Tombstones {
-	const retention = 10 * time.Minute
+	const (
+		retention       = 10 * time.Minute
+		maxResendFactor = 8
+	)
+	resend := e.RoundTrip + e.DiskSync + 2*e.Scheduling
 	return Tombstones{
 		CallTimeout:            700 * time.Millisecond,
-		ResendInterval:         e.RoundTrip + e.DiskSync + 2*e.Scheduling,
+		ResendInterval:         resend,
+		MaxResendInterval:      maxResendFactor * resend,
 		Retention:              retention,
 		RefreshAge:             retention / 4,
 		ExpiryInterval:         retention / 20,
