Splits: IDs that count up are spread as the weights say

Cause: a request's part is chosen by the high bits of the FNV-1a hash of its Try-Id, which the last characters hardly affect: of 1,000 IDs r2000 to r2999 all went to one service, of r3000 to r3999 400 to the one with 0.6.

Change: the hash's bits are mixed (the last step of MurmurHash3).

--- a/mesh/dataplane/lifecycle.go
+++ b/mesh/dataplane/lifecycle.go
@@ -149,6 +149,7 @@
 	p.startUpstreams(socketBudget(settings))
 	clients := clientDialect{
 		config: &p.cfg, services: &p.services, shutdown: &p.shutdown, refusedAtShutdown: p.metrics.refusedAtShutdown, start: p.start,
+		splitFraction: hashUnit,
 	}
 	outgoingFront, err := p.newFront(clients, noExchange{p.ctx}, socketBudget(settings)/4)
 	if err != nil {
--- a/mesh/dataplane/outgoing.go
+++ b/mesh/dataplane/outgoing.go
@@ -28,6 +28,7 @@
 	shutdown          *atomic.Pointer[shutdownSchedule]    // nil until the shutdown begins
 	refusedAtShutdown *metrics.Counter                     // counts requests rejected because of it
 	start             time.Time                            // of the process: the origin of its clock
+	splitFraction     func(requestID string) float64       // from 0 to below 1: decides which part of a split gets a request
 }
 
 // Fill implements httpfront.Dialect: it routes a request to a service's exchange, or returns the answer that rejects it.
@@ -43,7 +44,7 @@
 	if route == nil {
 		return ownAnswer(http.StatusNotFound, "", "no route", 0), nil
 	}
-	svc := (*d.services.Load())[route.ChooseService(hashUnit(r.Header.Get(requestIDHeader)))]
+	svc := (*d.services.Load())[route.ChooseService(d.splitFraction(r.Header.Get(requestIDHeader)))]
 	if svc == nil {
 		return ownAnswer(http.StatusServiceUnavailable, "", "the service is not known yet", retryAfterNoService), nil
 	}
@@ -81,9 +82,21 @@
 	return ownAnswer(http.StatusGatewayTimeout, "", text, 0)
 }
 
-// hashUnit maps a request ID to a number in [0, 1). The same ID always has the same number.
+// hashUnit maps a request ID to a number in [0, 1). The same ID always has the same number, and the numbers of IDs that differ in any
+// characters are spread evenly.
 func hashUnit(id string) float64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(id)) // never fails
-	return float64(h.Sum64()>>11) / (1 << 53)
+	const mantissaBits = 53
+	return float64(mixBits(h.Sum64())>>(64-mantissaBits)) / (1 << mantissaBits)
+}
+
+// mixBits lets every bit of x affect every bit of the result: the last step of MurmurHash3 (Appleby, 2011). The last characters that FNV-1a
+// hashes hardly affect its high bits.
+func mixBits(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
 }
