Soak: shutdowns beside kills, late heartbeats in order, numbers from 0

Change: the fault shutdown_kill holds a server's heartbeats back, lets it leave or announce its closing, kills processes right after the acknowledgement (none, its sidecar, also the control machines or all but one, or all) and delivers the heartbeats late and in order. It has a stream of random numbers of its own, so that all seeds keep the faults that they had. The judge keeps versions as configversion.Version, as 0 was none there too. TestShortSoak has a third seed, of this kind alone.

--- a/lab/mesh/server.go
+++ b/lab/mesh/server.go
@@ -62,6 +62,8 @@
 	stopOnce          sync.Once
 	closing           atomic.Bool
 	heartbeatsStopped atomic.Bool  // after Leave
+	delaying          atomic.Bool  // heartbeats of an accepting server are held back
+	delayed           sequences    // of the heartbeats that were held back
 	acked             atomic.Bool  // its closing or leaving was acknowledged
 	ackedAt           atomic.Int64 // time of that in Unix nanoseconds
 	behaviour         atomic.Pointer[Behaviour]
@@ -164,10 +166,14 @@
 	}
 }
 
+// sendHeartbeats sends heartbeats, numbered from 0, until they are stopped.
 func (s *Server) sendHeartbeats() {
-	for sequence := 1; !s.heartbeatsStopped.Load(); sequence++ {
+	for sequence := 0; !s.heartbeatsStopped.Load(); sequence++ {
 		closing := s.closing.Load()
-		if s.SendHeartbeat(sequence, closing) && closing {
+		switch {
+		case s.delaying.Load() && !closing:
+			s.delayed.add(sequence)
+		case s.SendHeartbeat(sequence, closing) && closing:
 			s.acknowledged()
 		}
 		select {
@@ -178,6 +184,44 @@
 	}
 }
 
+// sequences is a list of the sequences of heartbeats. It is safe for concurrent use.
+type sequences struct {
+	mu  sync.Mutex
+	all []int
+}
+
+func (s *sequences) add(sequence int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.all = append(s.all, sequence)
+}
+
+// take returns the sequences in order, and empties the list.
+func (s *sequences) take() []int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	taken := s.all
+	s.all = nil
+	return taken
+}
+
+// DelayHeartbeats holds the server's heartbeats back from now on, except those that announce its closing.
+func (s *Server) DelayHeartbeats() { s.delaying.Store(true) }
+
+// SendDelayed sends the heartbeats that were held back, in their order, with a pause between them. It returns how many were acknowledged.
+func (s *Server) SendDelayed(pause time.Duration) (acknowledged int) {
+	s.delaying.Store(false)
+	for i, sequence := range s.delayed.take() {
+		if i > 0 {
+			time.Sleep(pause)
+		}
+		if s.SendHeartbeat(sequence, false) {
+			acknowledged++
+		}
+	}
+	return acknowledged
+}
+
 // SendHeartbeat sends a heartbeat and reports whether the mesh has acknowledged it.
 func (s *Server) SendHeartbeat(sequence int, closing bool) bool {
 	condition := "accepting"
--- a/lab/soak/config.go
+++ b/lab/soak/config.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+
+	"firplank/mesh/configversion"
 )
 
 // The mesh's services, and the routes to them. Each version of the configuration adds a marker route, which shows whether that version or
@@ -22,7 +24,9 @@
 var splitShares = map[string]int{safeService: 60, unsafeService: 40}
 
 // markerPrefix returns the prefix of a version's marker route.
-func markerPrefix(version uint32) string { return fmt.Sprintf("/since-%d/", version) }
+func markerPrefix(version configversion.Version) string {
+	return fmt.Sprintf("/since-%d/", version.Number())
+}
 
 type (
 	routeJSON struct {
@@ -65,18 +69,18 @@
 )
 
 // configuration returns the configuration of a version in JSON. Different comments give different contents of the same version.
-func configuration(version uint32, comment string) []byte {
+func configuration(version configversion.Version, comment string) []byte {
 	routes := []routeJSON{
 		route("look", "safe", safePrefix, safeService, 2),
 		route("file", "unsafe", filePrefix, unsafeService, 1),
 		route("pull", "download", pullPrefix, safeService, 2),
 		splitRoute(),
 	}
-	for v := max(1, int(version)-keptMarkers); v <= int(version); v++ {
-		routes = append(routes, route(fmt.Sprintf("since-%d", v), "safe", markerPrefix(uint32(v)), safeService, 2))
+	for v := configversion.Of(max(version.Number(), keptMarkers) - keptMarkers); v <= version; v++ {
+		routes = append(routes, route(fmt.Sprintf("since-%d", v.Number()), "safe", markerPrefix(v), safeService, 2))
 	}
 	text, err := json.Marshal(configJSON{
-		Version:  fmt.Sprintf("%08x", version),
+		Version:  version.String(),
 		Comment:  comment,
 		Caps:     map[string]int{},
 		Hosts:    []hostJSON{{host, routes}},
@@ -108,13 +112,13 @@
 }
 
 // invalidConfiguration returns a configuration that must be rejected: truncated JSON for even variants, an unknown service for odd ones.
-func invalidConfiguration(version uint32, variant int) []byte {
+func invalidConfiguration(version configversion.Version, variant int) []byte {
 	text := configuration(version, "")
 	if variant%2 == 0 {
 		return text[:len(text)/2]
 	}
 	bad := configJSON{
-		Version: fmt.Sprintf("%08x", version), Caps: map[string]int{},
+		Version: version.String(), Caps: map[string]int{},
 		Hosts: []hostJSON{{host, []routeJSON{route("look", "safe", safePrefix, "nobody", 2)}}},
 	}
 	text, err := json.Marshal(bad)
--- a/lab/soak/injector.go
+++ b/lab/soak/injector.go
@@ -96,6 +96,8 @@
 		t.killAfterAck(ctx, x, control)
 	case CloseKill:
 		t.killAfterClosing(ctx, x, proxy)
+	case ShutdownKill:
+		t.killAfterShutdown(ctx, x, proxy)
 	case ConfigStorm, ConfigRace, ConfigInvalid, ClientLeave:
 		t.injectMisuse(ctx, x)
 	case ServerCrash, ServerClose, ServerLeave, ServerSlow, ServerDrop, ServerGarble, ServerRefuse:
--- a/lab/soak/judge.go
+++ b/lab/soak/judge.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"firplank/lab/mesh"
+	"firplank/mesh/configversion"
 )
 
 // Bounds of the rules. Those with the name of a setting (inTouchS, inForceS, ...) equal what the processes get as settings. A rule with a
@@ -39,12 +40,12 @@
 	machine       string // received it from the client
 	incarnation   int    // counts the processes of machine
 	unsafe        bool
-	markerVersion uint32   // the version whose marker route is used; 0: none
-	mismatched    bool     // a success whose body or headers are not those of its server
-	services      []string // services that may run it
-	serviceIndex  int      // index in services of the one that answered with success
-	paddingBytes  int      // bytes of padding after the response's text
-	fromServer    bool     // the response was produced by a server, not by a sidecar
+	markerVersion configversion.Version // the version whose marker route is used, or None
+	mismatched    bool                  // a success whose body or headers are not those of its server
+	services      []string              // services that may run it
+	serviceIndex  int                   // index in services of the one that answered with success
+	paddingBytes  int                   // bytes of padding after the response's text
+	fromServer    bool                  // the response was produced by a server, not by a sidecar
 	body          string
 	sent          time.Duration
 	ended         time.Duration
@@ -85,8 +86,8 @@
 	markers    map[[2]string]seenMarker // highest version seen, by machine and incarnation
 	split      map[string]int           // successes on the split route without faults, by service
 
-	acked     map[uint32]ack
-	newest    uint32 // highest version in acked
+	acked     map[configversion.Version]ack
+	newest    configversion.Version // highest version in acked, or None
 	counts    Counts
 	tolerated int // requests at closing servers during faults
 }
@@ -100,7 +101,7 @@
 }
 
 type seenMarker struct {
-	version uint32
+	version configversion.Version
 	at      time.Duration
 }
 
@@ -122,7 +123,7 @@
 	return &Judge{
 		requests: map[string]*request{}, arrivals: map[string][]arrival{}, runs: map[string]int{}, aborted: map[string]bool{},
 		lastServer: map[string]string{}, serverEnds: map[string]time.Duration{}, rejectedBy: map[string]string{}, faults: map[string][]span{},
-		shutdowns: map[string][]span{}, markers: map[[2]string]seenMarker{}, acked: map[uint32]ack{}, split: map[string]int{},
+		shutdowns: map[string][]span{}, markers: map[[2]string]seenMarker{}, acked: map[configversion.Version]ack{}, split: map[string]int{},
 	}
 }
 
--- a/lab/soak/judgeanswers.go
+++ b/lab/soak/judgeanswers.go
@@ -5,6 +5,8 @@
 	"math"
 	"net/http"
 	"time"
+
+	"firplank/mesh/configversion"
 )
 
 // This file judges the outcomes of requests: responses, connections that ended without one, and what only shows at the end of a run.
@@ -75,7 +77,7 @@
 	if len(x.services) > 1 && x.serviceIndex >= 0 && j.faultFreeEverywhere(x.sent, x.ended) {
 		j.split[x.services[x.serviceIndex]]++
 	}
-	if x.markerVersion == 0 {
+	if x.markerVersion == configversion.None {
 		return
 	}
 	key := [2]string{x.machine, fmt.Sprint(x.incarnation)}
@@ -86,13 +88,13 @@
 
 // judgeNotFound judges a 404, which is correct only for a marker route whose version need not be in force yet.
 func (j *Judge) judgeNotFound(x *exchange) {
-	if x.markerVersion == 0 {
+	if x.markerVersion == configversion.None {
 		j.report(x.ended, "DENIED", "request %s at %s has no route", x.id, x.machine)
 		return
 	}
 	if seen := j.markers[[2]string{x.machine, fmt.Sprint(x.incarnation)}]; seen.version >= x.markerVersion &&
 		x.sent > seen.at+backSlack+timingSlack {
-		j.report(x.ended, "CONFIG", "machine %s goes back: version %d was in force at %v, and has no route at %v", x.machine, seen.version,
+		j.report(x.ended, "CONFIG", "machine %s goes back: version %v was in force at %v, and has no route at %v", x.machine, seen.version,
 			seen.at, x.sent)
 		return
 	}
@@ -100,7 +102,7 @@
 	if !acked || x.sent <= a.at+inForce+timingSlack || !j.faultFree(x.sent, x.ended, x.machine) {
 		return
 	}
-	j.report(x.ended, "CONFIG", "machine %s does not have version %d, sent at %v, acknowledged at %v", x.machine, x.markerVersion,
+	j.report(x.ended, "CONFIG", "machine %s does not have version %v, sent at %v, acknowledged at %v", x.machine, x.markerVersion,
 		x.sent, a.at)
 }
 
--- a/lab/soak/load.go
+++ b/lab/soak/load.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"firplank/lab/mesh"
+	"firplank/mesh/configversion"
 )
 
 // Shares of the kinds of requests, and the clients' times and sizes.
@@ -113,7 +114,7 @@
 		o.path = fmt.Sprintf("%sx?bytes=%d", pullPrefix, e.paddingBytes)
 		return o
 	case kind < unsafeShare+splitShare+pullShare+markerShare:
-		if e.markerVersion = l.run.judge.Newest(); e.markerVersion > 0 {
+		if e.markerVersion = l.run.judge.Newest(); e.markerVersion != configversion.None {
 			o.path = markerPrefix(e.markerVersion) + "x"
 		}
 	}
--- a/lab/soak/operator.go
+++ b/lab/soak/operator.go
@@ -12,16 +12,17 @@
 	"time"
 
 	"firplank/lab/mesh"
+	"firplank/mesh/configversion"
 )
 
 // change is a configuration that an operator sends under a version. content is the start of the text's SHA-256 in hex.
 type change struct {
-	version uint32
+	version configversion.Version
 	text    []byte
 	content string
 }
 
-func newChange(version uint32, comment string) change {
+func newChange(version configversion.Version, comment string) change {
 	text := configuration(version, comment)
 	sum := sha256.Sum256(text)
 	return change{version, text, hex.EncodeToString(sum[:8])}
@@ -32,16 +33,16 @@
 	run *run
 
 	mu             sync.Mutex
-	lastVersion    uint32              // highest version that was sent
-	contents       map[uint32][]change // all changes that were sent, by version
-	unacknowledged map[string]bool     // by content, of the changes that were sent
+	lastVersion    configversion.Version              // highest version that was sent; None: none was
+	contents       map[configversion.Version][]change // all changes that were sent, by version
+	unacknowledged map[string]bool                    // by content, of the changes that were sent
 }
 
 func newOperator(r *run) *operator {
-	return &operator{run: r, contents: map[uint32][]change{}, unacknowledged: map[string]bool{}}
+	return &operator{run: r, contents: map[configversion.Version][]change{}, unacknowledged: map[string]bool{}}
 }
 
-// next returns a change with the next version.
+// next returns a change with the next version, from the lowest one on.
 func (o *operator) next(comment string) change {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -50,7 +51,7 @@
 }
 
 // conflictingChange returns a change with another content under the same version.
-func (o *operator) conflictingChange(version uint32) change {
+func (o *operator) conflictingChange(version configversion.Version) change {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.recordLocked(newChange(version, "rival"))
@@ -79,13 +80,13 @@
 		case status == http.StatusOK:
 			o.acknowledged(c)
 			r.judge.Acknowledged(r.now(), began, c)
-			r.log.Event(r.now(), "acknowledged", "version %d content %s by %s", c.version, c.content, x.Name)
+			r.log.Event(r.now(), "acknowledged", "version %v content %s by %s", c.version, c.content, x.Name)
 			return true
 		case status == http.StatusConflict:
 			r.judge.Conflict(r.now(), c, x.Name)
 			return false
 		case status == http.StatusBadRequest:
-			r.judge.Report(r.now(), "CONFIG", "version %d is refused as invalid by %s", c.version, x.Name)
+			r.judge.Report(r.now(), "CONFIG", "version %v is refused as invalid by %s", c.version, x.Name)
 			return false
 		}
 		sleep(ctx, operatorRetryDelay)
@@ -122,23 +123,23 @@
 	}
 }
 
-// versionOf returns the version of a configuration, or 0 if it cannot be parsed.
-func versionOf(text []byte) uint32 {
+// versionOf returns the version of a configuration, or None if it cannot be parsed.
+func versionOf(text []byte) configversion.Version {
 	var head struct {
 		Version string `json:"edition"`
 	}
 	if json.Unmarshal(text, &head) != nil {
-		return 0
+		return configversion.None
 	}
 	v, err := strconv.ParseUint(head.Version, 16, 32)
 	if err != nil {
-		return 0
+		return configversion.None
 	}
-	return uint32(v)
+	return configversion.Of(uint32(v))
 }
 
 // wasSent reports whether a text was ever sent under a version.
-func (o *operator) wasSent(version uint32, text []byte) bool {
+func (o *operator) wasSent(version configversion.Version, text []byte) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, c := range o.contents[version] {
@@ -169,4 +170,4 @@
 }
 
 // String returns a change as it is shown in the event log.
-func (c change) String() string { return fmt.Sprintf("version %d content %s", c.version, c.content) }
+func (c change) String() string { return fmt.Sprintf("version %v content %s", c.version, c.content) }
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -44,6 +44,9 @@
 	ConfigStorm   Kind = "config_storm" // configurations in quick succession
 	ConfigRace    Kind = "config_race"  // two contents of one version are sent at once, to two control machines
 	ConfigInvalid Kind = "config_invalid"
+	// ShutdownKill: a server announces its closing or leaves while its last heartbeats are delayed; processes are killed right after the
+	// acknowledgement, and the heartbeats arrive when these have started again. It is drawn apart from the others.
+	ShutdownKill Kind = "shutdown_kill"
 )
 
 // weights are the weights by which kinds are drawn.
@@ -83,12 +86,47 @@
 	minDuration    = 200 * time.Millisecond
 	durationJitter = 3 * time.Second
 	maxChoice      = 1 << 16
+	// A ShutdownKill starts minShutdownGap to minShutdownGap+shutdownGapJitter after the one before: each takes a server for long.
+	minShutdownGap    = 2 * time.Second
+	shutdownGapJitter = 4 * time.Second
+	// weightedStream and shutdownStream are the second halves of the seeds of the random number generators.
+	weightedStream = 1
+	shutdownStream = 2
 )
 
 // Plan draws the faults of a run. The same seed and length give the same plan. An empty only allows all kinds.
 func Plan(seed uint64, length time.Duration, only []Kind) []Fault {
-	random := rand.New(rand.NewPCG(seed, 1))
-	var plan []Fault
+	plan := slices.Concat(planWeighted(seed, length, only), planShutdowns(seed, length, only))
+	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return plan
+}
+
+// planShutdowns draws the faults of the kind ShutdownKill. They have a stream of random numbers of their own, so that a seed has the other
+// faults that it had before this kind.
+func planShutdowns(seed uint64, length time.Duration, only []Kind) (plan []Fault) {
+	if len(only) > 0 && !slices.Contains(only, ShutdownKill) {
+		return nil
+	}
+	random := rand.New(rand.NewPCG(seed, shutdownStream))
+	gap := func() time.Duration { return minShutdownGap + time.Duration(random.Int64N(int64(shutdownGapJitter))) }
+	for at := quietStart + gap()/2; at < length-quietEnd; at += gap() {
+		plan = append(plan, Fault{
+			At:     at,
+			For:    minDuration + time.Duration(random.Int64N(int64(durationJitter/2))),
+			Kind:   ShutdownKill,
+			Target: random.IntN(maxChoice),
+			Other:  random.IntN(maxChoice),
+		})
+	}
+	return plan
+}
+
+// planWeighted draws the faults of the kinds in weights.
+func planWeighted(seed uint64, length time.Duration, only []Kind) (plan []Fault) {
+	if len(only) > 0 && !slices.ContainsFunc(only, isWeighted) {
+		return nil
+	}
+	random := rand.New(rand.NewPCG(seed, weightedStream))
 	for at := quietStart; at < length-quietEnd; at += minGap + time.Duration(random.Int64N(int64(gapJitter))) {
 		plan = append(plan, Fault{
 			At:     at,
@@ -98,10 +136,12 @@
 			Other:  random.IntN(maxChoice),
 		})
 	}
-	slices.SortFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
 
+// isWeighted reports whether a kind is in weights.
+func isWeighted(kind Kind) bool { return slices.Contains(weightedKinds(), kind) }
+
 // drawKind draws a kind by weight from those in only, or from all kinds if only is empty.
 func drawKind(random *rand.Rand, only []Kind) Kind {
 	total := 0
@@ -123,7 +163,9 @@
 }
 
 // Kinds returns all kinds of faults.
-func Kinds() (all []Kind) {
+func Kinds() []Kind { return append(weightedKinds(), ShutdownKill) }
+
+func weightedKinds() (all []Kind) {
 	for _, w := range weights {
 		all = append(all, w.kind)
 	}
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -22,6 +22,7 @@
 
 	"firplank/internal/invariant"
 	"firplank/lab/mesh"
+	"firplank/mesh/configversion"
 )
 
 // Config describes a run.
@@ -189,7 +190,7 @@
 func (r *run) judgeEnd() {
 	newest := r.judge.Newest()
 	for _, x := range r.mesh.Core {
-		var version uint32
+		var version configversion.Version
 		var text []byte
 		err := mesh.Await(recovery, "", func() bool {
 			status, body, err := x.Read()
@@ -200,7 +201,7 @@
 		case err != nil:
 			r.judge.Report(r.now(), "CONFIG", "%s reads no configuration back within %v", x.Name, recovery)
 		case version < newest || !r.operator.wasSent(version, text):
-			r.judge.Report(r.now(), "CONFIG", "%s reads version %d back, and %d was acknowledged", x.Name, version, newest)
+			r.judge.Report(r.now(), "CONFIG", "%s reads version %v back, and %v was acknowledged", x.Name, version, newest)
 		}
 	}
 	r.load.mu.Lock()
--- a/lab/soak/soak_test.go
+++ b/lab/soak/soak_test.go
@@ -46,6 +46,7 @@
 	}{
 		{seed: 1, core: 4, tolerance: 1},
 		{seed: 2, core: 6, tolerance: 2, only: []Kind{ControlWipe, ProxyTerm, CloseKill, ConfigStorm, NodeCut, AnswerLost}},
+		{seed: 3, core: 3, tolerance: 1, only: []Kind{ShutdownKill}},
 	} {
 		var events bytes.Buffer
 		report, err := Run(t.Context(), Config{
@@ -79,9 +80,16 @@
 	if overlaps < len(first)/2 {
 		t.Errorf("%d of %d faults overlap", overlaps, len(first))
 	}
-	for _, x := range Plan(7, time.Minute, []Kind{ProxyKill, ConfigRace}) {
-		if x.Kind != ProxyKill && x.Kind != ConfigRace {
-			t.Errorf("%v was not asked for", x.Kind)
+	for _, only := range [][]Kind{{ProxyKill, ConfigRace}, {ShutdownKill}, {ShutdownKill, ProxyTerm}} {
+		drawn := map[Kind]bool{}
+		for _, x := range Plan(7, time.Minute, only) {
+			drawn[x.Kind] = true
+			if !slices.Contains(only, x.Kind) {
+				t.Errorf("%v was not asked for", x.Kind)
+			}
+		}
+		if len(drawn) != len(only) {
+			t.Errorf("of %v only %v were drawn", only, drawn)
 		}
 	}
 }
