Explorers: one place collects choices

Cause: the explorers of leases, rollouts and tombstones each had the same collection of choices, names and faults. Change: explore.Offers has it; the three embed it.

--- a/lab/explore/lease/world.go
+++ b/lab/explore/lease/world.go
@@ -42,19 +42,17 @@
 
 // world is a group of machines with their links and faults. It implements explore.System.
 type world struct {
+	explore.Offers
+
 	bounds    Bounds
 	defect    *Defect
 	now       time.Duration
 	machines  []machine
 	inFlight  []lease.Message
-	faults    int
 	steps     int
 	partition bool // the first machine is partitioned from the others
 	repaired  bool // the order ends after a repair
 	broken    error
-
-	fingerprint explore.OrderFingerprint
-	choices     []explore.Choice
 }
 
 // Start returns a function that creates a new system. No defect is planted if d is nil.
@@ -101,15 +99,11 @@
 // Broken implements explore.System.
 func (w *world) Broken() error { return w.broken }
 
-// State implements explore.System. Every order counts as a state of its own.
-func (w *world) State() uint64 { return uint64(w.fingerprint) }
-
 // Do implements explore.System.
 func (w *world) Do(choice int) {
 	w.Choices()
-	w.fingerprint = w.fingerprint.Add(choice)
 	w.steps++
-	w.choices[choice].Do()
+	w.Perform(choice)
 }
 
 // advance advances the time at all running machines.
--- a/lab/explore/rollouts/world.go
+++ b/lab/explore/rollouts/world.go
@@ -75,6 +75,8 @@
 
 // world is a mesh with its faults. It implements explore.System.
 type world struct {
+	explore.Offers
+
 	bounds Bounds
 	defect *Defect
 
@@ -85,14 +87,11 @@
 	leader               int
 	newVersionFails      bool // the new version fails
 	updatesDelayed       bool // commits reach control machines and sidecars only by explicit choices
-	faults               int
-	requestsWhileFailing int // requests to the new version since it became faulty
+	requestsWhileFailing int  // requests to the new version since it became faulty
 
 	deliveredAt time.Duration // 0 until the rollout is delivered
 	outcome     rollout.Stage
 	broken      error
-	fingerprint explore.OrderFingerprint
-	choices     []explore.Choice
 }
 
 // Start returns a function that creates a new system, in which a rollout was ordered and has reached all sidecars. No defect is planted
@@ -133,14 +132,10 @@
 // Broken implements explore.System.
 func (w *world) Broken() error { return w.broken }
 
-// State implements explore.System. Every order counts as a state of its own.
-func (w *world) State() uint64 { return uint64(w.fingerprint) }
-
 // Do implements explore.System.
 func (w *world) Do(choice int) {
 	w.Choices()
-	w.fingerprint = w.fingerprint.Add(choice)
-	w.choices[choice].Do()
+	w.Perform(choice)
 }
 
 // advance runs one step: requests end and start, sidecars report, control machines decide, and commits are propagated.
--- a/lab/explore/tombstones/choices.go
+++ b/lab/explore/tombstones/choices.go
@@ -1,25 +1,19 @@
 package tombstones
 
-import (
-	"fmt"
-
-	"firplank/lab/explore"
-)
-
 // settleSteps is the number of steps that one choice may let pass.
 const settleSteps = 6
 
 // Choices implements explore.System.
 func (w *world) Choices() []string {
-	w.choices = w.choices[:0]
+	w.Begin(w.now)
 	if w.repaired {
 		return nil
 	}
-	w.offer(func() { w.advance(step) }, "time passes")
-	w.offer(func() { w.advance(durations.CallTimeout) }, "a call's time-out passes")
-	w.offer(func() { w.settle(settleSteps) }, "messages arrive and disks sync for %v", settleSteps*step)
-	if w.servers == w.bounds.Servers || w.faults == w.bounds.Faults {
-		w.offer(w.repair, "all is repaired")
+	w.Offer(func() { w.advance(step) }, "time passes")
+	w.Offer(func() { w.advance(durations.CallTimeout) }, "a call's time-out passes")
+	w.Offer(func() { w.settle(settleSteps) }, "messages arrive and disks sync for %v", settleSteps*step)
+	if w.servers == w.bounds.Servers || w.Faults == w.bounds.Faults {
+		w.Offer(w.repair, "all is repaired")
 	}
 	w.offerMessages()
 	for _, m := range w.machines {
@@ -27,26 +21,12 @@
 		w.offerDisk(m)
 	}
 	if w.mayChangeMembers() {
-		w.offer(w.changeMembers, "the change of members goes on")
+		w.Offer(w.changeMembers, "the change of members goes on")
 	}
-	if w.faults < w.bounds.Faults {
+	if w.Faults < w.bounds.Faults {
 		w.offerFaults()
 	}
-	return explore.Names(w.choices)
-}
-
-// offer adds a choice.
-func (w *world) offer(do func(), format string, args ...any) {
-	name := fmt.Sprintf("%5.2f s  ", w.now.Seconds()) + fmt.Sprintf(format, args...)
-	w.choices = append(w.choices, explore.Choice{Name: name, Do: do})
-}
-
-// offerFault adds a choice that counts as a fault.
-func (w *world) offerFault(do func(), format string, args ...any) {
-	w.offer(func() {
-		w.faults++
-		do()
-	}, format, args...)
+	return w.Names()
 }
 
 // offerMessages adds the delivery of one of the oldest or the latest messages.
@@ -54,7 +34,7 @@
 	for _, index := range []int{0, 1, 2, len(w.inFlight) - 1} {
 		if index >= 0 && index < len(w.inFlight) {
 			m := w.inFlight[index]
-			w.offer(func() { w.deliver(index, false) }, "%s receives a message of %s", m.To, m.From)
+			w.Offer(func() { w.deliver(index, false) }, "%s receives a message of %s", m.To, m.From)
 		}
 	}
 }
@@ -62,20 +42,20 @@
 // offerRequests adds requests of sidecars at a machine, and its start.
 func (w *world) offerRequests(m *machine) {
 	if m.replica == nil {
-		w.offer(func() { w.start(m) }, "%s starts", m.name)
+		w.Offer(func() { w.start(m) }, "%s starts", m.name)
 		return
 	}
 	if w.servers < w.bounds.Servers {
-		w.offer(func() { w.record(m) }, "a server shuts down, by %s", m.name)
+		w.Offer(func() { w.record(m) }, "a server shuts down, by %s", m.name)
 	}
 	if len(w.fetches) < w.bounds.Fetches {
-		w.offer(func() { w.fetch(m, "n1") }, "a sidecar reads from %s", m.name)
+		w.Offer(func() { w.fetch(m, "n1") }, "a sidecar reads from %s", m.name)
 	}
 }
 
 func (w *world) offerDisk(m *machine) {
 	if m.replica != nil && len(m.unsynced) > 0 {
-		w.offer(func() { w.sync(m) }, "the disk of %s has synced", m.name)
+		w.Offer(func() { w.sync(m) }, "the disk of %s has synced", m.name)
 	}
 }
 
@@ -83,7 +63,7 @@
 func (w *world) offerFaults() {
 	for _, name := range []string{"a", "b", "c", ""} {
 		if name != w.isolated {
-			w.offerFault(func() { w.isolated = name }, "%q is isolated", name)
+			w.OfferFault(func() { w.isolated = name }, "%q is isolated", name)
 		}
 	}
 	w.offerLosses()
@@ -93,14 +73,14 @@
 // offerLosses adds lost and duplicated messages.
 func (w *world) offerLosses() {
 	if len(w.inFlight) > 0 {
-		w.offerFault(func() { w.deliver(len(w.inFlight)-1, true) }, "the latest message arrives, and will arrive again")
-		w.offerFault(func() { w.inFlight = w.inFlight[:0] }, "all messages under way are lost")
+		w.OfferFault(func() { w.deliver(len(w.inFlight)-1, true) }, "the latest message arrives, and will arrive again")
+		w.OfferFault(func() { w.inFlight = w.inFlight[:0] }, "all messages under way are lost")
 	}
 }
 
 // offerKills adds killed machines and lost disks.
 func (w *world) offerKills() {
-	w.offerFault(func() {
+	w.OfferFault(func() {
 		for _, m := range w.machines {
 			w.kill(m)
 		}
@@ -112,13 +92,13 @@
 		if m.replica == nil {
 			continue
 		}
-		w.offerFault(func() { w.kill(m) }, "%s is killed", m.name)
-		w.offerFault(func() {
+		w.OfferFault(func() { w.kill(m) }, "%s is killed", m.name)
+		w.OfferFault(func() {
 			w.kill(m)
 			w.start(m)
 		}, "%s is killed and starts at once", m.name)
 		if w.mayLoseDisk() {
-			w.offerFault(func() {
+			w.OfferFault(func() {
 				w.wipe(m)
 				w.start(m)
 			}, "%s is killed, loses its disk and starts", m.name)
--- a/lab/explore/tombstones/world.go
+++ b/lab/explore/tombstones/world.go
@@ -54,6 +54,8 @@
 
 // world is a group of control machines with their links, disks and faults. It implements explore.System.
 type world struct {
+	explore.Offers
+
 	bounds   Bounds
 	defect   *Defect
 	now      time.Duration
@@ -65,15 +67,11 @@
 	fetches  []fetch
 	lastID   uint64
 	servers  int
-	faults   int
 	isolated string // the machine that is cut off from the others; empty: none is
 	changed  bool   // the members have changed
 	repaired bool
 	answered int // requests answered since the repair
 	broken   error
-
-	fingerprint explore.OrderFingerprint
-	choices     []explore.Choice
 }
 
 // Start returns a function that creates a new system. No defect is planted if d is nil.
@@ -308,12 +306,8 @@
 // Broken implements explore.System.
 func (w *world) Broken() error { return w.broken }
 
-// State implements explore.System. Every order counts as a state of its own.
-func (w *world) State() uint64 { return uint64(w.fingerprint) }
-
 // Do implements explore.System.
 func (w *world) Do(choice int) {
 	w.Choices()
-	w.fingerprint = w.fingerprint.Add(choice)
-	w.choices[choice].Do()
+	w.Perform(choice)
 }
