Tombstones: a test of an update from a release without them

Cause: the way in which control machines begin with a folder of the release before had no test. Change: TestShutdownIsAcknowledgedAfterAnUpdate removes the logs of tombstones of a running mesh's control machines and starts them again. Result: it passes; a shutdown is acknowledged and holds.

--- a/lab/mesh/tombstones_test.go
+++ b/lab/mesh/tombstones_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
 	"slices"
 	"sync/atomic"
 	"syscall"
@@ -93,3 +95,38 @@
 		must(t, x.Start(false))
 	}
 }
+
+// Control machines whose folders have no tombstones, as those of the releases before, count as complete: a shutdown is acknowledged, and a
+// sidecar that restarts reads it.
+func TestShutdownIsAcknowledgedAfterAnUpdate(t *testing.T) {
+	m := startWithBounds(t, Config{Net: 68, Core: 3, Tolerance: 1, Heartbeat: time.Second})
+	for _, x := range m.Core {
+		x.Kill()
+		must(t, os.RemoveAll(filepath.Join(m.cfg.Folder, x.Name, "data", "tombstones")))
+	}
+	for _, x := range m.Core {
+		must(t, x.Start(false))
+	}
+	leaver := m.Branch[0].CurrentServer()
+	must(t, Await(10*time.Second, "the shutdown is acknowledged", leaver.Leave))
+	restart(t, []*Machine{m.Branch[0]})
+	must(t, Await(10*time.Second, "the sidecar is ready", m.Branch[0].Ready))
+	for i := range 2 {
+		must(t, Await(2*time.Second, "a delayed heartbeat is acknowledged", func() bool {
+			return leaver.SendHeartbeat(delayedSequence+i, false)
+		}))
+	}
+	time.Sleep(3 * time.Second) // inTouchS
+	if serves(m, leaver) {
+		t.Error("a server that had left is in rotation")
+	}
+}
+
+// serves reports whether a server gets one of some requests, whatever becomes of them.
+func serves(m *Mesh, s *Server) bool {
+	before := s.Served.Load()
+	for n := range 20 {
+		_, _, _ = m.Branch[2].Send(http.MethodGet, "plates.example", "/look/1", fmt.Sprintf("serves-%d-%d", before, n), nil)
+	}
+	return s.Served.Load() > before
+}
