Laboratory: a machine's server is read under its lock

Machine.Server was read without the lock under which a replaced server is written, by the scrape of metrics, the settings and the faults.

Change: the field is private, and whether a machine is a control machine does not depend on it (IsCore).

--- a/lab/mesh/mesh.go
+++ b/lab/mesh/mesh.go
@@ -59,6 +59,12 @@
 // defaultBounds are the bounds in the settings if a Config has none.
 var defaultBounds = []string{"graceS=3", "retryRatio=0.2", "retryWindowS=10", "retrySlack=60"}
 
+// The programs of core and of branch machines.
+const (
+	controlProgram = "firplank-control"
+	proxyProgram   = "firplank-proxy"
+)
+
 // Machine is one process with its settings, its address and, on branch machines, a server beside it.
 type Machine struct {
 	Name, IP   string
@@ -69,12 +75,15 @@
 	process    *exec.Cmd
 	pid        atomic.Int64 // process id of process
 	done       chan struct{}
-	Server     *Server        // current server; nil on core machines
+	server     *Server        // current server, guarded by the mesh's mu; nil on core machines
 	ConnRelay  *ConnRelay     // for the incoming address; nil: none
 	peerRelay  *ConnRelay     // for the peer address; nil: none
 	probeRelay *datagramRelay // for datagrams to the peer address; nil: none
 }
 
+// IsCore reports whether the machine is a control machine, which has no server.
+func (x *Machine) IsCore() bool { return x.program == controlProgram }
+
 // Mesh is a running mesh.
 type Mesh struct {
 	Core, Branch []*Machine
@@ -109,7 +118,7 @@
 	for i := range cfg.Core {
 		ip := fmt.Sprintf("127.%d.0.%d", cfg.Net, i+1)
 		m.Core = append(m.Core, &Machine{Name: fmt.Sprintf("core-%d", i+1), IP: ip, Zone: cfg.Zones[i%len(cfg.Zones)],
-			mesh: m, program: "firplank-control"})
+			mesh: m, program: controlProgram})
 		if i < 3 {
 			seeds = append(seeds, fmt.Sprintf("%s:%d", ip, basePort+6))
 		}
@@ -119,8 +128,8 @@
 		for range cfg.Services[service] {
 			n++
 			ip := fmt.Sprintf("127.%d.1.%d", cfg.Net, n)
-			b := &Machine{Name: fmt.Sprintf("branch-%d", n), IP: ip, Zone: cfg.Zones[n%len(cfg.Zones)], mesh: m, program: "firplank-proxy"}
-			b.Server = &Server{machine: b, service: service, id: fmt.Sprintf("i-%08d", n), version: initialVersion}
+			b := &Machine{Name: fmt.Sprintf("branch-%d", n), IP: ip, Zone: cfg.Zones[n%len(cfg.Zones)], mesh: m, program: proxyProgram}
+			b.server = &Server{machine: b, service: service, id: fmt.Sprintf("i-%08d", n), version: initialVersion}
 			m.Branch = append(m.Branch, b)
 		}
 	}
@@ -134,8 +143,8 @@
 			m.Stop()
 			return nil, err
 		}
-		if x.Server != nil {
-			if err := x.Server.start(); err != nil {
+		if !x.IsCore() {
+			if err := x.CurrentServer().start(); err != nil {
 				m.Stop()
 				return nil, err
 			}
@@ -148,7 +157,7 @@
 func (x *Machine) openRelays() (err error) {
 	address := func(port int) string { return fmt.Sprintf("%s:%d", x.IP, port) }
 	cfg, network := &x.mesh.cfg, x.mesh.Network
-	if (cfg.ConnRelays || cfg.Links) && x.Server != nil {
+	if (cfg.ConnRelays || cfg.Links) && !x.IsCore() {
 		if x.ConnRelay, err = newConnRelay(address(advertisedPort), address(basePort), x.Name, network, true); err != nil {
 			return err
 		}
@@ -205,14 +214,14 @@
 	if x.peerRelay != nil {
 		addresses["peerListen"] = fmt.Sprintf("%s:%d", x.IP, peerListenPort)
 	}
-	if x.Server == nil {
+	if x.IsCore() {
 		settings["dataPath"] = filepath.Join(x.mesh.cfg.Folder, x.Name, "data")
 	} else {
 		addresses["incoming"], addresses["outgoing"], addresses["readiness"] = address(0), address(4), address(2)
 		if x.ConnRelay != nil {
 			addresses["advertised"] = fmt.Sprintf("%s:%d", x.IP, advertisedPort)
 		}
-		settings["appAddr"], settings["line"] = address(1), x.Server.service
+		settings["appAddr"], settings["line"] = address(1), x.Service()
 	}
 	return settings
 }
@@ -279,7 +288,7 @@
 // Stop ends all servers, relays and processes.
 func (m *Mesh) Stop() {
 	for _, x := range m.All() {
-		if x.Server != nil {
+		if !x.IsCore() {
 			x.CurrentServer().Stop()
 		}
 		x.closeRelays()
@@ -347,7 +356,7 @@
 // MetricsURL returns the URL of a machine's metrics.
 func (x *Machine) MetricsURL() string {
 	port := telemetry.ControlPort
-	if x.Server != nil {
+	if !x.IsCore() {
 		port = telemetry.ProxyPort
 	}
 	return fmt.Sprintf("http://%s:%d%s", x.IP, port, telemetry.Path)
--- a/lab/mesh/mesh_test.go
+++ b/lab/mesh/mesh_test.go
@@ -103,7 +103,7 @@
 	m := start(t, 21)
 	checkAnswers(t, m)
 	load := beginLoad(t, m)
-	closing := m.Branch[0].Server // a server of the records service drains
+	closing := m.Branch[0].CurrentServer() // a server of the records service drains
 	closing.AnnounceClosing()
 	must(t, Await(3*time.Second, "the server's closing is acknowledged", closing.Acked))
 
--- a/lab/mesh/server.go
+++ b/lab/mesh/server.go
@@ -113,7 +113,7 @@
 	}
 	x.mesh.mu.Lock()
 	defer x.mesh.mu.Unlock()
-	x.Server = next
+	x.server = next
 	return next, nil
 }
 
@@ -124,7 +124,7 @@
 func (x *Machine) CurrentServer() *Server {
 	x.mesh.mu.Lock()
 	defer x.mesh.mu.Unlock()
-	return x.Server
+	return x.server
 }
 
 // nextServerID returns the id of a server's successor: "i-00000003" is followed by "i-00000003-2", and that by "i-00000003-3".
--- a/lab/soak/injector.go
+++ b/lab/soak/injector.go
@@ -134,7 +134,7 @@
 		}
 		t.busy[x.Name] = true
 		taken = append(taken, x)
-		if x.Server == nil {
+		if x.IsCore() {
 			t.coreFaults++
 		}
 	}
@@ -150,7 +150,7 @@
 	defer t.mu.Unlock()
 	for _, x := range machines {
 		delete(t.busy, x.Name)
-		if x.Server == nil {
+		if x.IsCore() {
 			t.coreFaults--
 			t.lastCoreRecovery = time.Now()
 		}
@@ -196,7 +196,7 @@
 // withCore returns the names of machines, followed by core if one of them is a control machine.
 func withCore(machines []*mesh.Machine) []string {
 	all := names(machines)
-	if slices.ContainsFunc(machines, func(x *mesh.Machine) bool { return x.Server == nil }) {
+	if slices.ContainsFunc(machines, func(x *mesh.Machine) bool { return x.IsCore() }) {
 		all = append(all, core)
 	}
 	return all
@@ -226,7 +226,7 @@
 	began := t.run.now()
 	t.run.expectEnd(x, true)
 	var end func(time.Duration)
-	if x.Server == nil {
+	if x.IsCore() {
 		end = t.run.judge.BeginFault(began, withCore(machines)...)
 	} else {
 		end = t.run.judge.BeginShutdown(began, x.Name)
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -126,8 +126,8 @@
 	defer r.mu.Unlock()
 	for _, x := range r.mesh.All() {
 		r.machines[x.Name] = x
-		if x.Server != nil {
-			r.machineByServer[x.Server.ID()] = x.Name
+		if !x.IsCore() {
+			r.machineByServer[x.CurrentServer().ID()] = x.Name
 		}
 	}
 }
